--- /dev/null
+++ b/apierr/apierr.go
@@ -0,0 +1,117 @@
+// Package apierr holds the typed errors that every slice returns to callers and
+// operators. Each error names its kind, the field at fault and the remedy.
+package apierr
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind classifies an error for programs.
+type Kind string
+
+// The kinds of error.
+const (
+	InvalidInput    Kind = "invalid-input"
+	Unauthenticated Kind = "unauthenticated"
+	Forbidden       Kind = "forbidden"
+	NotFound        Kind = "not-found"
+	Conflict        Kind = "conflict"
+	TooLarge        Kind = "too-large"
+	Infeasible      Kind = "infeasible"
+	Retired         Kind = "retired"
+	Overloaded      Kind = "overloaded"
+	Unavailable     Kind = "unavailable"
+	OutcomeUnknown  Kind = "outcome-unknown"
+	Internal        Kind = "internal"
+)
+
+var statusByKind = map[Kind]int{
+	InvalidInput:    http.StatusBadRequest,
+	Unauthenticated: http.StatusUnauthorized,
+	Forbidden:       http.StatusForbidden,
+	NotFound:        http.StatusNotFound,
+	Conflict:        http.StatusConflict,
+	TooLarge:        http.StatusRequestEntityTooLarge,
+	Infeasible:      http.StatusUnprocessableEntity,
+	Retired:         http.StatusGone,
+	Overloaded:      http.StatusTooManyRequests,
+	Unavailable:     http.StatusServiceUnavailable,
+	OutcomeUnknown:  http.StatusGatewayTimeout,
+	Internal:        http.StatusInternalServerError,
+}
+
+// Error is a failure that a caller or an operator can act on.
+type Error struct {
+	Kind    Kind     `json:"kind"`
+	Field   string   `json:"field,omitempty"` // path of the field at fault, such as "jobs[0].shape.tasks"
+	Message string   `json:"message"`
+	Remedy  string   `json:"remedy,omitempty"`
+	Details []*Error `json:"details,omitempty"` // every mistake found, when there are several
+}
+
+// New returns an error of the given kind, with its remedy.
+func New(kind Kind, message, remedy string) *Error {
+	return &Error{Kind: kind, Message: message, Remedy: remedy}
+}
+
+// Invalid returns an InvalidInput error about one field.
+func Invalid(field, message, remedy string) *Error {
+	return &Error{Kind: InvalidInput, Field: field, Message: message, Remedy: remedy}
+}
+
+// Join returns nil for no mistakes, the mistake itself for one, and one error
+// that carries them all for several.
+func Join(mistakes []*Error) *Error {
+	switch len(mistakes) {
+	case 0:
+		return nil
+	case 1:
+		return mistakes[0]
+	}
+	return &Error{
+		Kind:    mistakes[0].Kind,
+		Message: fmt.Sprintf("%d mistakes found", len(mistakes)),
+		Remedy:  "mend each of the mistakes listed",
+		Details: mistakes,
+	}
+}
+
+// Error returns the message followed by the remedy.
+func (e *Error) Error() string {
+	var b strings.Builder
+	if e.Field != "" {
+		b.WriteString(e.Field + ": ")
+	}
+	b.WriteString(e.Message)
+	if e.Remedy != "" {
+		b.WriteString("; " + e.Remedy)
+	}
+	for _, d := range e.Details {
+		b.WriteString("\n  " + d.Error())
+	}
+	return b.String()
+}
+
+// Status returns the HTTP status code that answers the error.
+func (e *Error) Status() int {
+	if s, ok := statusByKind[e.Kind]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// From finds the typed error in err's chain, or wraps err as Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(Internal, err.Error(), "retry; if it persists, report it with the host's log")
+}
+
+// KindOf returns the kind of the typed error in err's chain, or Internal.
+func KindOf(err error) Kind { return From(err).Kind }
--- /dev/null
+++ b/job/job.go
@@ -0,0 +1,88 @@
+// Package job holds the messages that describe jobs: their shapes, identities
+// and states. It has no behaviour beyond simple checks on its own values.
+package job
+
+import "time"
+
+// Adjacency says how near to each other a gang's tasks must run.
+type Adjacency string
+
+// The adjacencies, nearest first.
+const (
+	SameWorker        Adjacency = "worker"
+	SameRack          Adjacency = "rack"
+	SameFailureDomain Adjacency = "failure-domain"
+)
+
+// Valid reports whether a is one of the known adjacencies.
+func (a Adjacency) Valid() bool {
+	return a == SameWorker || a == SameRack || a == SameFailureDomain
+}
+
+// MaxGangTasks is the largest number of tasks in one gang.
+const MaxGangTasks = 64
+
+// Shape is what a gang occupies: equal tasks on adjacent accelerators.
+type Shape struct {
+	Tasks               int       `json:"tasks"`
+	AcceleratorsPerTask int       `json:"acceleratorsPerTask"`
+	Adjacency           Adjacency `json:"adjacency"`
+}
+
+// Accelerators returns the number of accelerators the whole shape occupies.
+func (s Shape) Accelerators() int { return s.Tasks * s.AcceleratorsPerTask }
+
+// ID identifies a job. The caller chooses Name; a repeated submission under
+// the same ID finds the first one.
+type ID struct {
+	Organisation string `json:"organisation"`
+	Service      string `json:"service"`
+	Name         string `json:"name"`
+}
+
+// String returns the ID as organisation/service/name.
+func (id ID) String() string { return id.Organisation + "/" + id.Service + "/" + id.Name }
+
+// State is a job's stage of life.
+type State string
+
+// The states of a job. Placed means that a gang generation was recorded and
+// may run; Running that every task was seen to run.
+const (
+	Queued    State = "queued"
+	Placed    State = "placed"
+	Running   State = "running"
+	Stopping  State = "stopping"
+	Finished  State = "finished"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Terminal reports whether a job in this state never runs again.
+func (s State) Terminal() bool { return s == Finished || s == Failed || s == Cancelled }
+
+// Spec is what a caller submits.
+type Spec struct {
+	ID            ID            `json:"id"`
+	Template      string        `json:"template"` // name of the job template in the service document
+	Shape         Shape         `json:"shape"`
+	Urgent        bool          `json:"urgent,omitempty"`
+	DeclaredRun   time.Duration `json:"declaredRunNanos"` // expected run time; often far off
+	Checkpoint    bool          `json:"checkpoint,omitempty"`
+	FailureDomain string        `json:"failureDomain,omitempty"` // empty: chosen at intake
+}
+
+// Record is a job as kept in a failure domain's ledger.
+type Record struct {
+	Spec       Spec      `json:"spec"`
+	Team       string    `json:"team"`
+	State      State     `json:"state"`
+	Reason     string    `json:"reason,omitempty"` // why it waits, stopped or failed, for callers
+	Generation uint64    `json:"generation,omitempty"`
+	Workers    []string  `json:"workers,omitempty"` // worker of each task, by task index
+	Submitted  time.Time `json:"submitted"`
+	Started    time.Time `json:"started,omitzero"`
+	Ended      time.Time `json:"ended,omitzero"`
+	Failures   int       `json:"failures,omitempty"` // runs that ended in failure, on any worker
+	CancelBy   string    `json:"cancelBy,omitempty"` // set when a caller or a retirement asked for the end
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,48 @@
+// Package membership tells which hosts there are, from the platform's lagging
+// list, heartbeats between entry hosts, and what was seen first-hand.
+package membership
+
+import "github.com/cyclamentray/cyclamentray/platform"
+
+// View is the membership at one moment. It is immutable once published.
+type View struct {
+	Self  platform.Host
+	Hosts []platform.Host // ordered by name; hosts known to be gone are left out
+}
+
+// Select returns the hosts for which keep is true, ordered by name.
+func (v *View) Select(keep func(platform.Host) bool) []platform.Host {
+	var out []platform.Host
+	for _, h := range v.Hosts {
+		if keep(h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Workers returns the workers of a failure domain, leaving ones included.
+func (v *View) Workers(failureDomain string) []platform.Host {
+	return v.Select(func(h platform.Host) bool {
+		return h.Kind == platform.Worker && h.FailureDomain == failureDomain
+	})
+}
+
+// Upstreams returns the upstreams of a service, leaving ones included.
+func (v *View) Upstreams(service string) []platform.Host {
+	return v.Select(func(h platform.Host) bool {
+		return h.Kind == platform.Upstream && h.Service == service
+	})
+}
+
+// Peers returns the other entry hosts.
+func (v *View) Peers() []platform.Host {
+	return v.Select(func(h platform.Host) bool {
+		return h.Kind == platform.EntryHost && h.Name != v.Self.Name
+	})
+}
+
+// Source gives the present view. It is safe for concurrent use.
+type Source interface {
+	View() *View // never nil
+}
--- /dev/null
+++ b/placement/estimates.go
@@ -0,0 +1,4 @@
+package placement
+
+// Estimates holds run times learned per service and template.
+type Estimates struct{}
