Add first versions of settings, documents, auth and telemetry

One description of each field (internal/schema) carries type, unit, default and range, so that checks, defaults and printed help cannot drift apart. Ruled out: struct tags with reflection, which cannot give line numbers, and json.Decoder's DisallowUnknownFields, which stops at the first mistake.

auth takes credentials by function, since config's edits need auth's identity and the packages would import each other otherwise.

--- a/apierr/apierr.go
+++ b/apierr/apierr.go
@@ -47,6 +47,8 @@
 // Error is a failure that a caller or an operator can act on.
 type Error struct {
 	Kind    Kind     `json:"kind"`
+	File    string   `json:"file,omitempty"`  // file at fault, when the mistake is in one
+	Line    int      `json:"line,omitempty"`  // from 1; 0: not known
 	Field   string   `json:"field,omitempty"` // path of the field at fault, such as "jobs[0].shape.tasks"
 	Message string   `json:"message"`
 	Remedy  string   `json:"remedy,omitempty"`
@@ -83,6 +85,13 @@
 // Error returns the message followed by the remedy.
 func (e *Error) Error() string {
 	var b strings.Builder
+	if e.File != "" {
+		b.WriteString(e.File + ":")
+		if e.Line > 0 {
+			fmt.Fprintf(&b, "%d:", e.Line)
+		}
+		b.WriteString(" ")
+	}
 	if e.Field != "" {
 		b.WriteString(e.Field + ": ")
 	}
--- /dev/null
+++ b/auth/auth.go
@@ -0,0 +1,167 @@
+package auth
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/httpjson"
+)
+
+// Hash is the SHA-256 of a token.
+type Hash [sha256.Size]byte
+
+// HashToken returns a token's hash as documents and settings hold it.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// ParseHash reads a hash of 64 hexadecimal digits; ok is false when it is malformed.
+func ParseHash(s string) (h Hash, ok bool) {
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(h) {
+		return h, false
+	}
+	copy(h[:], b)
+	return h, true
+}
+
+// Credential is a hash and whom it stands for.
+type Credential struct {
+	Hash     Hash
+	Identity Identity
+}
+
+// Options configure an Authenticator.
+type Options struct {
+	OperatorHashes []string            // SHA-256 in hexadecimal; malformed ones match nothing
+	Credentials    func() []Credential // organisations' credentials in force; nil: none
+	Public         []string            // paths served to anyone
+	Logger         *log.Logger
+	Metrics        *metrics.Set
+}
+
+// Authenticator finds out who sends a request. It is safe for concurrent use.
+type Authenticator struct {
+	options   Options
+	operators []Credential
+	refused   *metrics.Counter
+}
+
+// New returns an Authenticator.
+func New(o Options) *Authenticator {
+	a := &Authenticator{options: o, refused: o.Metrics.GetOrCreateCounter("cyclamentray_auth_refused_total")}
+	for _, s := range o.OperatorHashes {
+		if h, ok := ParseHash(s); ok {
+			a.operators = append(a.operators, Credential{Hash: h, Identity: Identity{Operator: true}})
+		}
+	}
+	return a
+}
+
+// Authenticate returns the identity that a token stands for. It compares with
+// every candidate in constant time, so that its duration tells nothing about
+// which hash came near.
+func (a *Authenticator) Authenticate(token string) (Identity, bool) {
+	sum := Hash(sha256.Sum256([]byte(token)))
+	id, found := match(sum, a.operators)
+	if a.options.Credentials == nil {
+		return id, found
+	}
+	org, orgFound := match(sum, a.options.Credentials())
+	if found {
+		return id, true
+	}
+	return org, orgFound
+}
+
+func match(sum Hash, candidates []Credential) (Identity, bool) {
+	at := -1
+	for i := range candidates {
+		equal := subtle.ConstantTimeCompare(sum[:], candidates[i].Hash[:])
+		at = subtle.ConstantTimeSelect(equal, i, at)
+	}
+	if at < 0 {
+		return Identity{}, false
+	}
+	return candidates[at].Identity, true
+}
+
+// Middleware refuses requests without a valid token, and puts the sender's
+// identity in the context of the others.
+func (a *Authenticator) Middleware(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.public(r.URL.Path) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		id, ok := a.Authenticate(bearer(r))
+		if !ok {
+			a.refuse(w, r)
+			return
+		}
+		inner := r.WithContext(WithIdentity(r.Context(), id))
+		next.ServeHTTP(w, inner)
+		r.Pattern = inner.Pattern // lets outer middleware name the route
+	})
+}
+
+func (a *Authenticator) public(path string) bool {
+	for _, p := range a.options.Public {
+		if p == path {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Authenticator) refuse(w http.ResponseWriter, r *http.Request) {
+	a.refused.Inc()
+	if a.options.Logger != nil {
+		a.options.Logger.Warn("refused a request without a valid token", "from", r.RemoteAddr)
+	}
+	w.Header().Set("WWW-Authenticate", `Bearer realm="cyclamentray"`)
+	httpjson.WriteError(w, errUnauthenticated())
+}
+
+func errUnauthenticated() *apierr.Error {
+	return apierr.New(apierr.Unauthenticated, "no valid token", "send Authorization: Bearer TOKEN with a token of your organisation or an operator's")
+}
+
+// bearer returns the request's token, or "".
+func bearer(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// RequireOperator returns a typed error unless the sender is an operator.
+func RequireOperator(ctx context.Context) error {
+	id, ok := FromContext(ctx)
+	switch {
+	case !ok:
+		return errUnauthenticated()
+	case !id.Operator:
+		return apierr.New(apierr.Forbidden, "only operators may do this", "use an operator's token")
+	}
+	return nil
+}
+
+// RequireIdentity returns the sender, or a typed error when there is none.
+func RequireIdentity(ctx context.Context) (Identity, error) {
+	id, ok := FromContext(ctx)
+	if !ok {
+		return Identity{}, errUnauthenticated()
+	}
+	return id, nil
+}
--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,290 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// CheckDocuments checks what documents mean together with those in force,
+// which they add to or replace. existing may be nil. The error is an
+// *apierr.Error that carries every mistake found; each document was checked on
+// its own when it was parsed.
+func CheckDocuments(docs []Document, existing *Snapshot) error {
+	if existing == nil {
+		existing = &Snapshot{}
+	}
+	c := &checker{existing: existing, merged: merge(docs, existing)}
+	c.duplicates(docs)
+	for i := range docs {
+		c.document(&docs[i])
+	}
+	c.teamsInUse(docs)
+	if e := apierr.Join(c.mistakes); e != nil {
+		return e
+	}
+	return nil
+}
+
+// CheckSnapshot checks what a whole snapshot's documents mean together.
+func CheckSnapshot(snap *Snapshot) error {
+	return CheckDocuments(snap.Documents(), &Snapshot{Retired: snap.Retired})
+}
+
+// Documents returns the snapshot's documents, ordered by kind and name.
+func (s *Snapshot) Documents() []Document {
+	var docs []Document
+	for _, name := range sortedNames(s.FailureDomains) {
+		v := s.FailureDomains[name]
+		docs = append(docs, Document{Kind: KindFailureDomain, FailureDomain: &v})
+	}
+	for _, name := range sortedNames(s.Organisations) {
+		v := s.Organisations[name]
+		docs = append(docs, Document{Kind: KindOrganisation, Organisation: &v})
+	}
+	for _, name := range sortedNames(s.Services) {
+		v := s.Services[name]
+		docs = append(docs, Document{Kind: KindService, Service: &v})
+	}
+	return docs
+}
+
+// merge returns existing with docs added or replaced.
+func merge(docs []Document, existing *Snapshot) *Snapshot {
+	m := &Snapshot{
+		Organisations:  copyMap(existing.Organisations),
+		Services:       copyMap(existing.Services),
+		FailureDomains: copyMap(existing.FailureDomains),
+	}
+	for _, d := range docs {
+		switch d.Kind {
+		case KindOrganisation:
+			m.Organisations[d.Name()] = *d.Organisation
+		case KindService:
+			m.Services[d.Name()] = *d.Service
+		case KindFailureDomain:
+			m.FailureDomains[d.Name()] = *d.FailureDomain
+		}
+	}
+	return m
+}
+
+func copyMap[V any](m map[string]V) map[string]V {
+	out := make(map[string]V, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+type checker struct {
+	existing *Snapshot
+	merged   *Snapshot
+	mistakes []*apierr.Error
+}
+
+func (c *checker) add(d *Document, field, message, remedy string) {
+	path := d.path
+	if path != "" && field != "" {
+		path += "."
+	}
+	path += field
+	e := apierr.Invalid(path, d.ID()+": "+message, remedy)
+	e.File = d.file
+	e.Line = d.lines[path]
+	if e.Line == 0 {
+		e.Line = d.lines[d.path]
+	}
+	c.mistakes = append(c.mistakes, e)
+}
+
+func (c *checker) duplicates(docs []Document) {
+	seen := map[string]bool{}
+	for i := range docs {
+		id := docs[i].ID()
+		if seen[id] {
+			c.add(&docs[i], "name", "document appears twice", "keep one of the two")
+		}
+		seen[id] = true
+	}
+}
+
+func (c *checker) document(d *Document) {
+	switch d.Kind {
+	case KindOrganisation:
+		c.organisation(d, d.Organisation)
+	case KindService:
+		c.service(d, d.Service)
+	}
+}
+
+func (c *checker) organisation(d *Document, o *Organisation) {
+	teams := map[string]bool{}
+	for i, t := range o.Teams {
+		if teams[t.Name] {
+			c.add(d, fmt.Sprintf("teams[%d].name", i), "team "+t.Name+" appears twice", "keep one of the two")
+		}
+		teams[t.Name] = true
+	}
+	c.tokens(d, o)
+	c.guarantees(d, o)
+}
+
+// tokens refuses a hash that stands for two organisations: its bearer's
+// identity would be a matter of chance.
+func (c *checker) tokens(d *Document, o *Organisation) {
+	seen := map[string]bool{}
+	for i, hash := range o.TokenHashes {
+		field := fmt.Sprintf("tokenHashes[%d]", i)
+		if seen[hash] {
+			c.add(d, field, "hash appears twice", "keep one of the two")
+		}
+		seen[hash] = true
+		if c.heldByAnother(o.Name, hash) {
+			c.add(d, field, "hash is in use by another organisation", "make a new token for this organisation")
+		}
+	}
+}
+
+func (c *checker) heldByAnother(organisation, hash string) bool {
+	for name, other := range c.merged.Organisations {
+		if name == organisation {
+			continue
+		}
+		for _, h := range other.TokenHashes {
+			if h == hash {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *checker) guarantees(d *Document, o *Organisation) {
+	type place struct {
+		failureDomain string
+		shape         job.Shape
+	}
+	seen := map[place]bool{}
+	for i, g := range o.Guarantees {
+		field := fmt.Sprintf("guarantees[%d]", i)
+		if _, ok := c.merged.FailureDomains[g.FailureDomain]; !ok {
+			c.add(d, field+".failureDomain", "unknown failure domain "+g.FailureDomain, "apply its document first, or in the same call")
+		}
+		c.shape(d, field+".shape", g.Shape)
+		p := place{g.FailureDomain, g.Shape}
+		if seen[p] {
+			c.add(d, field, "the same shape is guaranteed twice in "+g.FailureDomain, "raise count of the first")
+		}
+		seen[p] = true
+	}
+}
+
+// shape checks what the ranges of single fields cannot.
+func (c *checker) shape(d *Document, field string, s job.Shape) {
+	if s.Adjacency == job.SameWorker && s.Accelerators() > maxAcceleratorsPerTask {
+		message := fmt.Sprintf("%d accelerators on one worker", s.Accelerators())
+		c.add(d, field, message, `use adjacency "rack", or a smaller shape`)
+	}
+}
+
+func (c *checker) service(d *Document, s *Service) {
+	if revision, retired := c.existing.Retired[s.Name]; retired {
+		c.add(d, "name", fmt.Sprintf("the name was retired at revision %d", revision), "choose another name")
+	}
+	if old, ok := c.existing.Services[s.Name]; ok && old.Organisation != s.Organisation {
+		c.add(d, "organisation", "a service cannot move from organisation "+old.Organisation, "retire it and create one of another name")
+	}
+	c.owner(d, s)
+	c.templates(d, s)
+	c.requests(d, s)
+}
+
+func (c *checker) owner(d *Document, s *Service) {
+	org, ok := c.merged.Organisations[s.Organisation]
+	if !ok {
+		c.add(d, "organisation", "unknown organisation "+s.Organisation, "apply its document first, or in the same call")
+		return
+	}
+	if _, ok := findTeam(org, s.Team); !ok {
+		c.add(d, "team", "organisation "+org.Name+" has no team "+s.Team, "add the team to the organisation's document")
+	}
+}
+
+func findTeam(o Organisation, name string) (Team, bool) {
+	for _, t := range o.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+func (c *checker) templates(d *Document, s *Service) {
+	team, _ := findTeam(c.merged.Organisations[s.Organisation], s.Team)
+	seen := map[string]bool{}
+	for i, t := range s.Jobs {
+		field := fmt.Sprintf("jobs[%d]", i)
+		if seen[t.Name] {
+			c.add(d, field+".name", "job template "+t.Name+" appears twice", "keep one of the two")
+		}
+		seen[t.Name] = true
+		c.shape(d, field+".shape", t.Shape)
+		if n := t.Shape.Accelerators(); team.Quota > 0 && n > team.Quota {
+			message := fmt.Sprintf("%d accelerators exceed the quota of team %s, %d", n, team.Name, team.Quota)
+			c.add(d, field+".shape", message, "shrink the shape or raise the quota")
+		}
+	}
+}
+
+func (c *checker) requests(d *Document, s *Service) {
+	if s.Requests == nil {
+		return
+	}
+	seen := map[string]bool{s.Organisation: true}
+	for i, name := range s.Requests.ShareWith {
+		field := fmt.Sprintf("requests.shareWith[%d]", i)
+		if seen[name] {
+			c.add(d, field, "organisation "+name+" may call already", "remove it")
+		}
+		seen[name] = true
+		if _, ok := c.merged.Organisations[name]; !ok {
+			c.add(d, field, "unknown organisation "+name, "apply its document first, or in the same call")
+		}
+	}
+}
+
+// teamsInUse refuses an organisation's document that drops a team, or lowers a
+// quota, under a service that is not itself replaced in the same edit.
+func (c *checker) teamsInUse(docs []Document) {
+	replaced := map[string]bool{}
+	for i := range docs {
+		replaced[docs[i].ID()] = true
+	}
+	for i := range docs {
+		if docs[i].Kind != KindOrganisation {
+			continue
+		}
+		for _, name := range sortedNames(c.existing.Services) {
+			s := c.existing.Services[name]
+			if s.Organisation == docs[i].Name() && !replaced[string(KindService)+"/"+name] {
+				c.teamOf(&docs[i], &s)
+			}
+		}
+	}
+}
+
+func (c *checker) teamOf(d *Document, s *Service) {
+	team, ok := findTeam(*d.Organisation, s.Team)
+	if !ok {
+		c.add(d, "teams", "team "+s.Team+" owns service "+s.Name, "keep the team, or retire or move the service first")
+		return
+	}
+	for _, t := range s.Jobs {
+		if n := t.Shape.Accelerators(); team.Quota > 0 && n > team.Quota {
+			message := fmt.Sprintf("quota %d of team %s is below job template %s of service %s, %d accelerators", team.Quota, team.Name, t.Name, s.Name, n)
+			c.add(d, "teams", message, "raise the quota or shrink the template first")
+		}
+	}
+}
--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/schema"
+)
+
+// Document is one operators' document: a kind and the value of that kind.
+// Its JSON is the value's fields beside a field "kind".
+type Document struct {
+	Kind          Kind
+	Organisation  *Organisation
+	Service       *Service
+	FailureDomain *FailureDomain
+
+	file  string         // where it was read from, for mistakes
+	path  string         // path in that file, such as "[3]"
+	lines map[string]int // lines of its fields in that file
+}
+
+// Name returns the document's name, unique within its kind.
+func (d Document) Name() string {
+	switch {
+	case d.Organisation != nil:
+		return d.Organisation.Name
+	case d.Service != nil:
+		return d.Service.Name
+	case d.FailureDomain != nil:
+		return d.FailureDomain.Name
+	}
+	return ""
+}
+
+// ID returns the kind and name as "kind/name".
+func (d Document) ID() string { return string(d.Kind) + "/" + d.Name() }
+
+// MarshalJSON writes the value's fields beside "kind".
+func (d Document) MarshalJSON() ([]byte, error) {
+	switch d.Kind {
+	case KindOrganisation:
+		return json.Marshal(struct {
+			Kind Kind `json:"kind"`
+			*Organisation
+		}{d.Kind, d.Organisation})
+	case KindService:
+		return json.Marshal(struct {
+			Kind Kind `json:"kind"`
+			*Service
+		}{d.Kind, d.Service})
+	case KindFailureDomain:
+		return json.Marshal(struct {
+			Kind Kind `json:"kind"`
+			*FailureDomain
+		}{d.Kind, d.FailureDomain})
+	}
+	return nil, errors.Newf("document of unknown kind %q", d.Kind)
+}
+
+// UnmarshalJSON reads a document that was checked before. Input from people
+// goes through ParseDocuments.
+func (d *Document) UnmarshalJSON(data []byte) error {
+	var head struct {
+		Kind Kind `json:"kind"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return err
+	}
+	*d = Document{Kind: head.Kind}
+	value, err := d.allocate()
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, value)
+}
+
+// allocate sets the field of the document's kind to a new value.
+func (d *Document) allocate() (value any, err error) {
+	switch d.Kind {
+	case KindOrganisation:
+		d.Organisation = &Organisation{}
+		return d.Organisation, nil
+	case KindService:
+		d.Service = &Service{}
+		return d.Service, nil
+	case KindFailureDomain:
+		d.FailureDomain = &FailureDomain{}
+		return d.FailureDomain, nil
+	}
+	return nil, errors.Newf("document of unknown kind %q", d.Kind)
+}
+
+// ParseDocuments reads JSON with comments: one document, or a list of them.
+// The error is an *apierr.Error that carries every mistake found; name is the
+// file's name in it. Mistakes between documents are CheckDocuments' duty.
+func ParseDocuments(name string, data []byte) ([]Document, error) {
+	src, bad := schema.Read(name, data)
+	if bad != nil {
+		return nil, bad
+	}
+	p := &parser{src: src}
+	if list, ok := src.Root.Value.(*hujson.Array); ok {
+		for i := range list.Elements {
+			p.document(&list.Elements[i], fmt.Sprintf("[%d]", i))
+		}
+	} else {
+		p.document(&src.Root, "")
+	}
+	if len(p.mistakes) > 0 {
+		return nil, apierr.Join(p.mistakes)
+	}
+	return p.documents, nil
+}
+
+type parser struct {
+	src       *schema.Source
+	documents []Document
+	mistakes  []*apierr.Error
+}
+
+func (p *parser) document(v *hujson.Value, path string) {
+	fields, known := fieldsOf(kindOf(v))
+	result := p.src.Check(v, fields, path)
+	if !known {
+		result.Mistakes = aboutKind(result.Mistakes)
+	}
+	p.mistakes = append(p.mistakes, result.Mistakes...)
+	if len(result.Mistakes) > 0 {
+		return
+	}
+	d := Document{}
+	if err := json.Unmarshal(result.JSON, &d); err != nil {
+		p.mistakes = append(p.mistakes, apierr.Invalid(path, err.Error(), "check the document against `cyclamentray describe`"))
+		return
+	}
+	d.file, d.path, d.lines = p.src.Name, path, result.Lines
+	p.documents = append(p.documents, d)
+}
+
+// aboutKind leaves out mistakes about the other fields of a document whose kind
+// is not known: without a kind nothing can be said about them.
+func aboutKind(mistakes []*apierr.Error) []*apierr.Error {
+	var out []*apierr.Error
+	for _, m := range mistakes {
+		if m.Message != schema.UnknownField {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// kindOf returns the document's kind, or "" when it states none.
+func kindOf(v *hujson.Value) Kind {
+	o, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return ""
+	}
+	for _, m := range o.Members {
+		name, _ := m.Name.Value.(hujson.Literal)
+		kind, ok := m.Value.Value.(hujson.Literal)
+		if ok && name.String() == "kind" && kind.Kind() == '"' {
+			return Kind(kind.String())
+		}
+	}
+	return ""
+}
+
+// Describe prints every field of every kind of document with its type, unit,
+// default, range and meaning.
+func Describe(w io.Writer) error {
+	for _, kind := range []Kind{KindOrganisation, KindService, KindFailureDomain} {
+		if _, err := fmt.Fprintf(w, "\n%s\n", kind); err != nil {
+			return err
+		}
+		fields, _ := fieldsOf(kind)
+		if err := schema.Describe(w, fields); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/config/parse_test.go
@@ -0,0 +1,46 @@
+package config
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+)
+
+func TestParseDocuments_EveryMistakeAtOnce(t *testing.T) {
+	_, err := ParseDocuments("org.hujson", []byte(`[
+  // two documents, four mistakes
+  {"kind": "organisation", "name": "Pwani", "teems": [],
+   "guarantees": [{"failureDomain": "fd-a", "shape": {"tasks": -2, "acceleratorsPerTask": 8}}]},
+  {"kind": "servise", "name": "filings"},
+]`))
+	must.Eq(t, apierr.InvalidInput, apierr.KindOf(err))
+	var got []string
+	for _, m := range apierr.From(err).Details {
+		must.NotEq(t, "", m.Remedy)
+		got = append(got, m.Error())
+	}
+	must.Eq(t, []string{
+		`org.hujson:3: [0].name: "Pwani" is malformed; write 1 to 63 lower-case letters, digits and hyphens`,
+		`org.hujson:3: [0].teems: unknown field; did you mean "teams"?`,
+		`org.hujson:4: [0].guarantees[0].shape.tasks: -2 is out of range; write an integer from 1 to 64 tasks`,
+		`org.hujson:5: [1].kind: "servise" is not one of the allowed values; write one of organisation, service, failure-domain`,
+	}, got)
+}
+
+func TestParseDocuments_DefaultsAndRoundTrip(t *testing.T) {
+	docs, err := ParseDocuments("svc.hujson", []byte(`{"kind": "service", "name": "filings", "organisation": "pwani", "team": "levy",
+	  "jobs": [{"name": "train", "shape": {"tasks": 2, "acceleratorsPerTask": 8}, "runSeconds": 60}]}`))
+	must.NoError(t, err)
+	must.Len(t, 1, docs)
+	must.Eq(t, 3, docs[0].Service.Jobs[0].MaxFailures)
+	must.Nil(t, docs[0].Service.Requests)
+
+	data, err := json.Marshal(docs[0])
+	must.NoError(t, err)
+	again, err := ParseDocuments("again", data)
+	must.NoError(t, err)
+	must.Eq(t, docs[0].Service, again[0].Service)
+}
--- /dev/null
+++ b/internal/schema/describe.go
@@ -0,0 +1,67 @@
+package schema
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Describe prints one line a field: path, type, unit, default, range, meaning.
+func Describe(w io.Writer, f *Field) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "FIELD\tTYPE\tUNIT\tDEFAULT\tTAKES\tMEANING")
+	for i := range f.Fields {
+		describe(tw, &f.Fields[i], "")
+	}
+	return tw.Flush()
+}
+
+func describe(w io.Writer, f *Field, prefix string) {
+	path := join(prefix, f.Name)
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", path, f.Type, dash(f.Unit), defaultText(f), takes(f), f.Doc)
+	for i := range f.Fields {
+		describe(w, &f.Fields[i], path)
+	}
+	if f.Elem == nil {
+		return
+	}
+	for i := range f.Elem.Fields {
+		describe(w, &f.Elem.Fields[i], path+"[]")
+	}
+}
+
+func defaultText(f *Field) string {
+	switch {
+	case f.Required:
+		return "(required)"
+	case f.Default == nil:
+		return "-"
+	case f.Default == "":
+		return `""`
+	}
+	return fmt.Sprint(f.Default)
+}
+
+func takes(f *Field) string {
+	switch {
+	case len(f.Enum) > 0:
+		return strings.Join(f.Enum, "|")
+	case f.Format != nil:
+		return f.Format.Name
+	case f.Type == List && f.bounded():
+		return fmt.Sprintf("%d..%d elements", f.Min, f.Max)
+	case f.bounded():
+		return fmt.Sprintf("%d..%d", f.Min, f.Max)
+	case f.Type == List && f.Elem.Format != nil:
+		return "each " + f.Elem.Format.Name
+	}
+	return "-"
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/schema/nearest.go
@@ -0,0 +1,46 @@
+package schema
+
+import (
+	"strconv"
+	"strings"
+)
+
+// unknownRemedy suggests the known name nearest to an unknown one.
+func unknownRemedy(name string, known []string) string {
+	if near := nearest(name, known); near != "" {
+		return "did you mean " + strconv.Quote(near) + "?"
+	}
+	return "remove it; known fields are " + strings.Join(known, ", ")
+}
+
+// nearest returns the known name within a third of name's length in edits, or "".
+func nearest(name string, known []string) string {
+	best, bestDistance := "", len(name)/3+2
+	for _, k := range known {
+		if d := editDistance(strings.ToLower(name), strings.ToLower(k)); d < bestDistance {
+			best, bestDistance = k, d
+		}
+	}
+	return best
+}
+
+// editDistance is the Levenshtein distance in bytes.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(cost, row[j]+1, diagonal+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,144 @@
+// Package settings reads the settings of one entry host: JSON with comments,
+// checked whole before use.
+package settings
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/schema"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+// Settings are the settings of one entry host. Names that end in Millis or
+// Seconds state their unit.
+type Settings struct {
+	Host      Host      `json:"host"`
+	Listen    Addresses `json:"listen"`
+	Advertise Addresses `json:"advertise"`
+	Platform  Platform  `json:"platform"`
+	Operators []string  `json:"operatorTokenHashes"` // SHA-256 of operators' tokens, lower-case hexadecimal
+	TLS       TLS       `json:"tls"`
+	Trace     Trace     `json:"trace"`
+	Log       Log       `json:"log"`
+	Limits    Limits    `json:"limits"`
+	Timing    Timing    `json:"timing"`
+}
+
+// Host says who this host is and where it stands.
+type Host struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failureDomain"`
+	Region        string `json:"region"`
+	Rack          string `json:"rack"`
+}
+
+// Addresses are the IP:port of the HTTP listener and of the net/rpc listener.
+type Addresses struct {
+	HTTP string `json:"http"`
+	Peer string `json:"peer"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	URLs []string `json:"urls"` // tried in turn
+}
+
+// TLS holds the key files of both listeners.
+type TLS struct {
+	HTTP          KeyFiles `json:"http"` // towards callers and operators
+	Peer          KeyFiles `json:"peer"` // between entry hosts, which show certificates to each other
+	ReloadSeconds int      `json:"reloadSeconds"`
+}
+
+// ReloadInterval is how often the key files are looked at for a change.
+func (t TLS) ReloadInterval() time.Duration { return time.Duration(t.ReloadSeconds) * time.Second }
+
+// KeyFiles names PEM files. All empty: plain TCP.
+type KeyFiles struct {
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+	CAFile   string `json:"caFile"`
+}
+
+// Enabled reports whether the listener uses TLS.
+func (k KeyFiles) Enabled() bool { return k.CertFile != "" }
+
+// Exporter says where spans go.
+type Exporter string
+
+// The exporters.
+const (
+	ExportNone   Exporter = "none"
+	ExportStdout Exporter = "stdout"
+	ExportOTLP   Exporter = "otlp"
+)
+
+// Trace says which requests are traced and where spans go.
+type Trace struct {
+	Exporter      Exporter `json:"exporter"`
+	Endpoint      string   `json:"endpoint"` // URL of an OTLP collector over HTTP
+	SamplePercent int      `json:"samplePercent"`
+}
+
+// Log says how much is logged.
+type Log struct {
+	Level string `json:"level"`
+}
+
+// Limits bound what one host takes.
+type Limits struct {
+	BodyBytes     int `json:"bodyBytes"`     // largest body of a caller's request
+	AnswerBytes   int `json:"answerBytes"`   // largest answer of an upstream
+	DocumentBytes int `json:"documentBytes"` // largest body of an operator's edit
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.WithHint(errors.Wrap(err, "read settings"), "name a readable file")
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings and fills in defaults. The error is an *apierr.Error
+// that carries every mistake found.
+func Parse(name string, data []byte) (*Settings, error) {
+	src, bad := schema.Read(name, data)
+	if bad != nil {
+		return nil, bad
+	}
+	result := src.Check(&src.Root, &root, "")
+	if len(result.Mistakes) > 0 {
+		return nil, apierr.Join(result.Mistakes)
+	}
+	s := &Settings{}
+	if err := json.Unmarshal(result.JSON, s); err != nil {
+		return nil, errors.Wrap(err, "decode checked settings")
+	}
+	if mistakes := s.check(name, result.Lines); len(mistakes) > 0 {
+		return nil, apierr.Join(mistakes)
+	}
+	return s, nil
+}
+
+// Describe prints every field with its type, unit, default, range and meaning.
+func Describe(w io.Writer) error { return schema.Describe(w, &root) }
+
+// Self returns this host's line as the platform's host list shows it.
+func (s *Settings) Self() platform.Host {
+	return platform.Host{
+		Name:          s.Host.Name,
+		Kind:          platform.EntryHost,
+		FailureDomain: s.Host.FailureDomain,
+		Rack:          s.Host.Rack,
+		Address:       s.Advertise.HTTP,
+		PeerAddress:   s.Advertise.Peer,
+	}
+}
--- /dev/null
+++ b/telemetry/http.go
@@ -0,0 +1,112 @@
+package telemetry
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+)
+
+// Middleware wraps an entry host's whole handler: each request gets a server
+// span that continues the caller's trace, and is counted in set by route.
+func Middleware(host string, set *metrics.Set, now func() time.Time, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun := now()
+		ctx, span := StartServer(Extract(r.Context(), r.Header), "entry "+r.Method, HostKey.String(host))
+		defer span.End()
+		sw := &statusWriter{ResponseWriter: w}
+		inner := r.WithContext(ctx)
+		next.ServeHTTP(sw, inner)
+		route := routeOf(inner)
+		if span.IsRecording() {
+			span.SetName("entry " + route)
+			span.SetAttributes(attribute.Int("http.status", sw.code()))
+			if sw.code() >= http.StatusInternalServerError {
+				span.SetStatus(codes.Error, http.StatusText(sw.code()))
+			}
+		}
+		countRequest(set, route, sw.code(), now().Sub(begun))
+	})
+}
+
+// routeOf is the mux's pattern, never the caller's path: paths name callers'
+// jobs and would make metrics without bound.
+func routeOf(r *http.Request) string {
+	if r.Pattern == "" {
+		return "unknown"
+	}
+	return r.Pattern
+}
+
+func countRequest(set *metrics.Set, route string, code int, took time.Duration) {
+	label := "route=" + strconv.Quote(route)
+	set.GetOrCreateCounter(fmt.Sprintf(`cyclamentray_http_requests_total{%s,code="%d"}`, label, code)).Inc()
+	set.GetOrCreateHistogram(fmt.Sprintf(`cyclamentray_http_request_seconds{%s}`, label)).Update(took.Seconds())
+}
+
+// statusWriter remembers the status that was answered.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+func (w *statusWriter) WriteHeader(status int) {
+	if w.status == 0 && status >= http.StatusOK {
+		w.status = status
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *statusWriter) Write(p []byte) (int, error) {
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (w *statusWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
+
+// Unwrap lets http.ResponseController reach the writer beneath.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *statusWriter) code() int {
+	if w.status == 0 {
+		return http.StatusOK
+	}
+	return w.status
+}
+
+// Transport wraps base so that each request is a client span named after the
+// kind of host it goes to, such as "worker", and carries the trace context.
+func Transport(base http.RoundTripper, kind string) http.RoundTripper {
+	return &transport{base: base, kind: kind}
+}
+
+type transport struct {
+	base http.RoundTripper
+	kind string
+}
+
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx, span := StartClient(r.Context(), t.kind+" "+r.Method, attribute.String("peer", r.URL.Host))
+	r = r.Clone(ctx)
+	Inject(ctx, r.Header)
+	resp, err := t.base.RoundTrip(r)
+	if err == nil {
+		span.SetAttributes(attribute.Int("http.status", resp.StatusCode))
+	}
+	End(span, err)
+	return resp, err
+}
+
+// CloseIdleConnections lets http.Client reach the transport beneath.
+func (t *transport) CloseIdleConnections() {
+	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
