--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,71 @@
+// Package api holds the messages of an entry host's HTTP interface that belong
+// to no single slice.
+package api
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// Header names of the HTTP interface.
+const (
+	HeaderOutcome        = "Cyclamentray-Outcome"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// ErrorReply is the body of every refusal.
+type ErrorReply struct {
+	Error *apierr.Error `json:"error"`
+}
+
+// ApplyRequest asks for documents to be put in force together.
+type ApplyRequest struct {
+	Documents []json.RawMessage `json:"documents"`        // each with its "kind"
+	Expected  uint64            `json:"expectedRevision"` // 0: whatever is in force
+}
+
+// RetireRequest asks for a service to be retired for good.
+type RetireRequest struct {
+	Expected uint64 `json:"expectedRevision"` // 0: whatever is in force
+}
+
+// EditReply tells the revision at which an edit was accepted.
+type EditReply struct {
+	Revision uint64 `json:"revision"`
+}
+
+// JobList is a page of jobs that the caller may see, newest first.
+type JobList struct {
+	Jobs []job.Record `json:"jobs"`
+}
+
+// HostStatus is one entry host as it sees itself.
+type HostStatus struct {
+	Name           string        `json:"name"`
+	FailureDomain  string        `json:"failureDomain"`
+	Revision       uint64        `json:"revision"`            // configuration in force on the host
+	ConfirmedAge   time.Duration `json:"confirmedAgeNanos"`   // since the platform last confirmed it
+	Term           uint64        `json:"term,omitempty"`      // set on the failure domain's scheduler
+	Draining       bool          `json:"draining,omitempty"`  // the host is shutting down
+	PlatformErrors uint64        `json:"platformErrors"`      // failed platform calls since start
+	Unreached      string        `json:"unreached,omitempty"` // why a peer did not answer
+}
+
+// Top is the state of the whole deployment as one entry host sees it.
+type Top struct {
+	Hosts          []HostStatus          `json:"hosts"`
+	FailureDomains []FailureDomainStatus `json:"failureDomains"`
+}
+
+// FailureDomainStatus sums up the workers and jobs of a failure domain.
+type FailureDomainStatus struct {
+	Name         string `json:"name"`
+	Out          bool   `json:"out"`
+	Workers      int    `json:"workers"`
+	Accelerators int    `json:"accelerators"`
+	Queued       int    `json:"queued"`
+	Running      int    `json:"running"`
+}
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,212 @@
+// Package client calls an entry host's HTTP interface for callers and operators.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/api"
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+const (
+	callTimeout   = 30 * time.Second
+	maxReplyBytes = 64 << 20
+)
+
+// Client calls one entry host. It is safe for concurrent use.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// New returns a client of the entry host at base, such as
+// "http://127.0.0.1:7070", that presents token.
+func New(base, token string) *Client {
+	return NewWithHTTP(base, token, &http.Client{Timeout: callTimeout})
+}
+
+// NewWithHTTP is New with a caller's own HTTP client, for TLS.
+func NewWithHTTP(base, token string, hc *http.Client) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), token: token, http: hc}
+}
+
+// Submit submits a job and returns its record. Submitting the same job again
+// finds the first.
+func (c *Client) Submit(ctx context.Context, spec job.Spec) (job.Record, error) {
+	var rec job.Record
+	err := c.call(ctx, http.MethodPost, "/v1/jobs", spec, &rec)
+	return rec, err
+}
+
+// Status returns a job's record.
+func (c *Client) Status(ctx context.Context, id job.ID) (job.Record, error) {
+	var rec job.Record
+	err := c.call(ctx, http.MethodGet, jobPath(id), nil, &rec)
+	return rec, err
+}
+
+// Jobs lists the jobs that the caller may see; an empty state lists all.
+func (c *Client) Jobs(ctx context.Context, state job.State) (api.JobList, error) {
+	var list api.JobList
+	path := "/v1/jobs"
+	if state != "" {
+		path += "?state=" + url.QueryEscape(string(state))
+	}
+	err := c.call(ctx, http.MethodGet, path, nil, &list)
+	return list, err
+}
+
+// Cancel asks for a job to end and returns its record.
+func (c *Client) Cancel(ctx context.Context, id job.ID) (job.Record, error) {
+	var rec job.Record
+	err := c.call(ctx, http.MethodDelete, jobPath(id), nil, &rec)
+	return rec, err
+}
+
+// Explain returns why a job waits or what became of it, as JSON.
+func (c *Client) Explain(ctx context.Context, id job.ID) (json.RawMessage, error) {
+	var raw json.RawMessage
+	err := c.call(ctx, http.MethodGet, jobPath(id)+"/explain", nil, &raw)
+	return raw, err
+}
+
+// Apply puts documents in force together. It returns a Conflict error when
+// another operator's edit came first.
+func (c *Client) Apply(ctx context.Context, req api.ApplyRequest) (api.EditReply, error) {
+	var reply api.EditReply
+	err := c.call(ctx, http.MethodPost, "/v1/config", req, &reply)
+	return reply, err
+}
+
+// Retire retires a service for good.
+func (c *Client) Retire(ctx context.Context, service string, req api.RetireRequest) (api.EditReply, error) {
+	var reply api.EditReply
+	err := c.call(ctx, http.MethodPost, "/v1/services/"+url.PathEscape(service)+"/retire", req, &reply)
+	return reply, err
+}
+
+// SetFailureDomain takes a failure domain out of service or brings it back.
+func (c *Client) SetFailureDomain(ctx context.Context, name string, out bool) (api.EditReply, error) {
+	action := "/in"
+	if out {
+		action = "/out"
+	}
+	var reply api.EditReply
+	err := c.call(ctx, http.MethodPost, "/v1/failure-domains/"+url.PathEscape(name)+action, nil, &reply)
+	return reply, err
+}
+
+// Top returns the deployment as the entry host sees it.
+func (c *Client) Top(ctx context.Context) (api.Top, error) {
+	var top api.Top
+	err := c.call(ctx, http.MethodGet, "/v1/top", nil, &top)
+	return top, err
+}
+
+// Outcome returns the outcome of an idempotency key, as JSON.
+func (c *Client) Outcome(ctx context.Context, service, key string) (json.RawMessage, error) {
+	var raw json.RawMessage
+	path := "/v1/services/" + url.PathEscape(service) + "/outcomes/" + url.PathEscape(key)
+	err := c.call(ctx, http.MethodGet, path, nil, &raw)
+	return raw, err
+}
+
+// Answer is an upstream's answer to a request.
+type Answer struct {
+	Status  int    `json:"status"`
+	Outcome string `json:"outcome"`
+	Body    []byte `json:"body"`
+}
+
+// Request sends a request to a service. An empty key sends none.
+func (c *Client) Request(ctx context.Context, method, service, path, key string, body []byte) (Answer, error) {
+	target := "/v1/services/" + url.PathEscape(service) + "/requests/" + strings.TrimPrefix(path, "/")
+	req, err := c.request(ctx, method, target, body)
+	if err != nil {
+		return Answer{}, err
+	}
+	if key != "" {
+		req.Header.Set(api.HeaderIdempotencyKey, key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, unreachable(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return Answer{}, apierr.New(apierr.OutcomeUnknown, "the answer was cut: "+err.Error(),
+			"ask for the outcome of its idempotency key before sending it again")
+	}
+	return Answer{Status: resp.StatusCode, Outcome: resp.Header.Get(api.HeaderOutcome), Body: answer}, nil
+}
+
+func jobPath(id job.ID) string {
+	return "/v1/jobs/" + url.PathEscape(id.Organisation) + "/" + url.PathEscape(id.Service) + "/" + url.PathEscape(id.Name)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, apierr.New(apierr.InvalidInput, err.Error(), "check the address and the path")
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	return req, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, args, reply any) error {
+	var body []byte
+	if args != nil {
+		encoded, err := json.Marshal(args)
+		if err != nil {
+			return errors.Wrap(err, "encoding the request")
+		}
+		body = encoded
+	}
+	req, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if args != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return unreachable(err)
+	}
+	defer resp.Body.Close()
+	return decode(resp, reply)
+}
+
+func decode(resp *http.Response, reply any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return unreachable(err)
+	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return errors.Wrap(json.Unmarshal(body, reply), "decoding the answer")
+	}
+	var refusal api.ErrorReply
+	if err := json.Unmarshal(body, &refusal); err != nil || refusal.Error == nil {
+		return apierr.New(apierr.Internal, "the entry host answered "+resp.Status, "check that the address is an entry host's")
+	}
+	return refusal.Error
+}
+
+func unreachable(err error) error {
+	return apierr.New(apierr.Unavailable, "no answer from the entry host: "+err.Error(),
+		"check the address, or try another entry host")
+}
--- /dev/null
+++ b/internal/cli/requests.go
@@ -0,0 +1,130 @@
+package cli
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/cyclamentray/cyclamentray/api"
+	"github.com/cyclamentray/cyclamentray/apierr"
+)
+
+func requestCommands(a *app) []command {
+	return []command{
+		{"request", "Send a request to a service", "Sends one request to a service's upstreams and prints the answer.", &requestCommand{app: a}},
+		{"outcome", "Tell whether a request ran", "Tells the outcome of a request that carried an idempotency key.", &outcomeCommand{app: a}},
+		{"top", "Show hosts, revisions and failure domains", "Shows each entry host's revision and age, and each failure domain's workers and jobs.", &topCommand{app: a}},
+	}
+}
+
+type requestCommand struct {
+	app    *app
+	Method string `long:"method" default:"GET" description:"HTTP method"`
+	Key    string `long:"key" description:"idempotency key: with it, the request runs at most once however often it is sent"`
+	Data   string `long:"data" description:"body to send"`
+	Args   struct {
+		Service string `positional-arg-name:"SERVICE" required:"yes"`
+		Path    string `positional-arg-name:"PATH" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute sends the request.
+func (c *requestCommand) Execute([]string) error {
+	cl, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	answer, err := cl.Request(c.app.ctx, strings.ToUpper(c.Method), c.Args.Service, c.Args.Path, c.Key, []byte(c.Data))
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("%d, outcome %s\n%s", answer.Status, answer.Outcome, answer.Body)
+	if err := c.app.print(answer, text); err != nil {
+		return err
+	}
+	return outcomeError(answer.Status, answer.Outcome)
+}
+
+// outcomeError returns an error for an answer that is not the upstream's own.
+func outcomeError(status int, outcome string) error {
+	switch {
+	case outcome == "unknown":
+		return apierr.New(apierr.OutcomeUnknown, "the request may or may not have run", "ask for its outcome before sending it again")
+	case outcome == "not-run" || status == http.StatusTooManyRequests:
+		return apierr.New(apierr.Unavailable, "the request did not run", "send it again later")
+	}
+	return nil
+}
+
+type outcomeCommand struct {
+	app  *app
+	Args struct {
+		Service string `positional-arg-name:"SERVICE" required:"yes"`
+		Key     string `positional-arg-name:"KEY" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the outcome of an idempotency key.
+func (c *outcomeCommand) Execute([]string) error {
+	cl, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	raw, err := cl.Outcome(c.app.ctx, c.Args.Service, c.Args.Key)
+	if err != nil {
+		return err
+	}
+	return c.app.printRaw(raw)
+}
+
+type topCommand struct {
+	app *app
+}
+
+// Execute prints the state of the deployment.
+func (c *topCommand) Execute([]string) error {
+	cl, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	top, err := cl.Top(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	return c.app.print(top, describeTop(top))
+}
+
+func describeTop(top api.Top) string {
+	var b strings.Builder
+	for _, h := range top.Hosts {
+		fmt.Fprintf(&b, "%-12s %-8s revision %d, confirmed %s ago", h.Name, h.FailureDomain, h.Revision, h.ConfirmedAge.Round(pollInterval/2))
+		if h.Term != 0 {
+			fmt.Fprintf(&b, ", scheduler under term %d", h.Term)
+		}
+		if h.Draining {
+			b.WriteString(", draining")
+		}
+		if h.Unreached != "" {
+			b.WriteString(", not reached: " + h.Unreached)
+		}
+		b.WriteString("\n")
+	}
+	for _, d := range top.FailureDomains {
+		state := "in"
+		if d.Out {
+			state = "out"
+		}
+		fmt.Fprintf(&b, "%-12s %-8s %d workers, %d accelerators, %d queued, %d running\n", d.Name, state, d.Workers, d.Accelerators, d.Queued, d.Running)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+// readFile reads a document or settings file that an operator named.
+func readFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, apierr.Invalid(name, err.Error(), "name a file that can be read")
+	}
+	return data, nil
+}
