--- /dev/null
+++ b/placement/topology/capacity.go
@@ -0,0 +1,90 @@
+package topology
+
+import "slices"
+
+// Capacity counts the free accelerators of a cluster's workers and racks.
+// It is not safe for concurrent use.
+type Capacity struct {
+	*Cluster
+	free     []int // of each worker; negative while it runs more than it has
+	rackFree []int // sum over a rack's workers of what is free
+	total    int   // sum over all workers of what is free
+	tasks    []int // tasks on each worker, to spread those without accelerators
+	scratch  []int
+}
+
+// NewCapacity returns the capacity of a cluster on which nothing runs.
+// Unavailable workers have nothing free.
+func NewCapacity(c *Cluster) *Capacity {
+	k := &Capacity{
+		Cluster:  c,
+		free:     make([]int, c.Len()),
+		rackFree: make([]int, c.Racks()),
+		tasks:    make([]int, c.Len()),
+	}
+	for w, worker := range c.workers {
+		if !worker.Unavailable {
+			k.Give(w, worker.Accelerators)
+		}
+	}
+	return k
+}
+
+// Clone returns a copy that shares nothing but the cluster.
+func (k *Capacity) Clone() *Capacity {
+	return &Capacity{
+		Cluster:  k.Cluster,
+		free:     slices.Clone(k.free),
+		rackFree: slices.Clone(k.rackFree),
+		total:    k.total,
+		tasks:    slices.Clone(k.tasks),
+	}
+}
+
+// Free returns the free accelerators of the worker at position w.
+func (k *Capacity) Free(w int) int { return max(k.free[w], 0) }
+
+// RackFree returns the free accelerators of a rack.
+func (k *Capacity) RackFree(r int) int { return k.rackFree[r] }
+
+// TotalFree returns the free accelerators of all workers.
+func (k *Capacity) TotalFree() int { return k.total }
+
+// Take marks n accelerators of worker w as used. What an unavailable worker
+// runs does not count.
+func (k *Capacity) Take(w, n int) {
+	if k.workers[w].Unavailable {
+		return
+	}
+	k.change(w, -n)
+	k.tasks[w]++
+}
+
+// Give marks n accelerators of worker w as free.
+func (k *Capacity) Give(w, n int) { k.change(w, n) }
+
+// TakeAll takes n accelerators on each of the workers, once for each mention.
+func (k *Capacity) TakeAll(workers []int, n int) {
+	for _, w := range workers {
+		k.Take(w, n)
+	}
+}
+
+// GiveAll undoes TakeAll.
+func (k *Capacity) GiveAll(workers []int, n int) {
+	for _, w := range workers {
+		if k.workers[w].Unavailable {
+			continue
+		}
+		k.change(w, n)
+		k.tasks[w]--
+	}
+}
+
+func (k *Capacity) change(w, n int) {
+	old := k.Free(w)
+	k.free[w] += n
+	delta := k.Free(w) - old
+	k.rackFree[k.rackOf[w]] += delta
+	k.total += delta
+}
--- /dev/null
+++ b/placement/topology/cluster.go
@@ -0,0 +1,79 @@
+// Package topology indexes the workers of one failure domain by rack and keeps
+// count of their free accelerators. It finds adjacent accelerators for a shape.
+package topology
+
+import "sort"
+
+// Worker is a machine with accelerators.
+type Worker struct {
+	Name         string
+	Rack         string
+	Accelerators int
+	Unavailable  bool // takes no new tasks
+}
+
+// Cluster is an immutable index of workers. Workers and racks are known by
+// their position in name order, so that equal inputs give equal decisions.
+type Cluster struct {
+	workers []Worker
+	rackOf  []int   // rack of each worker
+	racks   [][]int // workers of each rack
+	byName  map[string]int
+}
+
+// NewCluster indexes workers; the order in which they come does not matter.
+func NewCluster(workers []Worker) *Cluster {
+	c := &Cluster{
+		workers: append([]Worker(nil), workers...),
+		rackOf:  make([]int, len(workers)),
+		byName:  make(map[string]int, len(workers)),
+	}
+	sort.Slice(c.workers, func(i, j int) bool { return before(c.workers[i], c.workers[j]) })
+	for i, w := range c.workers {
+		if i == 0 || w.Rack != c.workers[i-1].Rack {
+			c.racks = append(c.racks, nil)
+		}
+		last := len(c.racks) - 1
+		c.racks[last] = append(c.racks[last], i)
+		c.rackOf[i] = last
+		c.byName[w.Name] = i
+	}
+	return c
+}
+
+func before(a, b Worker) bool {
+	if a.Rack != b.Rack {
+		return a.Rack < b.Rack
+	}
+	return a.Name < b.Name
+}
+
+// Len returns the number of workers.
+func (c *Cluster) Len() int { return len(c.workers) }
+
+// Racks returns the number of racks.
+func (c *Cluster) Racks() int { return len(c.racks) }
+
+// Rack returns the positions of a rack's workers. Callers must not change it.
+func (c *Cluster) Rack(r int) []int { return c.racks[r] }
+
+// RackOf returns the rack of the worker at position w.
+func (c *Cluster) RackOf(w int) int { return c.rackOf[w] }
+
+// Worker returns the worker at position w.
+func (c *Cluster) Worker(w int) Worker { return c.workers[w] }
+
+// Position returns the position of the named worker.
+func (c *Cluster) Position(name string) (w int, ok bool) {
+	w, ok = c.byName[name]
+	return w, ok
+}
+
+// Names returns the names of the workers at the given positions.
+func (c *Cluster) Names(positions []int) []string {
+	names := make([]string, len(positions))
+	for i, w := range positions {
+		names[i] = c.workers[w].Name
+	}
+	return names
+}
--- /dev/null
+++ b/placement/topology/fit.go
@@ -0,0 +1,162 @@
+package topology
+
+import (
+	"slices"
+
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// Avoid reports workers that a gang must not use; nil avoids none.
+type Avoid func(w int) bool
+
+// Fit finds adjacent free accelerators for a shape and returns the worker of
+// each task, or nil. It takes the tightest place, so that whole workers and
+// whole racks stay whole.
+func (k *Capacity) Fit(s job.Shape, avoid Avoid) []int {
+	if s.Tasks <= 0 || s.Accelerators() > k.total {
+		return nil
+	}
+	switch s.Adjacency {
+	case job.SameWorker:
+		return k.fitWorker(s, avoid)
+	case job.SameRack:
+		return k.fitRack(s, avoid)
+	default:
+		return k.fitAnywhere(s, avoid)
+	}
+}
+
+// FitInRack is Fit within one rack.
+func (k *Capacity) FitInRack(r int, s job.Shape, avoid Avoid) []int {
+	if k.slots(k.racks[r], s, avoid) < s.Tasks {
+		return nil
+	}
+	return k.fill(k.racks[r], s, avoid)
+}
+
+func (k *Capacity) fitWorker(s job.Shape, avoid Avoid) []int {
+	best := -1
+	for r, rack := range k.racks {
+		if k.rackFree[r] < s.Accelerators() {
+			continue
+		}
+		for _, w := range rack {
+			if k.usable(w, avoid) && k.Free(w) >= s.Accelerators() && (best < 0 || k.tighter(w, best)) {
+				best = w
+			}
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return slices.Repeat([]int{best}, s.Tasks)
+}
+
+// tighter prefers the worker with less free, then the one in the fuller rack,
+// then the one with fewer tasks.
+func (k *Capacity) tighter(a, b int) bool {
+	if k.Free(a) != k.Free(b) {
+		return k.Free(a) < k.Free(b)
+	}
+	if ra, rb := k.rackFree[k.rackOf[a]], k.rackFree[k.rackOf[b]]; ra != rb {
+		return ra < rb
+	}
+	return k.tasks[a] < k.tasks[b]
+}
+
+func (k *Capacity) fitRack(s job.Shape, avoid Avoid) []int {
+	best := -1
+	for r, rack := range k.racks {
+		if k.rackFree[r] < s.Accelerators() || best >= 0 && k.rackFree[r] >= k.rackFree[best] {
+			continue
+		}
+		if k.slots(rack, s, avoid) >= s.Tasks {
+			best = r
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return k.fill(k.racks[best], s, avoid)
+}
+
+func (k *Capacity) fitAnywhere(s job.Shape, avoid Avoid) []int {
+	racks := make([]int, 0, len(k.racks))
+	slots := 0
+	for r, rack := range k.racks {
+		if n := k.slots(rack, s, avoid); n > 0 {
+			racks = append(racks, r)
+			slots += n
+		}
+	}
+	if slots < s.Tasks {
+		return nil
+	}
+	slices.SortStableFunc(racks, func(a, b int) int { return k.rackFree[a] - k.rackFree[b] })
+	left := s
+	var out []int
+	for _, r := range racks {
+		left.Tasks = min(s.Tasks-len(out), k.slots(k.racks[r], s, avoid))
+		out = append(out, k.fill(k.racks[r], left, avoid)...)
+		if len(out) == s.Tasks {
+			break
+		}
+	}
+	return out
+}
+
+// fill places a shape's tasks on workers that are known to have room.
+func (k *Capacity) fill(workers []int, s job.Shape, avoid Avoid) []int {
+	order := k.scratch[:0]
+	for _, w := range workers {
+		if k.slotsOf(w, s, avoid) > 0 {
+			order = append(order, w)
+		}
+	}
+	k.scratch = order
+	if s.AcceleratorsPerTask == 0 {
+		return k.spread(order, s.Tasks)
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return k.Free(a) - k.Free(b) })
+	out := make([]int, 0, s.Tasks)
+	for _, w := range order {
+		n := min(s.Tasks-len(out), k.slotsOf(w, s, avoid))
+		for range n {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// spread deals tasks without accelerators to the workers with fewest tasks.
+func (k *Capacity) spread(workers []int, tasks int) []int {
+	slices.SortStableFunc(workers, func(a, b int) int { return k.tasks[a] - k.tasks[b] })
+	out := make([]int, tasks)
+	for i := range out {
+		out[i] = workers[i%len(workers)]
+	}
+	return out
+}
+
+func (k *Capacity) slots(workers []int, s job.Shape, avoid Avoid) int {
+	n := 0
+	for _, w := range workers {
+		n += k.slotsOf(w, s, avoid)
+	}
+	return n
+}
+
+// slotsOf returns how many of a shape's tasks a worker can take.
+func (k *Capacity) slotsOf(w int, s job.Shape, avoid Avoid) int {
+	if !k.usable(w, avoid) {
+		return 0
+	}
+	if s.AcceleratorsPerTask == 0 {
+		return s.Tasks
+	}
+	return k.Free(w) / s.AcceleratorsPerTask
+}
+
+func (k *Capacity) usable(w int, avoid Avoid) bool {
+	return !k.workers[w].Unavailable && (avoid == nil || !avoid(w))
+}
