--- a/job/job.go
+++ b/job/job.go
@@ -56,11 +56,22 @@
 	Finished  State = "finished"
 	Failed    State = "failed"
 	Cancelled State = "cancelled"
+	Moved     State = "moved" // continues in the ledger of another failure domain
 )
 
 // Terminal reports whether a job in this state never runs again.
 func (s State) Terminal() bool { return s == Finished || s == Failed || s == Cancelled }
 
+// Transition is one change of a job's state, kept for callers.
+type Transition struct {
+	At     time.Time `json:"at"`
+	State  State     `json:"state"`
+	Reason string    `json:"reason,omitempty"`
+}
+
+// MaxTransitions is the most transitions that a record keeps, newest last.
+const MaxTransitions = 12
+
 // Spec is what a caller submits.
 type Spec struct {
 	ID            ID            `json:"id"`
@@ -85,4 +96,27 @@
 	Ended      time.Time `json:"ended,omitzero"`
 	Failures   int       `json:"failures,omitempty"` // runs that ended in failure, on any worker
 	CancelBy   string    `json:"cancelBy,omitempty"` // set when a caller or a retirement asked for the end
+
+	Guaranteed   bool         `json:"guaranteed,omitempty"`  // placed under its organisation's guarantee
+	Checkpointed time.Time    `json:"checkpointed,omitzero"` // newest saved work of any run
+	Avoid        []string     `json:"avoid,omitempty"`       // workers on which a run failed
+	MovedTo      string       `json:"movedTo,omitempty"`     // failure domain whose ledger has the job now
+	History      []Transition `json:"history,omitempty"`     // at most MaxTransitions, oldest first
+}
+
+// Enter moves the record to a state and notes it in the history. It never
+// writes to the old history's array, which other copies may share.
+func (r *Record) Enter(state State, reason string, now time.Time) {
+	r.State = state
+	r.Reason = reason
+	kept := r.History
+	if len(kept) >= MaxTransitions {
+		kept = kept[len(kept)-MaxTransitions+1:]
+	}
+	next := make([]Transition, 0, len(kept)+1)
+	next = append(next, kept...)
+	r.History = append(next, Transition{At: now, State: state, Reason: reason})
+	if state.Terminal() {
+		r.Ended = now
+	}
 }
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -55,6 +55,7 @@
 	Term     uint64        `json:"term"`
 	Gang     Gang          `json:"gang"`
 	Tasks    []int         `json:"tasks"`
+	Size     int           `json:"size"` // number of tasks in the whole gang
 	Service  string        `json:"service"`
 	Template string        `json:"template"`
 	Gangmate []string      `json:"gangmates"` // worker addresses, one a task, for the tasks to find each other
@@ -82,9 +83,11 @@
 	Lease time.Duration `json:"leaseNanos"`
 }
 
-// RenewReply lists the gangs that were not running and so were not renewed.
+// RenewReply lists the gangs that were not running and so were not renewed,
+// and how the tasks of those gangs that the worker remembers ended.
 type RenewReply struct {
 	Missing []Gang `json:"missing,omitempty"`
+	Ended   []Task `json:"ended,omitempty"`
 }
 
 // TaskState is a task's stage of life on its worker.
