--- a/apierr/apierr.go
+++ b/apierr/apierr.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// Flatten returns the single mistakes that err carries.
+func Flatten(err error) []*Error {
+	e := From(err)
+	if len(e.Details) == 0 {
+		return []*Error{e}
+	}
+	return e.Details
+}
+
 // Error returns the message followed by the remedy.
 func (e *Error) Error() string {
 	var b strings.Builder
--- a/config/parse.go
+++ b/config/parse.go
@@ -106,6 +106,9 @@
 	}
 	p := &parser{src: src}
 	if list, ok := src.Root.Value.(*hujson.Array); ok {
+		if len(list.Elements) == 0 {
+			return nil, src.Mistake(src.Root.StartOffset, "", "list holds no document", "write at least one document")
+		}
 		for i := range list.Elements {
 			p.document(&list.Elements[i], fmt.Sprintf("[%d]", i))
 		}
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -44,3 +44,24 @@
 	must.NoError(t, err)
 	must.Eq(t, docs[0].Service, again[0].Service)
 }
+
+func FuzzParseDocuments(f *testing.F) {
+	f.Add([]byte(`{"kind": "failure-domain", "name": "fd-a", "region": "east"}`))
+	f.Add([]byte(`[{"kind": "organisation", "name": "pwani", "guarantees": [{"failureDomain": "fd-a", "shape": {"tasks": 1, "acceleratorsPerTask": 1}}]}, // c
+	  {"kind": "service", "name": "s", "organisation": "pwani", "team": "t", "requests": {}}]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		docs, err := ParseDocuments("f", data)
+		if err != nil {
+			must.NotEq(t, apierr.Internal, apierr.KindOf(err))
+			return
+		}
+		_ = CheckDocuments(docs, nil)
+		text, err := json.Marshal(docs)
+		must.NoError(t, err)
+		again, err := ParseDocuments("again", text)
+		must.NoError(t, err)
+		retold, err := json.Marshal(again)
+		must.NoError(t, err)
+		must.Eq(t, string(text), string(retold))
+	})
+}
--- a/internal/schema/check.go
+++ b/internal/schema/check.go
@@ -43,7 +43,7 @@
 }
 
 func (c *checker) add(offset int, path, message, remedy string) {
-	c.result.Mistakes = append(c.result.Mistakes, c.source.mistake(offset, path, message, remedy))
+	c.result.Mistakes = append(c.result.Mistakes, c.source.Mistake(offset, path, message, remedy))
 }
 
 // value returns v as plain Go values with defaults filled in.
--- a/internal/schema/read.go
+++ b/internal/schema/read.go
@@ -34,7 +34,7 @@
 		return nil, e
 	}
 	if n := tooDeep(data); n >= 0 {
-		return nil, s.mistake(n, "", fmt.Sprintf("brackets nest deeper than %d", maxDepth), "flatten the document")
+		return nil, s.Mistake(n, "", fmt.Sprintf("brackets nest deeper than %d", maxDepth), "flatten the document")
 	}
 	root, err := hujson.Parse(data)
 	if err != nil {
@@ -91,7 +91,8 @@
 	return starts
 }
 
-func (s *Source) mistake(offset int, field, message, remedy string) *apierr.Error {
+// Mistake returns an error about a field at a byte offset.
+func (s *Source) Mistake(offset int, field, message, remedy string) *apierr.Error {
 	e := apierr.Invalid(field, message, remedy)
 	e.File = s.Name
 	e.Line = s.Line(offset)
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -21,8 +21,8 @@
 		{Name: "rack", Type: schema.String, Default: "", Doc: "rack, for logs"},
 	}},
 	{Name: "listen", Type: schema.Object, Doc: "addresses to listen on", Fields: []schema.Field{
-		{Name: "http", Type: schema.String, Default: "127.0.0.1:8080", Format: schema.AddressFormat, Doc: "callers, operators and probes"},
-		{Name: "peer", Type: schema.String, Default: "127.0.0.1:8081", Format: schema.AddressFormat, Doc: "net/rpc between entry hosts"},
+		{Name: "http", Type: schema.String, Default: "127.0.0.1:7070", Format: schema.AddressFormat, Doc: "callers, operators and probes"},
+		{Name: "peer", Type: schema.String, Default: "127.0.0.1:7071", Format: schema.AddressFormat, Doc: "net/rpc between entry hosts"},
 	}},
 	{Name: "advertise", Type: schema.Object, Doc: "addresses that others use", Fields: []schema.Field{
 		{Name: "http", Type: schema.String, Default: "", Format: schema.AddressFormat, Doc: "empty: listen.http"},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,7 +102,9 @@
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.WithHint(errors.Wrap(err, "read settings"), "name a readable file")
+		e := apierr.Invalid("", err.Error(), "name a file that can be read")
+		e.File = path
+		return nil, e
 	}
 	return Parse(path, data)
 }
