--- a/routing/access.go
+++ b/routing/access.go
@@ -15,24 +15,24 @@
 	return apierr.New(apierr.NotFound, "no such service", "check the service's name and the token")
 }
 
-// authorise returns the service that req calls when its sender may call it.
-func (r *Router) authorise(req *http.Request) (config.Service, *apierr.Error) {
+// authorise returns the sender and the service that it calls when it may.
+func (r *Router) authorise(req *http.Request) (auth.Identity, config.Service, *apierr.Error) {
 	id, ok := auth.FromContext(req.Context())
 	if !ok {
-		return config.Service{}, apierr.New(apierr.Unauthenticated, "no valid token", "send Authorization: Bearer TOKEN")
+		return id, config.Service{}, apierr.New(apierr.Unauthenticated, "no valid token", "send Authorization: Bearer TOKEN")
 	}
 	snap, _ := r.opts.Config.Current()
 	service, found := snap.Services[req.PathValue("service")]
 	if !found || !mayCall(id, service) {
-		return config.Service{}, errNotFound()
+		return id, config.Service{}, errNotFound()
 	}
 	if _, retired := snap.Retired[service.Name]; retired {
-		return config.Service{}, apierr.New(apierr.Retired, "the service is retired", "call its successor, or ask its team")
+		return id, config.Service{}, apierr.New(apierr.Retired, "the service is retired", "call its successor, or ask its team")
 	}
 	if service.Requests == nil {
-		return config.Service{}, apierr.New(apierr.InvalidInput, "the service takes no requests", "add a requests section to its document")
+		return id, config.Service{}, apierr.New(apierr.InvalidInput, "the service takes no requests", "add a requests section to its document")
 	}
-	return service, nil
+	return id, service, nil
 }
 
 // mayCall reports whether the sender's organisation owns the service or is
--- /dev/null
+++ b/routing/attempt.go
@@ -0,0 +1,190 @@
+package routing
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const (
+	tracerName = "cyclamentray/routing"
+
+	// bufferedBytes is the largest answer that is read whole before the caller
+	// gets its first byte. Larger ones are passed on as they arrive, and the
+	// caller's connection is aborted when they do not arrive whole.
+	bufferedBytes = 256 << 10
+)
+
+var errUnframed = errors.New("routing: the answer has no length, so a cut could not be told from its end; have the upstream send Content-Length or chunks")
+
+// answer is an upstream's answer. When rest is nil, body is the whole of it.
+type answer struct {
+	status  int
+	header  http.Header
+	length  int64 // bytes of the body; -1: sent in chunks
+	body    []byte
+	rest    io.Reader
+	closing bool // the upstream said Connection: close
+}
+
+// refusal returns the reason when the upstream states that it did not execute
+// the request, and whether it does.
+func (a *answer) refusal() (string, bool) {
+	stated := a.status == http.StatusServiceUnavailable && a.header.Get(HeaderOutcome) == string(NotRun)
+	return a.header.Get(HeaderReason), stated
+}
+
+// exchange is one attempt at one upstream.
+type exchange struct {
+	pool   *pool
+	conn   *conn
+	sent   bool // a byte of the request may have reached the upstream
+	answer *answer
+	err    error
+}
+
+// attempt sends a call to one upstream and reads its answer. It never sends
+// twice: not even when a kept connection turns out to be closed. The exchange
+// must be ended with done.
+func (r *Router) attempt(ctx context.Context, c *call, d Dispatch) *exchange {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "routing.attempt")
+	defer span.End()
+	span.SetAttributes(attribute.String("upstream", d.Upstream.Name))
+	x := &exchange{pool: r.pool(d.Upstream)}
+	limit := c.deadline
+	if patience := r.opts.Now().Add(d.Patience); c.idempotent && patience.Before(limit) {
+		limit = patience
+	}
+	req, err := c.request(ctx, d.Upstream.Address)
+	if err != nil {
+		x.err = err
+		return x
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	x.err = x.run(ctx, req, r.connectionAge(c), r.connectionLimit(d.Upstream), limit)
+	if x.err != nil {
+		span.RecordError(x.err)
+	}
+	return x
+}
+
+// connectionAge is the longest time since a connection's last whole answer. A
+// request that must not be sent twice goes only on a connection just proved
+// alive, or on a fresh one.
+func (r *Router) connectionAge(c *call) time.Duration {
+	if c.idempotent {
+		return maxIdleAge
+	}
+	return provedAlive
+}
+
+func (x *exchange) run(ctx context.Context, req *http.Request, age time.Duration, connections int, limit time.Time) error {
+	if err := x.connect(ctx, req.URL.Host, age, connections, limit); err != nil {
+		return err
+	}
+	resp, err := x.conn.roundTrip(req, limit)
+	x.sent = x.conn.sent
+	if err != nil {
+		return err
+	}
+	return x.read(resp)
+}
+
+func (x *exchange) connect(ctx context.Context, address string, age time.Duration, connections int, limit time.Time) error {
+	x.conn = x.pool.take(time.Now(), age)
+	if x.conn != nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	x.pool.reserve(connections)
+	c, err := dial(ctx, address)
+	if err != nil {
+		x.pool.discard(nil)
+		return err
+	}
+	x.conn = c
+	return nil
+}
+
+// read takes the answer whole, or its first part when it is large.
+func (x *exchange) read(resp *http.Response) error {
+	framed := resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+	if !framed && resp.Request.Method != http.MethodHead {
+		return errUnframed
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferedBytes))
+	if err != nil {
+		return err
+	}
+	a := &answer{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: body, closing: resp.Close}
+	if len(body) == bufferedBytes {
+		a.rest = resp.Body
+	}
+	x.answer = a
+	return nil
+}
+
+// done keeps the connection for reuse when its answer was read to the end and
+// nothing else came, and closes it otherwise.
+func (x *exchange) done(whole bool) {
+	c := x.conn
+	if c == nil {
+		return
+	}
+	x.conn = nil
+	if !whole || x.err != nil || c.broken || x.answer.closing || c.reader.Buffered() > 0 {
+		x.pool.discard(c)
+		return
+	}
+	c.answer = time.Now()
+	x.pool.put(c)
+}
+
+// result classifies the attempt for the choice of runners.
+func (x *exchange) result() Report {
+	if x.answer == nil {
+		return Report{Result: Failed}
+	}
+	rep := Report{Result: Answered, Closing: x.answer.closing}
+	reason, refused := x.answer.refusal()
+	switch {
+	case refused && reason == "full":
+		rep.Result, rep.Closing = Full, false
+	case refused:
+		rep.Result = Leaving
+	case x.answer.status >= http.StatusInternalServerError:
+		rep.Result = BadAnswer
+	}
+	return rep
+}
+
+// probe tells whether an upstream answers HTTP at all, on a fresh connection.
+func (r *Router) probe(ctx context.Context, host platform.Host) (alive, closing bool) {
+	limit := time.Now().Add(dialTimeout)
+	c, err := dial(ctx, host.Address)
+	if err != nil {
+		return false, false
+	}
+	defer c.Close()
+	req, err := http.NewRequestWithContext(ctx, http.MethodOptions, "http://"+host.Address, http.NoBody)
+	if err != nil {
+		return false, false
+	}
+	req.URL.Opaque = "*"
+	resp, err := c.roundTrip(req, limit)
+	if err != nil {
+		return false, false
+	}
+	closing = resp.Close || resp.StatusCode == http.StatusServiceUnavailable
+	return true, closing
+}
--- /dev/null
+++ b/routing/call.go
@@ -0,0 +1,143 @@
+package routing
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/config"
+)
+
+const (
+	maxBodyBytes   = 1 << 20
+	defaultTimeout = 30 * time.Second
+
+	// headerOrganisation tells an upstream whose request it is.
+	headerOrganisation = "Cyclamentray-Organisation"
+	headerPrefix       = "Cyclamentray-"
+)
+
+// safeMethods are idempotent when the service's document names none.
+var safeMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// call is a caller's request, read whole so that a slow caller holds no slot.
+type call struct {
+	organisation string
+	service      config.Service
+	method       string
+	target       string // path and query at the upstream
+	header       http.Header
+	body         []byte
+	deadline     time.Time
+	idempotent   bool
+	key          string // empty: none
+}
+
+// readCall reads a request for a service that the caller may call.
+func readCall(req *http.Request, organisation string, s config.Service, now time.Time) (*call, *apierr.Error) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes+1))
+	if err != nil {
+		return nil, apierr.Invalid("body", "the request's body did not arrive whole", "send it again")
+	}
+	if len(body) > maxBodyBytes {
+		return nil, apierr.New(apierr.TooLarge, "the request's body is larger than 1 MiB", "send less at once")
+	}
+	timeout := s.Requests.Timeout()
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	c := &call{
+		organisation: organisation,
+		service:      s,
+		method:       req.Method,
+		target:       target(req),
+		header:       forwardHeader(req.Header, organisation),
+		body:         body,
+		deadline:     now.Add(timeout),
+		idempotent:   idempotent(req.Method, s.Requests),
+		key:          req.Header.Get(HeaderKey),
+	}
+	return c, nil
+}
+
+func idempotent(method string, r *config.Requests) bool {
+	if len(r.IdempotentMethods) == 0 {
+		return slices.Contains(safeMethods, method)
+	}
+	return slices.Contains(r.IdempotentMethods, method)
+}
+
+// target returns what follows /v1/services/{service}/requests, still escaped.
+func target(req *http.Request) string {
+	const segmentsBefore = 5 // "", v1, services, {service}, requests
+	parts := strings.SplitN(req.URL.EscapedPath(), "/", segmentsBefore+1)
+	path := "/" + parts[len(parts)-1]
+	if req.URL.RawQuery != "" {
+		path += "?" + req.URL.RawQuery
+	}
+	return path
+}
+
+// forwardHeader copies a caller's header without what concerns only the hop,
+// the caller's token, and the headers that entry hosts alone set.
+func forwardHeader(in http.Header, organisation string) http.Header {
+	out := endToEnd(in)
+	out.Del("Authorization")
+	out.Del("Expect")
+	out.Set(headerOrganisation, organisation)
+	return out
+}
+
+// endToEnd copies a header without hop-by-hop and cyclamentray's own fields.
+func endToEnd(in http.Header) http.Header {
+	out := in.Clone()
+	for _, list := range in["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for name := range out {
+		if strings.HasPrefix(name, headerPrefix) {
+			out.Del(name)
+		}
+	}
+	return out
+}
+
+// fingerprint tells requests under the same key apart.
+func (c *call) fingerprint() uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(c.method + " " + c.target + "\n")
+	_, _ = h.Write(c.body)
+	return h.Sum64()
+}
+
+// request builds the message to one upstream.
+func (c *call) request(ctx context.Context, address string) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.target, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	out.Header = c.header.Clone()
+	if len(c.body) == 0 {
+		out.Body = http.NoBody
+	}
+	return out, nil
+}
--- /dev/null
+++ b/routing/conn.go
@@ -0,0 +1,277 @@
+package routing
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	dialTimeout       = time.Second
+	progressTimeout   = 5 * time.Second // without a byte once an answer has begun, or while sending
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+	maxIdleAge        = 10 * time.Second       // an idle connection older than this is closed
+	provedAlive       = 100 * time.Millisecond // age up to which a whole answer proves a connection alive
+	earlyAnswerWait   = 500 * time.Millisecond
+	maxInformational  = 8 // 1xx answers before the final one
+)
+
+// errSilent means that an upstream made no progress in time.
+var errSilent = errors.New("routing: upstream made no progress in time; the connection was closed")
+
+// conn is one connection to an upstream. It carries one request at a time, so
+// that an answer can only belong to the request just sent. One goroutine uses
+// it at a time.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	sent    bool      // a byte of the present request may have left
+	limit   time.Time // end of the present attempt
+	started bool      // a byte of the present answer has arrived
+	answer  time.Time // when the last whole answer ended
+	broken  bool      // not to be used again
+}
+
+func dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReader(readerFunc(c.read))
+	return c, nil
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Write sends bytes of a request and notes that some may have left.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.progressLimit()); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.sent = true
+	}
+	return n, err
+}
+
+func (c *conn) read(p []byte) (int, error) {
+	limit := c.limit
+	if c.started {
+		limit = c.progressLimit()
+	}
+	if err := c.SetReadDeadline(limit); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.started = true
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		err = errors.Mark(err, errSilent)
+	}
+	return n, err
+}
+
+func (c *conn) progressLimit() time.Time {
+	next := time.Now().Add(progressTimeout)
+	if c.limit.Before(next) {
+		return c.limit
+	}
+	return next
+}
+
+// roundTrip sends req and reads the head of its final answer. The answer's
+// body must be read to its end before the connection is used again.
+func (c *conn) roundTrip(req *http.Request, limit time.Time) (*http.Response, error) {
+	c.sent, c.started, c.limit = false, false, limit
+	if err := c.send(req); err != nil {
+		return c.earlyAnswer(req, err)
+	}
+	return c.readHead(req)
+}
+
+func (c *conn) send(req *http.Request) error {
+	out := bufio.NewWriter(c)
+	if err := req.Write(out); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
+// earlyAnswer reads the answer of an upstream that stopped reading the request.
+func (c *conn) earlyAnswer(req *http.Request, sendErr error) (*http.Response, error) {
+	c.broken = true
+	if !c.sent {
+		return nil, sendErr
+	}
+	early := time.Now().Add(earlyAnswerWait)
+	if early.Before(c.limit) {
+		c.limit = early
+	}
+	resp, err := c.readHead(req)
+	if err != nil {
+		return nil, sendErr
+	}
+	return resp, nil
+}
+
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	for range maxInformational {
+		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("routing: upstream switched protocols; only HTTP/1.1 requests are carried")
+		}
+	}
+	return nil, errors.New("routing: upstream sent too many interim answers")
+}
+
+// quiet reports whether nothing has arrived, not even the end of the stream,
+// since the last answer.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	peek := func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	}
+	return raw.Read(peek) == nil && quiet
+}
+
+// pool keeps the idle connections to one upstream. It is safe for concurrent use.
+type pool struct {
+	mu   sync.Mutex
+	idle []*conn // most recently used last
+	open int     // connections idle or in use
+}
+
+// take returns an idle connection on which nothing has arrived and that
+// answered within age, or nil. It closes those that are no longer fit.
+func (p *pool) take(now time.Time, age time.Duration) *conn {
+	for {
+		c := p.pop()
+		if c == nil {
+			return nil
+		}
+		since := now.Sub(c.answer)
+		if since <= maxIdleAge && c.quiet() {
+			if since <= age {
+				return c
+			}
+			p.put(c)
+			return nil
+		}
+		p.discard(c)
+	}
+}
+
+func (p *pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+// reserve counts a connection about to be dialled. When limit are open already,
+// it closes the least recently used idle one to make room.
+func (p *pool) reserve(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit > 0 && p.open >= limit && len(p.idle) > 0 {
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+	p.open++
+}
+
+func (p *pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, c)
+}
+
+func (p *pool) discard(c *conn) {
+	if c != nil {
+		c.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// trim closes idle connections that are too old; it returns how many
+// connections are left, those in use included.
+func (p *pool) trim(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.answer) <= maxIdleAge {
+			kept = append(kept, c)
+			continue
+		}
+		c.Close()
+		p.open--
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	return p.open
+}
+
+// closeIdle closes every idle connection.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		c.Close()
+		p.open--
+	}
+	p.idle = nil
+}
--- /dev/null
+++ b/routing/core.go
@@ -0,0 +1,355 @@
+package routing
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const (
+	queuePerSlot    = 4    // waiting tickets for each slot of this host
+	minQueue        = 32   // waiting tickets that are always allowed
+	minLatency      = 1e-5 // seconds; keeps rates finite
+	shedMemory      = time.Second
+	patienceFactor  = 10 // times the expected latency before an idempotent attempt is given up
+	minimumPatience = time.Second
+)
+
+// Fleet is what membership and configuration say about one service.
+type Fleet struct {
+	Self       platform.Host   // this entry host
+	EntryHosts []string        // names of the known entry hosts, this one included
+	Upstreams  []platform.Host // the service's upstreams
+	Out        map[string]bool // failure domains taken out
+}
+
+// Result says how an attempt ended, as far as the choice of runners goes.
+type Result int
+
+// The results of an attempt.
+const (
+	Answered  Result = iota // a whole answer
+	BadAnswer               // a whole answer with a 5xx status
+	Failed                  // no connection, or no whole answer
+	Leaving                 // the upstream said that it is leaving
+	Full                    // the upstream said that it is full
+	Unused                  // the slot was given back without a request
+)
+
+// Report tells the core that an attempt has ended.
+type Report struct {
+	Ticket  uint64
+	Result  Result
+	Closing bool // the answer carried Connection: close
+}
+
+// Dispatch sends a ticket to an upstream.
+type Dispatch struct {
+	Ticket   uint64
+	Upstream platform.Host
+	Patience time.Duration // an idempotent attempt is given up after this
+}
+
+// ShedReason says why a ticket is refused without having run.
+type ShedReason string
+
+// The reasons.
+const (
+	NoUpstream ShedReason = "no upstream of the service is available"
+	QueueFull  ShedReason = "too many requests wait"
+	TooLate    ShedReason = "the request would not finish in time"
+)
+
+// Shed refuses a ticket that was never sent.
+type Shed struct {
+	Ticket uint64
+	Reason ShedReason
+}
+
+// Decisions are what the driver carries out.
+type Decisions struct {
+	Dispatches []Dispatch
+	Sheds      []Shed
+}
+
+type attempt struct {
+	ticket *Ticket
+	runner *runner
+}
+
+// Core decides for one service on one entry host which request goes to which
+// runner. It is pure: time and randomness are passed in. It is not safe for
+// concurrent use.
+type Core struct {
+	rng      *rand.Rand
+	fleet    fleet
+	queue    fairQueue
+	budget   retryBudget
+	attempts map[uint64]attempt
+	lastShed time.Time
+}
+
+// NewCore returns a core without runners.
+func NewCore(rng *rand.Rand) *Core {
+	return &Core{rng: rng, budget: newRetryBudget(), attempts: make(map[uint64]attempt)}
+}
+
+// Update takes a new membership or configuration into account.
+func (c *Core) Update(now time.Time, f Fleet) Decisions {
+	next := make([]*runner, 0, len(f.Upstreams))
+	for _, host := range f.Upstreams {
+		r := c.fleet.find(host.Name)
+		known := r != nil && r.host.Address == host.Address
+		if !known {
+			r = &runner{started: make(map[uint64]time.Time)}
+		}
+		r.host = host
+		r.local = host.FailureDomain == f.Self.FailureDomain
+		r.out = f.Out[host.FailureDomain]
+		r.setShare(now, slotShare(host, f), known)
+		next = append(next, r)
+	}
+	slices.SortFunc(next, func(a, b *runner) int { return compare(a.host.Name, b.host.Name) })
+	c.fleet.runners = next
+	return c.pump(now, Decisions{})
+}
+
+// slotShare bounds the slots also by the connections, of which each request
+// in flight uses one.
+func slotShare(host platform.Host, f Fleet) int {
+	share := Share(host.Slots, host.Name, f.Self.Name, f.EntryHosts)
+	if host.Connections > 0 {
+		share = min(share, Share(host.Connections, host.Name, f.Self.Name, f.EntryHosts))
+	}
+	return share
+}
+
+// Admit reports whether a request would be taken now; it changes nothing. The
+// driver asks before it spends a claim on the request.
+func (c *Core) Admit(now time.Time, t Ticket) (ShedReason, bool) {
+	if !c.anyUsable() {
+		return NoUpstream, false
+	}
+	if c.queue.length == 0 {
+		return "", true
+	}
+	rate := c.fleet.rate(now, c.fleet.best())
+	if rate == 0 {
+		return "", true
+	}
+	ahead := float64(len(c.queue.line(t.Organisation).waiting)+1) * float64(max(1, c.queue.busyLines()))
+	wait := time.Duration(ahead / rate * float64(time.Second))
+	if now.Add(wait).After(t.QueueUntil) {
+		return TooLate, false
+	}
+	return "", true
+}
+
+func (c *Core) anyUsable() bool {
+	return slices.ContainsFunc(c.fleet.runners, (*runner).usable)
+}
+
+// Submit takes a request: it is sent, waits, or is shed.
+func (c *Core) Submit(now time.Time, t Ticket) Decisions {
+	var d Decisions
+	if reason, ok := c.Admit(now, t); !ok {
+		return c.shed(now, d, t.ID, reason)
+	}
+	if !t.Retry {
+		c.budget.earn()
+	}
+	c.queue.push(&t)
+	d = c.pump(now, d)
+	for c.queue.length > c.queueLimit() {
+		d = c.shed(now, d, c.queue.dropFromLongest().ID, QueueFull)
+	}
+	return d
+}
+
+func (c *Core) queueLimit() int {
+	slots := 0
+	for _, r := range c.fleet.runners {
+		if r.usable() {
+			slots += r.share
+		}
+	}
+	return max(minQueue, queuePerSlot*slots)
+}
+
+// Retry reports whether the retry budget allows one more attempt.
+func (c *Core) Retry() bool { return c.budget.spend() }
+
+// Cancel takes a waiting request out; it reports whether it was still waiting.
+func (c *Core) Cancel(id uint64) bool { return c.queue.remove(id) }
+
+// Finish takes the end of an attempt into account.
+func (c *Core) Finish(now time.Time, rep Report) Decisions {
+	a, ok := c.attempts[rep.Ticket]
+	if !ok {
+		return Decisions{}
+	}
+	delete(c.attempts, rep.Ticket)
+	c.queue.release(a.ticket.Organisation)
+	c.observe(now, a.runner, rep)
+	delete(a.runner.started, rep.Ticket)
+	return c.pump(now, Decisions{})
+}
+
+func (c *Core) observe(now time.Time, r *runner, rep Report) {
+	latency := now.Sub(r.started[rep.Ticket])
+	switch rep.Result {
+	case Answered:
+		r.succeed(now, latency)
+	case BadAnswer:
+		r.badAnswers++
+		if r.badAnswers >= answerFailures {
+			r.fail(now, c.rng.Float64())
+		}
+	case Failed:
+		r.fail(now, c.rng.Float64())
+	case Leaving:
+		r.leave(now)
+	case Full:
+		r.hold(now.Add(fullHold))
+	}
+	if rep.Closing {
+		r.leave(now)
+	}
+}
+
+// Probes returns the upstreams whose connection the driver is to probe; each
+// must be followed by Probed.
+func (c *Core) Probes(now time.Time) []platform.Host {
+	var out []platform.Host
+	for _, r := range c.fleet.runners {
+		if r.wantsProbe(now) {
+			r.probing = true
+			out = append(out, r.host)
+		}
+	}
+	return out
+}
+
+// Probed takes a probe's end into account: whether the upstream answered, and
+// whether it said Connection: close.
+func (c *Core) Probed(now time.Time, upstream string, alive, closing bool) Decisions {
+	if r := c.fleet.find(upstream); r != nil {
+		r.probed(now, alive, closing, c.rng.Float64())
+	}
+	return c.pump(now, Decisions{})
+}
+
+// Tick sheds what has waited too long and uses slots that became free by time.
+func (c *Core) Tick(now time.Time) Decisions { return c.pump(now, Decisions{}) }
+
+// Waiting returns the number of waiting requests.
+func (c *Core) Waiting() int { return c.queue.length }
+
+// pump sends waiting tickets to free runners.
+func (c *Core) pump(now time.Time, d Decisions) Decisions {
+	for _, t := range c.queue.expired(now) {
+		d = c.shed(now, d, t.ID, TooLate)
+	}
+	for _, r := range c.fleet.runners {
+		r.grow(now)
+	}
+	for {
+		l := c.queue.next()
+		if l == nil {
+			return d
+		}
+		if !c.anyUsable() {
+			d = c.shed(now, d, c.queue.dropFromLongest().ID, NoUpstream)
+			continue
+		}
+		r := c.choose(now, l.waiting[0])
+		if r == nil {
+			return d
+		}
+		d.Dispatches = append(d.Dispatches, c.send(now, c.queue.pop(l), r))
+	}
+}
+
+func (c *Core) send(now time.Time, t *Ticket, r *runner) Dispatch {
+	r.started[t.ID] = now
+	c.attempts[t.ID] = attempt{ticket: t, runner: r}
+	patience := time.Duration(patienceFactor * r.latency * float64(time.Second))
+	return Dispatch{Ticket: t.ID, Upstream: r.host, Patience: max(patience, minimumPatience)}
+}
+
+func (c *Core) shed(now time.Time, d Decisions, id uint64, reason ShedReason) Decisions {
+	if reason != NoUpstream {
+		c.lastShed = now
+	}
+	d.Sheds = append(d.Sheds, Shed{Ticket: id, Reason: reason})
+	return d
+}
+
+// choose returns the runner for a ticket: the free one with the smallest cost,
+// unless waiting for a faster one that is busy is expected to end sooner. It
+// returns nil when the ticket is to wait.
+func (c *Core) choose(now time.Time, t *Ticket) *runner {
+	best := c.fleet.best()
+	chosen := c.cheapest(now, best, t.Avoid)
+	if chosen == nil && len(t.Avoid) > 0 {
+		chosen = c.cheapest(now, best, nil)
+	}
+	if chosen == nil {
+		return nil
+	}
+	overloaded := now.Sub(c.lastShed) < shedMemory && !c.lastShed.IsZero()
+	if !overloaded && c.waitingIsFaster(now, best, chosen.duration(now, best)) {
+		return nil
+	}
+	return chosen
+}
+
+func (c *Core) cheapest(now time.Time, best float64, avoid []string) *runner {
+	var chosen *runner
+	lowest := math.Inf(1)
+	ties := 0
+	for _, r := range c.fleet.runners {
+		if !r.free(now) || slices.Contains(avoid, r.host.Name) {
+			continue
+		}
+		cost := r.cost(now, best)
+		switch {
+		case cost < lowest:
+			chosen, lowest, ties = r, cost, 1
+		case cost == lowest:
+			ties++
+			if c.rng.Intn(ties) == 0 {
+				chosen = r
+			}
+		}
+	}
+	return chosen
+}
+
+// waitingIsFaster compares a free runner of the given duration with waiting
+// for one of the busy faster runners. Everybody in the queue waits for those,
+// so the longer the queue, the slower a runner is still worth using.
+func (c *Core) waitingIsFaster(now time.Time, best, duration float64) bool {
+	rate, sum, busy := 0.0, 0.0, 0
+	for _, r := range c.fleet.runners {
+		n := len(r.started)
+		if n == 0 || !r.usable() || now.Before(r.heldUntil) {
+			continue
+		}
+		other := r.duration(now, best)
+		if other >= duration {
+			continue
+		}
+		rate += float64(n) / max(other, minLatency)
+		sum += other * float64(n)
+		busy += n
+	}
+	if busy == 0 {
+		return false
+	}
+	wait := float64(c.queue.length) / rate
+	return wait+sum/float64(busy) < duration
+}
--- /dev/null
+++ b/routing/keyed.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/claims"
+)
+
+const (
+	claimTimeout    = 2 * time.Second
+	firstPoll       = 25 * time.Millisecond
+	maxPoll         = 500 * time.Millisecond
+	completeTimeout = 5 * time.Second
+	keptBodyBytes   = 2 << 10 // largest body recorded with a claim
+)
+
+// Claims decides who may execute an idempotency key. It is safe for concurrent use.
+type Claims interface {
+	// Claim returns Granted at most once for a key that is not freed. An error
+	// means that nothing was granted.
+	Claim(ctx context.Context, req claims.Request) (claims.Reply, error)
+	// Complete records how a granted attempt ended.
+	Complete(ctx context.Context, c claims.Completion) error
+	// Outcome looks a key up.
+	Outcome(ctx context.Context, key claims.Key) (claims.Reply, error)
+	// Incarnation is the prefix of keys bound to this entry host.
+	Incarnation() string
+}
+
+// executeKeyed executes a call under its idempotency key, or answers with what
+// became of the key. A call that was granted is finished even when its caller
+// goes away.
+func (r *Router) executeKeyed(ctx context.Context, s *service, c *call) result {
+	if err := checkKey(c.key); err != nil {
+		return failed(NotRun, err)
+	}
+	if r.opts.Claims == nil {
+		return failed(NotRun, claims.ErrUnavailable)
+	}
+	if reason, ok := s.admit(r.opts.Now(), r.ticket(c)); !ok {
+		return failed(NotRun, errShed(reason))
+	}
+	req := claims.Request{
+		Key:         claims.Key{Organisation: c.organisation, Service: c.service.Name, Key: c.key},
+		Fingerprint: c.fingerprint(),
+		Attempt:     rand.Text(),
+		Until:       c.deadline,
+	}
+	reply, err := r.claim(ctx, c, req)
+	if err != nil {
+		r.release(ctx, req)
+		return failed(NotRun, apierr.From(err))
+	}
+	if reply.Verdict != claims.Granted {
+		return replay(reply)
+	}
+	if !r.opts.Now().Before(c.deadline) {
+		r.release(ctx, req)
+		return failed(NotRun, errShed(TooLate))
+	}
+	return r.executeClaimed(ctx, s, c, req)
+}
+
+func checkKey(key string) *apierr.Error {
+	if len(key) <= claims.MaxKeyBytes {
+		return nil
+	}
+	return apierr.Invalid(HeaderKey, "the key is longer than "+strconv.Itoa(claims.MaxKeyBytes)+" bytes", "use a shorter key")
+}
+
+// claim asks for the key, waiting while another attempt runs.
+func (r *Router) claim(ctx context.Context, c *call, req claims.Request) (claims.Reply, error) {
+	pause := firstPoll
+	for {
+		reply, err := r.claimOnce(ctx, req)
+		if err != nil || reply.Verdict != claims.Running {
+			return reply, err
+		}
+		if r.opts.Now().Add(pause).After(c.deadline) || !sleep(ctx, pause) {
+			return reply, nil
+		}
+		pause = min(2*pause, maxPoll)
+	}
+}
+
+func (r *Router) claimOnce(ctx context.Context, req claims.Request) (claims.Reply, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+	return r.opts.Claims.Claim(ctx, req)
+}
+
+func (r *Router) release(ctx context.Context, req claims.Request) {
+	r.complete(ctx, claims.Completion{Key: req.Key, Attempt: req.Attempt, NotRun: true})
+}
+
+// complete records an attempt's end in the background, as the caller's answer
+// does not depend on it: a record that is lost leaves the key unknown.
+func (r *Router) complete(ctx context.Context, done claims.Completion) {
+	r.inFlight.Add(1)
+	go func() {
+		defer r.inFlight.Add(-1)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), completeTimeout)
+		defer cancel()
+		if err := r.opts.Claims.Complete(ctx, done); err != nil {
+			r.opts.Logger.Warn("Recording the outcome of a key failed", "service", done.Key.Service, "err", err)
+		}
+	}()
+}
+
+func (r *Router) executeClaimed(ctx context.Context, s *service, c *call, req claims.Request) result {
+	res := r.execute(ctx, s, c)
+	done := claims.Completion{Key: req.Key, Attempt: req.Attempt}
+	switch {
+	case res.outcome == NotRun:
+		done.NotRun = true
+	case res.outcome == Unknown:
+		done.Unknown = true
+	default:
+		done.Answer = recorded(res.answer)
+	}
+	r.complete(ctx, done)
+	return res
+}
+
+func recorded(a *answer) claims.Answer {
+	out := claims.Answer{Status: a.status, ContentType: a.header.Get("Content-Type")}
+	if a.rest == nil && len(a.body) <= keptBodyBytes {
+		out.Body, out.Kept = a.body, true
+	}
+	return out
+}
+
+// replay answers a call whose key was claimed before.
+func replay(reply claims.Reply) result {
+	switch reply.Verdict {
+	case claims.Done:
+		return replayAnswer(reply.Answer)
+	case claims.Mismatch:
+		return failed(NotRun, apierr.New(apierr.Conflict, "the idempotency key belongs to another request", "use a new key for a new request"))
+	case claims.Running:
+		return failed(Unknown, apierr.New(apierr.OutcomeUnknown, "a request with this key is still running", "look the key's outcome up later"))
+	}
+	return failed(Unknown, apierr.New(apierr.OutcomeUnknown, "a request with this key was sent and its end is not known",
+		"look up what it did at the service; use a new key only if it did not run"))
+}
+
+func replayAnswer(a claims.Answer) result {
+	if !a.Kept {
+		return failed(Ran, apierr.New(apierr.Conflict,
+			"the request with this key ran and was answered with status "+strconv.Itoa(a.Status)+"; the answer's body is not kept",
+			"look up what it did at the service"))
+	}
+	header := make(http.Header)
+	header.Set("Content-Type", a.ContentType)
+	header.Set(headerReplayed, "true")
+	out := &answer{status: a.Status, header: header, length: int64(len(a.Body)), body: a.Body}
+	return result{outcome: Ran, answer: out, finish: func(bool) {}}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -5,83 +5,203 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
+	"math/rand"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
-	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const (
+	tickInterval = 20 * time.Millisecond
+	trimInterval = time.Second
+	drainPoll    = 10 * time.Millisecond
 )
 
 // Options are what a Router needs.
 type Options struct {
 	Now        func() time.Time // nil: time.Now
-	Logger     *log.Logger
-	Metrics    *metrics.Set // nil: none are kept
+	Seed       int64            // of the choice among equal upstreams; 0: by the clock
+	Logger     *log.Logger      // nil: nothing is logged
+	Metrics    *metrics.Set     // nil: none are kept
 	Membership membership.Source
 	Config     config.Source
+	Claims     Claims // nil: requests with an idempotency key are refused
 }
 
 // Router serves callers' requests. It is safe for concurrent use.
 type Router struct {
-	opts Options
+	opts     Options
+	meters   *meters
+	sequence atomic.Uint64
+	inFlight atomic.Int64
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	services map[string]*service
+	pools    map[string]*pool // by address
 }
 
-// New returns a router.
+// New returns a router. Run must be running for it to shed, probe and refresh
+// on time.
 func New(o Options) *Router {
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Router{opts: o}
+	if o.Seed == 0 {
+		o.Seed = rand.Int63()
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(io.Discard)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool)}
+	r.meters = newMeters(o.Metrics, r)
+	return r
 }
 
 // Register adds the router's calls to mux.
 func (r *Router) Register(mux *http.ServeMux) {
 	mux.HandleFunc("/v1/services/{service}/requests/{path...}", r.serve)
+	mux.HandleFunc("GET /v1/services/{service}/outcomes/{key}", r.serveOutcome)
 }
 
-// Run does the router's background work until ctx ends.
+// Run does the router's background work until ctx ends: it sheds requests that
+// have waited too long, follows membership and configuration, and probes
+// upstreams that failed.
 func (r *Router) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	var probes sync.WaitGroup
+	defer r.closeIdle()
+	defer probes.Wait()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	lastTrim := r.opts.Now()
+	for {
+		changed := r.opts.Config.Changed()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-ticker.C:
+		}
+		now := r.opts.Now()
+		r.tick(ctx, now, &probes)
+		if now.Sub(lastTrim) >= trimInterval {
+			lastTrim = now
+			r.trim()
+		}
+	}
 }
 
-// Drain waits until every request in flight has been answered. It cuts off
-// nothing; it returns ctx's error when ctx ends first.
-func (r *Router) Drain(ctx context.Context) error { return nil }
+func (r *Router) tick(ctx context.Context, now time.Time, probes *sync.WaitGroup) {
+	for _, s := range r.allServices() {
+		r.refresh(s)
+		for _, host := range s.tick(now) {
+			probes.Add(1)
+			go func() {
+				defer probes.Done()
+				alive, closing := r.probe(ctx, host)
+				s.probed(r.opts.Now(), host.Name, alive, closing)
+			}()
+		}
+	}
+}
+
+func (r *Router) refresh(s *service) {
+	snap, _ := r.opts.Config.Current()
+	s.refresh(r.opts.Now(), r.opts.Membership.View(), snap)
+}
 
-func (r *Router) serve(w http.ResponseWriter, req *http.Request) {
-	service, err := r.authorise(req)
-	if err != nil {
-		writeError(w, NotRun, err)
-		return
+func (r *Router) allServices() []*service {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*service, 0, len(r.services))
+	for _, s := range r.services {
+		out = append(out, s)
 	}
-	hosts := r.opts.Membership.View().Upstreams(service.Name)
-	if len(hosts) == 0 {
-		writeError(w, NotRun, apierr.New(apierr.Unavailable, "no upstream of the service is known", "retry later"))
-		return
+	return out
+}
+
+// service returns the driver of a service's core, with membership and
+// configuration as of now.
+func (r *Router) service(name string) *service {
+	r.mu.Lock()
+	s := r.services[name]
+	if s == nil {
+		s = newService(name, r.opts.Seed+int64(len(r.services)))
+		r.services[name] = s
 	}
-	target := "http://" + hosts[0].Address + "/" + req.PathValue("path")
-	out, _ := http.NewRequestWithContext(req.Context(), req.Method, target, req.Body)
-	resp, doErr := http.DefaultTransport.RoundTrip(out)
-	if doErr != nil {
-		writeError(w, Unknown, apierr.New(apierr.OutcomeUnknown, "the upstream's answer was lost", "check whether the request ran"))
-		return
+	r.mu.Unlock()
+	r.refresh(s)
+	return s
+}
+
+func (r *Router) pool(host platform.Host) *pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[host.Address]
+	if p == nil {
+		p = &pool{}
+		r.pools[host.Address] = p
+	}
+	return p
+}
+
+// connectionLimit is this host's share of an upstream's connections; 0: none is set.
+func (r *Router) connectionLimit(host platform.Host) int {
+	if host.Connections == 0 {
+		return 0
+	}
+	view := r.opts.Membership.View()
+	return Share(host.Connections, host.Name, view.Self.Name, entryHosts(view))
+}
+
+func (r *Router) trim() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	listed := make(map[string]bool)
+	for _, h := range r.opts.Membership.View().Hosts {
+		listed[h.Address] = true
+	}
+	for address, p := range r.pools {
+		if p.trim(now) == 0 && !listed[address] {
+			delete(r.pools, address)
+		}
+	}
+}
+
+func (r *Router) closeIdle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pools {
+		p.closeIdle()
 	}
-	defer resp.Body.Close()
-	w.Header().Set(HeaderOutcome, string(Ran))
-	w.WriteHeader(resp.StatusCode)
-	_, _ = io.Copy(w, resp.Body)
 }
 
-func writeError(w http.ResponseWriter, outcome Outcome, err *apierr.Error) {
-	w.Header().Set(HeaderOutcome, string(outcome))
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(err.Status())
-	_ = json.NewEncoder(w).Encode(map[string]*apierr.Error{"error": err})
+// Draining reports whether Drain was called: the host is not ready then.
+func (r *Router) Draining() bool { return r.draining.Load() }
+
+// Drain makes the host not ready, keeps serving, and returns once no request is
+// in flight. It cuts off nothing: requests that still arrive are served, and
+// their callers are told to close their connections. It returns ctx's error
+// when ctx ends first.
+func (r *Router) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	for r.inFlight.Load() > 0 {
+		if !sleep(ctx, drainPoll) {
+			return ctx.Err()
+		}
+	}
+	return nil
 }
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,333 @@
+package routing_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/routing"
+	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
+	"github.com/cyclamentray/cyclamentray/standin/upstream"
+)
+
+const testTimeout = 20 * time.Second
+
+// shared is a membership and configuration that tests change at will.
+type shared struct {
+	mu      sync.Mutex
+	view    *membership.View
+	snap    *config.Snapshot
+	changed chan struct{}
+}
+
+func (s *shared) View() *membership.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *shared) Current() (*config.Snapshot, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snap, time.Now()
+}
+
+func (s *shared) Changed() <-chan struct{} { return s.changed }
+
+func (s *shared) setHosts(hosts ...platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = &membership.View{Self: s.view.Self, Hosts: hosts}
+}
+
+func (s *shared) setOut(name string, out bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.snap
+	next.FailureDomains = map[string]config.FailureDomain{name: {Name: name, Out: out}}
+	s.snap = &next
+}
+
+// entry is one entry host's router behind a real listener.
+type entry struct {
+	shared *shared
+	router *routing.Router
+	url    string
+}
+
+func newShared(timeout time.Duration, hosts ...platform.Host) *shared {
+	service := config.Service{Name: "loans", Organisation: "acme", Requests: &config.Requests{
+		TimeoutMillis: int(timeout.Milliseconds()), ShareWith: []string{"north", "south", "west"},
+	}}
+	return &shared{
+		view:    &membership.View{Self: platform.Host{Name: "e1", Kind: platform.EntryHost, FailureDomain: "a"}, Hosts: hosts},
+		snap:    &config.Snapshot{Revision: 1, Services: map[string]config.Service{"loans": service}},
+		changed: make(chan struct{}),
+	}
+}
+
+func startEntry(t testing.TB, s *shared, claims routing.Claims) *entry {
+	r := routing.New(routing.Options{Seed: 1, Membership: s, Config: s, Claims: claims})
+	mux := http.NewServeMux()
+	r.Register(mux)
+	server := httptest.NewServer(asOrganisation(mux))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = r.Run(ctx) })
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		wg.Wait()
+	})
+	return &entry{shared: s, router: r, url: server.URL}
+}
+
+// asOrganisation stands in for the token check: the header names the caller.
+func asOrganisation(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if name := r.Header.Get("Organisation"); name != "" {
+			r = r.WithContext(auth.WithIdentity(r.Context(), auth.Identity{Organisation: name}))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type reply struct {
+	status  int
+	outcome routing.Outcome
+	body    string
+	cut     bool
+}
+
+func (e *entry) do(t testing.TB, method, organisation, key string) reply {
+	req, err := http.NewRequest(method, e.url+"/v1/services/loans/requests/book", strings.NewReader("kit"))
+	must.NoError(t, err)
+	req.Header.Set("Organisation", organisation)
+	if key != "" {
+		req.Header.Set(routing.HeaderKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, outcome: routing.Outcome(resp.Header.Get(routing.HeaderOutcome)), body: string(body), cut: err != nil}
+}
+
+// runnerHost starts an upstream behind a fault proxy.
+func runnerHost(t testing.TB, o upstream.Options) (platform.Host, *upstream.Upstream, *faultproxy.Proxy) {
+	u := upstream.New(o)
+	server := httptest.NewServer(u)
+	proxy, err := faultproxy.New(server.Listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		proxy.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	host := platform.Host{
+		Name: o.Name, Kind: platform.Upstream, FailureDomain: "a", Service: "loans",
+		Address: proxy.Addr(), Slots: 8, Connections: 60,
+	}
+	return host, u, proxy
+}
+
+func waitFor(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("timed out waiting until %s", what)
+}
+
+func TestOnlyTheServicesCallersReachIt(t *testing.T) {
+	host, u, _ := runnerHost(t, upstream.Options{Name: "u1"})
+	e := startEntry(t, newShared(time.Second, host), nil)
+	must.Eq(t, routing.Ran, e.do(t, "POST", "acme", "").outcome)
+	must.Eq(t, routing.Ran, e.do(t, "POST", "north", "").outcome)
+	refused := e.do(t, "POST", "stranger", "")
+	must.Eq(t, http.StatusNotFound, refused.status)
+	must.Eq(t, routing.NotRun, refused.outcome)
+	must.Eq(t, int64(2), u.Executed())
+}
+
+// A kept connection that the upstream's side has closed or lost must not make
+// a non-idempotent request fail or run twice.
+func TestNonIdempotentNotSentOnFrozenConnection(t *testing.T) {
+	host, u, proxy := runnerHost(t, upstream.Options{Name: "u1"})
+	e := startEntry(t, newShared(3*time.Second, host), nil)
+	must.Eq(t, routing.Ran, e.do(t, "GET", "acme", "").outcome)
+	proxy.FreezeOpen(faultproxy.Up)
+	proxy.FreezeOpen(faultproxy.Down)
+	time.Sleep(150 * time.Millisecond) // the kept connection is no longer just proved alive
+	must.Eq(t, routing.Ran, e.do(t, "POST", "acme", "").outcome)
+	must.Eq(t, int64(2), u.Executed())
+}
+
+func TestIdempotentRequestLeavesFrozenConnection(t *testing.T) {
+	host, _, proxy := runnerHost(t, upstream.Options{Name: "u1"})
+	other, _, _ := runnerHost(t, upstream.Options{Name: "u2"})
+	e := startEntry(t, newShared(8*time.Second, host, other), nil)
+	for range 8 {
+		must.Eq(t, routing.Ran, e.do(t, "GET", "acme", "").outcome)
+	}
+	proxy.FreezeOpen(faultproxy.Up)
+	for range 8 {
+		must.Eq(t, routing.Ran, e.do(t, "GET", "acme", "").outcome)
+	}
+}
+
+func TestCutBeforeAnswerIsUnknownAndNotSentAgain(t *testing.T) {
+	host, u, proxy := runnerHost(t, upstream.Options{Name: "u1"})
+	other, v, _ := runnerHost(t, upstream.Options{Name: "u2"})
+	e := startEntry(t, newShared(3*time.Second, host), nil)
+	proxy.Set(faultproxy.Down, faultproxy.Fault{CutAfter: 0})
+	e.shared.setHosts(host, other)
+	for i := 0; u.Executed() == 0; i++ {
+		must.Less(t, 50, i)
+		got := e.do(t, "POST", "acme", "")
+		if u.Executed() > 0 {
+			must.Eq(t, routing.Unknown, got.outcome)
+			must.Eq(t, http.StatusGatewayTimeout, got.status)
+		}
+	}
+	before := v.Executed()
+	must.Eq(t, int64(1), u.Executed())
+	must.Eq(t, routing.Ran, e.do(t, "GET", "acme", "").outcome)
+	must.Eq(t, before+1, v.Executed())
+}
+
+// An answer cut at any byte never looks whole: small answers become "unknown",
+// large ones abort the caller's connection.
+func TestAnswerCutAtEveryByte(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		var calls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header()["Date"] = nil
+			_, _ = io.WriteString(w, "booked: ")
+			if chunked {
+				_ = http.NewResponseController(w).Flush()
+			}
+			_, _ = io.WriteString(w, "3 grabbers")
+		}))
+		proxy, err := faultproxy.New(server.Listener.Addr().String())
+		must.NoError(t, err)
+		host := platform.Host{Name: "u1", Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: proxy.Addr(), Slots: 8}
+		whole := reply{status: 200, outcome: routing.Ran, body: "booked: 3 grabbers"}
+		offset := int64(0)
+		for ; ; offset++ {
+			proxy.Set(faultproxy.Down, faultproxy.Fault{CutAfter: offset})
+			e := startEntry(t, newShared(testTimeout, host), nil)
+			before := calls.Load()
+			got := e.do(t, "POST", "acme", "")
+			must.Eq(t, before+1, calls.Load(), must.Sprintf("offset %d", offset))
+			if got == whole {
+				break
+			}
+			must.Eq(t, routing.Unknown, got.outcome, must.Sprintf("offset %d", offset))
+			must.Less(t, 1000, offset)
+		}
+		must.Greater(t, int64(len(whole.body)), offset)
+		proxy.Close()
+		server.Close()
+	}
+}
+
+func TestLargeAnswerCutAbortsCaller(t *testing.T) {
+	large := strings.Repeat("x", 1<<20)
+	host, _, proxy := runnerHost(t, upstream.Options{Name: "u1", Answer: func(*http.Request, []byte) []byte { return []byte(large) }})
+	e := startEntry(t, newShared(testTimeout, host), nil)
+	got := e.do(t, "GET", "acme", "")
+	must.False(t, got.cut)
+	must.Eq(t, len(large), len(got.body))
+	proxy.Set(faultproxy.Down, faultproxy.Fault{CutAfter: 700 << 10})
+	proxy.CutOpen()
+	must.True(t, e.do(t, "GET", "acme", "").cut)
+}
+
+func TestUpstreamLeavingUnderLoad(t *testing.T) {
+	host, u, _ := runnerHost(t, upstream.Options{Name: "u1", Work: 5 * time.Millisecond})
+	other, _, _ := runnerHost(t, upstream.Options{Name: "u2", Work: 5 * time.Millisecond})
+	e := startEntry(t, newShared(testTimeout, host, other), nil)
+	stop := load(t, e, 8)
+	waitFor(t, "both work", func() bool { return u.Executed() > 20 })
+	u.Leave()
+	time.Sleep(time.Second)
+	seen := u.Refused()
+	must.Less(t, 8, seen)
+	time.Sleep(2 * time.Second)
+	must.Eq(t, seen, u.Refused())
+	for outcome, n := range stop() {
+		must.Eq(t, routing.Ran, outcome, must.Sprintf("%d requests", n))
+	}
+}
+
+func TestFailureDomainOutGetsNothingNew(t *testing.T) {
+	host, u, _ := runnerHost(t, upstream.Options{Name: "u1", Work: 5 * time.Millisecond})
+	other, _, _ := runnerHost(t, upstream.Options{Name: "u2", Work: 5 * time.Millisecond})
+	other.FailureDomain = "b"
+	e := startEntry(t, newShared(testTimeout, host, other), nil)
+	stop := load(t, e, 8)
+	waitFor(t, "the local one works", func() bool { return u.Executed() > 20 })
+	e.shared.setOut("a", true)
+	out := time.Now()
+	time.Sleep(time.Second)
+	must.Less(t, 200*time.Millisecond, u.LastStart().Sub(out))
+	for outcome, n := range stop() {
+		must.Eq(t, routing.Ran, outcome, must.Sprintf("%d requests", n))
+	}
+}
+
+func TestDrainCutsOffNothing(t *testing.T) {
+	host, _, _ := runnerHost(t, upstream.Options{Name: "u1", Work: 20 * time.Millisecond})
+	e := startEntry(t, newShared(testTimeout, host), nil)
+	stop := load(t, e, 8)
+	time.Sleep(100 * time.Millisecond)
+	drained := make(chan error, 1)
+	go func() { drained <- e.router.Drain(context.Background()) }()
+	waitFor(t, "draining", e.router.Draining)
+	time.Sleep(100 * time.Millisecond) // callers still arrive and are served
+	outcomes := stop()
+	must.NoError(t, <-drained)
+	must.MapLen(t, 1, outcomes)
+	must.Positive(t, outcomes[routing.Ran])
+}
+
+// load posts from n callers until the returned function is called, which
+// returns how often each outcome was seen.
+func load(t testing.TB, e *entry, n int) func() map[routing.Outcome]int {
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	seen := make(map[routing.Outcome]int)
+	for range n {
+		wg.Go(func() {
+			for !stop.Load() {
+				got := e.do(t, "POST", "acme", "")
+				mu.Lock()
+				seen[got.outcome]++
+				mu.Unlock()
+			}
+		})
+	}
+	return func() map[routing.Outcome]int {
+		stop.Store(true)
+		wg.Wait()
+		return seen
+	}
+}
