--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,263 @@
+package membership
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const (
+	nearInterval     = time.Second      // between heartbeats within a failure domain
+	farInterval      = 10 * time.Second // between heartbeats across failure domains
+	tickInterval     = 250 * time.Millisecond
+	listInterval     = 3 * time.Second
+	listTimeout      = 2 * time.Second
+	heartbeatTimeout = time.Second
+)
+
+// Status is what an entry host says of its state, for operators and for the
+// choice of peers.
+type Status struct {
+	Revision     uint64        // of its configuration
+	RevisionAge  time.Duration // since the platform confirmed it, when sent
+	Term         uint64        // fencing term; 0: the host schedules nothing
+	PlatformDown bool          // the host does not reach the platform by itself
+	At           time.Time     `json:"-"` // local time of its arrival
+}
+
+// Beat is a heartbeat, and the answer to one.
+type Beat struct {
+	Host        platform.Host
+	Incarnation string
+	Draining    bool
+	Status      Status
+}
+
+// Options configures a Membership.
+type Options struct {
+	Self        platform.Host
+	Incarnation string // changes when the process restarts
+	Lister      platform.HostLister
+	Peers       peer.Caller
+	Seeds       []string      // peer addresses to ask while no list was read
+	Status      func() Status // nil: empty
+	Now         func() time.Time
+	Logger      *log.Logger
+	Metrics     *metrics.Set
+}
+
+func (o Options) withDefaults() Options {
+	if o.Status == nil {
+		o.Status = func() Status { return Status{} }
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(io.Discard)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
+
+// Membership keeps the view of one entry host. It is safe for concurrent use.
+type Membership struct {
+	opts Options
+	view atomic.Pointer[View]
+
+	mu       sync.Mutex
+	table    *table
+	draining bool
+	listed   bool // a list has been read, from the platform or from a peer
+	work     sync.WaitGroup
+}
+
+// New returns a membership that knows only this host; call Run.
+func New(opts Options) *Membership {
+	opts = opts.withDefaults()
+	m := &Membership{opts: opts, table: newTable(opts.Self)}
+	m.table.put(opts.Now(), opts.Self)
+	m.view.Store(m.table.view(opts.Now()))
+	return m
+}
+
+var _ Source = (*Membership)(nil)
+
+// View implements Source.
+func (m *Membership) View() *View { return m.view.Load() }
+
+// Statuses returns the last status heard of each entry host, by name.
+func (m *Membership) Statuses() map[string]Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]Status)
+	for name, r := range m.table.records {
+		if !r.status.At.IsZero() {
+			out[name] = r.status
+		}
+	}
+	out[m.opts.Self.Name] = m.opts.Status()
+	return out
+}
+
+// Observe tells that a host was seen to answer. It keeps the host in the view
+// although the list lacks it.
+func (m *Membership) Observe(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.observe(m.opts.Now(), name)
+}
+
+// Drain makes this host tell its peers that it leaves.
+func (m *Membership) Drain() {
+	m.mu.Lock()
+	m.draining = true
+	for _, r := range m.table.records {
+		r.untold = true
+	}
+	m.mu.Unlock()
+}
+
+// Run reads the list and exchanges heartbeats until ctx ends. It returns nil.
+func (m *Membership) Run(ctx context.Context) error {
+	m.work.Go(func() { m.readLists(ctx) })
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		m.tick(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	m.work.Wait()
+	return nil
+}
+
+func (m *Membership) tick(ctx context.Context) {
+	m.mu.Lock()
+	due := m.table.due(m.opts.Now())
+	m.publish()
+	m.mu.Unlock()
+	for _, h := range due {
+		m.work.Go(func() { m.beat(ctx, h.PeerAddress) })
+	}
+}
+
+// publish makes the table's view the present one. The caller holds mu.
+func (m *Membership) publish() {
+	v := m.table.view(m.opts.Now())
+	m.view.Store(v)
+	m.opts.Metrics.GetOrCreateGauge("cyclamentray_membership_hosts", nil).Set(float64(len(v.Hosts)))
+	m.opts.Metrics.GetOrCreateGauge("cyclamentray_membership_silent_peers", nil).Set(float64(len(v.Silent)))
+}
+
+func (m *Membership) self() Beat {
+	m.mu.Lock()
+	draining := m.draining
+	m.mu.Unlock()
+	return Beat{Host: m.opts.Self, Incarnation: m.opts.Incarnation, Draining: draining, Status: m.opts.Status()}
+}
+
+func (m *Membership) beat(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var reply Beat
+	if err := m.opts.Peers.Call(ctx, address, "Membership.Beat", m.self(), &reply); err != nil {
+		m.opts.Metrics.GetOrCreateCounter("cyclamentray_membership_heartbeat_failures_total").Inc()
+		return
+	}
+	m.heard(reply)
+}
+
+func (m *Membership) heard(b Beat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.applyBeat(m.opts.Now(), b)
+	m.publish()
+}
+
+func (m *Membership) readLists(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		m.readList(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *Membership) readList(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	hosts, err := m.opts.Lister.Hosts(callCtx)
+	if err == nil {
+		m.applyList(hosts)
+		return
+	}
+	m.opts.Metrics.GetOrCreateCounter("cyclamentray_membership_list_failures_total").Inc()
+	m.mu.Lock()
+	listed := m.listed
+	m.mu.Unlock()
+	if !listed {
+		m.askSeeds(ctx)
+	}
+}
+
+// askSeeds takes over a peer's view: a host that boots while the platform is
+// away has nothing else to start from.
+func (m *Membership) askSeeds(ctx context.Context) {
+	for _, address := range m.opts.Seeds {
+		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+		var hosts []platform.Host
+		err := m.opts.Peers.Call(callCtx, address, "Membership.Hosts", m.self(), &hosts)
+		cancel()
+		if err == nil && len(hosts) > 1 {
+			m.applyList(hosts)
+			return
+		}
+	}
+}
+
+func (m *Membership) applyList(hosts []platform.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = true
+	m.table.applyList(m.opts.Now(), hosts)
+	m.table.put(m.opts.Now(), m.opts.Self).absentReads = 0
+	m.publish()
+}
+
+// RegisterPeer publishes the slice's net/rpc service.
+func (m *Membership) RegisterPeer(s *peer.Server) error {
+	return s.Register("Membership", &service{m: m})
+}
+
+// service answers peers.
+type service struct{ m *Membership }
+
+// Beat exchanges heartbeats.
+func (s *service) Beat(b Beat, reply *Beat) error {
+	s.m.heard(b)
+	*reply = s.m.self()
+	return nil
+}
+
+// Hosts tells a booting peer which hosts there are.
+func (s *service) Hosts(b Beat, reply *[]platform.Host) error {
+	s.m.heard(b)
+	*reply = s.m.View().Hosts
+	return nil
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -6,8 +6,9 @@
 
 // View is the membership at one moment. It is immutable once published.
 type View struct {
-	Self  platform.Host
-	Hosts []platform.Host // ordered by name; hosts known to be gone are left out
+	Self   platform.Host
+	Hosts  []platform.Host // ordered by name; hosts known to be gone are left out
+	Silent map[string]bool // entry hosts that do not answer heartbeats now
 }
 
 // Select returns the hosts for which keep is true, ordered by name.
@@ -35,13 +36,24 @@
 	})
 }
 
-// Peers returns the other entry hosts.
+// Peers returns the other entry hosts that are not silent.
 func (v *View) Peers() []platform.Host {
 	return v.Select(func(h platform.Host) bool {
-		return h.Kind == platform.EntryHost && h.Name != v.Self.Name
+		return h.Kind == platform.EntryHost && h.Name != v.Self.Name && !v.Silent[h.Name]
 	})
 }
 
+// Neighbours returns the peers of this host's failure domain.
+func (v *View) Neighbours() []platform.Host {
+	var out []platform.Host
+	for _, h := range v.Peers() {
+		if h.FailureDomain == v.Self.FailureDomain {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // Source gives the present view. It is safe for concurrent use.
 type Source interface {
 	View() *View // never nil
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// answerTimeout bounds the sending of an answer to a peer that does not read.
+const answerTimeout = 5 * time.Second
+
+const tracerName = "github.com/cyclamentray/cyclamentray/peer"
+
+var propagator = propagation.TraceContext{}
+
+// requestHeader precedes each request. It adds to net/rpc's header what net/rpc
+// lacks: the trace and the time the caller still waits.
+type requestHeader struct {
+	Method string
+	Seq    uint64
+	Trace  string        // W3C traceparent; empty: none
+	Wait   time.Duration // from sending
+}
+
+type responseHeader struct {
+	Seq   uint64
+	Error string // empty: success
+}
+
+// stream is the gob encoding shared by both ends of a connection.
+type stream struct {
+	conn net.Conn
+	dec  *gob.Decoder
+	enc  *gob.Encoder
+	buf  *bufio.Writer
+}
+
+func newStream(conn net.Conn) stream {
+	buf := bufio.NewWriter(conn)
+	return stream{conn: conn, dec: gob.NewDecoder(bufio.NewReader(conn)), enc: gob.NewEncoder(buf), buf: buf}
+}
+
+// send writes one message by the deadline. After an error the stream may hold
+// half a message, so it is closed.
+func (s *stream) send(deadline time.Time, header, body any) error {
+	err := s.conn.SetWriteDeadline(deadline)
+	if err == nil {
+		err = s.encode(header, body)
+	}
+	if err != nil {
+		_ = s.conn.Close()
+	}
+	return err
+}
+
+func (s *stream) encode(header, body any) error {
+	if err := s.enc.Encode(header); err != nil {
+		return err
+	}
+	if err := s.enc.Encode(body); err != nil {
+		return err
+	}
+	return s.buf.Flush()
+}
+
+// envelope carries the call's context, which has a deadline, from Pool.Call to
+// the client codec.
+type envelope struct {
+	ctx  context.Context
+	args any
+}
+
+// clientCodec implements rpc.ClientCodec.
+type clientCodec struct {
+	stream
+	onBroken func() // called once reading fails: the connection is of no more use
+}
+
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	e := body.(envelope)
+	h := requestHeader{Method: r.ServiceMethod, Seq: r.Seq}
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(e.ctx, carrier)
+	h.Trace = carrier["traceparent"]
+	deadline, _ := e.ctx.Deadline()
+	h.Wait = time.Until(deadline)
+	err := c.send(deadline, h, e.args)
+	if err != nil {
+		c.onBroken()
+	}
+	return err
+}
+
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	var h responseHeader
+	if err := c.dec.Decode(&h); err != nil {
+		c.onBroken()
+		return err
+	}
+	r.Seq, r.Error = h.Seq, h.Error
+	return nil
+}
+
+func (c *clientCodec) ReadResponseBody(body any) error {
+	err := c.dec.Decode(body)
+	if err != nil {
+		c.onBroken()
+	}
+	return err
+}
+
+func (c *clientCodec) Close() error { return c.conn.Close() }
+
+// serverCall is a request that is being served.
+type serverCall struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	span   trace.Span
+}
+
+// serverCodec implements rpc.ServerCodec. net/rpc reads from one goroutine and
+// writes under its own lock; mu covers the calls that both touch.
+type serverCodec struct {
+	stream
+	ctx    context.Context // ends with the connection
+	cancel context.CancelFunc
+	last   uint64 // sequence number of the request whose body comes next
+
+	mu    sync.Mutex
+	calls map[uint64]serverCall
+}
+
+func newServerCodec(conn net.Conn) *serverCodec {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &serverCodec{stream: newStream(conn), ctx: ctx, cancel: cancel, calls: make(map[uint64]serverCall)}
+}
+
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	var h requestHeader
+	if err := c.dec.Decode(&h); err != nil {
+		c.cancel()
+		return err
+	}
+	r.ServiceMethod, r.Seq, c.last = h.Method, h.Seq, h.Seq
+	c.begin(h)
+	return nil
+}
+
+func (c *serverCodec) begin(h requestHeader) {
+	ctx := propagator.Extract(c.ctx, propagation.MapCarrier{"traceparent": h.Trace})
+	ctx, span := otel.Tracer(tracerName).Start(ctx, h.Method,
+		trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("rpc.system", "net/rpc")))
+	cancel := context.CancelFunc(func() {})
+	if h.Wait > 0 {
+		ctx, cancel = context.WithTimeout(ctx, h.Wait)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[h.Seq] = serverCall{ctx: ctx, cancel: cancel, span: span}
+}
+
+func (c *serverCodec) ReadRequestBody(body any) error {
+	if err := c.dec.Decode(body); err != nil {
+		return err
+	}
+	if taker, ok := body.(ContextTaker); ok {
+		c.mu.Lock()
+		ctx := c.calls[c.last].ctx
+		c.mu.Unlock()
+		taker.TakeContext(ctx)
+	}
+	return nil
+}
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	c.end(r.Seq, r.Error)
+	return c.send(time.Now().Add(answerTimeout), responseHeader{Seq: r.Seq, Error: r.Error}, body)
+}
+
+func (c *serverCodec) end(seq uint64, failure string) {
+	c.mu.Lock()
+	call, ok := c.calls[seq]
+	delete(c.calls, seq)
+	c.mu.Unlock()
+	if !ok {
+		return
+	}
+	if failure != "" {
+		call.span.SetStatus(codes.Error, failure)
+	}
+	call.span.End()
+	call.cancel()
+}
+
+func (c *serverCodec) Close() error {
+	c.cancel()
+	return c.conn.Close()
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,7 +2,17 @@
 // deadline and a trace context.
 package peer
 
-import "context"
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+)
+
+// DefaultTimeout bounds a call whose context has no deadline.
+const DefaultTimeout = 2 * time.Second
 
 // Caller calls a method, such as "Config.Latest", of the entry host whose peer
 // listener is at address. It returns an error when ctx ends first.
@@ -10,3 +20,35 @@
 type Caller interface {
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
+
+// ContextTaker is implemented by arguments that want the context of their call
+// on the serving side: it carries the caller's trace and deadline, and ends
+// when the caller's connection does.
+type ContextTaker interface {
+	TakeContext(ctx context.Context)
+}
+
+// Options configures a Server or a Pool. The zero value works without TLS.
+type Options struct {
+	TLS     *tls.Config // nil: plain TCP
+	Timeout time.Duration
+	Logger  *log.Logger
+	Metrics *metrics.Set
+}
+
+func (o Options) withDefaults() Options {
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(discard{})
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,104 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.uber.org/goleak"
+
+	"github.com/cyclamentray/cyclamentray/peer"
+)
+
+type EchoArgs struct {
+	Text string
+	Wait time.Duration
+	ctx  context.Context
+}
+
+func (a *EchoArgs) TakeContext(ctx context.Context) { a.ctx = ctx }
+
+type Echo struct{ ended chan error }
+
+func (e *Echo) Say(args EchoArgs, reply *string) error {
+	_, span := otel.Tracer("test").Start(args.ctx, "inner")
+	defer span.End()
+	if args.Text == "" {
+		return errors.New("nothing to say")
+	}
+	select {
+	case <-time.After(args.Wait):
+	case <-args.ctx.Done():
+		e.ended <- args.ctx.Err()
+	}
+	*reply = args.Text
+	return nil
+}
+
+func serve(t *testing.T, e *Echo) (*peer.Pool, *net.TCPListener) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := peer.NewServer(peer.Options{})
+	must.NoError(t, s.Register("Echo", e))
+	go func() { _ = s.Serve(l) }()
+	p := peer.NewPool(peer.Options{})
+	t.Cleanup(func() {
+		must.NoError(t, p.Close())
+		must.NoError(t, s.Close())
+		goleak.VerifyNone(t)
+	})
+	return p, l.(*net.TCPListener)
+}
+
+func TestCallTimesOutAndTheNextUsesAFreshConnection(t *testing.T) {
+	e := &Echo{ended: make(chan error, 1)}
+	p, l := serve(t, e)
+	address := l.Addr().String()
+	var reply string
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+
+	err := p.Call(ctx, address, "Echo.Say", &EchoArgs{Text: "late", Wait: time.Minute}, &reply)
+	must.ErrorIs(t, err, context.DeadlineExceeded)
+	must.Error(t, <-e.ended) // the server's handler learns that nobody waits
+	must.NoError(t, p.Call(context.Background(), address, "Echo.Say", &EchoArgs{Text: "now"}, &reply))
+	must.Eq(t, "now", reply)
+	must.ErrorContains(t, p.Call(context.Background(), address, "Echo.Say", &EchoArgs{}, &reply), "nothing to say")
+}
+
+func TestCallToAFrozenPeerEndsAtItsDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel, never reads
+	must.NoError(t, err)
+	defer l.Close()
+	p := peer.NewPool(peer.Options{})
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	var reply string
+	big := string(make([]byte, 32<<20))
+	must.Error(t, p.Call(ctx, l.Addr().String(), "Echo.Say", &EchoArgs{Text: big}, &reply))
+}
+
+func TestTraceCrossesThePeerConnection(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	before := otel.GetTracerProvider()
+	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder)))
+	defer otel.SetTracerProvider(before)
+	p, l := serve(t, &Echo{})
+	var reply string
+	must.NoError(t, p.Call(context.Background(), l.Addr().String(), "Echo.Say", &EchoArgs{Text: "a"}, &reply))
+	spans := recorder.Ended()
+	must.Len(t, 3, spans) // inner, server, client
+	for _, s := range spans[:2] {
+		must.Eq(t, spans[2].SpanContext().TraceID(), s.SpanContext().TraceID())
+	}
+	must.Eq(t, spans[1].SpanContext().SpanID(), spans[0].Parent().SpanID())
+	must.Eq(t, spans[2].SpanContext().SpanID(), spans[1].Parent().SpanID())
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server serves net/rpc calls of other entry hosts. It is safe for concurrent use.
+type Server struct {
+	opts Options
+	rpc  *rpc.Server
+
+	mu        sync.Mutex
+	closed    bool
+	listeners map[net.Listener]bool
+	conns     map[net.Conn]bool
+	serving   sync.WaitGroup
+}
+
+// NewServer returns a server with no services.
+func NewServer(opts Options) *Server {
+	return &Server{
+		opts:      opts.withDefaults(),
+		rpc:       rpc.NewServer(),
+		listeners: make(map[net.Listener]bool),
+		conns:     make(map[net.Conn]bool),
+	}
+}
+
+// Register publishes rcvr's methods under name, a noun such as "Config".
+func (s *Server) Register(name string, rcvr any) error { return s.rpc.RegisterName(name, rcvr) }
+
+// Serve accepts connections until Close. It returns nil after Close.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.addListener(l) {
+		return l.Close()
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return nil
+			}
+			return errors.Wrap(err, "accepting a peer's connection")
+		}
+		s.accept(conn)
+	}
+}
+
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[l] = true
+	return true
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) accept(conn net.Conn) {
+	if s.opts.TLS != nil {
+		conn = tls.Server(conn, s.opts.TLS)
+	}
+	conn = countBytes(conn, s.opts.Metrics)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	s.conns[conn] = true
+	s.serving.Add(1)
+	go s.serveConn(conn)
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.serving.Done()
+	s.rpc.ServeCodec(newServerCodec(conn))
+	_ = conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops accepting, closes every connection and waits for calls in
+// progress to return.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.serving.Wait()
+	return nil
+}
