--- /dev/null
+++ b/config/edit_test.go
@@ -0,0 +1,67 @@
+package config_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+func failureDomain(name string) config.Document {
+	return config.Document{Kind: config.KindFailureDomain, FailureDomain: &config.FailureDomain{Name: name, Region: "north"}}
+}
+
+func organisation(name string) config.Document {
+	return config.Document{Kind: config.KindOrganisation, Organisation: &config.Organisation{Name: name, Teams: []config.Team{{Name: "a"}}}}
+}
+
+func serviceDoc(name, org string) config.Document {
+	return config.Document{Kind: config.KindService, Service: &config.Service{Name: name, Organisation: org, Team: "a"}}
+}
+
+func newStore(t *testing.T) (*kv.Server, platform.Store) {
+	t.Helper()
+	stand := kv.New()
+	server := httptest.NewServer(stand)
+	t.Cleanup(server.Close)
+	return stand, platform.NewClient(server.URL)
+}
+
+func TestSecondOperatorUnderOneRevisionGetsConflict(t *testing.T) {
+	ctx := context.Background()
+	_, store := newStore(t)
+	e := config.NewEditor(config.EditorOptions{Store: store})
+	first, err := e.Apply(ctx, []config.Document{failureDomain("n1")}, 0)
+	must.NoError(t, err)
+	must.Eq(t, 1, first)
+	_, err = e.Apply(ctx, []config.Document{failureDomain("n2")}, 0)
+	must.Eq(t, apierr.Conflict, apierr.KindOf(err))
+	must.StrContains(t, err.Error(), "read the configuration again")
+}
+
+func TestRetirementIsATombstone(t *testing.T) {
+	ctx := context.Background()
+	_, store := newStore(t)
+	d := config.NewDistributor(config.Options{Store: store})
+	e := config.NewEditor(config.EditorOptions{Store: store, Distributor: d})
+	_, err := e.Apply(ctx, []config.Document{organisation("o"), serviceDoc("s", "o")}, 0)
+	must.NoError(t, err)
+	revision, err := e.Retire(ctx, "s")
+	must.NoError(t, err)
+	again, err := e.Retire(ctx, "s")
+	must.NoError(t, err)
+	must.Eq(t, revision, again)
+	snap, _ := d.Current()
+	must.Eq(t, revision, snap.Retired["s"])
+	must.MapNotContainsKey(t, snap.Services, "s")
+	_, err = e.Apply(ctx, []config.Document{serviceDoc("s", "o")}, revision)
+	must.Error(t, err)
+	_, err = e.SetFailureDomain(ctx, "nowhere", true)
+	must.Eq(t, apierr.NotFound, apierr.KindOf(err))
+}
