--- /dev/null
+++ b/gang/client.go
@@ -0,0 +1,81 @@
+package gang
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+const (
+	workerTimeout  = time.Second // of one message to a worker
+	maxWorkerReply = 1 << 20     // bytes
+	idlePerWorker  = 2           // connections
+)
+
+// WorkerCaller sends one message to the worker at an address. reply is a
+// pointer to the answer; args is nil for a listing. It is safe for concurrent use.
+type WorkerCaller interface {
+	Call(ctx context.Context, address, path string, args, reply any) error
+}
+
+// HTTPWorkers speaks workerapi over HTTP.
+type HTTPWorkers struct {
+	client  *http.Client
+	timeout time.Duration
+}
+
+// NewHTTPWorkers returns a caller with its own connections.
+func NewHTTPWorkers() *HTTPWorkers {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: workerTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerWorker,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &HTTPWorkers{client: &http.Client{Transport: transport}, timeout: workerTimeout}
+}
+
+// Close drops idle connections.
+func (h *HTTPWorkers) Close() { h.client.CloseIdleConnections() }
+
+// Call implements WorkerCaller.
+func (h *HTTPWorkers) Call(ctx context.Context, address, path string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, h.timeout)
+	defer cancel()
+	req, err := newRequest(ctx, address, path, args)
+	if err != nil {
+		return err
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWorkerReply))
+	if err != nil {
+		return errors.Wrap(err, "reading the worker's answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("worker at %s answered status %d to %s", address, resp.StatusCode, path)
+	}
+	return errors.Wrap(json.Unmarshal(body, reply), "reading the worker's answer")
+}
+
+func newRequest(ctx context.Context, address, path string, args any) (*http.Request, error) {
+	target := "http://" + address + path
+	if path == workerapi.PathTasks {
+		return http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	}
+	body, err := json.Marshal(args)
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+}
--- /dev/null
+++ b/gang/permit.go
@@ -0,0 +1,41 @@
+package gang
+
+import (
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/election"
+)
+
+// PermitAge is the oldest confirmation of the configuration that still allows
+// a start, measured from before the platform was asked.
+const PermitAge = 2 * time.Second
+
+// Permit tells whether a start message may be sent at this moment.
+type Permit struct {
+	FailureDomain string
+	Config        config.Source
+	Election      election.Holder
+}
+
+// Check returns nil when a start under the term may be sent now. It is asked
+// again just before each start message.
+func (p Permit) Check(now time.Time, term uint64) error {
+	current, until, held := p.Election.Term()
+	if !held || current != term || !now.Before(until) {
+		return apierr.New(apierr.Unavailable,
+			"this host no longer schedules the failure domain", "wait for the new scheduler to take over")
+	}
+	snap, confirmed := p.Config.Current()
+	if now.Sub(confirmed) > PermitAge {
+		return apierr.New(apierr.Unavailable,
+			"the configuration was not confirmed lately", "wait until the platform answers again")
+	}
+	d, known := snap.FailureDomains[p.FailureDomain]
+	if !known || d.Out {
+		return apierr.New(apierr.Unavailable,
+			"the failure domain is out of service", "bring it back in, or submit to another")
+	}
+	return nil
+}
--- /dev/null
+++ b/gang/renewals.go
@@ -0,0 +1,200 @@
+package gang
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+// RosterGang is a gang whose leases are to be kept, and its workers.
+type RosterGang struct {
+	Gang    workerapi.Gang
+	Workers []string // distinct
+}
+
+// Batch is one renewal message to a worker.
+type Batch struct {
+	Worker string
+	Gangs  []workerapi.Gang
+}
+
+// Observation is what a renewal taught about a gang on a worker. Unreachable
+// means that the worker answered no renewal for a whole lease.
+type Observation struct {
+	Gang        workerapi.Gang
+	Worker      string
+	Tasks       []workerapi.Task // the gang's tasks that the worker remembers as ended
+	Unreachable bool
+}
+
+type share struct {
+	acked    time.Time // last renewal that the worker confirmed
+	answered bool      // confirmed in the last round
+	done     bool      // all its tasks finished; nothing to renew
+}
+
+type keep struct {
+	since   time.Time
+	workers map[string]*share
+	broken  bool // a member is lost: renewed no more
+}
+
+// Renewals decides which leases one entry host renews. A gang is renewed as
+// one: while a member did not confirm the last round, the others are not
+// renewed either, so a gang that lost a member ends by itself. It is pure
+// state, owned by the Renewer's loop.
+type Renewals struct {
+	gangs    map[workerapi.Gang]*keep
+	released map[workerapi.Gang]time.Time
+}
+
+// NewRenewals returns an empty set.
+func NewRenewals() *Renewals {
+	return &Renewals{gangs: make(map[workerapi.Gang]*keep), released: make(map[workerapi.Gang]time.Time)}
+}
+
+// Release promises that the gang is never renewed here again.
+func (r *Renewals) Release(now time.Time, g workerapi.Gang) {
+	r.released[g] = now
+	delete(r.gangs, g)
+}
+
+// SetRoster replaces the gangs that this host keeps.
+func (r *Renewals) SetRoster(now time.Time, roster []RosterGang) {
+	next := make(map[workerapi.Gang]*keep, len(roster))
+	for _, g := range roster {
+		if _, released := r.released[g.Gang]; released {
+			continue
+		}
+		k := r.gangs[g.Gang]
+		if k == nil {
+			k = newKeep(now, g.Workers)
+		}
+		next[g.Gang] = k
+	}
+	r.gangs = next
+}
+
+func newKeep(now time.Time, workers []string) *keep {
+	k := &keep{since: now, workers: make(map[string]*share, len(workers))}
+	for _, w := range workers {
+		k.workers[w] = &share{acked: now, answered: true}
+	}
+	return k
+}
+
+// Tick returns one round of renewals, ordered by worker, and the gangs that
+// are given up because a worker stayed silent for a whole lease.
+func (r *Renewals) Tick(now time.Time) (batches []Batch, lost []Observation) {
+	byWorker := make(map[string][]workerapi.Gang)
+	for _, g := range r.ordered() {
+		k := r.gangs[g]
+		if k.broken {
+			continue
+		}
+		if w := k.silent(now); w != "" {
+			k.broken = true
+			lost = append(lost, Observation{Gang: g, Worker: w, Unreachable: true})
+			continue
+		}
+		for _, w := range k.next() {
+			byWorker[w] = append(byWorker[w], g)
+		}
+	}
+	for w, gangs := range byWorker {
+		batches = append(batches, Batch{Worker: w, Gangs: gangs})
+	}
+	sort.Slice(batches, func(i, j int) bool { return batches[i].Worker < batches[j].Worker })
+	return batches, lost
+}
+
+func (r *Renewals) ordered() []workerapi.Gang {
+	out := make([]workerapi.Gang, 0, len(r.gangs))
+	for g := range r.gangs {
+		out = append(out, g)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Job != out[j].Job {
+			return out[i].Job < out[j].Job
+		}
+		return out[i].Generation < out[j].Generation
+	})
+	return out
+}
+
+// silent returns a worker that confirmed nothing for a whole lease.
+func (k *keep) silent(now time.Time) string {
+	found := ""
+	for w, s := range k.workers {
+		if !s.done && now.Sub(s.acked) >= Lease && (found == "" || w < found) {
+			found = w
+		}
+	}
+	return found
+}
+
+// next returns the workers of this round: all of them after a round that all
+// confirmed, else only those that did not.
+func (k *keep) next() []string {
+	var waiting, all []string
+	for w, s := range k.workers {
+		if s.done {
+			continue
+		}
+		all = append(all, w)
+		if !s.answered {
+			waiting = append(waiting, w)
+		}
+	}
+	if len(waiting) > 0 {
+		return waiting
+	}
+	for _, w := range all {
+		k.workers[w].answered = false
+	}
+	return all
+}
+
+// Answer takes a worker's answer to a batch and returns what it taught.
+func (r *Renewals) Answer(now time.Time, b Batch, reply workerapi.RenewReply) []Observation {
+	missing := make(map[workerapi.Gang]bool, len(reply.Missing))
+	for _, g := range reply.Missing {
+		missing[g] = true
+	}
+	var out []Observation
+	for _, g := range b.Gangs {
+		k := r.gangs[g]
+		if k == nil || k.workers[b.Worker] == nil {
+			continue
+		}
+		if !missing[g] {
+			s := k.workers[b.Worker]
+			s.acked, s.answered = now, true
+			continue
+		}
+		out = append(out, k.onMissing(now, g, b.Worker, reply.Ended)...)
+	}
+	return out
+}
+
+// onMissing handles a gang that does not run on a worker: it finished there, it
+// ended otherwise, or its start is still under way.
+func (k *keep) onMissing(now time.Time, g workerapi.Gang, worker string, ended []workerapi.Task) []Observation {
+	var tasks []workerapi.Task
+	finished := true
+	for _, t := range ended {
+		if t.Gang == g {
+			tasks = append(tasks, t)
+			finished = finished && t.State == workerapi.TaskFinished
+		}
+	}
+	starting := len(tasks) == 0 && now.Sub(k.since) < Lease
+	if starting {
+		return nil
+	}
+	s := k.workers[worker]
+	s.done = finished && len(tasks) > 0
+	k.broken = k.broken || !s.done
+	return []Observation{{Gang: g, Worker: worker, Tasks: tasks}}
+}
--- /dev/null
+++ b/intake/ledger/ledger.go
@@ -0,0 +1,106 @@
+// Package ledger keeps jobs in the platform's store: for each failure domain a
+// few values that hold many records each, written in groups, and one index that
+// tells which failure domain's ledger has a job.
+package ledger
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const (
+	indexPrefix = "jobs/index"
+	jobsPrefix  = "jobs/ledger/"
+	// MaxEntries bounds the entries of one shard, so that its value stays under 1 MB.
+	MaxEntries = 5000
+)
+
+var errFull = apierr.New(apierr.Overloaded,
+	"the job ledger is full", "wait until ended jobs are pruned, then submit again under the same name")
+
+// Claim says which failure domain a job was first given to.
+type Claim struct {
+	FailureDomain string    `json:"failureDomain"`
+	Digest        string    `json:"digest"` // of the spec as submitted
+	At            time.Time `json:"at"`
+}
+
+// Digest identifies a spec's content.
+func Digest(spec job.Spec) string {
+	plain, err := json.Marshal(spec)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(plain)
+	return hex.EncodeToString(sum[:8])
+}
+
+// Jobs is one failure domain's ledger, by job.ID as a string.
+type Jobs = Table[job.Record]
+
+// Index maps a job.ID as a string to its claim.
+type Index = Table[Claim]
+
+// Options configures a Books.
+type Options struct {
+	Store   platform.Store
+	Shards  int           // 0: DefaultShards; the same on every host
+	Gap     time.Duration // 0: DefaultGap
+	Now     func() time.Time
+	Logger  *log.Logger
+	Metrics *metrics.Set
+}
+
+// Books gives the ledgers of all failure domains and the index over them.
+// It is safe for concurrent use.
+type Books struct {
+	o     Options
+	index *Index
+	mu    sync.Mutex
+	jobs  map[string]*Jobs
+}
+
+// New returns the books kept in a store. Nothing is read yet.
+func New(o Options) *Books {
+	b := &Books{o: o, jobs: make(map[string]*Jobs)}
+	b.index = NewTable[Claim](b.table(indexPrefix))
+	return b
+}
+
+func (b *Books) table(prefix string) TableOptions {
+	return TableOptions{
+		Store: b.o.Store, Prefix: prefix, Shards: b.o.Shards, Gap: b.o.Gap,
+		Now: b.o.Now, Logger: b.o.Logger, Metrics: b.o.Metrics,
+	}
+}
+
+// Index returns the index over all failure domains.
+func (b *Books) Index() *Index { return b.index }
+
+// Jobs returns a failure domain's ledger.
+func (b *Books) Jobs(failureDomain string) *Jobs {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.jobs[failureDomain]
+	if t == nil {
+		t = NewTable[job.Record](b.table(jobsPrefix + failureDomain))
+		b.jobs[failureDomain] = t
+	}
+	return t
+}
+
+// Run keeps the ledger of one failure domain fresh until ctx ends.
+func (b *Books) Run(ctx context.Context, failureDomain string) error {
+	return b.Jobs(failureDomain).Run(ctx)
+}
--- /dev/null
+++ b/intake/ledger/shard.go
@@ -0,0 +1,341 @@
+package ledger
+
+import (
+	"context"
+	"crypto/rand"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const (
+	callTimeout = 4 * time.Second // of one call to the store
+	maxAttempts = 12              // of one group of updates
+)
+
+type result[V any] struct {
+	value V
+	err   error
+}
+
+type update[V any] struct {
+	key    string
+	change Change[V]
+	done   chan result[V] // buffered: the committer never waits for a caller
+	gone   func() bool    // the caller no longer waits
+}
+
+// shard is one value of the store. At most one write of it is under way here.
+type shard[V any] struct {
+	t   *Table[V]
+	key string
+
+	mu         sync.Mutex
+	page       page[V]
+	version    uint64
+	confirmed  time.Time
+	known      bool
+	pending    []*update[V]
+	committing bool
+	reading    *readCall[V]
+}
+
+type readCall[V any] struct {
+	done chan struct{}
+	page page[V]
+	err  error
+}
+
+func (s *shard[V]) seen() (page[V], time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.page, s.confirmed, s.known
+}
+
+// adopt takes over an entry read from the store, unless a newer one is known.
+func (s *shard[V]) adopt(e platform.Entry, asked time.Time) (page[V], error) {
+	s.mu.Lock()
+	if s.known && e.Version == s.version {
+		defer s.mu.Unlock()
+		s.confirmed = later(s.confirmed, asked)
+		return s.page, nil
+	}
+	s.mu.Unlock()
+	p, err := decode[V](e.Value)
+	if err != nil {
+		return p, err
+	}
+	s.install(p, e.Version, asked)
+	return p, nil
+}
+
+func (s *shard[V]) install(p page[V], version uint64, asked time.Time) {
+	s.mu.Lock()
+	newer := !s.known || version > s.version
+	if newer {
+		s.page, s.version, s.known = p, version, true
+	}
+	if version >= s.version {
+		s.confirmed = later(s.confirmed, asked)
+	}
+	s.mu.Unlock()
+	if newer {
+		s.t.announce()
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// fetch reads the shard from the store. A missing key is an empty page.
+func (s *shard[V]) fetch(ctx context.Context) (page[V], error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := s.t.o.Now()
+	s.t.reads.Inc()
+	e, err := s.t.o.Store.Get(ctx, s.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		e, err = platform.Entry{Key: s.key}, nil
+	}
+	if err != nil {
+		return page[V]{}, err
+	}
+	return s.adopt(e, asked)
+}
+
+// read returns the shard as it is at some moment after the call. It joins a
+// read that has not begun yet, never one that began earlier.
+func (s *shard[V]) read(ctx context.Context) (page[V], error) {
+	s.mu.Lock()
+	call := s.reading
+	if call == nil {
+		call = &readCall[V]{done: make(chan struct{})}
+		s.reading = call
+		go s.answer(call)
+	}
+	s.mu.Unlock()
+	select {
+	case <-call.done:
+		return call.page, call.err
+	case <-ctx.Done():
+		return page[V]{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	}
+}
+
+func (s *shard[V]) answer(call *readCall[V]) {
+	s.mu.Lock()
+	s.reading = nil // later readers start a call of their own
+	s.mu.Unlock()
+	call.page, call.err = s.fetch(context.Background())
+	close(call.done)
+}
+
+// follow watches the shard until ctx ends.
+func (s *shard[V]) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		after, known := s.version, s.known
+		s.mu.Unlock()
+		var err error
+		if !known {
+			_, err = s.fetch(ctx)
+		} else {
+			err = s.watch(ctx, after)
+		}
+		if err != nil {
+			sleep(ctx, retryDelay)
+		}
+	}
+}
+
+func (s *shard[V]) watch(ctx context.Context, after uint64) error {
+	s.t.reads.Inc()
+	asked := s.t.o.Now()
+	e, err := s.t.o.Store.Watch(ctx, s.key, after)
+	if err != nil {
+		return err
+	}
+	_, err = s.adopt(e, asked)
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *shard[V]) update(ctx context.Context, key string, change Change[V]) (V, error) {
+	u := &update[V]{key: key, change: change, done: make(chan result[V], 1)}
+	u.gone = func() bool { return ctx.Err() != nil }
+	s.mu.Lock()
+	s.pending = append(s.pending, u)
+	if !s.committing {
+		s.committing = true
+		go s.commitLoop()
+	}
+	s.mu.Unlock()
+	select {
+	case r := <-u.done:
+		return r.value, r.err
+	case <-ctx.Done():
+		var zero V
+		return zero, errors.Mark(ctx.Err(), platform.ErrAmbiguous)
+	}
+}
+
+// commitLoop writes groups of updates until none is left.
+func (s *shard[V]) commitLoop() {
+	for {
+		s.mu.Lock()
+		group := s.pending
+		s.pending = nil
+		if len(group) == 0 {
+			s.committing = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		s.commit(group)
+		time.Sleep(s.t.o.Gap)
+	}
+}
+
+// commit writes one group. An answer that was lost is settled by reading back.
+func (s *shard[V]) commit(group []*update[V]) {
+	nonce := rand.Text()
+	ambiguous := false
+	var err error
+	for attempt := range maxAttempts {
+		if attempt > 0 {
+			time.Sleep(s.t.o.Gap / 4 * time.Duration(min(attempt, 4)))
+		}
+		var base page[V]
+		base, err = s.base(attempt > 0)
+		if err != nil {
+			continue
+		}
+		if base.wrote(nonce) {
+			s.reply(group, base)
+			return
+		}
+		err = s.write(group, nonce)
+		if err == nil {
+			return
+		}
+		ambiguous = ambiguous || errors.Is(err, platform.ErrAmbiguous)
+	}
+	if ambiguous {
+		err = errors.Mark(err, platform.ErrAmbiguous)
+	}
+	s.t.o.Logger.Warn("ledger write failed", "shard", s.key, "updates", len(group), "err", err)
+	for _, u := range group {
+		u.done <- result[V]{err: err}
+	}
+}
+
+// base returns the page to write upon, read anew after a failed attempt.
+func (s *shard[V]) base(fresh bool) (page[V], error) {
+	p, _, known := s.seen()
+	if known && !fresh {
+		return p, nil
+	}
+	return s.fetch(context.Background())
+}
+
+// write applies the group to the page and swaps it in. It answers the callers
+// when that worked; a group that changes nothing is confirmed by a read.
+func (s *shard[V]) write(group []*update[V], nonce string) error {
+	s.mu.Lock()
+	base, version := s.page, s.version
+	s.mu.Unlock()
+	next := base.with(nonce)
+	results, changed := apply(group, next.Entries)
+	if !changed {
+		return s.confirm(group, version)
+	}
+	value, err := encode(next)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	asked := s.t.o.Now()
+	s.t.writes.Inc()
+	e, err := s.t.o.Store.CompareAndSwap(ctx, s.key, value, version)
+	if err != nil {
+		if errors.Is(err, platform.ErrConflict) {
+			s.t.clashes.Inc()
+		}
+		return err
+	}
+	s.install(next, e.Version, asked)
+	deliver(group, results)
+	return nil
+}
+
+// confirm answers a group without effect, once the page is known to be current.
+func (s *shard[V]) confirm(group []*update[V], version uint64) error {
+	fresh, err := s.fetch(context.Background())
+	if err != nil {
+		return err
+	}
+	results, changed := apply(group, fresh.with("").Entries)
+	if changed {
+		return errors.Mark(errors.New("the shard changed meanwhile"), platform.ErrConflict)
+	}
+	deliver(group, results)
+	return nil
+}
+
+// reply answers a group whose write took effect though its answer was lost.
+func (s *shard[V]) reply(group []*update[V], p page[V]) {
+	results, _ := apply(group, p.with("").Entries)
+	deliver(group, results)
+}
+
+func deliver[V any](group []*update[V], results []result[V]) {
+	for i, u := range group {
+		u.done <- results[i]
+	}
+}
+
+// apply runs a group's changes on entries, which it alters. A caller that has
+// given up is left out.
+func apply[V any](group []*update[V], entries map[string]V) (results []result[V], changed bool) {
+	results = make([]result[V], len(group))
+	for i, u := range group {
+		if u.gone() {
+			continue
+		}
+		old, found := entries[u.key]
+		next, keep, err := u.change(old, found)
+		if err == nil && keep && !found && len(entries) >= MaxEntries {
+			err = errFull
+		}
+		switch {
+		case err != nil:
+			results[i] = result[V]{value: old, err: err}
+			continue
+		case keep:
+			entries[u.key] = next
+			changed = changed || !found || !reflect.DeepEqual(old, next)
+		case found:
+			delete(entries, u.key)
+			changed = true
+		}
+		results[i] = result[V]{value: next}
+	}
+	return results, changed
+}
