Record traces in memory as trees and measure what tracing costs

Request metrics are labelled with the mux's pattern, never the path, which would make metrics without bound and show callers' names.

Seen failing first: without injection, extraction, the pattern label or either of the recorder's bounds, TestTrace_OneSpanAHopAsATree or TestRecorder_MemoryIsBounded failed.

--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,175 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/shoenig/test/must"
+)
+
+// record turns tracing on into a Recorder until the test ends.
+func record(t testing.TB) *Recorder {
+	rec := NewRecorder()
+	shutdown, err := SetupTracing(t.Context(), Tracing{Exporter: "none", Processors: []sdktrace.SpanProcessor{rec}})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, shutdown(context.Background())) })
+	return rec
+}
+
+// entry serves handler as the entry host of the given name.
+func entry(t testing.TB, host string, set *metrics.Set, handler http.HandlerFunc) *httptest.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs/{name}", handler)
+	s := httptest.NewServer(Middleware(host, set, time.Now, mux))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func post(ctx context.Context, c *http.Client, url string) (int, error) {
+	r, err := http.NewRequestWithContext(ctx, "POST", url, strings.NewReader("{}"))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Body.Close()
+}
+
+func TestTrace_OneSpanAHopAsATree(t *testing.T) {
+	rec := record(t)
+	set := metrics.NewSet()
+	client := &http.Client{Transport: Transport(http.DefaultTransport, "entry-host")}
+	far := entry(t, "b-1", set, func(w http.ResponseWriter, r *http.Request) {
+		ctx := Receive(context.Background(), Carry(r.Context())) // as net/rpc carries it
+		_, span := StartClient(ctx, "platform.get")
+		End(span, errors.New("store unavailable"))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	near := entry(t, "a-1", set, func(w http.ResponseWriter, r *http.Request) {
+		status, err := post(r.Context(), client, far.URL+"/v1/jobs/secret")
+		must.NoError(t, err)
+		w.WriteHeader(status)
+	})
+	ctx, span := Start(t.Context(), "caller")
+	status, err := post(ctx, client, near.URL+"/v1/jobs/secret")
+	must.NoError(t, err)
+	must.Eq(t, 503, status)
+	End(span, nil)
+
+	must.Eq(t, []string{TraceID(ctx)}, rec.Traces())
+	must.Eq(t, `caller
+└─ entry-host POST
+   └─ entry POST /v1/jobs/{name} @a-1  failed: Service Unavailable
+      └─ entry-host POST
+         └─ entry POST /v1/jobs/{name} @b-1  failed: Service Unavailable
+            └─ platform.get  failed: store unavailable
+`, rec.Shape(TraceID(ctx)))
+	must.StrContains(t, rec.Tree(TraceID(ctx)), "ms")
+
+	var b bytes.Buffer
+	set.WritePrometheus(&b)
+	must.StrContains(t, b.String(), `cyclamentray_http_requests_total{route="POST /v1/jobs/{name}",code="503"} 2`)
+	must.StrNotContains(t, b.String(), "secret")
+}
+
+func TestRecorder_MemoryIsBounded(t *testing.T) {
+	rec := record(t)
+	ctx, root := Start(t.Context(), "many")
+	for range maxSpansPerTrace + 10 {
+		_, s := Start(ctx, "one")
+		s.End()
+	}
+	root.End()
+	must.StrContains(t, rec.Shape(TraceID(ctx)), "(11 more spans not kept)")
+	for range maxTraces {
+		_, s := Start(t.Context(), "later")
+		s.End()
+	}
+	must.Len(t, maxTraces, rec.Traces())
+	must.Eq(t, "", rec.Shape(TraceID(ctx)))
+	must.Eq(t, "", rec.Tree("no trace"))
+}
+
+func TestSetupTracing_Exporters(t *testing.T) {
+	var out bytes.Buffer
+	shutdown, err := SetupTracing(t.Context(), Tracing{Exporter: "stdout", Stdout: &out, Host: "a-1"})
+	must.NoError(t, err)
+	_, s := Start(t.Context(), "seen")
+	s.End()
+	must.NoError(t, shutdown(t.Context()))
+	must.StrContains(t, out.String(), `"Name":"seen"`)
+	_, s = Start(t.Context(), "off again")
+	must.False(t, s.IsRecording())
+
+	_, err = SetupTracing(t.Context(), Tracing{Exporter: "carrier-pigeon"})
+	must.ErrorContains(t, err, "use none, stdout or otlp")
+}
+
+func TestTracingOff_StillCarriesTheCallersTrace(t *testing.T) {
+	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	header := http.Header{"Traceparent": {parent}}
+	ctx, span := StartServer(Extract(t.Context(), header), "entry")
+	defer span.End()
+	out := http.Header{}
+	Inject(ctx, out)
+	must.Eq(t, parent, out.Get("Traceparent"))
+}
+
+func TestNewLogger_LevelAndPrefix(t *testing.T) {
+	var out bytes.Buffer
+	l := NewLogger(&out, "warn").WithPrefix("gang")
+	l.Info("hidden")
+	l.Warn("lost a worker", "worker", "w-1")
+	must.StrContains(t, out.String(), "WARN gang: lost a worker worker=w-1\n")
+	must.StrNotContains(t, out.String(), "hidden")
+}
+
+// BenchmarkMiddleware measures one request through the middleware, with an
+// outgoing hop beneath it, without sockets.
+func BenchmarkMiddleware(b *testing.B) {
+	hop := &http.Client{Transport: Transport(answer{}, "upstream")}
+	handler := Middleware("a-1", metrics.NewSet(), time.Now, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = post(r.Context(), hop, "http://upstream/")
+	}))
+	run := func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/", nil))
+		}
+	}
+	b.Run("off", run)
+	b.Run("on", func(b *testing.B) {
+		shutdown, err := SetupTracing(b.Context(), Tracing{Processors: []sdktrace.SpanProcessor{NewRecorder()}})
+		must.NoError(b, err)
+		run(b)
+		must.NoError(b, shutdown(context.Background()))
+	})
+	b.Run("sampled-1-percent", func(b *testing.B) {
+		shutdown, err := SetupTracing(b.Context(), Tracing{SamplePercent: 1, Processors: []sdktrace.SpanProcessor{NewRecorder()}})
+		must.NoError(b, err)
+		run(b)
+		must.NoError(b, shutdown(context.Background()))
+	})
+	must.False(b, trace.SpanFromContext(b.Context()).IsRecording())
+}
+
+// answer is an upstream that answers every request with an empty 200.
+type answer struct{}
+
+func (answer) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: 200, Body: http.NoBody, Request: r}, nil
+}
