--- a/api/api.go
+++ b/api/api.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/job"
 )
 
@@ -16,20 +16,17 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
-// ErrorReply is the body of every refusal.
-type ErrorReply struct {
-	Error *apierr.Error `json:"error"`
-}
-
 // ApplyRequest asks for documents to be put in force together.
 type ApplyRequest struct {
 	Documents []json.RawMessage `json:"documents"`        // each with its "kind"
 	Expected  uint64            `json:"expectedRevision"` // 0: whatever is in force
 }
 
-// RetireRequest asks for a service to be retired for good.
-type RetireRequest struct {
-	Expected uint64 `json:"expectedRevision"` // 0: whatever is in force
+// ConfigReply is the configuration in force on the host that answers.
+type ConfigReply struct {
+	Revision  uint64            `json:"revision"`
+	Documents []config.Document `json:"documents"`
+	Retired   map[string]uint64 `json:"retired"` // service to the revision that retired it
 }
 
 // EditReply tells the revision at which an edit was accepted.
@@ -44,14 +41,14 @@
 
 // HostStatus is one entry host as it sees itself.
 type HostStatus struct {
-	Name           string        `json:"name"`
-	FailureDomain  string        `json:"failureDomain"`
-	Revision       uint64        `json:"revision"`            // configuration in force on the host
-	ConfirmedAge   time.Duration `json:"confirmedAgeNanos"`   // since the platform last confirmed it
-	Term           uint64        `json:"term,omitempty"`      // set on the failure domain's scheduler
-	Draining       bool          `json:"draining,omitempty"`  // the host is shutting down
-	PlatformErrors uint64        `json:"platformErrors"`      // failed platform calls since start
-	Unreached      string        `json:"unreached,omitempty"` // why a peer did not answer
+	Name          string        `json:"name"`
+	FailureDomain string        `json:"failureDomain"`
+	Revision      uint64        `json:"revision"`            // configuration in force on the host
+	ConfirmedAge  time.Duration `json:"confirmedAgeNanos"`   // since the platform last confirmed it
+	Term          uint64        `json:"term,omitempty"`      // set on the failure domain's scheduler
+	Draining      bool          `json:"draining,omitempty"`  // the host is shutting down
+	HeardAge      time.Duration `json:"heardAgeNanos"`       // since its last heartbeat
+	Unreached     string        `json:"unreached,omitempty"` // why a peer did not answer
 }
 
 // Top is the state of the whole deployment as one entry host sees it.
--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cyclamentray/cyclamentray/api"
 	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/httpjson"
 	"github.com/cyclamentray/cyclamentray/job"
 )
 
@@ -90,9 +91,9 @@
 }
 
 // Retire retires a service for good.
-func (c *Client) Retire(ctx context.Context, service string, req api.RetireRequest) (api.EditReply, error) {
+func (c *Client) Retire(ctx context.Context, service string) (api.EditReply, error) {
 	var reply api.EditReply
-	err := c.call(ctx, http.MethodPost, "/v1/services/"+url.PathEscape(service)+"/retire", req, &reply)
+	err := c.call(ctx, http.MethodPost, "/v1/services/"+url.PathEscape(service)+"/retire", nil, &reply)
 	return reply, err
 }
 
@@ -199,11 +200,7 @@
 	if resp.StatusCode < http.StatusMultipleChoices {
 		return errors.Wrap(json.Unmarshal(body, reply), "decoding the answer")
 	}
-	var refusal api.ErrorReply
-	if err := json.Unmarshal(body, &refusal); err != nil || refusal.Error == nil {
-		return apierr.New(apierr.Internal, "the entry host answered "+resp.Status, "check that the address is an entry host's")
-	}
-	return refusal.Error
+	return httpjson.ReadError(resp.StatusCode, body)
 }
 
 func unreachable(err error) error {
--- /dev/null
+++ b/entryhost/entryhost.go
@@ -0,0 +1,170 @@
+// Package entryhost wires the slices into one entry host: it serves callers
+// and operators over HTTP and other entry hosts over net/rpc, and drains
+// without cutting off a request.
+package entryhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamentray/cyclamentray/settings"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Options are what an entry host needs.
+type Options struct {
+	Settings *settings.Settings
+	HTTP     net.Listener // nil: Settings.Listen.HTTP is listened on
+	Peer     net.Listener // nil: Settings.Listen.Peer is listened on
+	Logger   *log.Logger  // nil: logs to standard error
+	Metrics  *metrics.Set // nil: a set of its own
+	Now      func() time.Time
+}
+
+// Host is one entry host. Run serves until its context ends and then drains.
+type Host struct {
+	opts   Options
+	log    *log.Logger
+	slices *slices
+	server *http.Server
+	ready  atomic.Bool
+}
+
+// New wires an entry host; it listens and acts only once Run is called.
+func New(o Options) (*Host, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(os.Stderr)
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	h := &Host{opts: o, log: o.Logger.WithPrefix("entryhost")}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	built, err := newSlices(h)
+	if err != nil {
+		return nil, err
+	}
+	h.slices = built
+	h.server = &http.Server{
+		Handler:           h.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	return h, nil
+}
+
+// Address returns the IP:port of the HTTP listener.
+func (h *Host) Address() string { return h.opts.HTTP.Addr().String() }
+
+// PeerAddress returns the IP:port of the net/rpc listener.
+func (h *Host) PeerAddress() string { return h.opts.Peer.Addr().String() }
+
+func (h *Host) listen() error {
+	var err error
+	if h.opts.HTTP == nil {
+		h.opts.HTTP, err = net.Listen("tcp", h.opts.Settings.Listen.HTTP)
+		if err != nil {
+			return errors.Wrap(err, "listening for callers; free the port or change listen.http")
+		}
+	}
+	if h.opts.Peer == nil {
+		h.opts.Peer, err = net.Listen("tcp", h.opts.Settings.Listen.Peer)
+		if err != nil {
+			return errors.Wrap(err, "listening for entry hosts; free the port or change listen.peer")
+		}
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then drains: it reports not ready, hands over the
+// term, waits for the balancer, and finishes every request in flight.
+func (h *Host) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	h.slices.run(background, group)
+	group.Go(h.servePeers)
+	group.Go(h.serveHTTP)
+	h.ready.Store(true)
+	h.log.Info("serving", "http", h.Address(), "peer", h.PeerAddress())
+	select {
+	case <-ctx.Done():
+		h.drain()
+	case <-background.Done():
+	}
+	stop()
+	h.close()
+	return group.Wait()
+}
+
+func (h *Host) serveHTTP() error {
+	err := h.server.Serve(h.opts.HTTP)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serving callers")
+}
+
+func (h *Host) servePeers() error {
+	return errors.Wrap(h.slices.peerServer.Serve(h.opts.Peer), "serving entry hosts")
+}
+
+// drain leaves in an order that cuts off nothing: others take over first.
+func (h *Host) drain() {
+	timing := h.opts.Settings.Timing
+	h.ready.Store(false)
+	h.log.Info("draining", "wait", timing.DrainWait(), "limit", timing.DrainTimeout())
+	h.slices.membership.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), timing.DrainWait()+timing.DrainTimeout())
+	defer cancel()
+	if err := h.slices.election.Resign(ctx); err != nil {
+		h.log.Warn("term not handed over; it lapses by itself", "err", err)
+	}
+	waitFor(ctx, timing.DrainWait())
+	if err := h.slices.router.Drain(ctx); err != nil {
+		h.log.Error("requests were still in flight at the limit", "err", err)
+	}
+	if err := h.server.Shutdown(ctx); err != nil {
+		h.log.Error("connections were still busy at the limit", "err", err)
+	}
+	h.log.Info("drained")
+}
+
+func waitFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (h *Host) close() {
+	_ = h.server.Close()
+	_ = h.slices.peerServer.Close()
+	_ = h.slices.peers.Close()
+}
+
+// newIncarnation returns a text that differs each time a host starts.
+func newIncarnation(now time.Time) string {
+	return strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+}
--- /dev/null
+++ b/entryhost/slices.go
@@ -0,0 +1,153 @@
+package entryhost
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/election"
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/routing"
+)
+
+// slices are the parts of one entry host, in the order in which they are built.
+type slices struct {
+	platform   *platform.Client
+	peers      *peer.Pool
+	peerServer *peer.Server
+	membership *membership.Membership
+	config     *config.Distributor
+	editor     *config.Editor
+	election   *election.Election
+	auth       *auth.Authenticator
+	router     *routing.Router
+}
+
+func newSlices(h *Host) (*slices, error) {
+	s := &slices{}
+	s.platform = platform.NewClient(h.opts.Settings.Platform.URLs[0])
+	peerOptions := peer.Options{
+		Timeout: h.opts.Settings.Timing.PeerTimeout(),
+		Logger:  h.opts.Logger.WithPrefix("peer"),
+		Metrics: h.opts.Metrics,
+	}
+	s.peers = peer.NewPool(peerOptions)
+	s.peerServer = peer.NewServer(peerOptions)
+	s.buildMembership(h)
+	s.buildConfig(h)
+	s.buildElection(h)
+	s.buildAuth(h)
+	s.buildRouter(h)
+	return s, s.registerPeers()
+}
+
+func (s *slices) buildMembership(h *Host) {
+	self := h.opts.Settings.Self()
+	self.Address = h.Address()
+	self.PeerAddress = h.PeerAddress()
+	s.membership = membership.New(membership.Options{
+		Self:        self,
+		Incarnation: newIncarnation(h.opts.Now()),
+		Lister:      s.platform,
+		Peers:       s.peers,
+		Status:      func() membership.Status { return s.status() },
+		Now:         h.opts.Now,
+		Logger:      h.opts.Logger.WithPrefix("membership"),
+		Metrics:     h.opts.Metrics,
+	})
+}
+
+// status is what heartbeats tell other hosts about this one.
+func (s *slices) status() membership.Status {
+	snap, _ := s.config.Current()
+	status := membership.Status{Revision: snap.Revision, RevisionAge: s.config.Age()}
+	if term, _, held := s.election.Term(); held {
+		status.Term = term
+	}
+	return status
+}
+
+func (s *slices) buildConfig(h *Host) {
+	s.config = config.NewDistributor(config.Options{
+		Store:   s.platform,
+		Peers:   s.peers,
+		Members: s.membership,
+		Direct:  func() bool { return s.schedules() },
+		Now:     h.opts.Now,
+		Logger:  h.opts.Logger.WithPrefix("config"),
+		Metrics: h.opts.Metrics,
+	})
+	s.editor = config.NewEditor(config.EditorOptions{
+		Store:       s.platform,
+		Distributor: s.config,
+		Now:         h.opts.Now,
+		Logger:      h.opts.Logger.WithPrefix("config"),
+		Metrics:     h.opts.Metrics,
+	})
+}
+
+// schedules reports whether this host is its failure domain's scheduler.
+func (s *slices) schedules() bool {
+	_, _, held := s.election.Term()
+	return held
+}
+
+func (s *slices) buildElection(h *Host) {
+	s.election = election.New(election.Options{
+		Store:         s.platform,
+		Host:          h.opts.Settings.Host.Name,
+		FailureDomain: h.opts.Settings.Host.FailureDomain,
+		TTL:           h.opts.Settings.Timing.SchedulerLease(),
+		Now:           h.opts.Now,
+		Logger:        h.opts.Logger.WithPrefix("election"),
+		Metrics:       h.opts.Metrics,
+	})
+}
+
+func (s *slices) buildAuth(h *Host) {
+	s.auth = auth.New(auth.Options{
+		OperatorHashes: h.opts.Settings.Operators,
+		Credentials:    config.Credentials(s.config),
+		Public:         []string{pathHealth, pathReady, pathMetrics},
+		Logger:         h.opts.Logger.WithPrefix("auth"),
+		Metrics:        h.opts.Metrics,
+	})
+}
+
+func (s *slices) buildRouter(h *Host) {
+	s.router = routing.New(routing.Options{
+		Now:        h.opts.Now,
+		Logger:     h.opts.Logger.WithPrefix("routing"),
+		Metrics:    h.opts.Metrics,
+		Membership: s.membership,
+		Config:     s.config,
+	})
+}
+
+func (s *slices) registerPeers() error {
+	for _, register := range []func(*peer.Server) error{
+		s.membership.RegisterPeer,
+		s.config.RegisterPeer,
+	} {
+		if err := register(s.peerServer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// run starts the background work of every slice in group.
+func (s *slices) run(ctx context.Context, group *errgroup.Group) {
+	for _, run := range []func(context.Context) error{
+		s.membership.Run,
+		s.config.Run,
+		s.election.Run,
+		s.router.Run,
+	} {
+		group.Go(func() error { return run(ctx) })
+	}
+}
--- a/internal/cli/documents.go
+++ b/internal/cli/documents.go
@@ -105,9 +105,8 @@
 }
 
 type retireCommand struct {
-	app      *app
-	Expected uint64 `long:"expected-revision" description:"refuse the edit unless this revision is in force; 0: whatever is in force"`
-	Args     struct {
+	app  *app
+	Args struct {
 		Service string `positional-arg-name:"SERVICE" required:"yes"`
 	} `positional-args:"yes"`
 }
@@ -118,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	reply, err := cl.Retire(c.app.ctx, c.Args.Service, api.RetireRequest{Expected: c.Expected})
+	reply, err := cl.Retire(c.app.ctx, c.Args.Service)
 	if err != nil {
 		return err
 	}
