--- /dev/null
+++ b/gang/cycle.go
@@ -0,0 +1,242 @@
+package gang
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/placement"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+// Cycle does one round: takes over or drops the term, brings runs in line with
+// the ledger, stops what must end, and starts what may start. Only the loop,
+// or a test without one, calls it.
+func (s *Scheduler) Cycle(ctx context.Context) {
+	began := time.Now()
+	defer func() { s.meters.cycle.Update(time.Since(began).Seconds()) }()
+	now := s.o.Now()
+	s.wakeAt = time.Time{}
+	if !s.holdTerm(now) {
+		return
+	}
+	records, _, complete := s.o.Ledger.Snapshot()
+	if !complete {
+		return
+	}
+	snap, _ := s.o.Config.Current()
+	s.reconcile(ctx, now, records)
+	s.tick(ctx)
+	s.order(ctx, now, records, snap)
+	s.decide(ctx, now, records, snap)
+	s.forget(records)
+}
+
+// holdTerm drops everything held under another term than the present one.
+func (s *Scheduler) holdTerm(now time.Time) bool {
+	term, until, held := s.o.Election.Term()
+	held = held && now.Before(until)
+	if held && term == s.term {
+		return true
+	}
+	s.runs = make(map[string]*tracked)
+	s.term = 0
+	if !held {
+		return false
+	}
+	s.term = term
+	s.o.Logger.Info("scheduling the failure domain", "failureDomain", s.o.FailureDomain, "term", term)
+	return true
+}
+
+// reconcile adopts what the ledger has as live and no run here knows.
+func (s *Scheduler) reconcile(ctx context.Context, now time.Time, records map[string]job.Record) {
+	for _, key := range sortedKeys(records) {
+		rec := records[key]
+		if !live(rec.State) || s.runs[key] != nil {
+			continue
+		}
+		g := workerapi.Gang{Job: key, Generation: rec.Generation}
+		run, actions := adopt(g, rec, now)
+		t := &tracked{run: run, record: rec}
+		s.runs[key] = t
+		s.meters.adopted.Inc()
+		s.act(ctx, t, actions)
+		s.replay(ctx, t)
+	}
+}
+
+// replay gives an adopted run what renewals taught earlier.
+func (s *Scheduler) replay(ctx context.Context, t *tracked) {
+	s.mu.Lock()
+	seen := s.seen[t.run.Gang]
+	var known []Listed
+	for _, w := range sortedKeys(seen) {
+		known = append(known, seen[w])
+	}
+	s.mu.Unlock()
+	for _, l := range known {
+		s.step(ctx, t, l)
+	}
+}
+
+func adopt(g workerapi.Gang, rec job.Record, now time.Time) (*Run, []Action) {
+	if rec.State != job.Stopping {
+		return Adopt(g, rec.Workers, now)
+	}
+	order := StopOrder{Next: job.Queued, Reason: rec.Reason}
+	if rec.CancelBy != "" {
+		order.Next = job.Cancelled
+	}
+	return Resume(g, rec.Workers, order, now)
+}
+
+func live(s job.State) bool { return s == job.Placed || s == job.Running || s == job.Stopping }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (s *Scheduler) tick(ctx context.Context) {
+	for _, key := range sortedKeys(s.runs) {
+		if t := s.runs[key]; t != nil {
+			s.step(ctx, t, Tick{})
+		}
+	}
+}
+
+// order ends what operators or callers want ended.
+func (s *Scheduler) order(ctx context.Context, now time.Time, records map[string]job.Record, snap *config.Snapshot) {
+	for _, key := range sortedKeys(records) {
+		rec := records[key]
+		if rec.State.Terminal() || rec.State == job.Moved {
+			continue
+		}
+		next, reason, wanted := s.wanted(rec, snap)
+		if !wanted {
+			continue
+		}
+		if t := s.runs[key]; t != nil {
+			s.step(ctx, t, StopOrder{Next: next, Reason: reason, Grace: graceOf(rec)})
+			continue
+		}
+		if rec.State == job.Queued && next != job.Queued {
+			s.end(ctx, key, next, reason)
+		}
+	}
+}
+
+// wanted tells whether a job must stop, and into which state. Only an explicit
+// retirement counts: a service that is merely missing from a read does not.
+func (s *Scheduler) wanted(rec job.Record, snap *config.Snapshot) (next job.State, reason string, ok bool) {
+	if rec.CancelBy != "" {
+		return job.Cancelled, "cancelled by " + rec.CancelBy, true
+	}
+	if revision, retired := snap.Retired[rec.Spec.ID.Service]; retired {
+		reason := fmt.Sprintf("service %s was retired at revision %d", rec.Spec.ID.Service, revision)
+		return job.Cancelled, reason, true
+	}
+	if d, known := snap.FailureDomains[s.o.FailureDomain]; known && d.Out {
+		return job.Queued, "the failure domain was taken out of service", true
+	}
+	return "", "", false
+}
+
+func graceOf(rec job.Record) time.Duration {
+	if !rec.Spec.Checkpoint || rec.CancelBy != "" {
+		return 0
+	}
+	return Grace
+}
+
+// decide asks placement what to start and reclaim, when starts are permitted.
+func (s *Scheduler) decide(ctx context.Context, now time.Time, records map[string]job.Record, snap *config.Snapshot) {
+	if err := s.permit.Check(now, s.term); err != nil {
+		s.meters.refused.Inc()
+		s.setHolds(records, nil, err.Error())
+		return
+	}
+	plan := s.o.Decide(s.view(now, records, snap))
+	s.wakeAt = plan.Wake
+	s.setHolds(records, plan.Holds, "waiting for the next decision")
+	s.setDeficits(plan.Deficits)
+	for _, r := range plan.Reclaims {
+		s.reclaim(ctx, r)
+	}
+	for _, start := range plan.Starts {
+		s.place(ctx, now, start, records[start.ID.String()])
+	}
+}
+
+func (s *Scheduler) reclaim(ctx context.Context, r placement.Reclaim) {
+	t := s.runs[r.ID.String()]
+	if t == nil {
+		return
+	}
+	s.step(ctx, t, StopOrder{Next: job.Queued, Reason: r.Reason, Grace: graceOf(t.record)})
+}
+
+func (s *Scheduler) place(ctx context.Context, now time.Time, start placement.Start, rec job.Record) {
+	key := start.ID.String()
+	if rec.State != job.Queued || s.runs[key] != nil || len(start.Workers) != rec.Spec.Shape.Tasks {
+		return
+	}
+	rec.Generation++
+	rec.Workers = start.Workers
+	rec.Guaranteed = start.Guaranteed
+	rec.Term = s.term
+	run, actions := Place(workerapi.Gang{Job: key, Generation: rec.Generation}, start.Workers, now)
+	t := &tracked{run: run, record: rec}
+	s.runs[key] = t
+	s.meters.placed.Inc()
+	s.act(ctx, t, actions)
+}
+
+func (s *Scheduler) setHolds(records map[string]job.Record, holds []placement.Hold, otherwise string) {
+	next := make(map[string]string, len(holds))
+	for key, rec := range records {
+		if rec.State == job.Queued {
+			next[key] = otherwise
+		}
+	}
+	for _, h := range holds {
+		next[h.ID.String()] = h.Reason
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holds = next
+}
+
+func (s *Scheduler) setDeficits(deficits []placement.Deficit) {
+	s.mu.Lock()
+	grew := len(deficits) > len(s.deficits)
+	s.deficits = deficits
+	s.mu.Unlock()
+	if !grew {
+		return
+	}
+	for _, d := range deficits {
+		s.meters.deficits.Inc()
+		s.o.Logger.Warn("a guarantee can not be backed", "organisation", d.Organisation, "missing", d.Missing, "reason", d.Reason)
+	}
+}
+
+// forget drops observations of gangs that the ledger no longer has as live.
+func (s *Scheduler) forget(records map[string]job.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for g := range s.seen {
+		rec, found := records[g.Job]
+		if !found || rec.Generation > g.Generation || !live(rec.State) {
+			delete(s.seen, g)
+		}
+	}
+}
--- /dev/null
+++ b/gang/effects.go
@@ -0,0 +1,174 @@
+package gang
+
+import (
+	"context"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+// act starts what a run asks for. Each action runs beside the loop and posts
+// its answer back as an event.
+func (s *Scheduler) act(ctx context.Context, t *tracked, actions []Action) {
+	for _, a := range actions {
+		e := effect{s: s, gang: t.run.Gang, term: s.term, record: t.record, workers: t.run.Workers}
+		if r, ok := a.(Record); ok {
+			s.noteOutcome(t, r)
+		}
+		s.tasks.Go(func() { e.do(ctx, a) })
+	}
+}
+
+// noteOutcome learns from a run's end and keeps the counters.
+func (s *Scheduler) noteOutcome(t *tracked, r Record) {
+	now := s.o.Now()
+	switch r.State {
+	case job.Running:
+		s.meters.whole.Inc()
+		if t.record.Started.IsZero() {
+			t.record.Started = now
+		}
+	case job.Finished:
+		if !t.record.Started.IsZero() {
+			spec := t.record.Spec
+			s.o.Estimates.Observe(spec.ID.Service, spec.Template, spec.DeclaredRun, now.Sub(t.record.Started))
+		}
+	case job.Queued:
+		s.meters.broken.Inc()
+	}
+}
+
+// effect is the I/O of one action. It holds copies only.
+type effect struct {
+	s       *Scheduler
+	gang    workerapi.Gang
+	term    uint64
+	record  job.Record
+	workers []string
+}
+
+func (e effect) post(ctx context.Context, ev Event) {
+	select {
+	case e.s.events <- delivery{gang: e.gang, term: e.term, event: ev}:
+	case <-ctx.Done():
+	}
+}
+
+func (e effect) do(ctx context.Context, a Action) {
+	switch a := a.(type) {
+	case Record:
+		e.post(ctx, Recorded{State: a.State, OK: e.write(ctx, a)})
+	case Reserve:
+		e.post(ctx, e.reserve(ctx, a))
+	case Start:
+		e.post(ctx, e.start(ctx, a))
+	case List:
+		e.post(ctx, e.list(ctx, a))
+	case Checkpoint:
+		e.post(ctx, e.checkpoint(ctx, a))
+	case Stop:
+		e.post(ctx, e.stop(ctx, a))
+	case Fence:
+		e.post(ctx, Fenced{OK: e.s.renewer.fence(ctx, e.gang)})
+	}
+}
+
+// call sends a message to a worker and notes whether it answered.
+func (e effect) call(ctx context.Context, worker, path string, args, reply any) error {
+	address, err := e.s.address(worker)
+	if err == nil {
+		err = e.s.o.Workers.Call(ctx, address, path, args, reply)
+	}
+	if ctx.Err() == nil {
+		e.s.noteAnswer(worker, err == nil)
+	}
+	return err
+}
+
+func (s *Scheduler) noteAnswer(worker string, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if answered {
+		delete(s.silent, worker)
+		return
+	}
+	s.silent[worker] = s.o.Now()
+}
+
+func (s *Scheduler) address(worker string) (string, error) {
+	for _, h := range s.o.Membership.View().Hosts {
+		if h.Name == worker && h.Kind == platform.Worker {
+			return h.Address, nil
+		}
+	}
+	return "", apierr.New(apierr.Unavailable, "worker "+worker+" is not listed", "wait until the host list has it again")
+}
+
+func (e effect) reserve(ctx context.Context, a Reserve) Reserved {
+	if err := e.s.permit.Check(e.s.o.Now(), e.term); err != nil {
+		return Reserved{Worker: a.Worker, Code: workerapi.Refused, Reason: err.Error()}
+	}
+	req := workerapi.ReserveRequest{
+		Term: e.term, Gang: e.gang, Tasks: a.Tasks, Hold: Hold,
+		AcceleratorsPerTask: e.record.Spec.Shape.AcceleratorsPerTask,
+	}
+	var reply workerapi.ReserveReply
+	if err := e.call(ctx, a.Worker, workerapi.PathReserve, req, &reply); err != nil {
+		return Reserved{Worker: a.Worker, Reason: err.Error()}
+	}
+	return Reserved{Worker: a.Worker, Code: reply.Code, Reason: reply.Reason}
+}
+
+// start checks the permit as the last thing before the message leaves.
+func (e effect) start(ctx context.Context, a Start) Started {
+	req := workerapi.StartRequest{
+		Term: e.term, Gang: e.gang, Tasks: a.Tasks, Size: len(e.workers),
+		Service: e.record.Spec.ID.Service, Template: e.record.Spec.Template,
+		Gangmate: e.addresses(), Lease: Lease,
+	}
+	if err := e.s.permit.Check(e.s.o.Now(), e.term); err != nil {
+		e.s.meters.refused.Inc()
+		return Started{Worker: a.Worker, Reason: err.Error()}
+	}
+	var reply workerapi.Reply
+	if err := e.call(ctx, a.Worker, workerapi.PathStart, req, &reply); err != nil {
+		return Started{Worker: a.Worker, Sent: true, Reason: err.Error()}
+	}
+	return Started{Worker: a.Worker, Sent: true, Code: reply.Code, Reason: reply.Reason}
+}
+
+func (e effect) addresses() []string {
+	out := make([]string, len(e.workers))
+	for i, w := range e.workers {
+		out[i], _ = e.s.address(w)
+	}
+	return out
+}
+
+func (e effect) list(ctx context.Context, a List) Listed {
+	var reply workerapi.TasksReply
+	err := e.call(ctx, a.Worker, workerapi.PathTasks, nil, &reply)
+	return Listed{Worker: a.Worker, Known: err == nil, Tasks: reply.Tasks}
+}
+
+func (e effect) request(reason string) workerapi.GangRequest {
+	return workerapi.GangRequest{Term: e.term, Gang: e.gang, Reason: reason}
+}
+
+func (e effect) checkpoint(ctx context.Context, a Checkpoint) Checkpointed {
+	req := e.request("")
+	req.Grace = a.Grace
+	var reply workerapi.Reply
+	err := e.call(ctx, a.Worker, workerapi.PathCheckpoint, req, &reply)
+	return Checkpointed{Worker: a.Worker, OK: err == nil && reply.Code == workerapi.OK}
+}
+
+// stop is confirmed when the worker stopped the gang or does not know it.
+func (e effect) stop(ctx context.Context, a Stop) Stopped {
+	var reply workerapi.Reply
+	err := e.call(ctx, a.Worker, workerapi.PathStop, e.request(a.Reason), &reply)
+	ok := err == nil && (reply.Code == workerapi.OK || reply.Code == workerapi.UnknownGang)
+	return Stopped{Worker: a.Worker, OK: ok}
+}
--- a/gang/messages.go
+++ b/gang/messages.go
@@ -92,6 +92,7 @@
 	Reason  string
 	Failed  bool     // the run ended in failure
 	Suspect []string // workers on which tasks failed
+	Saved   bool     // every task saved its work
 }
 
 // Reserve asks for a reservation on a worker.
--- /dev/null
+++ b/gang/records.go
@@ -0,0 +1,165 @@
+package gang
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+const (
+	// recordTimeout bounds one write of a run's state to the ledger.
+	recordTimeout = 4 * time.Second
+	// defaultMaxFailures applies when the template gives none.
+	defaultMaxFailures = 3
+)
+
+// errSuperseded means that the ledger has the job at another generation or in
+// a state from which the wanted one does not follow.
+var errSuperseded = errors.New("gang: the ledger has the job elsewhere; drop this run")
+
+// write brings the ledger to the run's state. A run whose job has moved on
+// needs no closing record.
+func (e effect) write(ctx context.Context, a Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	rec := e.record
+	now := e.s.o.Now()
+	limit := maxFailures(e.s.o.Config, rec.Spec)
+	_, err := e.s.o.Ledger.Update(ctx, e.gang.Job, func(old job.Record, found bool) (job.Record, bool, error) {
+		next, err := transition(old, found, rec, a, limit, now)
+		return next, found, err
+	})
+	if errors.Is(err, errSuperseded) {
+		return closing(a.State)
+	}
+	return err == nil
+}
+
+func closing(s job.State) bool { return s == job.Queued || s.Terminal() }
+
+func maxFailures(source config.Source, spec job.Spec) int {
+	snap, _ := source.Current()
+	for _, t := range snap.Services[spec.ID.Service].Jobs {
+		if t.Name == spec.Template && t.MaxFailures > 0 {
+			return t.MaxFailures
+		}
+	}
+	return defaultMaxFailures
+}
+
+// transition returns the record after a run's step. It gives the same answer
+// when the step is already in old, as a lost answer may have it written twice.
+func transition(old job.Record, found bool, rec job.Record, a Record, limit int, now time.Time) (job.Record, error) {
+	if !found {
+		return old, errSuperseded
+	}
+	if a.State == job.Placed {
+		return place(old, rec, now)
+	}
+	if old.Generation != rec.Generation {
+		return old, errSuperseded
+	}
+	if old.State == a.State || (a.State == job.Queued && old.State.Terminal()) {
+		return old, nil
+	}
+	if !live(old.State) {
+		return old, errSuperseded
+	}
+	next := old
+	switch {
+	case a.State == job.Running:
+		if old.State == job.Stopping {
+			return old, errSuperseded
+		}
+		next.Started = now
+		next.Enter(job.Running, a.Reason, now)
+	case a.State == job.Stopping:
+		next.Enter(job.Stopping, a.Reason, now)
+	case a.State == job.Queued:
+		requeue(&next, a, limit, now)
+	default:
+		next.Workers = nil
+		next.Enter(a.State, a.Reason, now)
+	}
+	return next, nil
+}
+
+func place(old, rec job.Record, now time.Time) (job.Record, error) {
+	if old.State == job.Placed && old.Generation == rec.Generation && old.Term == rec.Term {
+		return old, nil
+	}
+	if old.State != job.Queued || old.Generation+1 != rec.Generation || old.CancelBy != "" {
+		return old, errSuperseded
+	}
+	next := old
+	next.Generation, next.Workers = rec.Generation, rec.Workers
+	next.Guaranteed, next.Term = rec.Guaranteed, rec.Term
+	next.Started = time.Time{}
+	next.Enter(job.Placed, "", now)
+	return next, nil
+}
+
+// requeue lets a job run again, unless it was cancelled or failed too often.
+func requeue(next *job.Record, a Record, limit int, now time.Time) {
+	if a.Failed {
+		next.Failures++
+		next.Avoid = append(append([]string(nil), next.Avoid...), a.Suspect...)
+	}
+	if a.Saved {
+		next.Checkpointed = now
+	}
+	next.Workers = nil
+	next.Started = time.Time{}
+	switch {
+	case next.CancelBy != "":
+		next.Enter(job.Cancelled, "cancelled by "+next.CancelBy, now)
+	case a.Failed && next.Failures >= limit:
+		next.Enter(job.Failed, "it failed too often; last: "+a.Reason, now)
+	default:
+		next.Enter(job.Queued, a.Reason, now)
+	}
+}
+
+// end records the end of a job that waits in the queue.
+func (s *Scheduler) end(ctx context.Context, key string, state job.State, reason string) {
+	if !s.claimWrite(key) {
+		return
+	}
+	now := s.o.Now()
+	s.tasks.Go(func() {
+		defer s.releaseWrite(key)
+		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		_, err := s.o.Ledger.Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
+			if !found || old.State != job.Queued {
+				return old, found, nil
+			}
+			old.Enter(state, reason, now)
+			return old, true, nil
+		})
+		if err != nil {
+			s.o.Logger.Warn("a queued job's end was not recorded; it is tried again", "job", key, "err", err)
+		}
+	})
+}
+
+// claimWrite keeps a second write of the same job's end from starting.
+func (s *Scheduler) claimWrite(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writing[key] {
+		return false
+	}
+	s.writing[key] = true
+	return true
+}
+
+func (s *Scheduler) releaseWrite(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.writing, key)
+}
--- a/gang/renewals.go
+++ b/gang/renewals.go
@@ -28,6 +28,10 @@
 	Unreachable bool
 }
 
+// releaseKept is how long a promise is remembered: far longer than the ledger
+// lists a generation that has ended.
+const releaseKept = time.Hour
+
 type share struct {
 	acked    time.Time // last renewal that the worker confirmed
 	answered bool      // confirmed in the last round
@@ -74,6 +78,11 @@
 		next[g.Gang] = k
 	}
 	r.gangs = next
+	for g, at := range r.released {
+		if now.Sub(at) >= releaseKept {
+			delete(r.released, g)
+		}
+	}
 }
 
 func newKeep(now time.Time, workers []string) *keep {
--- a/gang/run.go
+++ b/gang/run.go
@@ -114,9 +114,20 @@
 	return r, r.tick(now)
 }
 
+// Resume takes over a stop that an earlier scheduler had recorded.
+func Resume(g workerapi.Gang, workers []string, order StopOrder, now time.Time) (*Run, []Action) {
+	r := newRun(g, workers, Stopping, now)
+	for _, m := range r.members {
+		m.status = mayRun
+	}
+	r.order = order
+	return r, r.tick(now)
+}
+
 func (r *Run) record(state job.State, reason string) Record {
 	r.asked = state
-	return Record{State: state, Reason: reason, Failed: r.failed, Suspect: r.suspect}
+	saved := r.all(func(m *member) bool { return m.saved })
+	return Record{State: state, Reason: reason, Failed: r.failed, Suspect: r.suspect, Saved: saved}
 }
 
 func (r *Run) enter(p Phase, now time.Time) {
--- /dev/null
+++ b/gang/scheduler.go
@@ -0,0 +1,257 @@
+// Package gang runs gangs as one unit. The scheduler of a failure domain
+// reserves, starts, checkpoints and stops them under its term; every entry host
+// renews the leases of a share of them, which needs no term.
+package gang
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/election"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/placement"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+const (
+	cycleEvery  = time.Second            // between two decisions without any event
+	settleDelay = 10 * time.Millisecond  // events that come together are decided together
+	silentFor   = 15 * time.Second       // a worker that did not answer gets no new gang for so long
+	eventBuffer = 1024                   // answers waiting for the loop
+	peerTimeout = 900 * time.Millisecond // of one call to an entry host
+)
+
+// Options configures a Scheduler.
+type Options struct {
+	FailureDomain string
+	Ledger        *ledger.Jobs // of the failure domain; somebody runs it
+	Config        config.Source
+	Membership    membership.Source
+	Election      election.Holder
+	Workers       WorkerCaller // nil: HTTP
+	Peers         peer.Caller  // nil: this entry host is alone
+	Decide        func(placement.View) placement.Plan
+	Estimates     *placement.Estimates // nil: none are learned
+	Now           func() time.Time
+	Logger        *log.Logger
+	Metrics       *metrics.Set
+}
+
+func (o Options) withDefaults() Options {
+	if o.Workers == nil {
+		o.Workers = NewHTTPWorkers()
+	}
+	if o.Decide == nil {
+		o.Decide = placement.Decide
+	}
+	if o.Estimates == nil {
+		o.Estimates = placement.NewEstimates()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = log.Default()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
+
+// tracked is a run and what the scheduler knows of its job.
+type tracked struct {
+	run    *Run
+	record job.Record // as placed or adopted
+}
+
+// delivery is an event for a run, on its way to the loop.
+type delivery struct {
+	gang  workerapi.Gang
+	term  uint64
+	event Event
+}
+
+// Scheduler places, starts and stops the gangs of one failure domain while
+// this host holds its term, and renews this host's share of leases always.
+// Its exported methods are safe for concurrent use; the loop in Run owns the rest.
+type Scheduler struct {
+	o       Options
+	permit  Permit
+	renewer *renewer
+	events  chan delivery
+	wake    chan struct{}
+	tasks   sync.WaitGroup // I/O under way
+
+	// Owned by the loop.
+	term   uint64
+	runs   map[string]*tracked
+	wakeAt time.Time
+
+	mu       sync.Mutex
+	writing  map[string]bool      // queued jobs whose end is being recorded
+	silent   map[string]time.Time // worker to the last unanswered message
+	seen     map[workerapi.Gang]map[string]Listed
+	holds    map[string]string // job to the reason it waits
+	deficits []placement.Deficit
+
+	meters meters
+}
+
+// New returns a scheduler; it acts once Run is called.
+func New(o Options) *Scheduler {
+	o = o.withDefaults()
+	s := &Scheduler{
+		o:       o,
+		permit:  Permit{FailureDomain: o.FailureDomain, Config: o.Config, Election: o.Election},
+		events:  make(chan delivery, eventBuffer),
+		wake:    make(chan struct{}, 1),
+		runs:    make(map[string]*tracked),
+		writing: make(map[string]bool),
+		silent:  make(map[string]time.Time),
+		seen:    make(map[workerapi.Gang]map[string]Listed),
+		holds:   make(map[string]string),
+		meters:  newMeters(o.Metrics),
+	}
+	s.renewer = newRenewer(o, s.Observe)
+	return s
+}
+
+// Run schedules and renews until ctx ends, then waits for I/O under way.
+func (s *Scheduler) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.renewer.run(ctx) })
+	s.loop(ctx)
+	wg.Wait()
+	s.tasks.Wait()
+	if h, ok := s.o.Workers.(*HTTPWorkers); ok {
+		h.Close()
+	}
+	return nil
+}
+
+func (s *Scheduler) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		ledgerChanged := s.o.Ledger.Changed()
+		configChanged := s.o.Config.Changed()
+		s.Cycle(ctx)
+		timer := time.NewTimer(s.pause())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case d := <-s.events:
+			s.deliver(ctx, d)
+		case <-ledgerChanged:
+		case <-configChanged:
+		case <-s.wake:
+		}
+		timer.Stop()
+		s.drain(ctx)
+	}
+}
+
+// pause returns how long to sleep when nothing happens.
+func (s *Scheduler) pause() time.Duration {
+	if s.wakeAt.IsZero() {
+		return cycleEvery
+	}
+	return min(cycleEvery, max(settleDelay, s.wakeAt.Sub(s.o.Now())))
+}
+
+// drain delivers the events that come within a short time.
+func (s *Scheduler) drain(ctx context.Context) {
+	timer := time.NewTimer(settleDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case d := <-s.events:
+			s.deliver(ctx, d)
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Scheduler) deliver(ctx context.Context, d delivery) {
+	t := s.runs[d.gang.Job]
+	if t == nil || t.run.Gang != d.gang || d.term != s.term {
+		return
+	}
+	s.step(ctx, t, d.event)
+}
+
+// step feeds an event to a run and starts what it asks for.
+func (s *Scheduler) step(ctx context.Context, t *tracked, e Event) {
+	before := t.run.Phase
+	actions := t.run.Step(s.o.Now(), e)
+	s.act(ctx, t, actions)
+	if t.run.Phase != before {
+		s.o.Logger.Debug("gang changed phase", "job", t.run.Gang.Job, "generation", t.run.Gang.Generation, "phase", t.run.Phase)
+	}
+	if t.run.Phase == Ended {
+		delete(s.runs, t.run.Gang.Job)
+		s.poke()
+	}
+}
+
+func (s *Scheduler) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Observe takes what a renewal taught, here or on another entry host. It is
+// kept until the ledger moves on, so that whichever host schedules next has it.
+func (s *Scheduler) Observe(o Observation) {
+	s.mu.Lock()
+	if s.seen[o.Gang] == nil {
+		s.seen[o.Gang] = make(map[string]Listed)
+	}
+	if !o.Unreachable {
+		s.seen[o.Gang][o.Worker] = Listed{Worker: o.Worker, Known: true, Tasks: o.Tasks}
+	}
+	s.mu.Unlock()
+	e := Event(Listed{Worker: o.Worker, Known: true, Tasks: o.Tasks})
+	if o.Unreachable {
+		e = Lost{Worker: o.Worker, Reason: "worker " + o.Worker + " answered no renewal for a whole lease"}
+	}
+	select {
+	case s.events <- delivery{gang: o.Gang, term: s.currentTerm(), event: e}:
+	default: // the loop is behind; the next listing tells it
+	}
+}
+
+func (s *Scheduler) currentTerm() uint64 {
+	term, _, _ := s.o.Election.Term()
+	return term
+}
+
+// Hold returns why a queued job waits, as of the last decision here. ok is
+// false when this host does not schedule the failure domain or does not know.
+func (s *Scheduler) Hold(id job.ID) (reason string, ok bool) {
+	if _, _, held := s.o.Election.Term(); !held {
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reason, ok = s.holds[id.String()]
+	return reason, ok
+}
+
+// Deficits returns the guarantees that the last decision here could not back.
+func (s *Scheduler) Deficits() []placement.Deficit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deficits
+}
--- /dev/null
+++ b/gang/view.go
@@ -0,0 +1,113 @@
+package gang
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/placement"
+)
+
+// view gathers what a decision depends on.
+func (s *Scheduler) view(now time.Time, records map[string]job.Record, snap *config.Snapshot) placement.View {
+	v := placement.View{
+		Now:        now,
+		Out:        snap.FailureDomains[s.o.FailureDomain].Out,
+		Workers:    s.workers(now),
+		Estimates:  s.o.Estimates,
+		Guarantees: guarantees(snap, s.o.FailureDomain),
+		Quotas:     quotas(snap),
+	}
+	for _, key := range sortedKeys(s.runs) {
+		v.Running = append(v.Running, s.runs[key].placed())
+	}
+	for _, key := range sortedKeys(records) {
+		rec := records[key]
+		if rec.State == job.Queued && rec.CancelBy == "" && s.runs[key] == nil && !retired(snap, rec) {
+			v.Waiting = append(v.Waiting, waiting(rec))
+		}
+	}
+	return v
+}
+
+func retired(snap *config.Snapshot, rec job.Record) bool {
+	_, gone := snap.Retired[rec.Spec.ID.Service]
+	return gone
+}
+
+// placed describes a run that occupies its accelerators.
+func (t *tracked) placed() placement.Gang {
+	rec := t.record
+	return placement.Gang{
+		ID:           rec.Spec.ID,
+		Team:         rec.Team,
+		Template:     rec.Spec.Template,
+		Generation:   t.run.Gang.Generation,
+		Shape:        rec.Spec.Shape,
+		Workers:      t.run.Workers,
+		Urgent:       rec.Spec.Urgent,
+		Checkpoint:   rec.Spec.Checkpoint,
+		Guaranteed:   rec.Guaranteed,
+		Stopping:     t.run.Phase >= Ordered,
+		Started:      rec.Started,
+		Checkpointed: rec.Checkpointed,
+		DeclaredRun:  rec.Spec.DeclaredRun,
+	}
+}
+
+func waiting(rec job.Record) placement.Waiting {
+	return placement.Waiting{
+		ID:          rec.Spec.ID,
+		Team:        rec.Team,
+		Template:    rec.Spec.Template,
+		Shape:       rec.Spec.Shape,
+		Urgent:      rec.Spec.Urgent,
+		Checkpoint:  rec.Spec.Checkpoint,
+		Submitted:   rec.Submitted,
+		DeclaredRun: rec.Spec.DeclaredRun,
+		Avoid:       rec.Avoid,
+	}
+}
+
+// workers lists the failure domain's workers and why some take nothing new.
+func (s *Scheduler) workers(now time.Time) []placement.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []placement.Worker
+	for _, h := range s.o.Membership.View().Workers(s.o.FailureDomain) {
+		w := placement.Worker{Name: h.Name, Rack: h.Rack, Accelerators: h.Accelerators}
+		last, missed := s.silent[h.Name]
+		switch {
+		case h.Leaving:
+			w.Unavailable = "leaving"
+		case missed && now.Sub(last) < silentFor:
+			w.Unavailable = "silent"
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func guarantees(snap *config.Snapshot, failureDomain string) []placement.Guarantee {
+	var out []placement.Guarantee
+	for _, name := range sortedKeys(snap.Organisations) {
+		for _, g := range snap.Organisations[name].Guarantees {
+			if g.FailureDomain == failureDomain {
+				out = append(out, placement.Guarantee{Organisation: name, Shape: g.Shape, Count: g.Count})
+			}
+		}
+	}
+	return out
+}
+
+func quotas(snap *config.Snapshot) []placement.Quota {
+	var out []placement.Quota
+	for _, name := range sortedKeys(snap.Organisations) {
+		for _, t := range snap.Organisations[name].Teams {
+			out = append(out, placement.Quota{Organisation: name, Team: t.Name, Accelerators: t.Quota})
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Organisation < out[j].Organisation })
+	return out
+}
--- /dev/null
+++ b/intake/check.go
@@ -0,0 +1,116 @@
+package intake
+
+import (
+	"fmt"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// checkSpec compares a submission with its service's document. It returns the
+// record to keep, or every mistake found.
+func checkSpec(snap *config.Snapshot, who auth.Identity, spec job.Spec) (job.Record, error) {
+	if err := checkID(who, spec.ID); err != nil {
+		return job.Record{}, err
+	}
+	service, found := snap.Services[spec.ID.Service]
+	if revision, retired := snap.Retired[spec.ID.Service]; retired {
+		return job.Record{}, apierr.New(apierr.Retired,
+			fmt.Sprintf("service %s was retired at revision %d", spec.ID.Service, revision),
+			"submit under a service that is in use")
+	}
+	if !found || service.Organisation != spec.ID.Organisation {
+		return job.Record{}, apierr.New(apierr.NotFound,
+			"no service "+spec.ID.Service+" of organisation "+spec.ID.Organisation,
+			"check the names, or have an operator apply the service's document")
+	}
+	for _, t := range service.Jobs {
+		if t.Name == spec.Template {
+			return job.Record{Spec: spec, Team: service.Team}, orNil(checkTemplate(t, spec))
+		}
+	}
+	return job.Record{}, apierr.Invalid("template",
+		"service "+service.Name+" has no job template "+spec.Template, "use a template of the service's document")
+}
+
+func checkID(who auth.Identity, id job.ID) error {
+	if id.Organisation == "" || id.Service == "" || id.Name == "" {
+		return apierr.Invalid("id", "organisation, service and name are needed", "fill in all three")
+	}
+	for _, part := range []string{id.Organisation, id.Service, id.Name} {
+		if !validName(part) {
+			return apierr.Invalid("id", fmt.Sprintf("%q is no valid name", part),
+				"use 1 to 100 letters, digits, dots, dashes and underscores")
+		}
+	}
+	if !who.MaySee(id.Organisation) {
+		return apierr.New(apierr.Forbidden,
+			"the token does not belong to organisation "+id.Organisation, "submit under your own organisation")
+	}
+	return nil
+}
+
+const maxNameBytes = 100
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxNameBytes {
+		return false
+	}
+	for _, c := range s {
+		letter := (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+		if !letter && c != '.' && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+var nearness = map[job.Adjacency]int{job.SameWorker: 0, job.SameRack: 1, job.SameFailureDomain: 2}
+
+// checkTemplate checks a spec against the bounds of its template.
+func checkTemplate(t config.JobTemplate, spec job.Spec) *apierr.Error {
+	var mistakes []*apierr.Error
+	wrong := func(field, message, remedy string) {
+		mistakes = append(mistakes, apierr.Invalid(field, message, remedy))
+	}
+	s := spec.Shape
+	if s.Tasks < 1 || s.Tasks > job.MaxGangTasks {
+		wrong("shape.tasks", fmt.Sprintf("%d tasks", s.Tasks), fmt.Sprintf("use 1 to %d", job.MaxGangTasks))
+	} else if s.Tasks > t.Shape.Tasks {
+		wrong("shape.tasks", fmt.Sprintf("%d tasks; template %s allows %d", s.Tasks, t.Name, t.Shape.Tasks),
+			"submit a smaller gang or another template")
+	}
+	if s.AcceleratorsPerTask < 0 {
+		wrong("shape.acceleratorsPerTask", "it is negative", "use 0 or more")
+	} else if s.AcceleratorsPerTask > t.Shape.AcceleratorsPerTask {
+		wrong("shape.acceleratorsPerTask",
+			fmt.Sprintf("%d accelerators a task; template %s allows %d", s.AcceleratorsPerTask, t.Name, t.Shape.AcceleratorsPerTask),
+			"submit smaller tasks or another template")
+	}
+	if !s.Adjacency.Valid() {
+		wrong("shape.adjacency", fmt.Sprintf("%q is no adjacency", s.Adjacency), "use worker, rack or failure-domain")
+	} else if nearness[s.Adjacency] < nearness[t.Shape.Adjacency] {
+		wrong("shape.adjacency", fmt.Sprintf("%s is nearer than template %s allows, %s", s.Adjacency, t.Name, t.Shape.Adjacency),
+			"ask for the template's adjacency or a wider one")
+	}
+	if spec.Urgent && !t.Urgent {
+		wrong("urgent", "template "+t.Name+" takes no urgent jobs", "leave urgent out or use another template")
+	}
+	if spec.Checkpoint && !t.Checkpoint {
+		wrong("checkpoint", "tasks of template "+t.Name+" can not save their work", "leave checkpoint out")
+	}
+	if spec.DeclaredRun < 0 {
+		wrong("declaredRunNanos", "it is negative", "leave it out or use the expected run time")
+	}
+	return apierr.Join(mistakes)
+}
+
+// orNil turns a nil *apierr.Error into a nil error.
+func orNil(e *apierr.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/intake/choose.go
@@ -0,0 +1,192 @@
+package intake
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/placement"
+)
+
+// candidate is a failure domain that could take a job.
+type candidate struct {
+	name       string
+	guaranteed bool    // the organisation holds a guarantee there
+	home       bool    // this host's own
+	load       float64 // accelerators asked for over accelerators there
+}
+
+// before orders candidates: guarantees first, then load, then the own one.
+func (c candidate) before(d candidate) bool {
+	if c.guaranteed != d.guaranteed {
+		return c.guaranteed
+	}
+	if c.load != d.load {
+		return c.load < d.load
+	}
+	if c.home != d.home {
+		return c.home
+	}
+	return c.name < d.name
+}
+
+// choose picks the failure domain for a new job: in service, with a scheduler,
+// able to hold the shape, best with the organisation's guarantee, least loaded.
+func (in *Intake) choose(ctx context.Context, snap *config.Snapshot, rec job.Record) (string, error) {
+	var fitting []candidate
+	refusal := apierr.New(apierr.Infeasible, "no failure domain is configured", "have an operator apply one")
+	for _, name := range domainsFor(snap, rec.Spec) {
+		ok, reason, remedy := placement.Feasible(in.workers(name), rec.Spec.Shape)
+		if !ok {
+			refusal = apierr.New(apierr.Infeasible, "the shape fits nowhere: "+reason, remedy)
+			continue
+		}
+		fitting = append(fitting, candidate{name: name, home: name == in.o.FailureDomain,
+			guaranteed: guaranteedIn(snap, rec.Spec.ID.Organisation, name)})
+	}
+	if len(fitting) == 0 {
+		return "", refusal
+	}
+	return in.best(ctx, snap, rec, fitting)
+}
+
+func domainsFor(snap *config.Snapshot, spec job.Spec) []string {
+	var out []string
+	for name := range snap.FailureDomains {
+		if spec.FailureDomain == "" || spec.FailureDomain == name {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// best prefers failure domains that start jobs now. When none does, the job
+// waits in the best of the others.
+func (in *Intake) best(ctx context.Context, snap *config.Snapshot, rec job.Record, fitting []candidate) (string, error) {
+	var open []candidate
+	for _, c := range fitting {
+		if !snap.FailureDomains[c.name].Out && in.o.Serving(c.name) {
+			open = append(open, c)
+		}
+	}
+	if len(open) == 0 {
+		open = fitting
+	}
+	for i := range open {
+		if len(open) > 1 {
+			open[i].load = in.loads.of(ctx, open[i].name, in.capacity(open[i].name))
+		}
+	}
+	sort.Slice(open, func(i, j int) bool { return open[i].before(open[j]) })
+	in.loads.add(open[0].name, rec.Spec.Shape.Accelerators())
+	return open[0].name, nil
+}
+
+func guaranteedIn(snap *config.Snapshot, organisation, domain string) bool {
+	for _, g := range snap.Organisations[organisation].Guarantees {
+		if g.FailureDomain == domain {
+			return true
+		}
+	}
+	return false
+}
+
+func (in *Intake) workers(domain string) []placement.Worker {
+	var out []placement.Worker
+	for _, h := range in.o.Membership.View().Workers(domain) {
+		out = append(out, placement.Worker{Name: h.Name, Rack: h.Rack, Accelerators: h.Accelerators})
+	}
+	return out
+}
+
+func (in *Intake) capacity(domain string) int {
+	sum := 0
+	for _, w := range in.workers(domain) {
+		sum += w.Accelerators
+	}
+	return sum
+}
+
+// loadFresh is how long another failure domain's load is taken as read.
+const loadFresh = 10 * time.Second
+
+type load struct {
+	accelerators int
+	read         time.Time
+}
+
+// loads remembers how many accelerators each failure domain's jobs ask for.
+// It is safe for concurrent use.
+type loads struct {
+	o       Options
+	mu      sync.Mutex
+	known   map[string]*load
+	reading sync.Mutex // one reader at a time; the others find its answer
+}
+
+func newLoads(o Options) *loads { return &loads{o: o, known: make(map[string]*load)} }
+
+// of returns the load over the capacity. An unreadable ledger keeps the last
+// known load: the choice is a preference only.
+func (l *loads) of(ctx context.Context, domain string, capacity int) float64 {
+	l.reading.Lock()
+	defer l.reading.Unlock()
+	now := l.o.Now()
+	l.mu.Lock()
+	k := l.known[domain]
+	stale := k == nil || now.Sub(k.read) >= loadFresh
+	l.mu.Unlock()
+	if stale {
+		l.read(ctx, domain, now)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k = l.known[domain]
+	if k == nil || capacity == 0 {
+		return 0
+	}
+	return float64(k.accelerators) / float64(capacity)
+}
+
+func (l *loads) read(ctx context.Context, domain string, now time.Time) {
+	records, err := l.records(ctx, domain)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.known[domain]
+	if k == nil {
+		k = &load{}
+		l.known[domain] = k
+	}
+	k.read = now
+	if err != nil {
+		return
+	}
+	k.accelerators = 0
+	for _, r := range records {
+		if !r.State.Terminal() && r.State != job.Moved {
+			k.accelerators += r.Spec.Shape.Accelerators()
+		}
+	}
+}
+
+func (l *loads) records(ctx context.Context, domain string) (map[string]job.Record, error) {
+	jobs := l.o.Books.Jobs(domain)
+	if records, _, complete := jobs.Snapshot(); complete && domain == l.o.FailureDomain {
+		return records, nil
+	}
+	return jobs.ReadAll(ctx)
+}
+
+// add counts a job just sent to a failure domain.
+func (l *loads) add(domain string, accelerators int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k := l.known[domain]; k != nil {
+		k.accelerators += accelerators
+	}
+}
--- /dev/null
+++ b/intake/http.go
@@ -0,0 +1,163 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+const (
+	maxSpecBytes = 64 << 10
+	peerTimeout  = time.Second
+	methodHold   = "Gangs.Hold"
+)
+
+// Explanation tells a caller why a job waits, or what happened to it.
+type Explanation struct {
+	Record        job.Record       `json:"record"`
+	FailureDomain string           `json:"failureDomain"`
+	Why           string           `json:"why"`
+	History       []job.Transition `json:"history"`
+}
+
+// Register adds the job calls to mux. The sender's identity is in each
+// request's context.
+func (in *Intake) Register(mux *http.ServeMux) {
+	const one = "/v1/jobs/{organisation}/{service}/{name}"
+	mux.HandleFunc("POST /v1/jobs", handle(in.serveSubmit))
+	mux.HandleFunc("GET /v1/jobs", handle(in.serveList))
+	mux.HandleFunc("GET "+one, handle(in.serveStatus))
+	mux.HandleFunc("GET "+one+"/explain", handle(in.serveExplain))
+	mux.HandleFunc("DELETE "+one, handle(in.serveCancel))
+}
+
+type handler func(r *http.Request, who auth.Identity) (any, error)
+
+func handle(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		who, ok := auth.FromContext(r.Context())
+		if !ok {
+			writeError(w, apierr.New(apierr.Unauthenticated, "no token", "send Authorization: Bearer TOKEN"))
+			return
+		}
+		answer, err := h(r, who)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	}
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	e := apierr.From(err)
+	writeJSON(w, e.Status(), struct {
+		Error *apierr.Error `json:"error"`
+	}{e})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func pathID(r *http.Request) job.ID {
+	return job.ID{
+		Organisation: r.PathValue("organisation"),
+		Service:      r.PathValue("service"),
+		Name:         r.PathValue("name"),
+	}
+}
+
+func (in *Intake) serveSubmit(r *http.Request, who auth.Identity) (any, error) {
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxSpecBytes))
+	decoder.DisallowUnknownFields()
+	var spec job.Spec
+	if err := decoder.Decode(&spec); err != nil {
+		return nil, apierr.Invalid("", "the body is no job spec: "+err.Error(), "send one job.Spec as JSON")
+	}
+	return in.Submit(r.Context(), who, spec)
+}
+
+func (in *Intake) serveStatus(r *http.Request, who auth.Identity) (any, error) {
+	return in.Find(r.Context(), who, pathID(r))
+}
+
+func (in *Intake) serveCancel(r *http.Request, who auth.Identity) (any, error) {
+	return in.Cancel(r.Context(), who, pathID(r))
+}
+
+func (in *Intake) serveList(r *http.Request, who auth.Identity) (any, error) {
+	return in.List(r.Context(), who, job.State(r.URL.Query().Get("state")))
+}
+
+// List returns the jobs of all failure domains that the sender may see, in the
+// given state or, when it is empty, in any, ordered by ID.
+func (in *Intake) List(ctx context.Context, who auth.Identity, state job.State) ([]job.Record, error) {
+	snap, _ := in.o.Config.Current()
+	names := sortedKeys(snap.FailureDomains)
+	pages := make([]map[string]job.Record, len(names))
+	var g errgroup.Group
+	for i, name := range names {
+		g.Go(func() error {
+			records, err := in.o.Books.Jobs(name).ReadAll(ctx)
+			pages[i] = records
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, explainStore(err)
+	}
+	found := make(map[string]job.Record)
+	for _, records := range pages {
+		for key, rec := range records {
+			wanted := rec.State != job.Moved && (state == "" || rec.State == state)
+			if wanted && who.MaySee(rec.Spec.ID.Organisation) {
+				found[key] = rec
+			}
+		}
+	}
+	out := make([]job.Record, 0, len(found))
+	for _, key := range sortedKeys(found) {
+		out = append(out, found[key])
+	}
+	return out, nil
+}
+
+func (in *Intake) serveExplain(r *http.Request, who auth.Identity) (any, error) {
+	rec, domain, err := in.locate(r.Context(), who, pathID(r))
+	if err != nil {
+		return nil, explainStore(err)
+	}
+	why := rec.Reason
+	if rec.State == job.Queued {
+		why = in.why(r.Context(), domain, rec)
+	}
+	return Explanation{Record: rec, FailureDomain: domain, Why: why, History: rec.History}, nil
+}
+
+// why asks the scheduler of the job's failure domain why it waits.
+func (in *Intake) why(ctx context.Context, domain string, rec job.Record) string {
+	snap, _ := in.o.Config.Current()
+	if snap.FailureDomains[domain].Out {
+		return "failure domain " + domain + " is out of service; the job is moved or waits until it is back"
+	}
+	if reason, ok := in.o.Hold(rec.Spec.ID); ok && domain == in.o.FailureDomain {
+		return reason
+	}
+	if reason, ok := in.askPeers(ctx, domain, rec.Spec.ID); ok {
+		return reason
+	}
+	if rec.Reason != "" {
+		return rec.Reason
+	}
+	return "it waits for the scheduler of failure domain " + domain
+}
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,112 @@
+// Package intake takes jobs from callers, keeps them in the ledger, and tells
+// callers what became of them. Any entry host takes any job.
+package intake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/election"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/peer"
+)
+
+const (
+	// DefaultRetention is how long ended jobs are kept.
+	DefaultRetention = 24 * time.Hour
+	// writeTimeout bounds a caller's wait for the ledger.
+	writeTimeout = 8 * time.Second
+	// keepEvery is the time between two rounds of pruning and moving.
+	keepEvery = 2 * time.Second
+)
+
+// Options configures an Intake.
+type Options struct {
+	FailureDomain string
+	Books         *ledger.Books
+	Config        config.Source
+	Membership    membership.Source
+	Election      election.Holder
+	// Hold tells why a queued job of this failure domain waits; nil: unknown.
+	Hold func(job.ID) (reason string, ok bool)
+	// Serving tells whether a failure domain has a scheduler; nil: all have.
+	Serving   func(failureDomain string) bool
+	Peers     peer.Caller   // nil: this entry host is alone
+	Retention time.Duration // 0: DefaultRetention
+	Now       func() time.Time
+	Logger    *log.Logger
+	Metrics   *metrics.Set
+}
+
+func (o Options) withDefaults() Options {
+	if o.Hold == nil {
+		o.Hold = func(job.ID) (string, bool) { return "", false }
+	}
+	if o.Serving == nil {
+		o.Serving = func(string) bool { return true }
+	}
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = log.Default()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
+
+// Intake serves callers' job calls. It is safe for concurrent use.
+type Intake struct {
+	o     Options
+	loads *loads
+
+	submitted *metrics.Counter
+	refused   *metrics.Counter
+
+	mu    sync.Mutex
+	since map[string]time.Time // failure domain to the moment since which it starts nothing
+}
+
+// New returns an intake; Run prunes and moves jobs.
+func New(o Options) *Intake {
+	o = o.withDefaults()
+	return &Intake{
+		o:         o,
+		loads:     newLoads(o),
+		submitted: o.Metrics.GetOrCreateCounter("cyclamentray_intake_submitted_total"),
+		refused:   o.Metrics.GetOrCreateCounter("cyclamentray_intake_refused_total"),
+		since:     make(map[string]time.Time),
+	}
+}
+
+// Run prunes ended jobs of this failure domain, and moves queued ones away
+// from failure domains that start nothing, until ctx ends. Only the host that
+// holds the failure domain's term does so.
+func (in *Intake) Run(ctx context.Context) error {
+	ticker := time.NewTicker(keepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if _, _, held := in.o.Election.Term(); !held {
+			continue
+		}
+		in.prune(ctx)
+		in.move(ctx)
+	}
+}
--- a/intake/ledger/ledger.go
+++ b/intake/ledger/ledger.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	indexPrefix = "jobs/index"
-	jobsPrefix  = "jobs/ledger/"
+	indexPrefix = "cyclamentray/jobs/index"
+	jobsPrefix  = "cyclamentray/jobs/ledger/"
 	// MaxEntries bounds the entries of one shard, so that its value stays under 1 MB.
 	MaxEntries = 5000
 )
--- /dev/null
+++ b/intake/submit.go
@@ -0,0 +1,208 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+// maxMoves bounds how far a moved job is followed.
+const maxMoves = 8
+
+// Submit takes a job, or finds the one that its ID names already. A nil error
+// means that the job is in the ledger.
+func (in *Intake) Submit(ctx context.Context, who auth.Identity, spec job.Spec) (job.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	rec, err := in.submit(ctx, who, spec)
+	if err != nil {
+		in.refused.Inc()
+		return job.Record{}, explainStore(err)
+	}
+	in.submitted.Inc()
+	return rec, nil
+}
+
+func (in *Intake) submit(ctx context.Context, who auth.Identity, spec job.Spec) (job.Record, error) {
+	snap, _ := in.o.Config.Current()
+	rec, err := checkSpec(snap, who, spec)
+	if err != nil {
+		return in.repeated(ctx, who, spec, err)
+	}
+	domain, err := in.choose(ctx, snap, rec)
+	if err != nil {
+		return in.repeated(ctx, who, spec, err)
+	}
+	claim, err := in.claim(ctx, spec, domain)
+	if err != nil {
+		return job.Record{}, err
+	}
+	now := in.o.Now()
+	rec.Submitted = now
+	rec.Enter(job.Queued, "", now)
+	return in.create(ctx, claim.FailureDomain, rec)
+}
+
+// repeated answers a submission that would be refused now with the job that it
+// made earlier, if there is one.
+func (in *Intake) repeated(ctx context.Context, who auth.Identity, spec job.Spec, refusal error) (job.Record, error) {
+	if apierr.KindOf(refusal) != apierr.Retired && apierr.KindOf(refusal) != apierr.Infeasible {
+		return job.Record{}, refusal
+	}
+	rec, err := in.Find(ctx, who, spec.ID)
+	if err != nil || ledger.Digest(rec.Spec) != ledger.Digest(spec) {
+		return job.Record{}, refusal
+	}
+	return rec, nil
+}
+
+// claim binds the ID to a failure domain, once and for all hosts.
+func (in *Intake) claim(ctx context.Context, spec job.Spec, domain string) (ledger.Claim, error) {
+	digest := ledger.Digest(spec)
+	now := in.o.Now()
+	return in.o.Books.Index().Update(ctx, spec.ID.String(), func(old ledger.Claim, found bool) (ledger.Claim, bool, error) {
+		if !found {
+			return ledger.Claim{FailureDomain: domain, Digest: digest, At: now}, true, nil
+		}
+		if old.Digest != digest {
+			return old, true, errOtherSpec(spec.ID)
+		}
+		return old, true, nil
+	})
+}
+
+func errOtherSpec(id job.ID) error {
+	return apierr.New(apierr.Conflict,
+		"job "+id.String()+" exists with another spec", "choose another name, or send the same spec again")
+}
+
+// create puts the record into a ledger unless the job is there, and follows it
+// when it has moved on.
+func (in *Intake) create(ctx context.Context, domain string, rec job.Record) (job.Record, error) {
+	for range maxMoves {
+		got, err := in.o.Books.Jobs(domain).Update(ctx, rec.Spec.ID.String(),
+			func(old job.Record, found bool) (job.Record, bool, error) {
+				back := old.State == job.Moved && old.Moves < rec.Moves
+				if !found || back {
+					return rec, true, nil
+				}
+				return old, true, nil
+			})
+		if err != nil || got.State != job.Moved {
+			return got, err
+		}
+		domain = got.MovedTo
+		rec = arrived(got, in.o.Now())
+	}
+	return job.Record{}, apierr.New(apierr.Unavailable, "the job moves between failure domains", "ask again shortly")
+}
+
+// arrived returns a moved job's record as it begins in its new ledger.
+func arrived(left job.Record, now time.Time) job.Record {
+	rec := left
+	rec.MovedTo, rec.Arrived = "", false
+	rec.Moves++
+	rec.Ended = time.Time{}
+	rec.Workers = nil
+	rec.Enter(job.Queued, "moved from another failure domain", now)
+	return rec
+}
+
+// Find returns a job as the store has it now. A job that the sender may not see
+// is not found.
+func (in *Intake) Find(ctx context.Context, who auth.Identity, id job.ID) (job.Record, error) {
+	rec, _, err := in.locate(ctx, who, id)
+	return rec, explainStore(err)
+}
+
+func errNoJob(id job.ID) error {
+	return apierr.New(apierr.NotFound, "no job "+id.String(), "check the name; ended jobs are kept for a limited time")
+}
+
+func (in *Intake) locate(ctx context.Context, who auth.Identity, id job.ID) (job.Record, string, error) {
+	if !who.MaySee(id.Organisation) {
+		return job.Record{}, "", errNoJob(id)
+	}
+	claim, found, err := in.o.Books.Index().Read(ctx, id.String())
+	if err != nil {
+		return job.Record{}, "", err
+	}
+	if !found {
+		return job.Record{}, "", errNoJob(id)
+	}
+	return in.follow(ctx, claim.FailureDomain, id)
+}
+
+// follow reads a job's record from the ledger that has it now.
+func (in *Intake) follow(ctx context.Context, domain string, id job.ID) (job.Record, string, error) {
+	var left job.Record
+	for range maxMoves {
+		rec, found, err := in.o.Books.Jobs(domain).Read(ctx, id.String())
+		switch {
+		case err != nil:
+			return job.Record{}, "", err
+		case !found && left.MovedTo != "":
+			return arrived(left, in.o.Now()), domain, nil // the move is half done
+		case !found:
+			return job.Record{}, "", errNoJob(id)
+		case rec.State != job.Moved:
+			return rec, domain, nil
+		}
+		left, domain = rec, rec.MovedTo
+	}
+	return job.Record{}, "", apierr.New(apierr.Unavailable, "the job moves between failure domains", "ask again shortly")
+}
+
+// Cancel asks for a job's end. A queued job ends at once; a running one is
+// stopped by its scheduler. Repeating it is harmless.
+func (in *Intake) Cancel(ctx context.Context, who auth.Identity, id job.ID) (job.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, domain, err := in.locate(ctx, who, id)
+	if err != nil {
+		return job.Record{}, explainStore(err)
+	}
+	by := who.Organisation
+	if who.Operator {
+		by = "an operator"
+	}
+	now := in.o.Now()
+	rec, err := in.o.Books.Jobs(domain).Update(ctx, id.String(), func(old job.Record, found bool) (job.Record, bool, error) {
+		if !found || old.State == job.Moved {
+			return old, found, apierr.New(apierr.Unavailable, "the job is moving to another failure domain", "cancel it again")
+		}
+		if old.State.Terminal() || old.CancelBy != "" {
+			return old, true, nil
+		}
+		old.CancelBy = by
+		if old.State == job.Queued {
+			old.Enter(job.Cancelled, "cancelled by "+by, now)
+		}
+		return old, true, nil
+	})
+	return rec, explainStore(err)
+}
+
+// explainStore turns the store's failures into errors with a remedy.
+func explainStore(err error) error {
+	var typed *apierr.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &typed):
+		return err
+	case errors.Is(err, platform.ErrAmbiguous):
+		return apierr.New(apierr.OutcomeUnknown,
+			"the platform did not confirm the write", "send the same call again; it takes effect once at most")
+	default:
+		return apierr.New(apierr.Unavailable,
+			"the platform's store does not answer, nothing was written", "send the same call again later")
+	}
+}
--- a/job/job.go
+++ b/job/job.go
@@ -97,10 +97,13 @@
 	Failures   int       `json:"failures,omitempty"` // runs that ended in failure, on any worker
 	CancelBy   string    `json:"cancelBy,omitempty"` // set when a caller or a retirement asked for the end
 
+	Term         uint64       `json:"term,omitempty"`        // scheduler's term that placed this generation
 	Guaranteed   bool         `json:"guaranteed,omitempty"`  // placed under its organisation's guarantee
 	Checkpointed time.Time    `json:"checkpointed,omitzero"` // newest saved work of any run
 	Avoid        []string     `json:"avoid,omitempty"`       // workers on which a run failed
 	MovedTo      string       `json:"movedTo,omitempty"`     // failure domain whose ledger has the job now
+	Arrived      bool         `json:"arrived,omitempty"`     // the move to MovedTo is complete
+	Moves        int          `json:"moves,omitempty"`       // moves between failure domains so far
 	History      []Transition `json:"history,omitempty"`     // at most MaxTransitions, oldest first
 }
 
