--- /dev/null
+++ b/routing/access.go
@@ -0,0 +1,45 @@
+package routing
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/config"
+)
+
+// errNotFound answers both an unknown service and one that the caller may not
+// call, so that a refused caller learns nothing.
+func errNotFound() *apierr.Error {
+	return apierr.New(apierr.NotFound, "no such service", "check the service's name and the token")
+}
+
+// authorise returns the sender and the service that it calls when it may.
+func (r *Router) authorise(req *http.Request) (auth.Identity, config.Service, *apierr.Error) {
+	id, ok := auth.FromContext(req.Context())
+	if !ok {
+		return id, config.Service{}, apierr.New(apierr.Unauthenticated, "no valid token", "send Authorization: Bearer TOKEN")
+	}
+	snap, _ := r.opts.Config.Current()
+	service, found := snap.Services[req.PathValue("service")]
+	if !found || !mayCall(id, service) {
+		return id, config.Service{}, errNotFound()
+	}
+	if _, retired := snap.Retired[service.Name]; retired {
+		return id, config.Service{}, apierr.New(apierr.Retired, "the service is retired", "call its successor, or ask its team")
+	}
+	if service.Requests == nil {
+		return id, config.Service{}, apierr.New(apierr.InvalidInput, "the service takes no requests", "add a requests section to its document")
+	}
+	return id, service, nil
+}
+
+// mayCall reports whether the sender's organisation owns the service or is
+// named in its shareWith.
+func mayCall(id auth.Identity, s config.Service) bool {
+	if id.MaySee(s.Organisation) {
+		return true
+	}
+	return s.Requests != nil && id.Organisation != "" && slices.Contains(s.Requests.ShareWith, id.Organisation)
+}
