Guard platform calls: deadline, budget, back-off, settled writes, carried calls

Cause: the platform's store is down, slow, or loses answers after the effect. Change: a guard around the client counts every call, holds calls back with jitter while the store is down (one probe per back-off), lets urgent calls pass the budget, and settles a write by a nonce stored beside the value; a carrier turns to peers when this host does not reach the store. The stand-in gains outage, delay, lost answers, stale reads, silent watches and a lagging list. The host list is watched, so that a long one is sent only when it changed. Ruled out: errors.Mark for the failures, since the standard errors.Is does not see its marks.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -20,6 +20,7 @@
 	tickInterval     = 250 * time.Millisecond
 	listInterval     = 3 * time.Second
 	listTimeout      = 2 * time.Second
+	listWatchTimeout = 15 * time.Second
 	heartbeatTimeout = time.Second
 )
 
@@ -110,6 +111,30 @@
 	return out
 }
 
+// Carriers returns the peer addresses to ask for a platform call, best first:
+// this failure domain's, then the others', without those that said that they do
+// not reach the platform. Before any peer is known they are the seeds.
+func (m *Membership) Carriers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	view := m.view.Load()
+	var near, far []string
+	for _, h := range view.Peers() {
+		r := m.table.records[h.Name]
+		switch {
+		case r == nil || r.status.PlatformDown:
+		case h.FailureDomain == view.Self.FailureDomain:
+			near = append(near, h.PeerAddress)
+		default:
+			far = append(far, h.PeerAddress)
+		}
+	}
+	if len(view.Hosts) <= 1 {
+		return m.opts.Seeds
+	}
+	return append(near, far...)
+}
+
 // Observe tells that a host was seen to answer. It keeps the host in the view
 // although the list lacks it.
 func (m *Membership) Observe(name string) {
@@ -187,26 +212,58 @@
 	m.publish()
 }
 
+// readLists reads the list again and again. A list that can be watched is sent
+// only when it changed, which matters at a thousand hosts.
 func (m *Membership) readLists(ctx context.Context) {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
+	watcher, watches := m.opts.Lister.(platform.HostWatcher)
+	var index uint64
 	for ctx.Err() == nil {
-		m.readList(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+		var err error
+		if watches && index > 0 {
+			index, err = m.watchList(ctx, watcher, index)
+		} else {
+			index, err = m.readList(ctx, watcher)
+		}
+		if err != nil || !watches {
+			pause(ctx, listInterval)
 		}
 	}
 }
 
-func (m *Membership) readList(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+// watchList waits for a change of the list. An unchanged list counts as read
+// once more.
+func (m *Membership) watchList(ctx context.Context, watcher platform.HostWatcher, index uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listWatchTimeout)
 	defer cancel()
-	hosts, err := m.opts.Lister.Hosts(callCtx)
-	if err == nil {
+	hosts, next, err := watcher.WatchHosts(ctx, index)
+	if err != nil {
+		return 0, m.listFailed(ctx, err)
+	}
+	if hosts != nil {
 		m.applyList(hosts)
-		return
+	} else {
+		m.repeatList()
 	}
+	return next, nil
+}
+
+func (m *Membership) readList(ctx context.Context, watcher platform.HostWatcher) (index uint64, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	var hosts []platform.Host
+	if watcher != nil {
+		hosts, index, err = watcher.WatchHosts(callCtx, 0)
+	} else {
+		hosts, err = m.opts.Lister.Hosts(callCtx)
+	}
+	if err != nil {
+		return 0, m.listFailed(ctx, err)
+	}
+	m.applyList(hosts)
+	return index, nil
+}
+
+func (m *Membership) listFailed(ctx context.Context, err error) error {
 	m.opts.Metrics.GetOrCreateCounter("cyclamentray_membership_list_failures_total").Inc()
 	m.mu.Lock()
 	listed := m.listed
@@ -214,6 +271,16 @@
 	if !listed {
 		m.askSeeds(ctx)
 	}
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // askSeeds takes over a peer's view: a host that boots while the platform is
@@ -240,6 +307,13 @@
 	m.publish()
 }
 
+func (m *Membership) repeatList() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.repeatList(m.opts.Now())
+	m.publish()
+}
+
 // RegisterPeer publishes the slice's net/rpc service.
 func (m *Membership) RegisterPeer(s *peer.Server) error {
 	return s.Register("Membership", &service{m: m})
--- a/membership/table.go
+++ b/membership/table.go
@@ -14,7 +14,7 @@
 	// absentGrace and absentReads are how long, and in how many reads of the
 	// list in a row, a host must be absent before it is gone.
 	absentGrace = 10 * time.Second
-	absentReads = 3
+	absentReads = 2
 	// massGrace applies instead when a list lacks many hosts at once, which is
 	// more often a fault of the list than of the hosts.
 	massGrace = 5 * time.Minute
@@ -71,6 +71,16 @@
 	t.forget(now)
 }
 
+// repeatList takes in that the list is still as last read.
+func (t *table) repeatList(now time.Time) {
+	for _, r := range t.records {
+		if r.absentReads > 0 {
+			r.absentReads++
+		}
+	}
+	t.forget(now)
+}
+
 func (t *table) put(now time.Time, h platform.Host) *record {
 	r := t.records[h.Name]
 	if r == nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,11 +9,15 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 )
 
 // DefaultTimeout bounds a call whose context has no deadline.
 const DefaultTimeout = 2 * time.Second
 
+// ErrNotSent is in the chain of a call's error when nothing was sent.
+var ErrNotSent = errors.New("peer: call not sent; it may be made again")
+
 // Caller calls a method, such as "Config.Latest", of the entry host whose peer
 // listener is at address. It returns an error when ctx ends first.
 // Implementations are safe for concurrent use.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -101,9 +101,23 @@
 	return unreachable(address, err)
 }
 
-func unreachable(address string, err error) error {
-	message := fmt.Sprintf("peer %s was not reached: %v", address, err)
-	return errors.WithSecondaryError(apierr.New(apierr.Unavailable, message, "check the network between the hosts; the call may be made again"), err)
+// lostError is a call that got no answer.
+type lostError struct {
+	typed *apierr.Error
+	cause error
+}
+
+func (e *lostError) Error() string   { return e.typed.Error() }
+func (e *lostError) Unwrap() []error { return []error{e.typed, e.cause} }
+
+func unreachable(address string, cause error) error {
+	message := fmt.Sprintf("peer %s was not reached: %v", address, cause)
+	typed := apierr.New(apierr.Unavailable, message, "check the network between the hosts; the call may be made again")
+	return &lostError{typed: typed, cause: cause}
+}
+
+func notSent(address string, cause error) error {
+	return unreachable(address, errors.Join(ErrNotSent, cause))
 }
 
 // acquire returns the address's connection, dialling it if there is none.
@@ -112,7 +126,7 @@
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
-		return nil, unreachable(address, net.ErrClosed)
+		return nil, notSent(address, net.ErrClosed)
 	}
 	l := p.links[address]
 	if l == nil {
@@ -126,11 +140,11 @@
 	case <-l.ready:
 	case <-ctx.Done():
 		p.release(l)
-		return nil, unreachable(address, ctx.Err())
+		return nil, notSent(address, ctx.Err())
 	}
 	if l.err != nil {
 		p.release(l)
-		return nil, unreachable(address, l.err)
+		return nil, notSent(address, l.err)
 	}
 	return l, nil
 }
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -1,7 +1,8 @@
 // Package kv is a stand-in for the platform's key-value service and host list,
 // for tests and the dev command. It speaks the part of the Consul HTTP API that
 // the platform client uses: /v1/kv with cas, acquire and blocking reads, and
-// /v1/session. The host list is /v1/hosts.
+// /v1/session. The host list is /v1/hosts. Faults are set by SetFaults or at
+// FaultsPath.
 package kv
 
 import (
@@ -19,6 +20,7 @@
 const (
 	maxWait     = 30 * time.Second
 	defaultWait = 10 * time.Second
+	expiryCheck = 50 * time.Millisecond
 )
 
 // Pair is a key as the HTTP API shows it. Value is base64 in JSON.
@@ -27,11 +29,7 @@
 	Value       []byte
 	ModifyIndex uint64
 	Session     string `json:",omitempty"`
-}
-
-type session struct {
-	ttl     time.Duration
-	expires time.Time
+	Flags       uint64
 }
 
 // Server is the stand-in. Its zero value is not usable; call New.
@@ -42,8 +40,10 @@
 	pairs    map[string]Pair
 	sessions map[string]*session
 	changed  chan struct{} // closed and replaced at every write
-	hosts    []platform.Host
+	hosts    hostList
 	calls    map[string]int
+	faults   Faults
+	copied   map[string]Pair // what stale reads answer from
 	now      func() time.Time
 }
 
@@ -53,18 +53,12 @@
 		pairs:    make(map[string]Pair),
 		sessions: make(map[string]*session),
 		changed:  make(chan struct{}),
+		hosts:    hostList{changed: make(chan struct{})},
 		calls:    make(map[string]int),
 		now:      time.Now,
 	}
 }
 
-// SetHosts replaces the host list.
-func (s *Server) SetHosts(hosts []platform.Host) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hosts = append([]platform.Host(nil), hosts...)
-}
-
 // Calls returns how often each kind of call was made.
 func (s *Server) Calls() map[string]int {
 	s.mu.Lock()
@@ -84,6 +78,13 @@
 
 // ServeHTTP answers the platform's HTTP API.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == FaultsPath {
+		s.serveFaults(w, r)
+		return
+	}
+	if !s.disturb(w) {
+		return
+	}
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/v1/kv/"):
 		s.serveKey(w, r, strings.TrimPrefix(r.URL.Path, "/v1/kv/"))
@@ -100,29 +101,14 @@
 	}
 }
 
-func (s *Server) serveHosts(w http.ResponseWriter, r *http.Request) {
-	s.count("hosts")
-	if r.Method == http.MethodPut {
-		var hosts []platform.Host
-		if err := json.NewDecoder(r.Body).Decode(&hosts); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.SetHosts(hosts)
-		return
-	}
-	s.mu.Lock()
-	hosts := s.hosts
-	s.mu.Unlock()
-	writeJSON(w, hosts)
-}
-
 func (s *Server) serveKey(w http.ResponseWriter, r *http.Request, key string) {
 	switch r.Method {
 	case http.MethodGet:
 		s.serveGet(w, r, key)
 	case http.MethodPut:
 		s.servePut(w, r, key)
+	case http.MethodDelete:
+		s.serveDelete(w, r, key)
 	default:
 		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
 	}
@@ -132,13 +118,16 @@
 	after, blocking := parseIndex(r)
 	if blocking {
 		s.count("watch")
+		if s.silent(r) {
+			return
+		}
 		s.wait(r, key, after)
 	} else {
 		s.count("get")
 	}
 	s.mu.Lock()
 	s.expire()
-	pair, found := s.pairs[key]
+	pair, found := s.readable()[key]
 	index := s.index
 	s.mu.Unlock()
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
@@ -158,18 +147,22 @@
 	return after, err == nil
 }
 
+func waitLimit(r *http.Request) time.Duration {
+	d, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil || d <= 0 || d > maxWait {
+		return defaultWait
+	}
+	return d
+}
+
 // wait blocks until the key's index differs from after or the wait ends.
 func (s *Server) wait(r *http.Request, key string, after uint64) {
-	limit := defaultWait
-	if d, err := time.ParseDuration(r.URL.Query().Get("wait")); err == nil && d > 0 && d < maxWait {
-		limit = d
-	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(waitLimit(r))
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
 		s.expire()
-		pair := s.pairs[key]
+		pair := s.readable()[key]
 		changed := s.changed
 		s.mu.Unlock()
 		if pair.ModifyIndex != after {
@@ -177,6 +170,7 @@
 		}
 		select {
 		case <-changed:
+		case <-time.After(expiryCheck): // a lapsed session may free the key
 		case <-timer.C:
 			return
 		case <-r.Context().Done():
@@ -200,6 +194,9 @@
 	written := s.put(key, value, r)
 	index := s.pairs[key].ModifyIndex
 	s.mu.Unlock()
+	if s.loseAnswer() {
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
 	writeJSON(w, written)
 }
@@ -210,6 +207,7 @@
 	query := r.URL.Query()
 	old := s.pairs[key]
 	next := Pair{Key: key, Value: value, Session: old.Session}
+	next.Flags, _ = strconv.ParseUint(query.Get("flags"), 10, 64)
 	if text := query.Get("cas"); text != "" {
 		want, err := strconv.ParseUint(text, 10, 64)
 		if err != nil || want != old.ModifyIndex {
@@ -235,77 +233,19 @@
 	s.changed = make(chan struct{})
 }
 
-// expire frees the keys of lapsed sessions. The caller holds mu.
-func (s *Server) expire() {
-	now := s.now()
-	for id, sess := range s.sessions {
-		if now.After(sess.expires) {
-			s.drop(id)
-		}
-	}
-}
-
-// drop ends a session and frees its keys. The caller holds mu.
-func (s *Server) drop(id string) {
-	delete(s.sessions, id)
-	freed := false
-	for key, pair := range s.pairs {
-		if pair.Session != id {
-			continue
-		}
+func (s *Server) serveDelete(w http.ResponseWriter, r *http.Request, key string) {
+	s.count("delete")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	want, err := strconv.ParseUint(r.URL.Query().Get("cas"), 10, 64)
+	old, found := s.pairs[key]
+	deleted := err == nil && found && old.ModifyIndex == want
+	if deleted {
+		delete(s.pairs, key)
 		s.index++
-		pair.Session = ""
-		pair.ModifyIndex = s.index
-		s.pairs[key] = pair
-		freed = true
-	}
-	if freed {
 		s.announce()
 	}
-}
-
-func (s *Server) serveCreate(w http.ResponseWriter, r *http.Request) {
-	s.count("session")
-	var req struct{ TTL string }
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	ttl, err := time.ParseDuration(req.TTL)
-	if err != nil || ttl <= 0 {
-		http.Error(w, "bad TTL", http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	s.index++
-	id := "session-" + strconv.FormatUint(s.index, 10)
-	s.sessions[id] = &session{ttl: ttl, expires: s.now().Add(ttl)}
-	s.mu.Unlock()
-	writeJSON(w, map[string]string{"ID": id})
-}
-
-func (s *Server) serveRenew(w http.ResponseWriter, id string) {
-	s.count("renew")
-	s.mu.Lock()
-	s.expire()
-	sess := s.sessions[id]
-	if sess != nil {
-		sess.expires = s.now().Add(sess.ttl)
-	}
-	s.mu.Unlock()
-	if sess == nil {
-		http.Error(w, "session not found", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, []map[string]string{{"ID": id}})
-}
-
-func (s *Server) serveDestroy(w http.ResponseWriter, id string) {
-	s.count("session")
-	s.mu.Lock()
-	s.drop(id)
-	s.mu.Unlock()
-	writeJSON(w, true)
+	writeJSON(w, deleted || !found)
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
