Prove the whole path with separate processes

Cause: the path ran in one process only; a finished job's status named neither its failure domain nor its workers (seen as the test's first failure). Change: an integration test builds and runs every program and drives them by the command line alone; records keep their workers and failure domain.

--- a/dev/scenario.go
+++ b/dev/scenario.go
@@ -188,7 +188,7 @@
 		return err
 	}
 	s.say("job: %s %d x %d accelerators on %d workers of one rack in %s",
-		spec.ID, spec.Shape.Tasks, spec.Shape.AcceleratorsPerTask, len(rec.Workers), rec.Spec.FailureDomain)
+		spec.ID, spec.Shape.Tasks, spec.Shape.AcceleratorsPerTask, len(rec.Workers), rec.FailureDomain)
 	rec, err = s.await(ctx, caller, spec.ID, job.Finished)
 	if err != nil {
 		return err
--- a/gang/records.go
+++ b/gang/records.go
@@ -82,7 +82,6 @@
 	case a.State == job.Queued:
 		requeue(&next, a, limit, now)
 	default:
-		next.Workers = nil
 		next.Enter(a.State, a.Reason, now)
 	}
 	return next, nil
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -87,6 +87,7 @@
 // when it has moved on.
 func (in *Intake) create(ctx context.Context, domain string, rec job.Record) (job.Record, error) {
 	for range maxMoves {
+		rec.FailureDomain = domain
 		got, err := in.o.Books.Jobs(domain).Update(ctx, rec.Spec.ID.String(),
 			func(old job.Record, found bool) (job.Record, bool, error) {
 				back := old.State == job.Moved && old.Moves < rec.Moves
--- /dev/null
+++ b/integration/cluster_test.go
@@ -0,0 +1,371 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/api"
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/client"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+	"github.com/cyclamentray/cyclamentray/standin/upstream"
+	"github.com/cyclamentray/cyclamentray/standin/worker"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+const (
+	operatorToken = "operator-token"
+	callerToken   = "acme-token"
+	patience      = 40 * time.Second // of a wait for a condition on a busy machine
+	pollInterval  = 20 * time.Millisecond
+)
+
+var binaries string // folder of the built programs
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "cyclamentray-integration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/cyclamentrayd", "../cmd/cyclamentray", "../cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// process is a program under test, ended when the test ends.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	logs *lockedBuffer
+	done chan struct{}
+	err  error
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, logs: &lockedBuffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binaries, name), args...)
+	p.cmd.Stderr = p.logs
+	p.cmd.Stdout = p.logs
+	must.NoError(t, p.cmd.Start())
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		if t.Failed() {
+			t.Logf("log of %s %v:\n%s", name, args, p.logs)
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// entry is one entry host process.
+type entry struct {
+	*process
+	host platform.Host
+}
+
+func (e *entry) url() string { return "http://" + e.host.Address }
+
+// cluster is a deployment: entry host processes, and stand-ins in the test.
+type cluster struct {
+	t         *testing.T
+	store     *kv.Server
+	link      *faultproxy.Proxy // between entry hosts and the platform
+	hosts     []platform.Host
+	entries   []*entry
+	workers   []*worker.Server
+	upstreams []*upstream.Upstream
+}
+
+// shape says what a cluster consists of.
+type shape struct {
+	failureDomains   []string
+	entries          int // in each failure domain
+	workers          int // in each failure domain, in one rack
+	upstreams        int // in each failure domain
+	taskRun          time.Duration
+	work             time.Duration
+	beforeWorkerCall func(path string) error
+}
+
+func newCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: kv.New()}
+	platformServer := httptest.NewServer(c.store)
+	t.Cleanup(platformServer.Close)
+	link, err := faultproxy.New(platformServer.Listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(link.Close)
+	c.link = link
+	for _, fd := range s.failureDomains {
+		c.addWorkers(fd, s)
+		c.addUpstreams(fd, s)
+	}
+	for _, fd := range s.failureDomains {
+		for i := range s.entries {
+			c.addEntry(fmt.Sprintf("%s-e%d", fd, i), fd)
+		}
+	}
+	c.store.SetHosts(c.hosts)
+	for _, e := range c.entries {
+		c.startEntry(e)
+	}
+	c.applyDocuments(s.failureDomains)
+	return c
+}
+
+func (c *cluster) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	c.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (c *cluster) addWorkers(fd string, s shape) {
+	for i := range s.workers {
+		name := fmt.Sprintf("%s-w%d", fd, i)
+		w := worker.New(worker.Options{
+			Name:         name,
+			Accelerators: 8,
+			RunTime:      func(workerapi.Gang, int) time.Duration { return s.taskRun },
+			Before:       s.beforeWorkerCall,
+		})
+		c.workers = append(c.workers, w)
+		c.hosts = append(c.hosts, platform.Host{
+			Name: name, Kind: platform.Worker, FailureDomain: fd, Rack: fd + "-rack", Address: c.serve(w), Accelerators: 8,
+		})
+	}
+}
+
+func (c *cluster) addUpstreams(fd string, s shape) {
+	for i := range s.upstreams {
+		name := fmt.Sprintf("%s-u%d", fd, i)
+		u := upstream.New(upstream.Options{Name: name, Work: s.work})
+		c.upstreams = append(c.upstreams, u)
+		c.hosts = append(c.hosts, platform.Host{
+			Name: name, Kind: platform.Upstream, FailureDomain: fd, Service: "billing", Address: c.serve(u), Slots: 8, Connections: 60,
+		})
+	}
+}
+
+func (c *cluster) addEntry(name, fd string) {
+	e := &entry{host: platform.Host{
+		Name: name, Kind: platform.EntryHost, FailureDomain: fd, Address: freeAddress(c.t), PeerAddress: freeAddress(c.t),
+	}}
+	c.entries = append(c.entries, e)
+	c.hosts = append(c.hosts, e.host)
+}
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startEntry starts an entry host's process, again after it has ended.
+func (c *cluster) startEntry(e *entry) {
+	file := filepath.Join(c.t.TempDir(), e.host.Name+".hujson")
+	text := fmt.Sprintf(`{
+		"host": {"name": %q, "failureDomain": %q, "region": "region-1"},
+		"listen": {"http": %q, "peer": %q},
+		"platform": {"urls": ["http://%s"]},
+		"operatorTokenHashes": [%q],
+		"timing": {"drainWaitSeconds": 1, "drainTimeoutSeconds": 30},
+	}`, e.host.Name, e.host.FailureDomain, e.host.Address, e.host.PeerAddress, c.link.Addr(), auth.HashToken(operatorToken))
+	must.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
+	e.process = start(c.t, "cyclamentrayd", "--settings", file)
+}
+
+// applyDocuments puts one organisation with one service in force everywhere.
+func (c *cluster) applyDocuments(failureDomains []string) {
+	docs := []config.Document{
+		{Kind: config.KindOrganisation, Organisation: &config.Organisation{
+			Name: "acme", TokenHashes: []string{auth.HashToken(callerToken)}, Teams: []config.Team{{Name: "ops"}},
+		}},
+		{Kind: config.KindService, Service: &config.Service{
+			Name: "billing", Organisation: "acme", Team: "ops",
+			Jobs: []config.JobTemplate{{
+				Name: "train", Shape: gangShape, RunSeconds: 60, Checkpoint: true, MaxFailures: 3,
+			}},
+			Requests: &config.Requests{TimeoutMillis: 10_000, IdempotentMethods: []string{"GET"}},
+		}},
+	}
+	for _, fd := range failureDomains {
+		docs = append(docs, config.Document{Kind: config.KindFailureDomain, FailureDomain: &config.FailureDomain{Name: fd, Region: "region-1"}})
+	}
+	var req api.ApplyRequest
+	for _, doc := range docs {
+		raw, err := json.Marshal(doc)
+		must.NoError(c.t, err)
+		req.Documents = append(req.Documents, raw)
+	}
+	c.eventually("the documents to be accepted", func() bool {
+		_, err := c.operator(c.entries[0]).Apply(context.Background(), req)
+		return err == nil
+	})
+	c.waitReady()
+}
+
+func (c *cluster) waitReady() {
+	for _, e := range c.entries {
+		c.eventually(e.host.Name+" to be ready", func() bool { return ready(e.url()) })
+	}
+}
+
+func ready(url string) bool {
+	resp, err := http.Get(url + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (c *cluster) operator(e *entry) *client.Client { return client.New(e.url(), operatorToken) }
+
+func (c *cluster) caller(e *entry) *client.Client { return client.New(e.url(), callerToken) }
+
+// eventually waits for a condition, and fails the test when it does not come.
+func (c *cluster) eventually(what string, done func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !done() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("gave up waiting for %s", what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// executions returns how often upstreams executed requests under a key.
+func (c *cluster) executions(key string) int {
+	total := 0
+	for _, u := range c.upstreams {
+		total += u.Executions()[key]
+	}
+	return total
+}
+
+// running returns the tasks of a job that run now, over all workers.
+func (c *cluster) running(job string) []workerapi.Task {
+	var tasks []workerapi.Task
+	for _, w := range c.workers {
+		for _, task := range w.Tasks().Tasks {
+			if task.Gang.Job == job && task.State == workerapi.TaskRunning {
+				tasks = append(tasks, task)
+			}
+		}
+	}
+	return tasks
+}
+
+// scheduler returns the entry host that holds a failure domain's term; nil: none does.
+func (c *cluster) scheduler(fd string) *entry {
+	for _, e := range c.entries {
+		if e.host.FailureDomain != fd {
+			continue
+		}
+		top, err := c.operator(e).Top(context.Background())
+		if err == nil && top.Hosts[0].Term != 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+func (c *cluster) waitScheduler(fd string) *entry {
+	c.t.Helper()
+	var found *entry
+	c.eventually("a scheduler of "+fd, func() bool {
+		found = c.scheduler(fd)
+		return found != nil
+	})
+	return found
+}
+
+// runCLI runs the command line and returns its output and exit code.
+func runCLI(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, "cyclamentray"), args...)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// startStandin starts a stand-in process and returns the address it prints.
+func startStandin(t *testing.T, args ...string) string {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, "standin"), args...)
+	out, err := cmd.StdoutPipe()
+	must.NoError(t, err)
+	must.NoError(t, cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	line, err := bufio.NewReader(out).ReadString('\n')
+	must.NoError(t, err)
+	return strings.TrimSpace(line)
+}
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -148,8 +148,8 @@
 func describeJob(rec job.Record) string {
 	s := rec.Spec.Shape
 	line := fmt.Sprintf("%s: %s, %d x %d accelerators", rec.Spec.ID, rec.State, s.Tasks, s.AcceleratorsPerTask)
-	if rec.Spec.FailureDomain != "" {
-		line += " in " + rec.Spec.FailureDomain
+	if rec.FailureDomain != "" {
+		line += " in " + rec.FailureDomain
 	}
 	if len(rec.Workers) > 0 {
 		line += " on " + strings.Join(rec.Workers, ",")
--- a/job/job.go
+++ b/job/job.go
@@ -85,17 +85,18 @@
 
 // Record is a job as kept in a failure domain's ledger.
 type Record struct {
-	Spec       Spec      `json:"spec"`
-	Team       string    `json:"team"`
-	State      State     `json:"state"`
-	Reason     string    `json:"reason,omitempty"` // why it waits, stopped or failed, for callers
-	Generation uint64    `json:"generation,omitempty"`
-	Workers    []string  `json:"workers,omitempty"` // worker of each task, by task index
-	Submitted  time.Time `json:"submitted"`
-	Started    time.Time `json:"started,omitzero"`
-	Ended      time.Time `json:"ended,omitzero"`
-	Failures   int       `json:"failures,omitempty"` // runs that ended in failure, on any worker
-	CancelBy   string    `json:"cancelBy,omitempty"` // set when a caller or a retirement asked for the end
+	Spec          Spec      `json:"spec"`
+	Team          string    `json:"team"`
+	FailureDomain string    `json:"failureDomain"` // whose scheduler has the job
+	State         State     `json:"state"`
+	Reason        string    `json:"reason,omitempty"` // why it waits, stopped or failed, for callers
+	Generation    uint64    `json:"generation,omitempty"`
+	Workers       []string  `json:"workers,omitempty"` // worker of each task, by task index
+	Submitted     time.Time `json:"submitted"`
+	Started       time.Time `json:"started,omitzero"`
+	Ended         time.Time `json:"ended,omitzero"`
+	Failures      int       `json:"failures,omitempty"` // runs that ended in failure, on any worker
+	CancelBy      string    `json:"cancelBy,omitempty"` // set when a caller or a retirement asked for the end
 
 	Term         uint64       `json:"term,omitempty"`        // scheduler's term that placed this generation
 	Guaranteed   bool         `json:"guaranteed,omitempty"`  // placed under its organisation's guarantee
