--- a/routing/router.go
+++ b/routing/router.go
@@ -34,7 +34,8 @@
 	Metrics    *metrics.Set     // nil: none are kept
 	Membership membership.Source
 	Config     config.Source
-	Claims     Claims // nil: requests with an idempotency key are refused
+	Claims     Claims        // nil: requests with an idempotency key are refused
+	DrainDelay time.Duration // how long the balancer needs to see that the host is not ready
 }
 
 // Router serves callers' requests. It is safe for concurrent use.
@@ -192,12 +193,16 @@
 // Draining reports whether Drain was called: the host is not ready then.
 func (r *Router) Draining() bool { return r.draining.Load() }
 
-// Drain makes the host not ready, keeps serving, and returns once no request is
-// in flight. It cuts off nothing: requests that still arrive are served, and
-// their callers are told to close their connections. It returns ctx's error
-// when ctx ends first.
+// Drain makes the host not ready, keeps serving for DrainDelay and longer, and
+// returns once no request is in flight. It cuts off nothing: requests that
+// still arrive are served, and their callers are told to close their
+// connections. Shut the HTTP server down gracefully after it, so that the last
+// answers are flushed. It returns ctx's error when ctx ends first.
 func (r *Router) Drain(ctx context.Context) error {
 	r.draining.Store(true)
+	if !sleep(ctx, r.opts.DrainDelay) {
+		return ctx.Err()
+	}
 	for r.inFlight.Load() > 0 {
 		if !sleep(ctx, drainPoll) {
 			return ctx.Err()
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -1,8 +1,11 @@
 package routing_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -64,6 +67,7 @@
 type entry struct {
 	shared *shared
 	router *routing.Router
+	server *httptest.Server
 	url    string
 }
 
@@ -79,7 +83,7 @@
 }
 
 func startEntry(t testing.TB, s *shared, claims routing.Claims) *entry {
-	r := routing.New(routing.Options{Seed: 1, Membership: s, Config: s, Claims: claims})
+	r := routing.New(routing.Options{Seed: 1, DrainDelay: 20 * time.Millisecond, Membership: s, Config: s, Claims: claims})
 	mux := http.NewServeMux()
 	r.Register(mux)
 	server := httptest.NewServer(asOrganisation(mux))
@@ -91,7 +95,7 @@
 		cancel()
 		wg.Wait()
 	})
-	return &entry{shared: s, router: r, url: server.URL}
+	return &entry{shared: s, router: r, server: server, url: server.URL}
 }
 
 // asOrganisation stands in for the token check: the header names the caller.
@@ -104,6 +108,8 @@
 	})
 }
 
+func (e *entry) self() *entry { return e }
+
 type reply struct {
 	status  int
 	outcome routing.Outcome
@@ -250,7 +256,14 @@
 
 func TestLargeAnswerCutAbortsCaller(t *testing.T) {
 	large := strings.Repeat("x", 1<<20)
-	host, _, proxy := runnerHost(t, upstream.Options{Name: "u1", Answer: func(*http.Request, []byte) []byte { return []byte(large) }})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, large) // in chunks, as no length is set
+	}))
+	defer server.Close()
+	proxy, err := faultproxy.New(server.Listener.Addr().String())
+	must.NoError(t, err)
+	defer proxy.Close()
+	host := platform.Host{Name: "u1", Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: proxy.Addr(), Slots: 8}
 	e := startEntry(t, newShared(testTimeout, host), nil)
 	got := e.do(t, "GET", "acme", "")
 	must.False(t, got.cut)
@@ -260,11 +273,54 @@
 	must.True(t, e.do(t, "GET", "acme", "").cut)
 }
 
+// An upstream that answers every request twice, at once or late, must not have
+// its second answer taken for that of the next request.
+func TestDoubledAnswersNeverCross(t *testing.T) {
+	for _, late := range []time.Duration{0, 5 * time.Millisecond} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		var served atomic.Int64
+		go answerTwice(listener, &served, late)
+		host := platform.Host{Name: "u1", Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: listener.Addr().String(), Slots: 8}
+		e := startEntry(t, newShared(testTimeout, host), nil)
+		for i := range 20 {
+			must.Eq(t, fmt.Sprintf("answer %d", i+1), e.do(t, "GET", "acme", "").body)
+			time.Sleep(2 * late)
+		}
+		must.NoError(t, listener.Close())
+	}
+}
+
+func answerTwice(l net.Listener, served *atomic.Int64, late time.Duration) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for {
+				req, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				body := fmt.Sprintf("answer %d", served.Add(1))
+				text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				_, _ = io.WriteString(conn, text)
+				time.Sleep(late)
+				_, _ = io.WriteString(conn, text)
+			}
+		}()
+	}
+}
+
 func TestUpstreamLeavingUnderLoad(t *testing.T) {
 	host, u, _ := runnerHost(t, upstream.Options{Name: "u1", Work: 5 * time.Millisecond})
 	other, _, _ := runnerHost(t, upstream.Options{Name: "u2", Work: 5 * time.Millisecond})
 	e := startEntry(t, newShared(testTimeout, host, other), nil)
-	stop := load(t, e, 8)
+	stop := load(t, e.self, 8)
 	waitFor(t, "both work", func() bool { return u.Executed() > 20 })
 	u.Leave()
 	time.Sleep(time.Second)
@@ -282,7 +338,7 @@
 	other, _, _ := runnerHost(t, upstream.Options{Name: "u2", Work: 5 * time.Millisecond})
 	other.FailureDomain = "b"
 	e := startEntry(t, newShared(testTimeout, host, other), nil)
-	stop := load(t, e, 8)
+	stop := load(t, e.self, 8)
 	waitFor(t, "the local one works", func() bool { return u.Executed() > 20 })
 	e.shared.setOut("a", true)
 	out := time.Now()
@@ -293,24 +349,30 @@
 	}
 }
 
+// One of two entry hosts drains and exits under load: no caller behind the
+// balancer sees anything but whole answers.
 func TestDrainCutsOffNothing(t *testing.T) {
-	host, _, _ := runnerHost(t, upstream.Options{Name: "u1", Work: 20 * time.Millisecond})
-	e := startEntry(t, newShared(testTimeout, host), nil)
-	stop := load(t, e, 8)
-	time.Sleep(100 * time.Millisecond)
-	drained := make(chan error, 1)
-	go func() { drained <- e.router.Drain(context.Background()) }()
-	waitFor(t, "draining", e.router.Draining)
-	time.Sleep(100 * time.Millisecond) // callers still arrive and are served
+	host, _, _ := runnerHost(t, upstream.Options{Name: "u1", Work: 200 * time.Millisecond})
+	s := newShared(testTimeout, host)
+	leaving, staying := startEntry(t, s, nil), startEntry(t, s, nil)
+	balancer := func() *entry {
+		if leaving.router.Draining() {
+			return staying
+		}
+		return leaving
+	}
+	stop := load(t, balancer, 6)
+	time.Sleep(300 * time.Millisecond)
+	must.NoError(t, leaving.router.Drain(t.Context()))
+	must.NoError(t, leaving.server.Config.Close())
 	outcomes := stop()
-	must.NoError(t, <-drained)
 	must.MapLen(t, 1, outcomes)
 	must.Positive(t, outcomes[routing.Ran])
 }
 
 // load posts from n callers until the returned function is called, which
 // returns how often each outcome was seen.
-func load(t testing.TB, e *entry, n int) func() map[routing.Outcome]int {
+func load(t testing.TB, balancer func() *entry, n int) func() map[routing.Outcome]int {
 	var stop atomic.Bool
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -318,7 +380,7 @@
 	for range n {
 		wg.Go(func() {
 			for !stop.Load() {
-				got := e.do(t, "POST", "acme", "")
+				got := balancer().do(t, "POST", "acme", "")
 				mu.Lock()
 				seen[got.outcome]++
 				mu.Unlock()
--- a/routing/serve.go
+++ b/routing/serve.go
@@ -80,13 +80,15 @@
 	if replayed != "" {
 		w.Header().Set(headerReplayed, replayed)
 	}
-	if a.length >= 0 && a.rest != nil {
+	if a.length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	w.Header().Set(HeaderOutcome, string(res.outcome))
 	w.WriteHeader(a.status)
 	_, err := w.Write(a.body)
 	if a.rest == nil {
+		// Drain counts a request as answered once its bytes have left.
+		_ = http.NewResponseController(w).Flush()
 		return
 	}
 	whole := err == nil && copyRest(w, a.rest)
