Renew a gang only while every member confirmed the last message

Random faults in virtual time (TestGangsUnderRandomFaults) showed a gang that ran in part for 33 s: each host that was new to the gang renewed all members once before it learned that one was lost.

--- a/gang/renewals.go
+++ b/gang/renewals.go
@@ -13,10 +13,11 @@
 	Workers []string // distinct
 }
 
-// Batch is one renewal message to a worker.
+// Batch is one renewal message to a worker. A probe extends nothing.
 type Batch struct {
 	Worker string
 	Gangs  []workerapi.Gang
+	Probe  bool
 }
 
 // Observation is what a renewal taught about a gang on a worker. Unreachable
@@ -33,21 +34,23 @@
 const releaseKept = time.Hour
 
 type share struct {
-	acked    time.Time // last renewal that the worker confirmed
-	answered bool      // confirmed in the last round
+	acked    time.Time // last renewal or probe that the worker confirmed
+	answered bool      // confirmed the last message
 	done     bool      // all its tasks finished; nothing to renew
 }
 
 type keep struct {
 	since   time.Time
 	workers map[string]*share
+	doubt   bool // a probe was sent since the last renewal
 	broken  bool // a member is lost: renewed no more
 }
 
 // Renewals decides which leases one entry host renews. A gang is renewed as
-// one: while a member did not confirm the last round, the others are not
-// renewed either, so a gang that lost a member ends by itself. It is pure
-// state, owned by the Renewer's loop.
+// one: only while every member confirmed the last message. Members that did
+// not, and all members of a gang new to this host, are first asked by probes
+// that extend nothing. So a gang that lost a member ends by itself. It is pure
+// state, owned by the renewer's loop.
 type Renewals struct {
 	gangs    map[workerapi.Gang]*keep
 	released map[workerapi.Gang]time.Time
@@ -88,15 +91,15 @@
 func newKeep(now time.Time, workers []string) *keep {
 	k := &keep{since: now, workers: make(map[string]*share, len(workers))}
 	for _, w := range workers {
-		k.workers[w] = &share{acked: now, answered: true}
+		k.workers[w] = &share{acked: now}
 	}
 	return k
 }
 
-// Tick returns one round of renewals, ordered by worker, and the gangs that
+// Tick returns one round of messages, ordered by worker, and the gangs that
 // are given up because a worker stayed silent for a whole lease.
 func (r *Renewals) Tick(now time.Time) (batches []Batch, lost []Observation) {
-	byWorker := make(map[string][]workerapi.Gang)
+	set := newBatchSet()
 	for _, g := range r.ordered() {
 		k := r.gangs[g]
 		if k.broken {
@@ -107,15 +110,68 @@
 			lost = append(lost, Observation{Gang: g, Worker: w, Unreachable: true})
 			continue
 		}
-		for _, w := range k.next() {
-			byWorker[w] = append(byWorker[w], g)
+		set.add(g, k)
+	}
+	return set.batches(), lost
+}
+
+// Again returns the rest of a round, once its answers are in: gangs that turned
+// out whole after a probe are renewed, silent members are probed once more.
+func (r *Renewals) Again() []Batch {
+	set := newBatchSet()
+	for _, g := range r.ordered() {
+		k := r.gangs[g]
+		if !k.broken && (k.doubt || k.doubtful()) {
+			set.add(g, k)
 		}
 	}
-	for w, gangs := range byWorker {
-		batches = append(batches, Batch{Worker: w, Gangs: gangs})
+	return set.batches()
+}
+
+// batchSet gathers a round's messages by worker.
+type batchSet struct {
+	probes   map[string][]workerapi.Gang
+	renewals map[string][]workerapi.Gang
+}
+
+func newBatchSet() batchSet {
+	return batchSet{probes: make(map[string][]workerapi.Gang), renewals: make(map[string][]workerapi.Gang)}
+}
+
+// add puts a gang's next messages into the set.
+func (b batchSet) add(g workerapi.Gang, k *keep) {
+	k.doubt = k.doubtful()
+	for w, s := range k.workers {
+		switch {
+		case s.done:
+		case !k.doubt:
+			s.answered = false
+			b.renewals[w] = append(b.renewals[w], g)
+		case !s.answered:
+			b.probes[w] = append(b.probes[w], g)
+		}
 	}
-	sort.Slice(batches, func(i, j int) bool { return batches[i].Worker < batches[j].Worker })
-	return batches, lost
+}
+
+func (b batchSet) batches() []Batch {
+	var out []Batch
+	for _, w := range sortedKeys(b.probes) {
+		out = append(out, Batch{Worker: w, Gangs: b.probes[w], Probe: true})
+	}
+	for _, w := range sortedKeys(b.renewals) {
+		out = append(out, Batch{Worker: w, Gangs: b.renewals[w]})
+	}
+	return out
+}
+
+// doubtful tells whether some member did not confirm the last message.
+func (k *keep) doubtful() bool {
+	for _, s := range k.workers {
+		if !s.done && !s.answered {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *Renewals) ordered() []workerapi.Gang {
@@ -143,28 +199,6 @@
 	return found
 }
 
-// next returns the workers of this round: all of them after a round that all
-// confirmed, else only those that did not.
-func (k *keep) next() []string {
-	var waiting, all []string
-	for w, s := range k.workers {
-		if s.done {
-			continue
-		}
-		all = append(all, w)
-		if !s.answered {
-			waiting = append(waiting, w)
-		}
-	}
-	if len(waiting) > 0 {
-		return waiting
-	}
-	for _, w := range all {
-		k.workers[w].answered = false
-	}
-	return all
-}
-
 // Answer takes a worker's answer to a batch and returns what it taught.
 func (r *Renewals) Answer(now time.Time, b Batch, reply workerapi.RenewReply) []Observation {
 	missing := make(map[workerapi.Gang]bool, len(reply.Missing))
--- a/gang/renewer.go
+++ b/gang/renewer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,44 +62,56 @@
 	}
 }
 
-// renewOnce does one round: one message to each worker with gangs of the share.
+// renewOnce does one round: one message to each worker with gangs of the
+// share, and a second one where an answer calls for it.
 func (r *renewer) renewOnce(ctx context.Context) {
-	roster, known := r.roster(ctx)
+	roster := r.roster(ctx)
 	r.round.RLock()
 	defer r.round.RUnlock()
 	r.mu.Lock()
-	if known {
-		r.core.SetRoster(r.o.Now(), roster)
-	}
+	r.core.SetRoster(r.o.Now(), roster)
 	batches, lost := r.core.Tick(r.o.Now())
 	r.mu.Unlock()
 	r.report(ctx, lost)
+	r.send(ctx, batches)
+	r.mu.Lock()
+	batches = r.core.Again()
+	r.mu.Unlock()
+	r.send(ctx, batches)
+}
+
+// send delivers a round's messages side by side and takes in the answers.
+func (r *renewer) send(ctx context.Context, batches []Batch) {
+	learned := make([][]Observation, len(batches))
 	var g errgroup.Group
-	for _, b := range batches {
+	for i, b := range batches {
 		g.Go(func() error {
-			r.renew(ctx, b)
+			learned[i] = r.renew(ctx, b)
 			return nil
 		})
 	}
 	_ = g.Wait()
+	r.report(ctx, slices.Concat(learned...))
 }
 
-func (r *renewer) renew(ctx context.Context, b Batch) {
+func (r *renewer) renew(ctx context.Context, b Batch) []Observation {
 	address, listed := workerAddress(r.o, b.Worker)
 	if !listed {
-		return
+		return nil
 	}
 	r.sent.Inc()
-	var reply workerapi.RenewReply
 	req := workerapi.RenewRequest{Gangs: b.Gangs, Lease: Lease}
+	if b.Probe {
+		req.Lease = 0
+	}
+	var reply workerapi.RenewReply
 	if err := r.o.Workers.Call(ctx, address, workerapi.PathRenew, req, &reply); err != nil {
 		r.failed.Inc()
-		return
+		return nil
 	}
 	r.mu.Lock()
-	learned := r.core.Answer(r.o.Now(), b, reply)
-	r.mu.Unlock()
-	r.report(ctx, learned)
+	defer r.mu.Unlock()
+	return r.core.Answer(r.o.Now(), b, reply)
 }
 
 func workerAddress(o Options, worker string) (string, bool) {
@@ -128,10 +141,10 @@
 
 // roster lists the gangs of this host's share. A host that has never read the
 // ledger asks the workers instead.
-func (r *renewer) roster(ctx context.Context) (out []RosterGang, known bool) {
+func (r *renewer) roster(ctx context.Context) (out []RosterGang) {
 	records, _, complete := r.o.Ledger.Snapshot()
 	if !complete {
-		return r.listed(ctx), true
+		return r.listed(ctx)
 	}
 	share := newShares(r.o)
 	for _, key := range sortedKeys(records) {
@@ -144,7 +157,7 @@
 			out = append(out, RosterGang{Gang: g, Workers: distinct(rec.Workers)})
 		}
 	}
-	return out, true
+	return out
 }
 
 // listed builds the roster from what the workers run: whole gangs only.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -225,9 +225,8 @@
 	defer s.mu.Unlock()
 	s.settle()
 	var reply workerapi.RenewReply
-	expires := s.o.Now().Add(r.Lease)
 	for _, gang := range r.Gangs {
-		if s.renew(gang, expires) {
+		if s.renew(gang, r.Lease) {
 			continue
 		}
 		reply.Missing = append(reply.Missing, gang)
@@ -236,12 +235,15 @@
 	return reply
 }
 
-func (s *Server) renew(gang workerapi.Gang, expires time.Time) bool {
+func (s *Server) renew(gang workerapi.Gang, lease time.Duration) bool {
 	found := false
+	expires := s.o.Now().Add(lease)
 	for key, t := range s.tasks {
 		if key.gang == gang && t.State == workerapi.TaskRunning {
-			t.expires = expires
 			found = true
+			if lease > 0 {
+				t.expires = expires
+			}
 		}
 	}
 	return found
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -77,7 +77,8 @@
 }
 
 // RenewRequest extends the leases of gangs' tasks on a worker. It needs no
-// term: it only keeps running what runs.
+// term: it only keeps running what runs. Lease 0 asks which gangs run without
+// extending anything.
 type RenewRequest struct {
 	Gangs []Gang        `json:"gangs"`
 	Lease time.Duration `json:"leaseNanos"`
