--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/settings"
 )
 
@@ -78,6 +79,20 @@
 // PeerAddress returns the IP:port of the net/rpc listener.
 func (h *Host) PeerAddress() string { return h.opts.Peer.Addr().String() }
 
+// self returns this host's line of the host list. A port left to the system is
+// known only once it is listened on.
+func (h *Host) self() platform.Host {
+	s := h.opts.Settings
+	self := s.Self()
+	if s.Advertise.HTTP == s.Listen.HTTP {
+		self.Address = h.Address()
+	}
+	if s.Advertise.Peer == s.Listen.Peer {
+		self.PeerAddress = h.PeerAddress()
+	}
+	return self
+}
+
 func (h *Host) listen() error {
 	var err error
 	if h.opts.HTTP == nil {
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -53,11 +53,8 @@
 }
 
 func (s *slices) buildMembership(h *Host) {
-	self := h.opts.Settings.Self()
-	self.Address = h.Address()
-	self.PeerAddress = h.PeerAddress()
 	s.membership = membership.New(membership.Options{
-		Self:        self,
+		Self:        h.self(),
 		Incarnation: newIncarnation(h.opts.Now()),
 		Lister:      s.platform,
 		Peers:       s.peers,
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -21,9 +21,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/api"
+	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/client"
-	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
@@ -116,10 +116,43 @@
 	<-p.done
 }
 
-// entry is one entry host process.
+// entry is one entry host process. Everything it says to the platform passes
+// one proxy, and everything that other entry hosts say to it another.
 type entry struct {
 	*process
-	host platform.Host
+	host   platform.Host
+	listen string            // peer listener, behind inbound
+	link   *faultproxy.Proxy // to the platform
+	peers  *faultproxy.Proxy // from other entry hosts
+}
+
+// cut separates the entry host from the platform: calls go unanswered.
+func (e *entry) cut() { blackhole(e.link) }
+
+// isolate separates the entry host from the platform and the other entry hosts.
+func (c *cluster) isolate(e *entry) {
+	e.cut()
+	blackhole(e.peers)
+	for _, other := range c.entries {
+		if other.host.FailureDomain == e.host.FailureDomain {
+			blackhole(other.peers)
+		}
+	}
+}
+
+// heal ends every cut.
+func (c *cluster) heal() {
+	for _, e := range c.entries {
+		for _, p := range []*faultproxy.Proxy{e.link, e.peers} {
+			p.Heal()
+			p.CutOpen() // lost bytes cannot come back
+		}
+	}
+}
+
+func blackhole(p *faultproxy.Proxy) {
+	p.Set(faultproxy.Up, faultproxy.Fault{CutAfter: faultproxy.NoCut, Blackhole: true})
+	p.Set(faultproxy.Down, faultproxy.Fault{CutAfter: faultproxy.NoCut, Blackhole: true})
 }
 
 func (e *entry) url() string { return "http://" + e.host.Address }
@@ -128,7 +161,7 @@
 type cluster struct {
 	t         *testing.T
 	store     *kv.Server
-	link      *faultproxy.Proxy // between entry hosts and the platform
+	platform  string // IP:port of the platform's stand-in
 	hosts     []platform.Host
 	entries   []*entry
 	workers   []*worker.Server
@@ -149,12 +182,7 @@
 func newCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: kv.New()}
-	platformServer := httptest.NewServer(c.store)
-	t.Cleanup(platformServer.Close)
-	link, err := faultproxy.New(platformServer.Listener.Addr().String())
-	must.NoError(t, err)
-	t.Cleanup(link.Close)
-	c.link = link
+	c.platform = c.serve(c.store)
 	for _, fd := range s.failureDomains {
 		c.addWorkers(fd, s)
 		c.addUpstreams(fd, s)
@@ -206,13 +234,22 @@
 }
 
 func (c *cluster) addEntry(name, fd string) {
-	e := &entry{host: platform.Host{
-		Name: name, Kind: platform.EntryHost, FailureDomain: fd, Address: freeAddress(c.t), PeerAddress: freeAddress(c.t),
-	}}
+	e := &entry{listen: freeAddress(c.t), link: c.proxy(c.platform)}
+	e.peers = c.proxy(e.listen)
+	e.host = platform.Host{
+		Name: name, Kind: platform.EntryHost, FailureDomain: fd, Address: freeAddress(c.t), PeerAddress: e.peers.Addr(),
+	}
 	c.entries = append(c.entries, e)
 	c.hosts = append(c.hosts, e.host)
 }
 
+func (c *cluster) proxy(target string) *faultproxy.Proxy {
+	p, err := faultproxy.New(target)
+	must.NoError(c.t, err)
+	c.t.Cleanup(p.Close)
+	return p
+}
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -228,41 +265,32 @@
 	text := fmt.Sprintf(`{
 		"host": {"name": %q, "failureDomain": %q, "region": "region-1"},
 		"listen": {"http": %q, "peer": %q},
+		"advertise": {"http": %q, "peer": %q},
 		"platform": {"urls": ["http://%s"]},
 		"operatorTokenHashes": [%q],
 		"timing": {"drainWaitSeconds": 1, "drainTimeoutSeconds": 30},
-	}`, e.host.Name, e.host.FailureDomain, e.host.Address, e.host.PeerAddress, c.link.Addr(), auth.HashToken(operatorToken))
+	}`, e.host.Name, e.host.FailureDomain, e.host.Address, e.listen, e.host.Address, e.host.PeerAddress, e.link.Addr(), auth.HashToken(operatorToken))
 	must.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
 	e.process = start(c.t, "cyclamentrayd", "--settings", file)
 }
 
 // applyDocuments puts one organisation with one service in force everywhere.
 func (c *cluster) applyDocuments(failureDomains []string) {
-	docs := []config.Document{
-		{Kind: config.KindOrganisation, Organisation: &config.Organisation{
-			Name: "acme", TokenHashes: []string{auth.HashToken(callerToken)}, Teams: []config.Team{{Name: "ops"}},
-		}},
-		{Kind: config.KindService, Service: &config.Service{
-			Name: "billing", Organisation: "acme", Team: "ops",
-			Jobs: []config.JobTemplate{{
-				Name: "train", Shape: gangShape, RunSeconds: 60, Checkpoint: true, MaxFailures: 3,
-			}},
-			Requests: &config.Requests{TimeoutMillis: 10_000, IdempotentMethods: []string{"GET"}},
-		}},
+	docs := []string{
+		fmt.Sprintf(`{"kind": "organisation", "name": "acme", "tokenHashes": [%q], "teams": [{"name": "ops"}]}`, auth.HashToken(callerToken)),
+		`{"kind": "service", "name": "billing", "organisation": "acme", "team": "ops",
+			"jobs": [{"name": "train", "shape": {"tasks": 2, "acceleratorsPerTask": 8, "adjacency": "rack"}, "runSeconds": 60, "checkpoint": true}],
+			"requests": {"timeoutMillis": 10000, "idempotentMethods": ["GET"]}}`,
 	}
 	for _, fd := range failureDomains {
-		docs = append(docs, config.Document{Kind: config.KindFailureDomain, FailureDomain: &config.FailureDomain{Name: fd, Region: "region-1"}})
-	}
-	var req api.ApplyRequest
-	for _, doc := range docs {
-		raw, err := json.Marshal(doc)
-		must.NoError(c.t, err)
-		req.Documents = append(req.Documents, raw)
+		docs = append(docs, fmt.Sprintf(`{"kind": "failure-domain", "name": %q, "region": "region-1"}`, fd))
 	}
+	var refusal error
 	c.eventually("the documents to be accepted", func() bool {
-		_, err := c.operator(c.entries[0]).Apply(context.Background(), req)
-		return err == nil
+		_, refusal = c.operator(c.entries[0]).Apply(context.Background(), api.ApplyRequest{Documents: rawDocuments(docs...)})
+		return refusal == nil || apierr.KindOf(refusal) == apierr.InvalidInput
 	})
+	must.NoError(c.t, refusal)
 	c.waitReady()
 }
 
@@ -369,3 +397,13 @@
 	must.NoError(t, err)
 	return strings.TrimSpace(line)
 }
+
+func rawDocuments(docs ...string) []json.RawMessage {
+	var out []json.RawMessage
+	for _, d := range docs {
+		out = append(out, json.RawMessage(d))
+	}
+	return out
+}
+
+func isConflict(err error) bool { return apierr.KindOf(err) == apierr.Conflict }
--- a/integration/wholepath_test.go
+++ b/integration/wholepath_test.go
@@ -29,8 +29,8 @@
 
 // Every part is a process of its own, and only the command line talks to them.
 func TestWholePathAsSeparateProcesses(t *testing.T) {
-	c := &cluster{t: t}
 	store := startStandin(t, "kv")
+	c := &cluster{t: t, platform: store}
 	c.hosts = []platform.Host{
 		{Name: "w0", Kind: platform.Worker, FailureDomain: "fd-a", Rack: "r0", Accelerators: 8, Address: startStandin(t, "--name", "w0", "worker")},
 		{Name: "w1", Kind: platform.Worker, FailureDomain: "fd-a", Rack: "r0", Accelerators: 8, Address: startStandin(t, "--name", "w1", "worker")},
@@ -47,7 +47,7 @@
 		"listen": {"http": %q, "peer": %q},
 		"platform": {"urls": ["http://%s"]},
 		"operatorTokenHashes": [%q],
-	}`, c.entries[0].host.Address, c.entries[0].host.PeerAddress, store, auth.HashToken(operatorToken))
+	}`, c.entries[0].host.Address, c.entries[0].listen, store, auth.HashToken(operatorToken))
 	c.entries[0].process = start(t, "cyclamentrayd", "--settings", settings)
 	address := "--address=" + c.entries[0].url()
 	operator := "--token=" + operatorToken
