--- a/election/election.go
+++ b/election/election.go
@@ -124,9 +124,7 @@
 		}
 		e.hold(ctx, lease)
 		e.step(tenure{}, "term ended")
-		if ctx.Err() != nil {
-			e.revoke(context.WithoutCancel(ctx), lease)
-		}
+		e.revoke(context.WithoutCancel(ctx), lease)
 	}
 	return nil
 }
@@ -236,12 +234,18 @@
 	return e.get(ctx, key)
 }
 
-// hold renews the lease until it is lost or ctx ends. While the store is away
-// it keeps trying: the term resumes only if the store never let it lapse.
+// hold renews the lease until the term has lapsed on this host's own clock or
+// ctx ends. It never renews beyond that: a host whose renewals arrive but whose
+// answers do not would keep the lease from everyone and act under it itself
+// no more.
 func (e *Election) hold(ctx context.Context, lease platform.Lease) {
 	for ctx.Err() == nil {
 		sleep(ctx, e.opts.TTL/renewalsPerTTL)
 		sent := e.opts.Now()
+		if !e.holds(sent) {
+			e.opts.Logger.Warn("term lapsed")
+			return
+		}
 		callCtx, cancel := context.WithTimeout(ctx, e.opts.TTL/renewalsPerTTL)
 		err := e.opts.Store.Renew(callCtx, lease)
 		cancel()
@@ -257,6 +261,12 @@
 	}
 }
 
+func (e *Election) holds(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tenure.holds(now)
+}
+
 func (e *Election) renewed(sent time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -17,9 +17,9 @@
 	absentReads = 2
 	// massGrace applies instead when a list lacks many hosts at once, which is
 	// more often a fault of the list than of the hosts.
-	massGrace = 5 * time.Minute
-	// massShare and massFloor define "many": more than a quarter of a kind of
-	// host in a failure domain, and more than two.
+	massGrace = 2 * time.Hour
+	// massShare and massFloor define "many": more than a quarter of a failure
+	// domain's hosts, or of those of one kind, and more than two.
 	massShare = 4
 	massFloor = 2
 	// firstHandAge is how long it counts that a host was heard first-hand.
@@ -181,18 +181,24 @@
 }
 
 type group struct {
-	kind          platform.HostKind
+	kind          platform.HostKind // empty: every kind
 	failureDomain string
 }
 
+// groups returns the groups that a host counts in.
+func groups(h platform.Host) []group {
+	return []group{{h.Kind, h.FailureDomain}, {"", h.FailureDomain}}
+}
+
 // massAbsent returns the groups of hosts of which the list lacks many.
 func (t *table) massAbsent() map[group]bool {
 	known, absent := map[group]int{}, map[group]int{}
 	for _, r := range t.records {
-		g := group{r.host.Kind, r.host.FailureDomain}
-		known[g]++
-		if r.absentReads > 0 {
-			absent[g]++
+		for _, g := range groups(r.host) {
+			known[g]++
+			if r.absentReads > 0 {
+				absent[g]++
+			}
 		}
 	}
 	mass := map[group]bool{}
@@ -202,12 +208,21 @@
 	return mass
 }
 
+func inMass(h platform.Host, mass map[group]bool) bool {
+	for _, g := range groups(h) {
+		if mass[g] {
+			return true
+		}
+	}
+	return false
+}
+
 // view publishes what is known at now.
 func (t *table) view(now time.Time) *View {
 	v := &View{Self: t.self, Silent: map[string]bool{}}
 	mass := t.massAbsent()
 	for _, r := range t.records {
-		if r.gone(now, mass[group{r.host.Kind, r.host.FailureDomain}]) {
+		if r.gone(now, inMass(r.host, mass)) {
 			continue
 		}
 		h := r.host
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,185 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func entry(name, fd string) platform.Host {
+	return platform.Host{Name: name, Kind: platform.EntryHost, FailureDomain: fd, PeerAddress: name}
+}
+
+// twoRegions lists 2 regions of 2 failure domains with 2 entry hosts and 10
+// workers each; the region is the first letter of the failure domain.
+func twoRegions() []platform.Host {
+	var hosts []platform.Host
+	for _, fd := range []string{"n1", "n2", "s1", "s2"} {
+		hosts = append(hosts, entry(fd+"-a", fd), entry(fd+"-b", fd))
+		for i := range 10 {
+			hosts = append(hosts, platform.Host{Name: fmt.Sprintf("%s-w%d", fd, i), Kind: platform.Worker, FailureDomain: fd})
+		}
+	}
+	return hosts
+}
+
+func beat(h platform.Host) Beat { return Beat{Host: h, Incarnation: "1"} }
+
+// listed returns a table that has read the whole list and heard every peer at t0.
+func listed() *table {
+	t := newTable(entry("n1-a", "n1"))
+	t.applyList(t0, twoRegions())
+	for _, h := range twoRegions() {
+		if h.Kind == platform.EntryHost {
+			t.applyBeat(t0, beat(h))
+		}
+	}
+	return t
+}
+
+func without(hosts []platform.Host, drop func(platform.Host) bool) []platform.Host {
+	var out []platform.Host
+	for _, h := range hosts {
+		if !drop(h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func TestListThatLacksHosts(t *testing.T) {
+	one := func(h platform.Host) bool { return h.Name == "n1-w3" }
+	all := func(platform.Host) bool { return true }
+	domain := func(h platform.Host) bool { return h.FailureDomain == "n1" }
+	cases := []struct {
+		name  string
+		drop  func(platform.Host) bool
+		reads []time.Duration // after t0
+		gone  int
+	}{
+		{"one read without one host", one, []time.Duration{time.Second}, 0},
+		{"one host absent for the grace", one, []time.Duration{time.Second, 5 * time.Second, 12 * time.Second}, 1},
+		{"empty list for a minute", all, []time.Duration{time.Second, 30 * time.Second, time.Minute}, 0},
+		{"a failure domain absent for an hour", domain, []time.Duration{time.Second, 30 * time.Minute, time.Hour}, 0},
+		{"a failure domain removed for good", domain, []time.Duration{time.Second, time.Hour, 3 * time.Hour}, 12},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tab := listed()
+			var now time.Time
+			for _, after := range c.reads {
+				now = t0.Add(after)
+				tab.applyList(now, without(twoRegions(), c.drop))
+			}
+			must.Len(t, 48-c.gone, tab.view(now).Hosts)
+		})
+	}
+}
+
+func TestRegionsThatLoseEachOtherForAnHour(t *testing.T) {
+	for name, platformHere := range map[string]bool{"platform on this side": true, "platform on the other side": false} {
+		t.Run(name, func(t *testing.T) {
+			tab := listed()
+			now := t0
+			for range 3600 {
+				now = now.Add(time.Second)
+				for _, n := range []string{"n1-b", "n2-a", "n2-b"} {
+					tab.applyBeat(now, beat(entry(n, n[:2])))
+				}
+				if platformHere { // which sees only its own region
+					tab.applyList(now, without(twoRegions(), func(h platform.Host) bool { return h.FailureDomain[0] == 's' }))
+				}
+				v := tab.view(now)
+				must.Len(t, 48, v.Hosts)
+				must.Len(t, 10, v.Workers("n1"))
+			}
+			v := tab.view(now)
+			must.Len(t, 3, v.Peers())
+			must.Len(t, 1, v.Neighbours())
+			for _, n := range []string{"s1-a", "s1-b", "s2-a", "s2-b"} {
+				tab.applyBeat(now, beat(entry(n, n[:2])))
+			}
+			must.Len(t, 7, tab.view(now).Peers())
+		})
+	}
+}
+
+func TestSilenceAndReturnOfAPeer(t *testing.T) {
+	tab := listed()
+	late := t0.Add(silentAfter + time.Second)
+	must.True(t, tab.view(late).Silent["n1-b"])
+	must.False(t, tab.view(late).Silent["n2-a"]) // heard less often from afar
+	// A link that works in one direction still carries that peer's heartbeats.
+	tab.applyBeat(late, beat(entry("n1-b", "n1")))
+	must.False(t, tab.view(late).Silent["n1-b"])
+	// The side that hears need not send, so each pair exchanges one heartbeat.
+	for _, h := range tab.due(late.Add(nearInterval / 2)) {
+		must.NotEq(t, "n1-b", h.Name)
+	}
+}
+
+func TestLeavingIsFirstSeenWins(t *testing.T) {
+	tab := listed()
+	b := beat(entry("n1-b", "n1"))
+	b.Draining = true
+	tab.applyBeat(t0, b)
+	tab.applyList(t0.Add(time.Second), twoRegions()) // the list lags
+	leaving := func(v *View) bool { return v.Neighbours()[0].Leaving }
+	must.True(t, leaving(tab.view(t0.Add(time.Second))))
+	tab.applyBeat(t0.Add(2*time.Second), Beat{Host: entry("n1-b", "n1"), Incarnation: "2"})
+	must.False(t, leaving(tab.view(t0.Add(2*time.Second))))
+}
+
+// Whatever the list, heartbeats and time do: a host that the last list names,
+// or that was heard lately, is in the view, and one read evicts nobody.
+func TestNoEvidenceNoEviction(t *testing.T) {
+	must.NoError(t, flag.Set("rapid.seed", "1"))
+	rapid.Check(t, func(t *rapid.T) {
+		tab, now := listed(), t0
+		lastList := twoRegions()
+		heard := map[string]time.Time{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+				continue
+			case 1:
+				keep := rapid.SliceOfN(rapid.Bool(), 48, 48).Draw(t, "keep")
+				i := -1
+				lastList = without(twoRegions(), func(platform.Host) bool { i++; return !keep[i] })
+				absent := map[string]bool{}
+				for name, r := range tab.records {
+					absent[name] = r.absentReads > 0
+				}
+				tab.applyList(now, lastList)
+				for name, r := range tab.records {
+					if !absent[name] && r.gone(now, false) {
+						t.Fatalf("%s evicted by one read", name)
+					}
+				}
+			case 2:
+				h := rapid.SampledFrom(twoRegions()).Draw(t, "host")
+				tab.observe(now, h.Name)
+				heard[h.Name] = now
+			}
+			names := map[string]bool{}
+			for _, h := range tab.view(now).Hosts {
+				names[h.Name] = true
+			}
+			for _, h := range lastList {
+				must.True(t, names[h.Name])
+			}
+			for name, at := range heard {
+				must.True(t, names[name] || now.Sub(at) >= firstHandAge)
+			}
+		}
+	})
+}
