--- /dev/null
+++ b/config/distribute_test.go
@@ -0,0 +1,139 @@
+package config_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+func TestEditReachesEveryHostWhileOneOfEachFailureDomainReads(t *testing.T) {
+	f := newFleet(t, 4, 3)
+	f.start()
+	ctx := context.Background()
+	revision, err := f.editor(0).Apply(ctx, []config.Document{failureDomain("n1"), organisation("o")}, 0)
+	must.NoError(t, err)
+	f.awaitRevision(revision)
+	f.await(func() bool { // the relays serve the others
+		for _, m := range f.hosts {
+			if m.Age() > 2*time.Second {
+				return false
+			}
+		}
+		return true
+	})
+	before := f.stand.Calls()["get"]
+	for range 4 {
+		revision, err = f.editor(5).SetFailureDomain(ctx, "n1", revision%2 == 1)
+		must.NoError(t, err)
+		took := f.awaitRevision(revision)
+		t.Logf("in force on 12 hosts after %v", took)
+		time.Sleep(500 * time.Millisecond)
+	}
+	t.Logf("%d reads in about 2 s and 4 edits", f.stand.Calls()["get"]-before)
+}
+
+func TestRevisionNeverReverts(t *testing.T) {
+	cases := map[string]kv.Faults{
+		"store answers from an older copy": {StaleReads: true},
+		"store is down":                    {Down: true},
+		"store is down and slow":           {Down: true, Delay: 300 * time.Millisecond},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, 2)
+			f.start()
+			ctx := context.Background()
+			_, err := f.editor(0).Apply(ctx, []config.Document{failureDomain("n1")}, 0)
+			must.NoError(t, err)
+			f.awaitRevision(1)
+			f.stand.CopyNow()
+			revision, err := f.editor(0).SetFailureDomain(ctx, "n1", true)
+			must.NoError(t, err)
+			f.awaitRevision(revision)
+			f.stand.SetFaults(fault)
+			_, confirmed := f.hosts[0].Current()
+			booted := f.restart(3)
+			f.await(func() bool { return booted.revision() == revision }) // from its peers
+			for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				for _, m := range f.hosts {
+					must.Eq(t, revision, m.revision())
+				}
+			}
+			_, later := f.hosts[0].Current()
+			must.Less(t, time.Second, later.Sub(confirmed)) // such answers confirm nothing
+		})
+	}
+}
+
+func TestSlowPlatformKeepsFreshness(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.stand.SetFaults(kv.Faults{Delay: 800 * time.Millisecond})
+	f.start()
+	f.await(func() bool { return f.hosts[0].Age() < time.Minute })
+	fresh := 0
+	const samples = 100
+	for range samples {
+		time.Sleep(20 * time.Millisecond)
+		if f.hosts[0].Age() < 2*time.Second {
+			fresh++
+		}
+	}
+	must.Greater(t, samples*9/10, fresh)
+}
+
+func TestSilentRelayIsReplacedByOwnReads(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.hosts[1].start() // hosts[0], which the others ask first, answers but never reads
+	f.hosts[2].start()
+	revision, err := f.editor(1).Apply(context.Background(), []config.Document{failureDomain("n1")}, 0)
+	must.NoError(t, err)
+	f.await(func() bool { return f.hosts[2].revision() == revision })
+	must.NoError(t, f.hosts[0].server.Close()) // and now it is gone
+	revision, err = f.editor(1).SetFailureDomain(context.Background(), "n1", true)
+	must.NoError(t, err)
+	f.await(func() bool { return f.hosts[2].revision() == revision && f.hosts[2].Age() < 2*time.Second })
+}
+
+// lossyStore misses every content key but the ones it let through.
+type lossyStore struct {
+	platform.Store
+	left atomic.Int32
+}
+
+func (s *lossyStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if key != "cyclamentray/config/manifest" {
+		if s.left.Add(-1) < 0 {
+			return platform.Entry{}, platform.ErrNotFound
+		}
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func TestPartialReadIsNeverARetirement(t *testing.T) {
+	ctx := context.Background()
+	_, store := newStore(t)
+	e := config.NewEditor(config.EditorOptions{Store: store})
+	_, err := e.Apply(ctx, []config.Document{organisation("o"), serviceDoc("s", "o"), serviceDoc("u", "o")}, 0)
+	must.NoError(t, err)
+	for left := range 4 { // the manifest and three documents
+		runCtx, stop := context.WithCancel(ctx)
+		lossy := &lossyStore{Store: store}
+		lossy.left.Store(int32(left))
+		d := config.NewDistributor(config.Options{Store: lossy})
+		done := make(chan struct{})
+		go func() { defer close(done); _ = d.Run(runCtx) }()
+		time.Sleep(100 * time.Millisecond)
+		stop()
+		<-done
+		snap, confirmed := d.Current()
+		must.Eq(t, 0, snap.Revision)
+		must.True(t, confirmed.IsZero())
+	}
+}
--- a/config/edit.go
+++ b/config/edit.go
@@ -172,18 +172,22 @@
 			pause(ctx, editBackoff)
 		case now.accepted(nonce):
 			return nil
-		case at != version:
+		case at != version && now.Revision < h.Revision+recentEdits:
 			return platform.ErrConflict
+		case at != version: // too many edits since for the head to tell
+			return errUnsettled
 		default:
 			if err := e.archive.swap(ctx, h, version); err == nil {
 				return nil
 			}
 		}
 	}
-	return apierr.New(apierr.OutcomeUnknown, "the platform's answer was lost, and reading back did not settle it",
-		"read the configuration and see whether the edit is in it before applying it again")
+	return errUnsettled
 }
 
+var errUnsettled = apierr.New(apierr.OutcomeUnknown, "the platform's answer was lost, and reading back did not settle it",
+	"read the configuration and see whether the edit is in it before applying it again")
+
 func (e *Editor) known() *edition {
 	if e.opts.Distributor == nil {
 		return emptyEdition()
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -16,7 +16,7 @@
 	Down          bool          // every call is answered with status 503, without effect
 	Delay         time.Duration // before every call takes effect
 	LoseAnswers   int           // answers of the next writes to lose after their effect; negative: all
-	StaleReads    bool          // reads answer from the copy of the moment at which this was set
+	StaleReads    bool          // reads answer from the copy that CopyNow made
 	SilentWatches bool          // watches are never answered
 	HostLag       time.Duration // before a change of the host list shows
 }
@@ -25,12 +25,16 @@
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if f.StaleReads && !s.faults.StaleReads {
-		s.copied = maps.Clone(s.pairs)
-	}
 	s.faults = f
 }
 
+// CopyNow makes the copy that stale reads answer from.
+func (s *Server) CopyNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = maps.Clone(s.pairs)
+}
+
 func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
