Check edits for linearizability under random faults

Change: porcupine over recorded histories of 4 operators, fixed seeds, with outage, delay, lost answers and late writes. Edits are now urgent calls, since a failure domain may have to be out at once.

--- a/config/edit.go
+++ b/config/edit.go
@@ -92,8 +92,10 @@
 }
 
 // run tries an edit until it is accepted or refused. With an expected revision
-// it never goes on top of another.
+// it never goes on top of another. Its calls are urgent: operators wait for it,
+// and a failure domain may have to be out at once.
 func (e *Editor) run(ctx context.Context, expected *uint64, change edit) (uint64, error) {
+	ctx = platform.Urgent(ctx)
 	for try := range maxEditTries {
 		revision, err := e.try(ctx, expected, change)
 		if !errors.Is(err, platform.ErrConflict) {
--- /dev/null
+++ b/config/linear_test.go
@@ -0,0 +1,194 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+// editInput is one operator's edit: of a failure domain on top of whatever is
+// in force, or of documents under an expected revision.
+type editInput struct {
+	apply    bool
+	expected uint64 // of apply
+	domain   int
+	out      bool
+}
+
+type editOutput struct {
+	revision uint64
+	kind     apierr.Kind // empty: accepted
+}
+
+// confState is the configuration as the model sees it.
+type confState struct {
+	revision uint64
+	out      [2]bool
+}
+
+func (s confState) edited(in editInput) confState {
+	switch {
+	case in.apply:
+		s.revision++
+	case s.out[in.domain] != in.out:
+		s.revision++
+		s.out[in.domain] = in.out
+	}
+	return s
+}
+
+// step lists the states that an edit's answer allows.
+func step(s confState, in editInput, out editOutput) []any {
+	switch out.kind {
+	case "":
+		if next := s.edited(in); next.revision == out.revision && (!in.apply || in.expected == s.revision) {
+			return []any{next}
+		}
+		return nil
+	case apierr.OutcomeUnknown:
+		if in.apply && in.expected != s.revision {
+			return []any{s}
+		}
+		return []any{s, s.edited(in)}
+	case apierr.Conflict:
+		if in.apply && in.expected == s.revision {
+			return nil // refused although nobody was first
+		}
+		return []any{s}
+	case apierr.Unavailable: // says that nothing was changed
+		return []any{s}
+	}
+	return nil
+}
+
+var confModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{confState{revision: 1}} },
+	Step: func(state, input, output any) []any {
+		return step(state.(confState), input.(editInput), output.(editOutput))
+	},
+	Equal: func(a, b any) bool { return a == b },
+	DescribeOperation: func(input, output any) string {
+		return fmt.Sprintf("%+v -> %+v", input, output)
+	},
+}
+
+type recorder struct {
+	mu      sync.Mutex
+	began   time.Time
+	history []porcupine.Operation
+}
+
+func (r *recorder) do(client int, in editInput, call func() (uint64, error)) editOutput {
+	began := time.Since(r.began)
+	revision, err := call()
+	ended := time.Since(r.began)
+	out := editOutput{revision: revision}
+	if err != nil {
+		out = editOutput{kind: apierr.KindOf(err)}
+	}
+	if out.kind == apierr.OutcomeUnknown {
+		ended = math.MaxInt64 // it may yet take effect
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, porcupine.Operation{ClientId: client, Input: in, Call: int64(began), Output: out, Return: int64(ended)})
+	return out
+}
+
+// operator makes random edits through its own entry host.
+func operator(r *recorder, client int, e *config.Editor, random *rand.Rand, edits int) {
+	known := uint64(1)
+	for n := range edits {
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		in := editInput{apply: random.IntN(2) == 0, expected: known, domain: random.IntN(2), out: random.IntN(2) == 0}
+		out := r.do(client, in, func() (uint64, error) {
+			if in.apply {
+				org := organisation(fmt.Sprintf("o%d-%d", client, n))
+				return e.Apply(ctx, []config.Document{org}, in.expected)
+			}
+			return e.SetFailureDomain(ctx, fmt.Sprintf("n%d", in.domain), in.out)
+		})
+		cancel()
+		if out.kind == "" {
+			known = out.revision
+		}
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+}
+
+func randomFaults(stand *kv.Server, random *rand.Rand, stop <-chan struct{}) {
+	for {
+		f := kv.Faults{}
+		switch random.IntN(6) {
+		case 0:
+			f.Down = true
+		case 1:
+			f.LoseAnswers = 1 + random.IntN(4)
+		case 2:
+			f.Delay = time.Duration(random.IntN(100)) * time.Millisecond
+		case 3:
+			f.Delay, f.LoseAnswers = 50*time.Millisecond, 2
+		case 4:
+			f.Delay = 1200 * time.Millisecond // beyond the deadline: writes land late
+		}
+		stand.SetFaults(f)
+		select {
+		case <-time.After(time.Duration(50+random.IntN(200)) * time.Millisecond):
+		case <-stop:
+			stand.SetFaults(kv.Faults{})
+			return
+		}
+	}
+}
+
+func TestEditsAreLinearizable(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { checkEdits(t, seed) })
+	}
+}
+
+func checkEdits(t *testing.T, seed uint64) {
+	stand := kv.New()
+	server := httptest.NewServer(stand)
+	defer server.Close()
+	newEditor := func() *config.Editor {
+		guard := platform.New(platform.Options{Base: server.URL, Rate: 1000, Burst: 1000})
+		d := config.NewDistributor(config.Options{Store: guard})
+		return config.NewEditor(config.EditorOptions{Store: guard, Distributor: d})
+	}
+	_, err := newEditor().Apply(context.Background(), []config.Document{failureDomain("n0"), failureDomain("n1")}, 0)
+	must.NoError(t, err)
+
+	r := &recorder{began: time.Now()}
+	stop := make(chan struct{})
+	var faults, operators sync.WaitGroup
+	faults.Go(func() { randomFaults(stand, rand.New(rand.NewPCG(seed, 0)), stop) })
+	for client := range 4 {
+		operators.Go(func() {
+			operator(r, client, newEditor(), rand.New(rand.NewPCG(seed, uint64(client+1))), 20)
+		})
+	}
+	operators.Wait()
+	close(stop)
+	faults.Wait()
+	outcomes := map[apierr.Kind]int{}
+	for _, op := range r.history {
+		outcomes[op.Output.(editOutput).kind]++
+	}
+	t.Logf("outcomes: %v", outcomes)
+	result := porcupine.CheckOperationsTimeout(confModel.ToModel(), r.history, 30*time.Second)
+	must.Eq(t, porcupine.Ok, result)
+}
