--- a/config/edit.go
+++ b/config/edit.go
@@ -92,8 +92,10 @@
 }
 
 // run tries an edit until it is accepted or refused. With an expected revision
-// it never goes on top of another.
+// it never goes on top of another. Its calls are urgent: operators wait for it,
+// and a failure domain may have to be out at once.
 func (e *Editor) run(ctx context.Context, expected *uint64, change edit) (uint64, error) {
+	ctx = platform.Urgent(ctx)
 	for try := range maxEditTries {
 		revision, err := e.try(ctx, expected, change)
 		if !errors.Is(err, platform.ErrConflict) {
@@ -172,18 +174,22 @@
 			pause(ctx, editBackoff)
 		case now.accepted(nonce):
 			return nil
-		case at != version:
+		case at != version && now.Revision < h.Revision+recentEdits:
 			return platform.ErrConflict
+		case at != version: // too many edits since for the head to tell
+			return errUnsettled
 		default:
 			if err := e.archive.swap(ctx, h, version); err == nil {
 				return nil
 			}
 		}
 	}
-	return apierr.New(apierr.OutcomeUnknown, "the platform's answer was lost, and reading back did not settle it",
-		"read the configuration and see whether the edit is in it before applying it again")
+	return errUnsettled
 }
 
+var errUnsettled = apierr.New(apierr.OutcomeUnknown, "the platform's answer was lost, and reading back did not settle it",
+	"read the configuration and see whether the edit is in it before applying it again")
+
 func (e *Editor) known() *edition {
 	if e.opts.Distributor == nil {
 		return emptyEdition()
