Prove the ledger and intake: lost answers, bursts, moves, visibility

Before results were kept with each attempt, a lost answer counted an update twice (TestUpdateIsWrittenOnceWhenAnswersAreLost: 2 instead of 1).

--- a/gang/records.go
+++ b/gang/records.go
@@ -142,7 +142,7 @@
 			return old, true, nil
 		})
 		if err != nil {
-			s.o.Logger.Warn("a queued job's end was not recorded; it is tried again", "job", key, "err", err)
+			s.o.Logger.Warn("a queued job's end was not recorded; it is tried again", "job", key, "err", err.Error())
 		}
 	})
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -103,10 +103,16 @@
 			return nil
 		case <-ticker.C:
 		}
-		if _, _, held := in.o.Election.Term(); !held {
-			continue
-		}
-		in.prune(ctx)
-		in.move(ctx)
+		in.Keep(ctx)
+	}
+}
+
+// Keep does one round of pruning and moving, if this host holds the term. Only
+// Run, or a test without it, calls it.
+func (in *Intake) Keep(ctx context.Context) {
+	if _, _, held := in.o.Election.Term(); !held {
+		return
 	}
+	in.prune(ctx)
+	in.move(ctx)
 }
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,314 @@
+package intake_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/intake"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+var org = auth.Identity{Organisation: "org"}
+
+// site is a store, a configuration and a host list, shared by entry hosts.
+type site struct {
+	t     *testing.T
+	kv    *kv.Server
+	store platform.Store
+	mu    sync.Mutex
+	snap  config.Snapshot
+	view  membership.View
+	now   time.Time
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, kv: kv.New(), now: time.Unix(1_000_000, 0)}
+	server := httptest.NewServer(s.kv)
+	t.Cleanup(server.Close)
+	s.store = platform.NewClient(server.URL)
+	s.snap = config.Snapshot{
+		Revision:      7,
+		Organisations: map[string]config.Organisation{"org": {Name: "org"}},
+		Services: map[string]config.Service{"svc": {Name: "svc", Organisation: "org", Team: "team",
+			Jobs: []config.JobTemplate{{Name: "train", Shape: job.Shape{Tasks: 64, AcceleratorsPerTask: 8, Adjacency: job.SameRack}}}}},
+		FailureDomains: map[string]config.FailureDomain{"fd1": {Name: "fd1"}, "fd2": {Name: "fd2"}},
+		Retired:        map[string]uint64{},
+	}
+	for _, fd := range []string{"fd1", "fd2"} {
+		for i := range 2 {
+			s.view.Hosts = append(s.view.Hosts, platform.Host{Name: fmt.Sprint(fd, i), Kind: platform.Worker,
+				FailureDomain: fd, Rack: "r", Accelerators: 8})
+		}
+	}
+	return s
+}
+
+func (s *site) Current() (*config.Snapshot, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := s.snap
+	return &snap, s.now
+}
+func (s *site) Changed() <-chan struct{}        { return nil }
+func (s *site) View() *membership.View          { return &s.view }
+func (s *site) Term() (uint64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true }
+
+func (s *site) clock() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
+func (s *site) pass(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = s.now.Add(d)
+}
+
+func (s *site) edit(change func(*config.Snapshot)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.snap)
+}
+
+// entryHost returns an entry host's intake and its books.
+func (s *site) entryHost(domain string) (*intake.Intake, *ledger.Books) {
+	books := ledger.New(ledger.Options{Store: s.store, Gap: 20 * time.Millisecond})
+	return intake.New(intake.Options{FailureDomain: domain, Books: books, Config: s, Membership: s,
+		Election: s, Now: s.clock}), books
+}
+
+func spec(name string) job.Spec {
+	return job.Spec{ID: job.ID{Organisation: "org", Service: "svc", Name: name}, Template: "train",
+		Shape: job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack}}
+}
+
+func TestSubmitIsIdempotentOverHosts(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	var wg sync.WaitGroup
+	for i := range 6 {
+		in, _ := s.entryHost([]string{"fd1", "fd2"}[i%2])
+		wg.Go(func() {
+			_, err := in.Submit(context.Background(), org, spec("a"))
+			must.NoError(t, err)
+		})
+	}
+	wg.Wait()
+	in, _ := s.entryHost("fd1")
+	jobs, err := in.List(context.Background(), org, "")
+	must.NoError(t, err)
+	must.Len(t, 1, jobs)
+	must.EqOp(t, job.Queued, jobs[0].State)
+	other := spec("a")
+	other.Shape.Tasks = 1
+	_, err = in.Submit(context.Background(), org, other)
+	must.EqOp(t, apierr.Conflict, apierr.KindOf(err))
+}
+
+func TestSubmitRefusesWithRemedy(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	in, _ := s.entryHost("fd1")
+	_, err := in.Submit(context.Background(), org, spec("early"))
+	must.NoError(t, err)
+	s.edit(func(c *config.Snapshot) { c.Retired = map[string]uint64{"old": 5} })
+	cases := []struct {
+		name   string
+		change func(*job.Spec)
+		kind   apierr.Kind
+	}{
+		{"fits nowhere", func(j *job.Spec) { j.Shape.Tasks = 9 }, apierr.Infeasible},
+		{"larger than the template", func(j *job.Spec) { j.Shape.Tasks = 65 }, apierr.InvalidInput},
+		{"nearer than the template", func(j *job.Spec) { j.Shape.Adjacency = job.SameWorker }, apierr.InvalidInput},
+		{"no tasks", func(j *job.Spec) { j.Shape.Tasks = 0 }, apierr.InvalidInput},
+		{"urgent", func(j *job.Spec) { j.Urgent = true }, apierr.InvalidInput},
+		{"unknown template", func(j *job.Spec) { j.Template = "x" }, apierr.InvalidInput},
+		{"unknown service", func(j *job.Spec) { j.ID.Service = "x" }, apierr.NotFound},
+		{"retired service", func(j *job.Spec) { j.ID.Service = "old" }, apierr.Retired},
+		{"other organisation", func(j *job.Spec) { j.ID.Organisation = "x" }, apierr.Forbidden},
+		{"bad name", func(j *job.Spec) { j.ID.Name = "a/b" }, apierr.InvalidInput},
+	}
+	for _, c := range cases {
+		bad := spec("bad")
+		c.change(&bad)
+		_, err := in.Submit(context.Background(), org, bad)
+		must.EqOp(t, c.kind, apierr.KindOf(err), must.Sprint(c.name, ": ", err))
+		must.NotEq(t, "", apierr.From(err).Remedy, must.Sprint(c.name))
+	}
+	s.edit(func(c *config.Snapshot) { c.Retired = map[string]uint64{"svc": 8} })
+	rec, err := in.Submit(context.Background(), org, spec("early"))
+	must.NoError(t, err, must.Sprint("a repeated submission finds the first one also after a retirement"))
+	must.EqOp(t, "early", rec.Spec.ID.Name)
+}
+
+func TestOrganisationsSeeOnlyTheirOwn(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	in, _ := s.entryHost("fd1")
+	mux := http.NewServeMux()
+	in.Register(mux)
+	call := func(who auth.Identity, method, path, body string) (int, string) {
+		r := httptest.NewRequest(method, path, strings.NewReader(body))
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, r.WithContext(auth.WithIdentity(r.Context(), who)))
+		return w.Code, w.Body.String()
+	}
+	body, err := json.Marshal(spec("a"))
+	must.NoError(t, err)
+	code, answer := call(org, "POST", "/v1/jobs", string(body))
+	must.EqOp(t, 200, code, must.Sprint(answer))
+	rival := auth.Identity{Organisation: "rival"}
+	for _, method := range []string{"GET", "DELETE"} {
+		code, answer = call(rival, method, "/v1/jobs/org/svc/a", "")
+		must.EqOp(t, 404, code, must.Sprint(answer))
+	}
+	_, answer = call(rival, "GET", "/v1/jobs", "")
+	must.EqOp(t, "[]\n", answer)
+	_, answer = call(org, "GET", "/v1/jobs/org/svc/a/explain", "")
+	must.StrContains(t, answer, `"state":"queued"`)
+	code, answer = call(org, "DELETE", "/v1/jobs/org/svc/a", "")
+	must.EqOp(t, 200, code)
+	must.StrContains(t, answer, "cancelled by org")
+}
+
+func TestBurstStaysWithinTheWriteBudget(t *testing.T) {
+	t.Parallel()
+	const burst, budget = 2_000, 60
+	s := newSite(t)
+	in, books := s.entryHost("fd1")
+	each := func(act func(job.Spec) error) int {
+		before := s.kv.Calls()["put"]
+		var wg sync.WaitGroup
+		for i := range burst {
+			wg.Go(func() { must.NoError(t, act(spec(fmt.Sprint("job-", i)))) })
+		}
+		wg.Wait()
+		return s.kv.Calls()["put"] - before
+	}
+	submits := each(func(j job.Spec) error {
+		_, err := in.Submit(context.Background(), org, j)
+		return err
+	})
+	cancels := each(func(j job.Spec) error {
+		_, err := in.Cancel(context.Background(), org, j.ID)
+		return err
+	})
+	t.Logf("%d submissions: %d writes; %d cancellations: %d writes; reads %v", burst, submits, burst, cancels, s.kv.Calls())
+	must.LessEq(t, budget, submits)
+	must.LessEq(t, budget, cancels)
+	sum := 0
+	for _, domain := range []string{"fd1", "fd2"} {
+		records, err := books.Jobs(domain).ReadAll(context.Background())
+		must.NoError(t, err)
+		for _, rec := range records {
+			must.EqOp(t, job.Cancelled, rec.State)
+		}
+		sum += len(records)
+	}
+	must.EqOp(t, burst, sum)
+}
+
+func TestQueuedJobsLeaveAFailureDomainThatIsOut(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.edit(func(c *config.Snapshot) { c.FailureDomains["fd2"] = config.FailureDomain{Name: "fd2", Out: true} })
+	in, books := s.entryHost("fd1")
+	ctx := context.Background()
+	for _, name := range []string{"waits", "runs", "pinned"} {
+		j := spec(name)
+		if name == "pinned" {
+			j.FailureDomain = "fd1"
+		}
+		_, err := in.Submit(ctx, org, j)
+		must.NoError(t, err)
+	}
+	placed := spec("runs").ID.String()
+	_, err := books.Jobs("fd1").Update(ctx, placed, func(old job.Record, _ bool) (job.Record, bool, error) {
+		old.Enter(job.Placed, "", s.clock())
+		return old, true, nil
+	})
+	must.NoError(t, err)
+	s.edit(func(c *config.Snapshot) {
+		c.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1", Out: true}, "fd2": {Name: "fd2"}}
+	})
+	other, _ := s.entryHost("fd2")
+	other.Keep(ctx)
+	_, found, err := books.Jobs("fd2").Read(ctx, spec("waits").ID.String())
+	must.NoError(t, err)
+	must.False(t, found, must.Sprint("start permits have not lapsed yet"))
+	s.pass(10 * time.Second)
+	other.Keep(ctx)
+	other.Keep(ctx)
+
+	moved, err := books.Jobs("fd2").ReadAll(ctx)
+	must.NoError(t, err)
+	must.Len(t, 1, sortedNames(moved))
+	must.EqOp(t, job.Queued, moved[spec("waits").ID.String()].State)
+	rec, err := in.Submit(ctx, org, spec("waits"))
+	must.NoError(t, err, must.Sprint("a repeated submission follows the job"))
+	must.EqOp(t, 1, rec.Moves)
+	left, err := books.Jobs("fd1").ReadAll(ctx)
+	must.NoError(t, err)
+	must.EqOp(t, job.Moved, left[spec("waits").ID.String()].State)
+	must.EqOp(t, job.Placed, left[placed].State)
+	must.EqOp(t, job.Queued, left[spec("pinned").ID.String()].State)
+
+	// Back again: the tombstone of the first move gives way.
+	s.edit(func(c *config.Snapshot) {
+		c.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1"}, "fd2": {Name: "fd2", Out: true}}
+	})
+	in.Keep(ctx)
+	s.pass(10 * time.Second)
+	in.Keep(ctx)
+	rec, err = in.Find(ctx, org, spec("waits").ID)
+	must.NoError(t, err)
+	must.EqOp(t, 2, rec.Moves)
+	must.EqOp(t, job.Queued, rec.State)
+}
+
+func sortedNames(records map[string]job.Record) []string {
+	var out []string
+	for name := range records {
+		out = append(out, name)
+	}
+	return out
+}
+
+func TestEndedJobsArePruned(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.edit(func(c *config.Snapshot) { delete(c.FailureDomains, "fd2") })
+	in, books := s.entryHost("fd1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, name := range []string{"ends", "waits"} {
+		_, err := in.Submit(ctx, org, spec(name))
+		must.NoError(t, err)
+	}
+	_, err := in.Cancel(ctx, org, spec("ends").ID)
+	must.NoError(t, err)
+	s.pass(intake.DefaultRetention + time.Second)
+	in.Keep(ctx)
+	records, err := books.Jobs("fd1").ReadAll(ctx)
+	must.NoError(t, err)
+	must.Eq(t, []string{spec("waits").ID.String()}, sortedNames(records))
+	_, err = in.Find(ctx, org, spec("ends").ID)
+	must.EqOp(t, apierr.NotFound, apierr.KindOf(err))
+}
--- a/intake/keep.go
+++ b/intake/keep.go
@@ -47,7 +47,7 @@
 		g.Go(func() error { return in.pruneOne(ctx, key, records[key]) })
 	}
 	if err := g.Wait(); err != nil {
-		in.o.Logger.Warn("pruning is put off", "err", err)
+		in.o.Logger.Warn("pruning is put off", "err", err.Error())
 	}
 }
 
@@ -82,7 +82,7 @@
 			continue
 		}
 		if err := in.moveAll(ctx, snap, domain); err != nil {
-			in.o.Logger.Warn("queued jobs were not moved; it is tried again", "failureDomain", domain, "err", err)
+			in.o.Logger.Warn("queued jobs were not moved; it is tried again", "failureDomain", domain, "err", err.Error())
 		}
 	}
 }
@@ -199,7 +199,7 @@
 		}
 	}
 	if err := g.Wait(); err != nil {
-		in.o.Logger.Warn("moves are completed later", "failureDomain", from, "err", err)
+		in.o.Logger.Warn("moves are completed later", "failureDomain", from, "err", err.Error())
 	}
 }
 
--- /dev/null
+++ b/intake/ledger/ledger_test.go
@@ -0,0 +1,100 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+// flaky makes writes take effect and lose their answer, or not reach the store.
+type flaky struct {
+	platform.Store
+	mu     sync.Mutex
+	lose   int // answers of writes to lose after their effect
+	refuse int // writes that do not reach the store
+	writes int
+}
+
+func (f *flaky) CompareAndSwap(ctx context.Context, key string, value []byte, version uint64) (platform.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writes++
+	if f.refuse > 0 {
+		f.refuse--
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	e, err := f.Store.CompareAndSwap(ctx, key, value, version)
+	if f.lose > 0 {
+		f.lose--
+		return platform.Entry{}, platform.ErrAmbiguous
+	}
+	return e, err
+}
+
+func newStore(t *testing.T) *flaky {
+	server := httptest.NewServer(kv.New())
+	t.Cleanup(server.Close)
+	return &flaky{Store: platform.NewClient(server.URL)}
+}
+
+func newTable(store platform.Store) *ledger.Table[int] {
+	return ledger.NewTable[int](ledger.TableOptions{Store: store, Prefix: "t", Shards: 2, Gap: 5 * time.Millisecond})
+}
+
+// increment is not idempotent: a write repeated after a lost answer would show.
+func increment(old int, _ bool) (int, bool, error) { return old + 1, true, nil }
+
+func TestUpdateIsWrittenOnceWhenAnswersAreLost(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	table := newTable(store)
+	store.lose, store.refuse = 2, 1
+	for want := 1; want <= 3; want++ {
+		got, err := table.Update(context.Background(), "a", increment)
+		must.NoError(t, err)
+		must.EqOp(t, want, got)
+	}
+}
+
+func TestUpdatesOfManyHostsMerge(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	var wg sync.WaitGroup
+	for range 4 {
+		table := newTable(store)
+		for i := range 50 {
+			wg.Go(func() {
+				_, err := table.Update(context.Background(), fmt.Sprint(i%5), increment)
+				must.NoError(t, err)
+			})
+		}
+	}
+	wg.Wait()
+	entries, err := newTable(store).ReadAll(context.Background())
+	must.NoError(t, err)
+	for i := range 5 {
+		must.EqOp(t, 40, entries[fmt.Sprint(i)])
+	}
+	must.Less(t, 80, store.writes, must.Sprint("200 updates are written in groups"))
+}
+
+func TestUpdateReportsAnUnreachableStore(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	store.refuse = 1_000
+	_, err := newTable(store).Update(context.Background(), "a", increment)
+	must.True(t, errors.Is(err, platform.ErrUnavailable))
+	_, found, err := newTable(store).Read(context.Background(), "a")
+	must.NoError(t, err)
+	must.False(t, found)
+}
--- a/intake/ledger/shard.go
+++ b/intake/ledger/shard.go
@@ -15,6 +15,7 @@
 const (
 	callTimeout = 4 * time.Second // of one call to the store
 	maxAttempts = 12              // of one group of updates
+	readsPerGap = 4               // reads of one shard by one host, per gap between writes
 )
 
 type result[V any] struct {
@@ -41,7 +42,8 @@
 	known      bool
 	pending    []*update[V]
 	committing bool
-	reading    *readCall[V]
+	reading    bool         // a read is under way
+	nextRead   *readCall[V] // begins once it ends
 }
 
 type readCall[V any] struct {
@@ -115,11 +117,14 @@
 // read that has not begun yet, never one that began earlier.
 func (s *shard[V]) read(ctx context.Context) (page[V], error) {
 	s.mu.Lock()
-	call := s.reading
+	call := s.nextRead
 	if call == nil {
 		call = &readCall[V]{done: make(chan struct{})}
-		s.reading = call
-		go s.answer(call)
+		s.nextRead = call
+	}
+	if !s.reading {
+		s.reading = true
+		go s.readLoop()
 	}
 	s.mu.Unlock()
 	select {
@@ -130,12 +135,22 @@
 	}
 }
 
-func (s *shard[V]) answer(call *readCall[V]) {
-	s.mu.Lock()
-	s.reading = nil // later readers start a call of their own
-	s.mu.Unlock()
-	call.page, call.err = s.fetch(context.Background())
-	close(call.done)
+// readLoop reads the shard, one call at a time, while somebody waits.
+func (s *shard[V]) readLoop() {
+	for {
+		s.mu.Lock()
+		call := s.nextRead
+		s.nextRead = nil
+		if call == nil {
+			s.reading = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		call.page, call.err = s.fetch(context.Background())
+		close(call.done)
+		time.Sleep(s.t.o.Gap / readsPerGap)
+	}
 }
 
 // follow watches the shard until ctx ends.
@@ -212,39 +227,58 @@
 	}
 }
 
+// attempt is a write of a group whose effect is not known.
+type attempt[V any] struct {
+	nonce   string
+	results []result[V]
+}
+
 // commit writes one group. An answer that was lost is settled by reading back.
 func (s *shard[V]) commit(group []*update[V]) {
-	nonce := rand.Text()
-	ambiguous := false
+	var tried []attempt[V]
 	var err error
-	for attempt := range maxAttempts {
-		if attempt > 0 {
-			time.Sleep(s.t.o.Gap / 4 * time.Duration(min(attempt, 4)))
+	for n := range maxAttempts {
+		if n > 0 {
+			time.Sleep(s.t.o.Gap / 4 * time.Duration(min(n, 4)))
 		}
 		var base page[V]
-		base, err = s.base(attempt > 0)
+		base, err = s.base(n > 0)
 		if err != nil {
 			continue
 		}
-		if base.wrote(nonce) {
-			s.reply(group, base)
+		if results, landed := landed(tried, base); landed {
+			deliver(group, results)
 			return
 		}
-		err = s.write(group, nonce)
+		a := attempt[V]{nonce: rand.Text()}
+		a.results, err = s.write(group, a.nonce)
 		if err == nil {
+			deliver(group, a.results)
 			return
 		}
-		ambiguous = ambiguous || errors.Is(err, platform.ErrAmbiguous)
+		if errors.Is(err, platform.ErrAmbiguous) {
+			tried = append(tried, a)
+		}
 	}
-	if ambiguous {
+	if len(tried) > 0 {
 		err = errors.Mark(err, platform.ErrAmbiguous)
 	}
-	s.t.o.Logger.Warn("ledger write failed", "shard", s.key, "updates", len(group), "err", err)
+	s.t.o.Logger.Warn("ledger write failed", "shard", s.key, "updates", len(group), "err", err.Error())
 	for _, u := range group {
 		u.done <- result[V]{err: err}
 	}
 }
 
+// landed finds the earlier attempt that the page shows to have taken effect.
+func landed[V any](tried []attempt[V], p page[V]) ([]result[V], bool) {
+	for _, a := range tried {
+		if p.wrote(a.nonce) {
+			return a.results, true
+		}
+	}
+	return nil, false
+}
+
 // base returns the page to write upon, read anew after a failed attempt.
 func (s *shard[V]) base(fresh bool) (page[V], error) {
 	p, _, known := s.seen()
@@ -254,55 +288,47 @@
 	return s.fetch(context.Background())
 }
 
-// write applies the group to the page and swaps it in. It answers the callers
-// when that worked; a group that changes nothing is confirmed by a read.
-func (s *shard[V]) write(group []*update[V], nonce string) error {
+// write applies the group to the page and swaps it in. A group that changes
+// nothing is confirmed by a read.
+func (s *shard[V]) write(group []*update[V], nonce string) ([]result[V], error) {
 	s.mu.Lock()
 	base, version := s.page, s.version
 	s.mu.Unlock()
 	next := base.with(nonce)
 	results, changed := apply(group, next.Entries)
 	if !changed {
-		return s.confirm(group, version)
+		return s.confirm(group)
 	}
 	value, err := encode(next)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	asked := s.t.o.Now()
 	s.t.writes.Inc()
 	e, err := s.t.o.Store.CompareAndSwap(ctx, s.key, value, version)
+	if errors.Is(err, platform.ErrConflict) {
+		s.t.clashes.Inc()
+	}
 	if err != nil {
-		if errors.Is(err, platform.ErrConflict) {
-			s.t.clashes.Inc()
-		}
-		return err
+		return results, err
 	}
 	s.install(next, e.Version, asked)
-	deliver(group, results)
-	return nil
+	return results, nil
 }
 
 // confirm answers a group without effect, once the page is known to be current.
-func (s *shard[V]) confirm(group []*update[V], version uint64) error {
+func (s *shard[V]) confirm(group []*update[V]) ([]result[V], error) {
 	fresh, err := s.fetch(context.Background())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	results, changed := apply(group, fresh.with("").Entries)
 	if changed {
-		return errors.Mark(errors.New("the shard changed meanwhile"), platform.ErrConflict)
+		return nil, errors.Mark(errors.New("the shard changed meanwhile"), platform.ErrConflict)
 	}
-	deliver(group, results)
-	return nil
-}
-
-// reply answers a group whose write took effect though its answer was lost.
-func (s *shard[V]) reply(group []*update[V], p page[V]) {
-	results, _ := apply(group, p.with("").Entries)
-	deliver(group, results)
+	return results, nil
 }
 
 func deliver[V any](group []*update[V], results []result[V]) {
