--- /dev/null
+++ b/gang/failures_test.go
@@ -0,0 +1,296 @@
+package gang_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/gang"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/placement"
+	"github.com/cyclamentray/cyclamentray/standin/worker"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+// gate is a WorkerCaller that acts at the nth message of a path, before it is
+// sent: once it has returned true, no message of this host gets through.
+type gate struct {
+	gang.WorkerCaller
+	path string
+	nth  int
+	act  func() (dead bool)
+
+	mu   sync.Mutex
+	seen int
+	dead bool
+}
+
+func (g *gate) Call(ctx context.Context, address, path string, args, reply any) error {
+	g.mu.Lock()
+	if path == g.path {
+		g.seen++
+	}
+	if path == g.path && g.seen == g.nth && !g.dead {
+		g.dead = g.act()
+	}
+	dead := g.dead
+	g.mu.Unlock()
+	if dead {
+		return errors.New("this host is dead")
+	}
+	return g.WorkerCaller.Call(ctx, address, path, args, reply)
+}
+
+// watchCopies fails the test if two generations of the job ever run together.
+func (c *cluster) watchCopies(s job.Spec) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			if n := c.running(s); len(n) > 1 {
+				c.t.Errorf("two copies run: %v", n)
+				return
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	})
+	c.t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+func holds(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(30*time.Second), wait.Gap(10*time.Millisecond), wait.BoolFunc(is)), must.Sprint(what))
+}
+
+func TestSchedulerKilledAtAnyMoment(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		path    string
+		nth     int
+		reclaim bool
+	}{
+		{"between two reservations", workerapi.PathReserve, 2, false},
+		{"between reserve and start", workerapi.PathStart, 1, false},
+		{"between two starts", workerapi.PathStart, 2, false},
+		{"in a reclaim, before the checkpoint", workerapi.PathCheckpoint, 1, true},
+		{"in a reclaim, between two stops", workerapi.PathStop, 2, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 2, nil)
+			s := spec("a", 2)
+			s.Checkpoint = true
+			c.watchCopies(s)
+			killed := make(chan struct{})
+			var reclaim sync.Once
+			one := c.entryHost(1, func(o *gang.Options) {
+				o.Workers = &gate{WorkerCaller: gang.NewHTTPWorkers(), path: tc.path, nth: tc.nth, act: func() bool {
+					close(killed)
+					return true
+				}}
+				o.Decide = func(v placement.View) placement.Plan {
+					p := placement.Decide(v)
+					if tc.reclaim && len(v.Running) == 1 && !v.Running[0].Started.IsZero() {
+						reclaim.Do(func() { p.Reclaims = []placement.Reclaim{{ID: s.ID, Reason: "needed"}} })
+					}
+					return p
+				}
+			})
+			c.submit(one, s)
+			<-killed
+			one.term.set(0)
+			one.stop()
+			two := c.entryHost(2, nil)
+			rec := c.reaches(two, s, job.Running)
+			must.Eq(t, map[uint64]int{rec.Generation: 2}, c.running(s))
+			must.EqOp(t, 2, rec.Generation)
+		})
+	}
+}
+
+func TestNewSchedulerAdoptsWholeGang(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, nil)
+	s := spec("a", 2)
+	one := c.entryHost(1, nil)
+	c.submit(one, s)
+	c.reaches(one, s, job.Running)
+	one.stop()
+	two := c.entryHost(2, nil)
+	c.submit(two, spec("b", 1))
+	holds(t, "the new scheduler knows the job waits for capacity", func() bool {
+		_, known := two.gang.Hold(spec("b", 1).ID)
+		return known
+	})
+	must.Eq(t, map[uint64]int{1: 2}, c.running(s))
+}
+
+// TestStartIsRefusedAfterTakingOut covers the moments at which a start could
+// still slip through once operators have taken the failure domain out.
+func TestStartIsRefusedAfterTakingOut(t *testing.T) {
+	t.Parallel()
+	takeOut := func(s *config.Snapshot) {
+		s.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1", Out: true}}
+	}
+	cases := []struct {
+		name string
+		act  func(c *cluster)
+	}{
+		{"known between reserve and start", func(c *cluster) { c.config.edit(takeOut) }},
+		{"cut off from the platform", func(c *cluster) { c.config.stale(3 * time.Second) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 2, nil)
+			s := spec("a", 2)
+			e := c.entryHost(1, func(o *gang.Options) {
+				o.Workers = &gate{WorkerCaller: gang.NewHTTPWorkers(), path: workerapi.PathReserve, nth: 2, act: func() bool {
+					tc.act(c)
+					return false
+				}}
+			})
+			c.submit(e, s)
+			c.reaches(e, s, job.Queued) // at once, or after the refusal
+			holds(t, "the start was refused", func() bool {
+				rec, err := e.intake.Find(context.Background(), org, s.ID)
+				return err == nil && rec.State == job.Queued && rec.Generation == 1
+			})
+			must.MapEmpty(t, c.running(s))
+			for _, w := range c.workers {
+				must.SliceEmpty(t, w.Tasks().Tasks, must.Sprint("no task was ever started"))
+			}
+		})
+	}
+}
+
+func TestStartDelayedOnItsWayFindsNoReservation(t *testing.T) {
+	t.Parallel()
+	var late sync.Once
+	c := newCluster(t, 1, func(int) worker.Options {
+		return worker.Options{Before: func(path string) error {
+			if path == workerapi.PathStart {
+				late.Do(func() { time.Sleep(gang.Hold + 300*time.Millisecond) })
+			}
+			return nil
+		}}
+	})
+	s := spec("a", 1)
+	c.watchCopies(s)
+	e := c.entryHost(1, nil)
+	c.submit(e, s)
+	rec := c.reaches(e, s, job.Running)
+	must.EqOp(t, 2, rec.Generation, must.Sprint("the first generation never ran"))
+}
+
+// TestOldSchedulerPausedOverAHandover freezes a scheduler between its last
+// check and its start message, for longer than its term.
+func TestOldSchedulerPausedOverAHandover(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, nil)
+	s := spec("a", 2)
+	c.watchCopies(s)
+	frozen, thaw := make(chan struct{}), make(chan struct{})
+	one := c.entryHost(1, func(o *gang.Options) {
+		o.Workers = &gate{WorkerCaller: gang.NewHTTPWorkers(), path: workerapi.PathStart, nth: 1, act: func() bool {
+			close(frozen)
+			<-thaw
+			return false
+		}}
+	})
+	c.submit(one, s)
+	<-frozen
+	two := c.entryHost(2, nil)
+	rec := c.reaches(two, s, job.Running)
+	must.EqOp(t, 2, rec.Generation)
+	close(thaw)
+	one.stop()
+	must.Eq(t, map[uint64]int{2: 2}, c.running(s))
+}
+
+func TestStartWithLostAnswerLeavesNoPart(t *testing.T) {
+	t.Parallel()
+	var lost sync.Once
+	c := newCluster(t, 2, func(i int) worker.Options {
+		return worker.Options{After: func(path string) (err error) {
+			if i == 1 && path == workerapi.PathStart {
+				lost.Do(func() { err = errors.New("answer lost") })
+			}
+			return err
+		}}
+	})
+	s := spec("a", 2)
+	c.watchCopies(s)
+	e := c.entryHost(1, nil)
+	c.submit(e, s)
+	c.reaches(e, s, job.Running)
+	must.Eq(t, map[uint64]int{2: 2}, c.running(s))
+}
+
+func TestRetirementStopsOnlyWhatIsRetired(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, nil)
+	e := c.entryHost(1, nil)
+	runs, waits := spec("runs", 1), spec("waits", 1)
+	runs.Checkpoint = true
+	c.submit(e, runs)
+	c.reaches(e, runs, job.Running)
+	c.submit(e, waits)
+
+	// A read that lost the service's document, or every document, retires nothing.
+	c.config.edit(func(s *config.Snapshot) { s.Services = map[string]config.Service{} })
+	time.Sleep(3 * time.Second) // several cycles
+	must.Eq(t, map[uint64]int{1: 1}, c.running(runs))
+	must.EqOp(t, job.Queued, c.reaches(e, waits, job.Queued).State)
+
+	c.config.edit(func(s *config.Snapshot) { s.Retired = map[string]uint64{"svc": 9} })
+	for _, s := range []job.Spec{runs, waits} {
+		rec := c.reaches(e, s, job.Cancelled)
+		must.StrContains(t, rec.Reason, "svc was retired at revision 9")
+	}
+	must.MapEmpty(t, c.running(runs))
+	tasks := c.workers[0].Tasks().Tasks
+	must.Len(t, 1, tasks)
+	must.False(t, tasks[0].Checkpointed.IsZero(), must.Sprint("its work was saved"))
+}
+
+func TestTakingOutChecksGangsIn(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, nil)
+	e := c.entryHost(1, nil)
+	s := spec("a", 2)
+	s.Checkpoint = true
+	c.submit(e, s)
+	c.reaches(e, s, job.Running)
+	c.config.edit(func(s *config.Snapshot) {
+		s.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1", Out: true}}
+	})
+	rec := c.reaches(e, s, job.Queued)
+	must.MapEmpty(t, c.running(s))
+	must.False(t, rec.Checkpointed.IsZero())
+	c.config.edit(func(s *config.Snapshot) {
+		s.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1"}}
+	})
+	c.reaches(e, s, job.Running)
+}
+
+func TestJobThatFailsEverywhereFails(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, func(int) worker.Options {
+		return worker.Options{Fail: func(workerapi.Gang, int) bool { return true }}
+	})
+	e := c.entryHost(1, nil)
+	s := spec("a", 1)
+	c.submit(e, s)
+	rec := c.reaches(e, s, job.Failed)
+	must.EqOp(t, 3, rec.Failures)
+	must.StrContains(t, rec.Reason, "failed too often")
+}
--- a/gang/scheduler_test.go
+++ b/gang/scheduler_test.go
@@ -49,6 +49,13 @@
 	f.snap.Revision++
 }
 
+// stale makes the configuration's last confirmation so old.
+func (f *fakeConfig) stale(age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.age = age
+}
+
 // fakeTerm is an election.Holder under the test's control.
 type fakeTerm struct {
 	mu   sync.Mutex
