Claim idempotency keys in shards owned by one entry host each

Claims are group-committed with compare-and-swap to a ring of segments, which fences an earlier owner whatever it believes; keys bound to an entry host's incarnation need no platform; without the platform plain keys are refused.

--- /dev/null
+++ b/claims/bound.go
@@ -0,0 +1,157 @@
+package claims
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const maxBoundKeys = 100_000
+
+// boundTo returns the incarnation that a key is bound to.
+func boundTo(key string) (incarnation string, ok bool) {
+	incarnation, _, found := strings.Cut(key, boundSeparator)
+	dot := strings.LastIndex(incarnation, ".")
+	return incarnation, found && dot > 0 && len(incarnation)-dot-1 == 2*incarnationBytes
+}
+
+// claimBound claims a key at the incarnation it is bound to. When that has
+// ended, its memory of the key is gone and the key is unknown for good.
+func (s *Service) claimBound(ctx context.Context, incarnation string, req Request) (Reply, error) {
+	if incarnation == s.incarnation {
+		return s.claimHere(req)
+	}
+	var reply Reply
+	found, err := s.callBound(ctx, incarnation, "Claims.Claim", req, &reply)
+	if !found {
+		return Reply{Verdict: Unknown}, nil
+	}
+	return reply, err
+}
+
+func (s *Service) claimHere(req Request) (Reply, error) {
+	s.boundMu.Lock()
+	defer s.boundMu.Unlock()
+	if s.bound.records[hashKey(req.Key)] == nil && len(s.bound.records) >= maxBoundKeys {
+		return Reply{}, errKeysFull
+	}
+	reply, r := s.bound.claim(s.opts.Now(), req)
+	if r.state == pending {
+		r.state = claimed
+	}
+	return reply, nil
+}
+
+func (s *Service) completeBound(ctx context.Context, incarnation string, c Completion) error {
+	if incarnation == s.incarnation {
+		s.boundMu.Lock()
+		defer s.boundMu.Unlock()
+		s.bound.complete(c)
+		return nil
+	}
+	var ack Ack
+	_, err := s.callBound(ctx, incarnation, "Claims.Complete", c, &ack)
+	return err
+}
+
+func (s *Service) lookupBound(ctx context.Context, incarnation string, k Key) (Reply, error) {
+	if incarnation == s.incarnation {
+		s.boundMu.Lock()
+		defer s.boundMu.Unlock()
+		return s.bound.lookup(s.opts.Now(), k), nil
+	}
+	var reply Reply
+	found, err := s.callBound(ctx, incarnation, "Claims.Outcome", k, &reply)
+	if !found {
+		return Reply{Verdict: Unknown}, nil
+	}
+	return reply, err
+}
+
+// callBound calls the host of an incarnation; found is false when no listed
+// host has its name.
+func (s *Service) callBound(ctx context.Context, incarnation, method string, args, reply any) (found bool, err error) {
+	name := incarnation[:strings.LastIndex(incarnation, ".")]
+	hosts := s.opts.Membership.View().Select(func(h platform.Host) bool {
+		return h.Kind == platform.EntryHost && h.Name == name
+	})
+	if len(hosts) == 0 {
+		return false, nil
+	}
+	if err := s.opts.Peers.Call(ctx, hosts[0].PeerAddress, method, args, reply); err != nil {
+		return true, ErrUnavailable
+	}
+	return true, nil
+}
+
+// RegisterPeer offers the service to the other entry hosts.
+func (s *Service) RegisterPeer(p *peer.Server) error { return p.Register("Claims", &endpoint{s}) }
+
+// endpoint serves other entry hosts' calls over net/rpc.
+type endpoint struct{ service *Service }
+
+// Claim grants a key that this host decides on.
+func (e *endpoint) Claim(req Request, reply *Reply) error {
+	if incarnation, ok := boundTo(req.Key.Key); ok {
+		return e.bound(incarnation, reply, func() (Reply, error) { return e.service.claimHere(req) })
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	sh := e.shard(req.Key)
+	if sh == nil {
+		return errNotOwner
+	}
+	got, err := sh.claim(ctx, req)
+	*reply = got
+	return err
+}
+
+// Complete records the end of an attempt.
+func (e *endpoint) Complete(c Completion, _ *Ack) error {
+	if incarnation, ok := boundTo(c.Key.Key); ok {
+		if incarnation != e.service.incarnation {
+			return nil
+		}
+		return e.service.completeBound(context.Background(), incarnation, c)
+	}
+	sh := e.shard(c.Key)
+	if sh == nil {
+		return errNotOwner
+	}
+	return sh.complete(c)
+}
+
+// Outcome looks a key up.
+func (e *endpoint) Outcome(k Key, reply *Reply) error {
+	if incarnation, ok := boundTo(k.Key); ok {
+		return e.bound(incarnation, reply, func() (Reply, error) {
+			return e.service.lookupBound(context.Background(), incarnation, k)
+		})
+	}
+	sh := e.shard(k)
+	if sh == nil {
+		return errNotOwner
+	}
+	got, err := sh.lookup(k)
+	*reply = got
+	return err
+}
+
+// bound answers for this incarnation; a key of an earlier one is unknown.
+func (e *endpoint) bound(incarnation string, reply *Reply, here func() (Reply, error)) error {
+	if incarnation != e.service.incarnation {
+		*reply = Reply{Verdict: Unknown}
+		return nil
+	}
+	got, err := here()
+	*reply = got
+	return err
+}
+
+func (e *endpoint) shard(k Key) *shard {
+	e.service.mu.Lock()
+	defer e.service.mu.Unlock()
+	return e.service.owned[e.service.shardOf(k)]
+}
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -67,6 +67,11 @@
 	Answer  Answer
 }
 
+// Ack answers a message that has no other answer.
+type Ack struct {
+	Taken bool // gob needs a field
+}
+
 // ErrUnavailable means that no claim was granted because the key's owner or
 // the platform cannot be reached.
 var ErrUnavailable = apierr.New(apierr.Unavailable,
--- /dev/null
+++ b/claims/claims_test.go
@@ -0,0 +1,273 @@
+package claims_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/claims"
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+const (
+	testTimeout = 20 * time.Second
+	leaseTTL    = 300 * time.Millisecond
+)
+
+type staticView struct{ view *membership.View }
+
+func (s staticView) View() *membership.View { return s.view }
+
+// host is one entry host's claims, with its own faulty way to the store.
+type host struct {
+	service *claims.Service
+	proxy   *faultproxy.Proxy
+	stop    func() // hands its shards over
+}
+
+type cluster struct {
+	store *kv.Server
+	hosts []*host
+}
+
+func startCluster(t *testing.T, n int) *cluster {
+	store := kv.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	c := &cluster{store: store}
+	listeners := make([]net.Listener, n)
+	var list []platform.Host
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		listeners[i] = l
+		list = append(list, platform.Host{Name: fmt.Sprintf("e%d", i), Kind: platform.EntryHost, PeerAddress: l.Addr().String()})
+	}
+	for i := range n {
+		c.hosts = append(c.hosts, startHost(t, server.Listener.Addr().String(), listeners[i], list, i))
+	}
+	return c
+}
+
+func startHost(t *testing.T, store string, l net.Listener, list []platform.Host, i int) *host {
+	proxy, err := faultproxy.New(store)
+	must.NoError(t, err)
+	pool := peer.NewPool(peer.Options{Timeout: 500 * time.Millisecond})
+	service := claims.New(claims.Options{
+		Store:          platform.NewClient("http://" + proxy.Addr()),
+		Peers:          pool,
+		Membership:     staticView{&membership.View{Self: list[i], Hosts: list}},
+		CommitInterval: 5 * time.Millisecond,
+		LeaseTTL:       leaseTTL,
+		Segments:       8,
+	})
+	server := peer.NewServer(peer.Options{})
+	must.NoError(t, service.RegisterPeer(server))
+	go func() { _ = server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = service.Run(ctx) })
+	stop := sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+		_ = server.Close()
+	})
+	t.Cleanup(func() {
+		proxy.Close()
+		stop()
+		_ = pool.Close()
+	})
+	return &host{service: service, proxy: proxy, stop: stop}
+}
+
+func request(key, attempt string) claims.Request {
+	return claims.Request{
+		Key:     claims.Key{Organisation: "acme", Service: "loans", Key: key},
+		Attempt: attempt,
+		Until:   time.Now().Add(time.Minute),
+	}
+}
+
+// claim tries a key once at a host.
+func (h *host) claim(key, attempt string, wait time.Duration) (claims.Verdict, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	reply, err := h.service.Claim(ctx, request(key, attempt))
+	return reply.Verdict, err
+}
+
+// mustClaim retries until the host answers.
+func (h *host) mustClaim(t *testing.T, key, attempt string) claims.Verdict {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); {
+		if verdict, err := h.claim(key, attempt, time.Second); err == nil {
+			return verdict
+		}
+	}
+	t.Fatalf("key %s was never answered", key)
+	return claims.Absent
+}
+
+// mustGrant retries while an abandoned attempt is being cleared away.
+func (h *host) mustGrant(t *testing.T, key, attempt string) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if h.mustClaim(t, key, attempt) == claims.Granted {
+			return
+		}
+	}
+	t.Fatalf("key %s was never granted", key)
+}
+
+// Every key is tried on every host at once, again and again, while each host's
+// way to the store is cut, silenced, or loses answers after their effect.
+func TestKeyIsGrantedOnceUnderFaults(t *testing.T) {
+	c := startCluster(t, 4)
+	c.hosts[0].mustGrant(t, "first", "a")
+	ctx, cancel := context.WithCancel(t.Context())
+	var faults sync.WaitGroup
+	for i, h := range c.hosts {
+		faults.Go(func() { disturb(ctx, h.proxy, rand.New(rand.NewSource(int64(i)))) })
+	}
+	var mu sync.Mutex
+	grants := make(map[string]int)
+	const keys = 120
+	for k := range keys {
+		key := fmt.Sprint("key", k)
+		var tries sync.WaitGroup
+		for i, h := range c.hosts {
+			tries.Go(func() {
+				for n := range 3 {
+					verdict, err := h.claim(key, fmt.Sprintf("%s-%d-%d", key, i, n), 60*time.Millisecond)
+					if err == nil && verdict == claims.Granted {
+						mu.Lock()
+						grants[key]++
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		if k%4 == 3 {
+			tries.Wait()
+		}
+		t.Cleanup(tries.Wait)
+	}
+	time.Sleep(200 * time.Millisecond)
+	cancel()
+	faults.Wait()
+	for _, h := range c.hosts {
+		h.proxy.Heal()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	must.Greater(t, keys/10, len(grants))
+	for key, n := range grants {
+		must.Eq(t, 1, n, must.Sprint(key))
+	}
+	must.NotEq(t, claims.Granted, c.hosts[1].mustClaim(t, "first", "b"))
+	c.hosts[2].mustGrant(t, "last", "a")
+}
+
+// disturb puts faults of random kinds and lengths on a host's way to the store.
+func disturb(ctx context.Context, p *faultproxy.Proxy, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		switch rng.Intn(6) {
+		case 0:
+			p.Set(faultproxy.Down, faultproxy.Fault{CutAfter: 0}) // answers lost after their effect
+			p.CutOpen()
+		case 1:
+			p.FreezeOpen(faultproxy.Down)
+		case 2:
+			p.Set(faultproxy.Up, faultproxy.Fault{CutAfter: faultproxy.NoCut, Delay: 3 * leaseTTL / 2})
+		case 3:
+			p.Refuse(true)
+			p.CutOpen()
+		}
+		time.Sleep(time.Duration(rng.Intn(300)) * time.Millisecond)
+		p.Heal()
+		time.Sleep(time.Duration(rng.Intn(100)) * time.Millisecond)
+	}
+}
+
+// Without the platform a plain key is refused soon, and is free afterwards.
+func TestPlainKeysAreRefusedWithoutThePlatform(t *testing.T) {
+	h := startCluster(t, 1).hosts[0]
+	h.mustGrant(t, "x", "a")
+	h.proxy.Set(faultproxy.Up, faultproxy.Fault{CutAfter: faultproxy.NoCut, Blackhole: true})
+	verdict, err := h.claim("during", "a", 100*time.Millisecond)
+	must.Error(t, err)
+	must.Eq(t, claims.Absent, verdict)
+	started := time.Now()
+	_, err = h.claim("during2", "a", testTimeout)
+	must.ErrorIs(t, err, claims.ErrUnavailable)
+	must.Less(t, testTimeout/2, time.Since(started))
+	h.proxy.Heal()
+	h.proxy.CutOpen()
+	must.Eq(t, claims.Running, h.mustClaim(t, "x", "b"))
+	h.mustGrant(t, "during2", "b")
+	must.Eq(t, claims.Running, h.mustClaim(t, "during2", "c"))
+}
+
+func TestClaimsSurviveAChangeOfOwner(t *testing.T) {
+	c := startCluster(t, 3)
+	ctx := t.Context()
+	for i := range 20 {
+		c.hosts[i%3].mustGrant(t, fmt.Sprint("k", i), "a")
+	}
+	done := claims.Completion{Key: request("k0", "a").Key, Attempt: "a", Answer: claims.Answer{Status: 201}}
+	must.NoError(t, c.hosts[0].service.Complete(ctx, done))
+	free := claims.Completion{Key: request("k1", "a").Key, Attempt: "a", NotRun: true}
+	must.NoError(t, c.hosts[0].service.Complete(ctx, free))
+	c.hosts[0].stop()
+	c.hosts[1].stop()
+	last := c.hosts[2]
+	must.Eq(t, claims.Done, last.mustClaim(t, "k0", "b"))
+	must.Eq(t, claims.Granted, last.mustClaim(t, "k1", "b"))
+	for i := 2; i < 20; i++ {
+		must.Eq(t, claims.Running, last.mustClaim(t, fmt.Sprint("k", i), "b"))
+	}
+}
+
+// A key bound to an entry host needs no platform, and ends with that host.
+func TestBoundKeysWorkWithoutThePlatform(t *testing.T) {
+	c := startCluster(t, 2)
+	for _, h := range c.hosts {
+		h.proxy.Refuse(true)
+		h.proxy.CutOpen()
+	}
+	key := c.hosts[0].service.Incarnation() + "~booking-1"
+	must.Eq(t, claims.Granted, c.hosts[1].mustClaim(t, key, "a"))
+	must.Eq(t, claims.Running, c.hosts[0].mustClaim(t, key, "b"))
+	done := claims.Completion{Key: request(key, "a").Key, Attempt: "a", Answer: claims.Answer{Status: 201, Body: []byte("ok"), Kept: true}}
+	must.NoError(t, c.hosts[1].service.Complete(t.Context(), done))
+	reply, err := c.hosts[1].service.Outcome(t.Context(), request(key, "").Key)
+	must.NoError(t, err)
+	must.Eq(t, claims.Reply{Verdict: claims.Done, Answer: done.Answer}, reply)
+	gone := "e0.0123456789abcdef~booking-2" // an earlier incarnation of the same host
+	must.Eq(t, claims.Unknown, c.hosts[1].mustClaim(t, gone, "a"))
+	must.Eq(t, claims.Unknown, c.hosts[0].mustClaim(t, gone, "a"))
+}
+
+func TestKeyNamesOneRequest(t *testing.T) {
+	c := startCluster(t, 1)
+	must.Eq(t, claims.Granted, c.hosts[0].mustClaim(t, "k", "a"))
+	other := request("k", "b")
+	other.Fingerprint = 7
+	reply, err := c.hosts[0].service.Claim(t.Context(), other)
+	must.NoError(t, err)
+	must.Eq(t, claims.Mismatch, reply.Verdict)
+}
--- /dev/null
+++ b/claims/journal.go
@@ -0,0 +1,240 @@
+package claims
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+const (
+	loadParallel  = 16
+	callTimeout   = time.Second
+	firstBackoff  = 20 * time.Millisecond
+	maxBackoff    = time.Second
+	maxFenceTries = 8
+)
+
+var (
+	// errFenced means that another host has taken the shard over.
+	errFenced = errors.New("claims: another host owns the shard now; ask it")
+	// errFull means that the log's ring holds no segment old enough to reuse.
+	errFull = errors.New("claims: the log is full of keys within their retention; raise Segments or lower Retention")
+)
+
+// journal is a shard's log: a ring of segments in the store, each under its own
+// key, of which only the newest is written to. Each write is a compare-and-swap
+// on the version that this owner saw last. It is not safe for concurrent use.
+type journal struct {
+	opts     *Options
+	shard    int
+	term     uint64
+	versions []uint64    // of each slot of the ring
+	newest   []time.Time // newest event of each slot; zero: none
+	open     segment     // as last written
+	troubled func(error) // told of every failed call, and nil when a write settled
+}
+
+func newJournal(o *Options, shard int, term uint64, troubled func(error)) *journal {
+	return &journal{
+		opts: o, shard: shard, term: term, troubled: troubled,
+		versions: make([]uint64, o.Segments), newest: make([]time.Time, o.Segments),
+	}
+}
+
+func (j *journal) key(slot int) string { return fmt.Sprintf("claims/%d/%d", j.shard, slot) }
+
+func (j *journal) slot(seq uint64) int { return int(seq % uint64(j.opts.Segments)) }
+
+// takeOver fences every earlier owner and returns the log's events in order.
+//
+// An earlier owner can write only to the newest segment or to the one after
+// it. Both are written here, at the versions that were read, before anything
+// is decided; so its next write fails, and no event of its is missed.
+func (j *journal) takeOver(ctx context.Context) ([]event, error) {
+	for range maxFenceTries {
+		segments, err := j.load(ctx)
+		if err != nil {
+			return nil, err
+		}
+		err = j.fence(ctx, segments)
+		if errors.Is(err, platform.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return inOrder(segments), nil
+	}
+	return nil, errors.New("claims: the shard's log kept changing; retry later")
+}
+
+// load reads the whole ring.
+func (j *journal) load(ctx context.Context) ([]segment, error) {
+	segments := make([]segment, j.opts.Segments)
+	var group errgroup.Group
+	group.SetLimit(loadParallel)
+	for slot := range segments {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			e, err := j.opts.Store.Get(ctx, j.key(slot))
+			if errors.Is(err, platform.ErrNotFound) {
+				j.versions[slot] = 0
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			j.versions[slot] = e.Version
+			segments[slot], err = decodeSegment(e.Value)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for slot, s := range segments {
+		j.newest[slot] = time.Time{}
+		if len(s.events) > 0 {
+			j.newest[slot] = s.newest
+		}
+	}
+	return segments, nil
+}
+
+func (j *journal) fence(ctx context.Context, segments []segment) error {
+	last := segment{}
+	for _, s := range segments {
+		if s.term > j.term {
+			return errFenced
+		}
+		if s.seq > last.seq {
+			last = s
+		}
+	}
+	if last.seq > 0 {
+		last.term = j.term
+		last.commits++
+		if err := j.settle(ctx, last); err != nil {
+			return err
+		}
+	}
+	next := segment{term: j.term, seq: last.seq + 1, newest: last.newest}
+	if err := j.checkReusable(next.seq); err != nil {
+		return err
+	}
+	if err := j.settle(ctx, next); err != nil {
+		return err
+	}
+	// What the reused slot held is past its retention.
+	if old := segments[j.slot(next.seq)]; old.seq != next.seq {
+		segments[j.slot(next.seq)] = segment{}
+	}
+	j.open = next
+	return nil
+}
+
+func (j *journal) checkReusable(seq uint64) error {
+	newest := j.newest[j.slot(seq)]
+	if !newest.IsZero() && j.opts.Now().Sub(newest) < j.opts.Retention {
+		return errFull
+	}
+	return nil
+}
+
+// inOrder returns the events of all segments, oldest first.
+func inOrder(segments []segment) []event {
+	oldest := 0
+	for slot, s := range segments {
+		if s.seq > 0 && (segments[oldest].seq == 0 || s.seq < segments[oldest].seq) {
+			oldest = slot
+		}
+	}
+	var events []event
+	for i := range segments {
+		events = append(events, segments[(oldest+i)%len(segments)].events...)
+	}
+	return events
+}
+
+// append writes events to the log. It returns nil once they are in the store,
+// however often calls fail; errFenced when another host has taken over; errFull;
+// or ctx's error, after which the journal must not be used again.
+func (j *journal) append(ctx context.Context, events []event) error {
+	next := j.open
+	if len(next.events)+len(events) > j.opts.EventsPerSegment && len(next.events) > 0 {
+		next = segment{term: j.term, seq: j.open.seq + 1}
+		if err := j.checkReusable(next.seq); err != nil {
+			return err
+		}
+	}
+	next.commits++
+	next.newest = j.opts.Now()
+	next.events = append(next.events[:len(next.events):len(next.events)], events...)
+	backoff := firstBackoff
+	for {
+		err := j.settle(ctx, next)
+		if err == nil {
+			j.open = next
+			j.newest[j.slot(next.seq)] = next.newest
+			j.troubled(nil)
+			return nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			return errFenced
+		}
+		j.troubled(err)
+		if !pause(ctx, backoff) {
+			return ctx.Err()
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// settle writes a segment once. When the write's answer is lost it reads back;
+// an error other than ErrConflict leaves open whether the write took effect, and
+// the same segment must be settled again before any other.
+func (j *journal) settle(ctx context.Context, s segment) error {
+	ctx, cancel := context.WithTimeout(platform.Urgent(ctx), callTimeout)
+	defer cancel()
+	slot := j.slot(s.seq)
+	value := s.encode()
+	e, err := j.opts.Store.CompareAndSwap(ctx, j.key(slot), value, j.versions[slot])
+	if err == nil {
+		j.versions[slot] = e.Version
+		return nil
+	}
+	now, readErr := j.opts.Store.Get(ctx, j.key(slot))
+	if errors.Is(readErr, platform.ErrNotFound) && j.versions[slot] == 0 {
+		return err
+	}
+	if readErr != nil {
+		return errors.Mark(readErr, platform.ErrUnavailable)
+	}
+	if bytes.Equal(now.Value, value) {
+		j.versions[slot] = now.Version
+		return nil
+	}
+	if now.Version != j.versions[slot] {
+		return platform.ErrConflict
+	}
+	return errors.Mark(err, platform.ErrUnavailable)
+}
+
+// pause waits; it reports false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/claims/lease.go
@@ -0,0 +1,83 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+func headKey(shard int) string { return fmt.Sprintf("claims/%d/owner", shard) }
+
+// leaseKeeper holds the one lease under which a host owns shards. The lease
+// only decides who takes a shard over; what a late owner writes is refused by
+// the journal, not by the lease. It is safe for concurrent use.
+type leaseKeeper struct {
+	store platform.Store
+	ttl   time.Duration
+
+	mu    sync.Mutex
+	lease platform.Lease // empty ID: none
+}
+
+// get returns the lease, and asks for one when there is none.
+func (k *leaseKeeper) get(ctx context.Context) (platform.Lease, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease.ID != "" {
+		return k.lease, nil
+	}
+	lease, err := k.store.Grant(ctx, k.ttl)
+	if err == nil {
+		k.lease = lease
+	}
+	return lease, err
+}
+
+// lost forgets a lease that has lapsed.
+func (k *leaseKeeper) lost(lease platform.Lease) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease.ID == lease.ID {
+		k.lease = platform.Lease{}
+	}
+}
+
+// run renews the lease until ctx ends.
+func (k *leaseKeeper) run(ctx context.Context, interval time.Duration) {
+	for pause(ctx, interval) {
+		k.mu.Lock()
+		lease := k.lease
+		k.mu.Unlock()
+		if lease.ID == "" {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(platform.Urgent(ctx), interval)
+		err := k.store.Renew(callCtx, lease)
+		cancel()
+		if errors.Is(err, platform.ErrLeaseLost) {
+			k.lost(lease)
+		}
+	}
+}
+
+// drop gives the lease up, so that others may take its shards at once.
+func (k *leaseKeeper) drop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.revoke(ctx)
+}
+
+func (k *leaseKeeper) revoke(ctx context.Context) {
+	k.mu.Lock()
+	lease := k.lease
+	k.lease = platform.Lease{}
+	k.mu.Unlock()
+	if lease.ID != "" {
+		_ = k.store.Revoke(ctx, lease)
+	}
+}
--- a/routing/core.go
+++ b/routing/core.go
@@ -21,7 +21,8 @@
 // Fleet is what membership and configuration say about one service.
 type Fleet struct {
 	Self       platform.Host   // this entry host
-	EntryHosts []string        // names of the known entry hosts, this one included
+	EntryHosts []platform.Host // the known entry hosts, this one included
+	Silent     map[string]bool // entry hosts that are not heard at present
 	Upstreams  []platform.Host // the service's upstreams
 	Out        map[string]bool // failure domains taken out
 }
@@ -117,12 +118,26 @@
 	return c.pump(now, Decisions{})
 }
 
+// sharers returns the names of the entry hosts that share an upstream. One that
+// is silent is left out, unless it stands in the upstream's failure domain: cut
+// off from here, it may well be using the upstream.
+func (f Fleet) sharers(upstream platform.Host) []string {
+	var names []string
+	for _, h := range f.EntryHosts {
+		if !f.Silent[h.Name] || h.FailureDomain == upstream.FailureDomain {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
 // slotShare bounds the slots also by the connections, of which each request
 // in flight uses one.
 func slotShare(host platform.Host, f Fleet) int {
-	share := Share(host.Slots, host.Name, f.Self.Name, f.EntryHosts)
+	names := f.sharers(host)
+	share := Share(host.Slots, host.Name, f.Self.Name, names)
 	if host.Connections > 0 {
-		share = min(share, Share(host.Connections, host.Name, f.Self.Name, f.EntryHosts))
+		share = min(share, Share(host.Connections, host.Name, f.Self.Name, names))
 	}
 	return share
 }
--- a/routing/keyed.go
+++ b/routing/keyed.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	claimTimeout    = 2 * time.Second
+	maxClaimWait    = 10 * time.Second // while a shard's owner changes
+	claimShare      = 2                // a claim waits at most 1/claimShare of what is left of the timeout
 	firstPoll       = 25 * time.Millisecond
 	maxPoll         = 500 * time.Millisecond
 	completeTimeout = 5 * time.Second
@@ -77,7 +78,7 @@
 func (r *Router) claim(ctx context.Context, c *call, req claims.Request) (claims.Reply, error) {
 	pause := firstPoll
 	for {
-		reply, err := r.claimOnce(ctx, req)
+		reply, err := r.claimOnce(ctx, c.deadline, req)
 		if err != nil || reply.Verdict != claims.Running {
 			return reply, err
 		}
@@ -88,8 +89,9 @@
 	}
 }
 
-func (r *Router) claimOnce(ctx context.Context, req claims.Request) (claims.Reply, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+func (r *Router) claimOnce(ctx context.Context, deadline time.Time, req claims.Request) (claims.Reply, error) {
+	wait := min(maxClaimWait, deadline.Sub(r.opts.Now())/claimShare)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait)
 	defer cancel()
 	return r.opts.Claims.Claim(ctx, req)
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -164,7 +164,8 @@
 		return 0
 	}
 	view := r.opts.Membership.View()
-	return Share(host.Connections, host.Name, view.Self.Name, entryHosts(view))
+	f := Fleet{EntryHosts: entryHosts(view), Silent: view.Silent}
+	return Share(host.Connections, host.Name, view.Self.Name, f.sharers(host))
 }
 
 func (r *Router) trim() {
--- a/routing/service.go
+++ b/routing/service.go
@@ -51,6 +51,7 @@
 	f := Fleet{
 		Self:       view.Self,
 		EntryHosts: entryHosts(view),
+		Silent:     view.Silent,
 		Upstreams:  view.Upstreams(name),
 		Out:        make(map[string]bool),
 	}
@@ -60,13 +61,12 @@
 	return f
 }
 
-// entryHosts returns the names of the known entry hosts, this one included.
-func entryHosts(view *membership.View) []string {
-	names := []string{view.Self.Name}
-	for _, p := range view.Peers() {
-		names = append(names, p.Name)
-	}
-	return names
+// entryHosts returns the known entry hosts, this one included.
+func entryHosts(view *membership.View) []platform.Host {
+	others := view.Select(func(h platform.Host) bool {
+		return h.Kind == platform.EntryHost && h.Name != view.Self.Name
+	})
+	return append(others, view.Self)
 }
 
 // admit reports whether a request would be taken now.
