--- /dev/null
+++ b/guarantee/guarantee_test.go
@@ -0,0 +1,158 @@
+package guarantee
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/placement/topology"
+	"github.com/shoenig/test/must"
+)
+
+func shape(tasks, per int, a job.Adjacency) job.Shape {
+	return job.Shape{Tasks: tasks, AcceleratorsPerTask: per, Adjacency: a}
+}
+
+func capacity(sizes ...int) *topology.Capacity {
+	var ws []topology.Worker
+	for i, n := range sizes {
+		ws = append(ws, topology.Worker{Name: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/2), Accelerators: n})
+	}
+	return topology.NewCapacity(topology.NewCluster(ws))
+}
+
+func TestInside(t *testing.T) {
+	cases := []struct {
+		inner, outer job.Shape
+		want         bool
+	}{
+		{shape(2, 4, job.SameRack), shape(2, 4, job.SameRack), true},
+		{shape(4, 2, job.SameRack), shape(2, 4, job.SameRack), true},
+		{shape(2, 4, job.SameRack), shape(4, 2, job.SameRack), false},           // a task may be split over workers
+		{shape(2, 4, job.SameRack), shape(2, 4, job.SameFailureDomain), false},  // the place may span racks
+		{shape(2, 2, job.SameWorker), shape(9, 4, job.SameFailureDomain), true}, // within one task's worker
+		{shape(2, 3, job.SameRack), shape(3, 2, job.SameWorker), true},          // all on one worker
+		{shape(3, 3, job.SameFailureDomain), shape(2, 4, job.SameRack), false},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.want, Inside(c.inner, c.outer), must.Sprintf("%+v in %+v", c.inner, c.outer))
+	}
+}
+
+// TestBackMatchesExhaustiveSearch packs random slots and compares with trying
+// every placement of every task.
+func TestBackMatchesExhaustiveSearch(t *testing.T) {
+	r := rand.New(rand.NewPCG(4, 4))
+	adjacencies := []job.Adjacency{job.SameWorker, job.SameRack, job.SameFailureDomain}
+	backed := 0
+	for range 10_000 {
+		k := capacity(r.IntN(5), r.IntN(5), r.IntN(5), r.IntN(5), r.IntN(5))
+		var gs []Guarantee
+		for range 1 + r.IntN(5) {
+			gs = append(gs, Guarantee{"a", shape(1+r.IntN(3), 1+r.IntN(3), adjacencies[r.IntN(3)]), 1})
+		}
+		b := NewBook(gs)
+		p := b.Back(k, b.UnusedSlots(-1))
+		want := packs(k.Clone(), b.Slots())
+		must.Eq(t, want, len(p.Missing()) == 0, must.Sprintf("%+v", gs))
+		if want {
+			backed++
+			checkPlaces(t, k.Clone(), b, p)
+		}
+	}
+	must.Greater(t, 300, backed)
+}
+
+func checkPlaces(t *testing.T, k *topology.Capacity, b *Book, p *Backing) {
+	for i, s := range b.Slots() {
+		place := p.Place(i)
+		must.Len(t, s.Shape.Tasks, place)
+		for _, w := range place {
+			must.GreaterEq(t, s.Shape.AcceleratorsPerTask, k.Free(w))
+			k.Take(w, s.Shape.AcceleratorsPerTask)
+			must.True(t, near(k, s.Shape.Adjacency, w, place[0]))
+		}
+	}
+}
+
+func near(k *topology.Capacity, a job.Adjacency, x, y int) bool {
+	return x == y || a == job.SameFailureDomain || a == job.SameRack && k.RackOf(x) == k.RackOf(y)
+}
+
+func packs(k *topology.Capacity, slots []Slot) bool {
+	if len(slots) == 0 {
+		return true
+	}
+	s := slots[0].Shape
+	var place func(chosen []int) bool
+	place = func(chosen []int) bool {
+		if len(chosen) == s.Tasks {
+			return packs(k, slots[1:])
+		}
+		for w := range k.Len() {
+			if k.Free(w) < s.AcceleratorsPerTask || len(chosen) > 0 && !near(k, s.Adjacency, w, chosen[0]) {
+				continue
+			}
+			k.Take(w, s.AcceleratorsPerTask)
+			ok := place(append(chosen, w))
+			k.GiveAll([]int{w}, s.AcceleratorsPerTask)
+			if ok {
+				return true
+			}
+		}
+		return false
+	}
+	return place(nil)
+}
+
+// TestBookMovesEarlierClaims: a claim gets a slot although an earlier one took
+// the only slot that fits it, since that one fits another.
+func TestBookMovesEarlierClaims(t *testing.T) {
+	small, large := shape(1, 4, job.SameWorker), shape(2, 3, job.SameFailureDomain)
+	b := NewBook([]Guarantee{{"a", small, 1}, {"a", large, 1}})
+	_, ok := b.Add(Claim{"a", shape(1, 3, job.SameWorker), false}) // fits both; takes the smaller
+	must.True(t, ok)
+	_, ok = b.Add(Claim{"a", small, false}) // fits only the smaller
+	must.True(t, ok)
+	_, ok = b.Find(Claim{"a", small, true})
+	must.False(t, ok)
+	_, ok = b.Find(Claim{"b", small, true})
+	must.False(t, ok)
+}
+
+func TestClaimFillsHalfOrIsUrgent(t *testing.T) {
+	s := shape(4, 8, job.SameRack)
+	must.False(t, Claim{"a", shape(1, 8, job.SameWorker), false}.Fits(s))
+	must.True(t, Claim{"a", shape(1, 8, job.SameWorker), true}.Fits(s))
+	must.True(t, Claim{"a", shape(2, 8, job.SameRack), false}.Fits(s))
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name      string
+		borrowers []Borrower
+		want      []int
+	}{
+		{"least lost work", []Borrower{{[]int{0, 0}, 2, 9000}, {[]int{1, 1}, 2, 100}}, []int{1}},
+		{"fewest gangs", []Borrower{{[]int{0}, 2, 100}, {[]int{0}, 2, 100}, {[]int{1, 1}, 2, 100}}, []int{2}},
+		{"none that is not needed", []Borrower{{[]int{0}, 1, 0}, {[]int{0}, 3, 2100}, {[]int{1, 1}, 2, 90000}}, []int{0, 1}},
+		{"nobody where it is free", []Borrower{{[]int{0, 0}, 2, 0}}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			k := capacity(4, 4)
+			for _, b := range c.borrowers {
+				k.TakeAll(b.Workers, b.AcceleratorsPerTask)
+			}
+			before := k.TotalFree()
+			choice, ok := NewReclaimer(k.Cluster, c.borrowers).Choose(k, shape(2, 2, job.SameWorker), nil, func(int) bool { return true })
+			must.True(t, ok)
+			slices.Sort(choice.Victims)
+			must.Eq(t, c.want, choice.Victims)
+			must.Len(t, 2, choice.Place)
+			must.Eq(t, before, k.TotalFree())
+		})
+	}
+}
--- /dev/null
+++ b/placement/checker_test.go
@@ -0,0 +1,339 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// checkPlan tells what is wrong with a plan, without using the code under test.
+func checkPlan(v View, p Plan) error {
+	for _, check := range []func(View, Plan) error{checkOnce, checkStarts, checkReclaims, checkRoom, checkQuotas, checkBacking} {
+		if err := check(v, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkOnce: every waiting job is either started or held with a reason.
+func checkOnce(v View, p Plan) error {
+	told := map[job.ID]int{}
+	for _, s := range p.Starts {
+		told[s.ID]++
+	}
+	for _, h := range p.Holds {
+		told[h.ID]++
+		if h.Reason == "" {
+			return fmt.Errorf("%v is held without reason", h.ID)
+		}
+	}
+	for _, w := range v.Waiting {
+		if told[w.ID] != 1 {
+			return fmt.Errorf("%v is told %d outcomes", w.ID, told[w.ID])
+		}
+	}
+	if len(told) != len(v.Waiting) {
+		return fmt.Errorf("the plan names jobs that do not wait")
+	}
+	return nil
+}
+
+// checkStarts: whole adjacent gangs on workers in service.
+func checkStarts(v View, p Plan) error {
+	if v.Out && len(p.Starts) > 0 {
+		return fmt.Errorf("start in a failure domain that is out")
+	}
+	for _, s := range p.Starts {
+		w := waitingOf(v, s.ID)
+		if len(s.Workers) != w.Shape.Tasks {
+			return fmt.Errorf("%v: %d workers for %d tasks", s.ID, len(s.Workers), w.Shape.Tasks)
+		}
+		near := map[string]bool{}
+		for _, name := range s.Workers {
+			worker := workerOf(v, name)
+			if worker.Unavailable != "" || worker.Probing {
+				return fmt.Errorf("%v starts on %s, which takes no tasks", s.ID, name)
+			}
+			switch w.Shape.Adjacency {
+			case job.SameWorker:
+				near[name] = true
+			case job.SameRack:
+				near[worker.Rack] = true
+			}
+		}
+		if len(near) > 1 {
+			return fmt.Errorf("%v is not adjacent: %v", s.ID, s.Workers)
+		}
+	}
+	return nil
+}
+
+// checkReclaims: only gangs that run and that no guarantee protects.
+func checkReclaims(v View, p Plan) error {
+	protected := map[job.ID]bool{}
+	for _, i := range protectedGangs(v) {
+		protected[v.Running[i].ID] = true
+	}
+	seen := map[job.ID]bool{}
+	for _, r := range p.Reclaims {
+		i := slices.IndexFunc(v.Running, func(g Gang) bool { return g.ID == r.ID })
+		switch {
+		case i < 0 || v.Running[i].Stopping || seen[r.ID]:
+			return fmt.Errorf("%v cannot be reclaimed", r.ID)
+		case r.Reason == "":
+			return fmt.Errorf("%v is reclaimed without reason", r.ID)
+		case !v.Out && protected[r.ID]:
+			return fmt.Errorf("%v is reclaimed from within its guarantee", r.ID)
+		}
+		seen[r.ID] = true
+	}
+	return nil
+}
+
+// checkRoom: no accelerator is given to two tasks.
+func checkRoom(v View, p Plan) error {
+	used := map[string]int{}
+	for _, g := range v.Running {
+		for _, w := range g.Workers {
+			used[w] += g.Shape.AcceleratorsPerTask
+		}
+	}
+	for _, s := range p.Starts {
+		for _, w := range s.Workers {
+			used[w] += waitingOf(v, s.ID).Shape.AcceleratorsPerTask
+			if used[w] > workerOf(v, w).Accelerators {
+				return fmt.Errorf("%v: accelerators of %s given twice", s.ID, w)
+			}
+		}
+	}
+	return nil
+}
+
+func checkQuotas(v View, p Plan) error {
+	for _, q := range v.Quotas {
+		used, started := 0, 0
+		for _, g := range v.Running {
+			if g.ID.Organisation == q.Organisation && g.Team == q.Team {
+				used += g.Shape.Accelerators()
+			}
+		}
+		for _, s := range p.Starts {
+			if w := waitingOf(v, s.ID); w.ID.Organisation == q.Organisation && w.Team == q.Team {
+				started += w.Shape.Accelerators()
+			}
+		}
+		if started > 0 && used+started > q.Accelerators {
+			return fmt.Errorf("team %s over its quota", q.Team)
+		}
+	}
+	return nil
+}
+
+// checkBacking: when there is a backing plan before the starts, there is one
+// after them; when there is none, the plan reports a deficit.
+func checkBacking(v View, p Plan) error {
+	if v.Out {
+		return nil
+	}
+	before := canBack(v)
+	if !before && len(p.Deficits) == 0 {
+		return fmt.Errorf("no backing plan exists, and no deficit is reported")
+	}
+	if before && len(p.Deficits) == 0 && !canBack(after(v, p)) {
+		return fmt.Errorf("the starts leave no backing plan")
+	}
+	return nil
+}
+
+// after returns the view once the plan's starts run and its reclaims stop.
+func after(v View, p Plan) View {
+	v = cloneView(v)
+	for _, s := range p.Starts {
+		w := waitingOf(v, s.ID)
+		v.Running = append(v.Running, Gang{
+			ID: w.ID, Team: w.Team, Template: w.Template, Shape: w.Shape, Workers: s.Workers, Urgent: w.Urgent,
+			Checkpoint: w.Checkpoint, Guaranteed: s.Guaranteed, Started: v.Now, DeclaredRun: w.DeclaredRun,
+		})
+		v.Waiting = slices.DeleteFunc(v.Waiting, func(o Waiting) bool { return o.ID == s.ID })
+	}
+	for _, r := range p.Reclaims {
+		i := slices.IndexFunc(v.Running, func(g Gang) bool { return g.ID == r.ID })
+		v.Running[i].Stopping = true
+	}
+	return v
+}
+
+func cloneView(v View) View {
+	v.Workers = slices.Clone(v.Workers)
+	v.Running = slices.Clone(v.Running)
+	v.Waiting = slices.Clone(v.Waiting)
+	v.Guarantees = slices.Clone(v.Guarantees)
+	v.Quotas = slices.Clone(v.Quotas)
+	return v
+}
+
+func waitingOf(v View, id job.ID) Waiting {
+	for _, w := range v.Waiting {
+		if w.ID == id {
+			return w
+		}
+	}
+	return Waiting{}
+}
+
+func workerOf(v View, name string) Worker {
+	for _, w := range v.Workers {
+		if w.Name == name {
+			return w
+		}
+	}
+	return Worker{Unavailable: "unknown"}
+}
+
+func copies(v View) []Guarantee {
+	var out []Guarantee
+	for _, g := range v.Guarantees {
+		for range g.Count {
+			out = append(out, Guarantee{g.Organisation, g.Shape, 1})
+		}
+	}
+	return out
+}
+
+// fitsCopy restates when a gang counts against a guaranteed shape: each way to
+// place the shape has room for the gang, and it is urgent or fills half.
+func fitsCopy(id job.ID, s job.Shape, urgent bool, c Guarantee) bool {
+	if id.Organisation != c.Organisation || s.Accelerators() == 0 {
+		return false
+	}
+	if !urgent && 2*s.Accelerators() < c.Shape.Accelerators() {
+		return false
+	}
+	if c.Shape.Adjacency == job.SameWorker {
+		return s.AcceleratorsPerTask*s.Tasks <= c.Shape.Accelerators()
+	}
+	each := c.Shape.AcceleratorsPerTask / s.AcceleratorsPerTask
+	if s.Tasks <= each {
+		return true
+	}
+	near := s.Adjacency == job.SameFailureDomain || s.Adjacency == job.SameRack && c.Shape.Adjacency == job.SameRack
+	return near && s.Tasks <= each*c.Shape.Tasks
+}
+
+// protectedGangs returns the gangs that hold a guarantee, in order of right.
+func protectedGangs(v View) []int {
+	var order, kept []int
+	for i, g := range v.Running {
+		if g.Guaranteed && !g.Stopping {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int { return compareHolders(&v.Running[a], &v.Running[b]) })
+	for _, i := range order {
+		if assignments(v, append(slices.Clone(kept), i), func([]bool) bool { return true }) {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// assignments tries every way to give each gang a copy of its own, and reports
+// whether accept takes one.
+func assignments(v View, gangs []int, accept func(used []bool) bool) bool {
+	cs := copies(v)
+	used := make([]bool, len(cs))
+	var assign func(n int) bool
+	assign = func(n int) bool {
+		if n == len(gangs) {
+			return accept(used)
+		}
+		g := v.Running[gangs[n]]
+		for i, c := range cs {
+			if !used[i] && fitsCopy(g.ID, g.Shape, g.Urgent, c) {
+				used[i] = true
+				if assign(n + 1) {
+					return true
+				}
+				used[i] = false
+			}
+		}
+		return false
+	}
+	return assign(0)
+}
+
+// canBack reports whether every unused copy can have adjacent accelerators
+// that neither protected gangs nor other copies use, by trying everything.
+func canBack(v View) bool {
+	kept := protectedGangs(v)
+	free := map[string]int{}
+	for _, w := range v.Workers {
+		if w.Unavailable == "" && !w.Probing {
+			free[w.Name] = w.Accelerators
+		}
+	}
+	for _, i := range kept {
+		for _, w := range v.Running[i].Workers {
+			free[w] -= v.Running[i].Shape.AcceleratorsPerTask
+		}
+	}
+	return assignments(v, kept, func(used []bool) bool {
+		var left []job.Shape
+		for i, c := range copies(v) {
+			if !used[i] {
+				left = append(left, c.Shape)
+			}
+		}
+		return packs(v.Workers, maps.Clone(free), left)
+	})
+}
+
+// packs reports whether all shapes fit at once, by trying every placement.
+func packs(workers []Worker, free map[string]int, shapes []job.Shape) bool {
+	if len(shapes) == 0 {
+		return true
+	}
+	s := shapes[0]
+	var place func(task, from int, first Worker) bool
+	place = func(task, from int, first Worker) bool {
+		if task == s.Tasks {
+			return packs(workers, free, shapes[1:])
+		}
+		for i := from; i < len(workers); i++ {
+			w := workers[i]
+			far := s.Adjacency == job.SameWorker && w.Name != first.Name || s.Adjacency == job.SameRack && w.Rack != first.Rack
+			if task > 0 && far || free[w.Name] < s.AcceleratorsPerTask {
+				continue
+			}
+			free[w.Name] -= s.AcceleratorsPerTask
+			here := first
+			if task == 0 {
+				here = w
+			}
+			if place(task+1, i, here) {
+				return true
+			}
+			free[w.Name] += s.AcceleratorsPerTask
+		}
+		return false
+	}
+	return place(0, 0, Worker{})
+}
+
+// decideTwice decides on a view and reports an error if the view was changed
+// or a second decision differs.
+func decideTwice(v View) (Plan, error) {
+	before := cloneView(v)
+	p := Decide(v)
+	if !reflect.DeepEqual(before, v) {
+		return p, fmt.Errorf("Decide changed its view")
+	}
+	if q := Decide(before); !reflect.DeepEqual(p, q) {
+		return p, fmt.Errorf("equal views gave different plans")
+	}
+	return p, nil
+}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -43,7 +43,7 @@
 	usage     map[string]int // accelerators in use by each organisation
 	predicts  *predictor
 	reclaimer *guarantee.Reclaimer
-	victims   []bool // borrowers asked to stop in this plan
+	victims   []bool               // borrowers asked to stop in this plan
 	feasible  map[job.Shape]string // why shapes never run; empty: they may
 	empty     *topology.Capacity   // all workers with nothing running, once needed
 }
@@ -197,7 +197,7 @@
 			Name:         w.Name,
 			Rack:         w.Rack,
 			Accelerators: w.Accelerators,
-			Unavailable:  w.Unavailable != "" && !all,
+			Unavailable:  !all && (w.Unavailable != "" || w.Probing),
 		}
 	}
 	return out
--- a/placement/guaranteed.go
+++ b/placement/guaranteed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/guarantee"
@@ -19,20 +20,38 @@
 )
 
 // startGuaranteed starts the waiting jobs that fit an unused guaranteed shape,
-// or reclaims for them, and returns the other jobs.
+// or reclaims for them, and returns the other jobs. Urgent and older ones come
+// first, so that a later job never takes what was reclaimed for another.
 func (d *decision) startGuaranteed(queue []*Waiting) []*Waiting {
-	var rest []*Waiting
-	for _, urgent := range []bool{true, false} {
-		for _, w := range queue {
-			if w.Urgent != urgent {
-				continue
-			}
-			if !d.serveGuaranteed(w) {
-				rest = append(rest, w)
-			}
-		}
+	served := map[*Waiting]bool{}
+	for _, w := range byRight(queue) {
+		served[w] = d.serveGuaranteed(w)
+	}
+	return slices.DeleteFunc(queue, func(w *Waiting) bool { return served[w] })
+}
+
+// byRight returns the queue with urgent jobs first, then in order of submission.
+func byRight(queue []*Waiting) []*Waiting {
+	out := slices.Clone(queue)
+	slices.SortFunc(out, func(a, b *Waiting) int {
+		return cmp.Or(
+			compareUrgency(a.Urgent, b.Urgent),
+			a.Submitted.Compare(b.Submitted),
+			compareIDs(a.ID, b.ID),
+		)
+	})
+	return out
+}
+
+func compareUrgency(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
 	}
-	return rest
 }
 
 // serveGuaranteed reports whether the job was started or reclaimed for.
@@ -122,6 +141,7 @@
 	}
 	d.claim(w, choice.Place)
 	d.commit(w, choice, fmt.Sprintf("its accelerators are guaranteed to organisation %s", w.ID.Organisation))
+	d.hold(w, reasonReclaiming)
 	return true
 }
 
@@ -130,7 +150,6 @@
 	d.reclaim(c.Victims, w.ID, reason)
 	d.setAside(c.Place, w.Shape)
 	d.use(w.ID.Organisation, w.Team, w.Shape)
-	d.hold(w, reasonReclaiming)
 }
 
 // choose picks the borrowers to stop for a job among those that are allowed
@@ -188,13 +207,8 @@
 
 // compareHolders orders gangs by their right to keep a guarantee.
 func compareHolders(a, b *Gang) int {
-	if a.Urgent != b.Urgent {
-		if a.Urgent {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
+		compareUrgency(a.Urgent, b.Urgent),
 		cmp.Compare(b.Shape.Accelerators(), a.Shape.Accelerators()),
 		a.Started.Compare(b.Started),
 		compareIDs(a.ID, b.ID),
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -113,13 +113,11 @@
 // startUrgent starts urgent jobs outside guarantees where accelerators are
 // free, or reclaims from borrowers that are not urgent. It returns the rest.
 func (d *decision) startUrgent(queue []*Waiting) []*Waiting {
-	var rest []*Waiting
-	for _, w := range queue {
-		if !w.Urgent || d.overQuota(w) || !d.serveUrgent(w) {
-			rest = append(rest, w)
-		}
+	served := map[*Waiting]bool{}
+	for _, w := range byRight(queue) {
+		served[w] = w.Urgent && !d.overQuota(w) && d.serveUrgent(w)
 	}
-	return rest
+	return slices.DeleteFunc(queue, func(w *Waiting) bool { return served[w] })
 }
 
 func (d *decision) serveUrgent(w *Waiting) bool {
@@ -131,6 +129,7 @@
 	choice, ok := d.choose(d.soon, w, avoid, func(b int) bool { return !d.v.Running[d.borrowers[b]].Urgent })
 	if ok {
 		d.commit(w, choice, reasonUrgent)
+		d.hold(w, reasonClearing)
 	}
 	return ok
 }
--- a/placement/reasons.go
+++ b/placement/reasons.go
@@ -11,7 +11,8 @@
 const (
 	reasonOut        = "operators have taken the failure domain out of service; wait for its return, or submit the job to another one"
 	reasonDrain      = "operators have taken the failure domain out of service; the job goes on from its checkpoint elsewhere"
-	reasonReclaiming = "accelerators are being reclaimed for it; it starts when the gangs on them have stopped"
+	reasonReclaiming = "its organisation's guaranteed accelerators are being reclaimed for it; it starts when the gangs on them have stopped"
+	reasonClearing   = "accelerators are being reclaimed for it as it is urgent; it starts when the gangs on them have stopped, unless work within a guarantee needs them"
 	reasonMove       = "it is moved to make adjacent room for a larger gang, and goes on from its checkpoint"
 	reasonUrgent     = "urgent work needs its accelerators"
 )
--- a/placement/types.go
+++ b/placement/types.go
@@ -15,6 +15,7 @@
 	Rack         string
 	Accelerators int
 	Unavailable  string // why it takes no new tasks (leaving, quarantined, silent); empty: it does
+	Probing      bool   // back from quarantine on trial: takes one gang of one task at a time
 }
 
 // Gang is a running gang and where its tasks are.
