Quarantine workers that fail different jobs, and probe them

Back-off doubles from 5 min to 4 h; a worker back on trial takes one job of one task. A template that fails on three workers without success is blamed in place of the workers, and at most a quarter of the workers is quarantined, so that one broken service cannot empty the fleet. A job that fails on three different workers fails itself.

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -23,6 +23,7 @@
 	queue := d.admit()
 	queue = d.startGuaranteed(queue)
 	queue = d.startUrgent(queue)
+	queue = d.startProbes(queue)
 	d.startRest(queue)
 	return d.plan
 }
--- /dev/null
+++ b/placement/probe.go
@@ -0,0 +1,38 @@
+package placement
+
+import "slices"
+
+// startProbes gives each idle worker on trial one job of a single task, and
+// returns the other jobs. A probe is never urgent work, and never counts
+// against a guarantee.
+func (d *decision) startProbes(queue []*Waiting) []*Waiting {
+	for i := range d.v.Workers {
+		worker := &d.v.Workers[i]
+		if !worker.Probing || worker.Unavailable != "" || d.busy(worker.Name) {
+			continue
+		}
+		j := slices.IndexFunc(queue, func(w *Waiting) bool { return d.probes(w, worker) })
+		if j < 0 {
+			continue
+		}
+		w := queue[j]
+		d.plan.Starts = append(d.plan.Starts, Start{ID: w.ID, Workers: []string{worker.Name}})
+		d.use(w.ID.Organisation, w.Team, w.Shape)
+		queue = slices.Delete(queue, j, j+1)
+	}
+	return queue
+}
+
+// probes reports whether a job can show that a worker is well again.
+func (d *decision) probes(w *Waiting, worker *Worker) bool {
+	return w.Shape.Tasks == 1 &&
+		w.Shape.AcceleratorsPerTask <= worker.Accelerators &&
+		!w.Urgent &&
+		!slices.Contains(w.Avoid, worker.Name) &&
+		!d.overQuota(w)
+}
+
+// busy reports whether any running gang has a task on a worker.
+func (d *decision) busy(name string) bool {
+	return slices.ContainsFunc(d.v.Running, func(g Gang) bool { return slices.Contains(g.Workers, name) })
+}
--- /dev/null
+++ b/placement/quarantine.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// When workers and jobs are blamed for failures.
+const (
+	workerFailures   = 3 // different jobs that fail on a worker before it is quarantined
+	jobWorkers       = 3 // different workers on which a job fails before it fails itself
+	templateWorkers  = 3 // different workers on which a template fails before it is suspect
+	quarantinedShare = 4 // at most one in this many workers is quarantined
+	firstBackOff     = 5 * time.Minute
+	longestBackOff   = 4 * time.Hour
+	failureMemory    = 2 * time.Hour // older failures no longer count against a worker
+)
+
+// Quarantine keeps workers on which different jobs fail from taking tasks, for
+// a back-off that doubles each time, and then lets each prove itself with one
+// small job. Failures of a template that fails on several workers without ever
+// succeeding count against its jobs, not against the workers.
+//
+// It is pure, and not safe for concurrent use.
+type Quarantine struct {
+	workers   map[string]*workerHealth
+	jobs      map[job.ID][]string      // workers on which each job has failed
+	templates map[templateKey][]string // workers on which a template failed since it last succeeded
+}
+
+type templateKey struct{ organisation, service, template string }
+
+// workerHealth is what is known against a worker.
+type workerHealth struct {
+	failures []workerFailure // of different jobs, since the last success
+	until    time.Time       // end of the quarantine; zero: not quarantined
+	backOff  time.Duration
+}
+
+type workerFailure struct {
+	id       job.ID
+	template templateKey
+	at       time.Time
+}
+
+// NewQuarantine returns a quarantine that holds nothing against anyone.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{
+		workers:   map[string]*workerHealth{},
+		jobs:      map[job.ID][]string{},
+		templates: map[templateKey][]string{},
+	}
+}
+
+// Failed records that a job's task failed on a worker, out of fleet workers. It
+// reports whether the job itself is at fault, and why.
+func (q *Quarantine) Failed(worker string, id job.ID, template string, fleet int, now time.Time) (jobFails bool, reason string) {
+	t := templateKey{id.Organisation, id.Service, template}
+	q.jobs[id] = withName(q.jobs[id], worker)
+	q.templates[t] = withName(q.templates[t], worker)
+	h := q.health(worker)
+	h.failures = slices.DeleteFunc(h.failures, func(f workerFailure) bool {
+		return f.id == id || now.Sub(f.at) > failureMemory
+	})
+	h.failures = append(h.failures, workerFailure{id, t, now})
+	if q.mayQuarantine(worker, fleet, now) {
+		h.quarantine(now)
+	}
+	failed := len(q.jobs[id])
+	if failed < jobWorkers {
+		return false, ""
+	}
+	return true, fmt.Sprintf("it failed on %d different workers; look at its logs, mend it and submit it under a new name", failed)
+}
+
+// Succeeded records that a job ended well on its workers: nothing is held
+// against them or its template any more.
+func (q *Quarantine) Succeeded(workers []string, id job.ID, template string) {
+	for _, w := range workers {
+		delete(q.workers, w)
+	}
+	delete(q.templates, templateKey{id.Organisation, id.Service, template})
+	delete(q.jobs, id)
+}
+
+// Forget drops what is known of a job that has ended.
+func (q *Quarantine) Forget(id job.ID) { delete(q.jobs, id) }
+
+// Avoid returns the workers on which a job has failed, in name order.
+func (q *Quarantine) Avoid(id job.ID) []string { return slices.Clone(q.jobs[id]) }
+
+// Unavailable tells why a worker takes no tasks; empty if it does.
+func (q *Quarantine) Unavailable(worker string, now time.Time) string {
+	h := q.workers[worker]
+	if h == nil || !now.Before(h.until) {
+		return ""
+	}
+	return fmt.Sprintf("quarantined until %s, since %d different jobs failed on it; repair or replace it",
+		h.until.UTC().Format(time.RFC3339), len(h.failures))
+}
+
+// Probing reports whether a worker is back from quarantine and has not yet
+// finished a job.
+func (q *Quarantine) Probing(worker string, now time.Time) bool {
+	h := q.workers[worker]
+	return h != nil && !h.until.IsZero() && !now.Before(h.until)
+}
+
+// Next returns when the next quarantine ends; zero if there is none.
+func (q *Quarantine) Next(now time.Time) time.Time {
+	var next time.Time
+	for _, h := range q.workers {
+		if h.until.After(now) && (next.IsZero() || h.until.Before(next)) {
+			next = h.until
+		}
+	}
+	return next
+}
+
+// mayQuarantine reports whether enough different jobs have failed on a worker,
+// or one on trial, and not too many workers are quarantined.
+func (q *Quarantine) mayQuarantine(worker string, fleet int, now time.Time) bool {
+	if q.Unavailable(worker, now) != "" {
+		return false
+	}
+	count, others := 0, 0
+	for _, f := range q.workers[worker].failures {
+		if len(q.templates[f.template]) < templateWorkers {
+			count++
+		}
+	}
+	for name, h := range q.workers {
+		if name != worker && now.Before(h.until) {
+			others++
+		}
+	}
+	needed := workerFailures
+	if q.Probing(worker, now) {
+		needed = 1
+	}
+	return count >= needed && (others+1)*quarantinedShare <= max(fleet, quarantinedShare)
+}
+
+func (q *Quarantine) health(worker string) *workerHealth {
+	h := q.workers[worker]
+	if h == nil {
+		h = &workerHealth{}
+		q.workers[worker] = h
+	}
+	return h
+}
+
+func (h *workerHealth) quarantine(now time.Time) {
+	h.backOff = min(max(2*h.backOff, firstBackOff), longestBackOff)
+	h.until = now.Add(h.backOff)
+}
+
+// withName adds a name to a sorted list that does not hold it yet.
+func withName(names []string, name string) []string {
+	i, found := slices.BinarySearchFunc(names, name, cmp.Compare[string])
+	if found {
+		return names
+	}
+	return slices.Insert(slices.Clone(names), i, name)
+}
--- /dev/null
+++ b/placement/quarantine_test.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/shoenig/test/must"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func jobID(service string, n int) job.ID {
+	return job.ID{Organisation: "a", Service: service, Name: fmt.Sprint(n)}
+}
+
+func TestQuarantineBacksOffAndProbes(t *testing.T) {
+	q := NewQuarantine()
+	for n := range workerFailures {
+		must.Eq(t, "", q.Unavailable("w", noon))
+		q.Failed("w", jobID("s", n), "t", 20, noon)
+		q.Failed("w", jobID("s", n), "t", 20, noon) // the same job counts once
+	}
+	must.StrContains(t, q.Unavailable("w", noon), "3 different jobs")
+	end := noon.Add(firstBackOff)
+	must.Eq(t, end, q.Next(noon))
+	must.Eq(t, "", q.Unavailable("w", end))
+	must.True(t, q.Probing("w", end))
+
+	q.Failed("w", jobID("s", 9), "t", 20, end) // one failure on trial doubles the back-off
+	must.NotEq(t, "", q.Unavailable("w", end.Add(2*firstBackOff-1)))
+	end = end.Add(2 * firstBackOff)
+	q.Succeeded([]string{"w"}, jobID("s", 10), "t")
+	must.False(t, q.Probing("w", end))
+	must.Eq(t, "", q.Unavailable("w", end))
+}
+
+func TestQuarantineBlamesTemplateThatFailsEverywhere(t *testing.T) {
+	q := NewQuarantine()
+	for n := range 30 {
+		q.Failed(fmt.Sprintf("w%d", n%10), jobID("broken", n), "t", 20, noon)
+	}
+	for n := range 10 {
+		must.Eq(t, "", q.Unavailable(fmt.Sprintf("w%d", n), noon))
+	}
+}
+
+func TestQuarantineKeepsMostWorkers(t *testing.T) {
+	q := NewQuarantine()
+	out := 0
+	for w := range 12 {
+		for n := range 5 {
+			q.Failed(fmt.Sprintf("w%d", w), jobID(fmt.Sprintf("s%d-%d", w, n), n), "t", 12, noon)
+		}
+		if q.Unavailable(fmt.Sprintf("w%d", w), noon) != "" {
+			out++
+		}
+	}
+	must.Eq(t, 3, out)
+}
+
+func TestJobThatFailsOnSeveralWorkersFailsItself(t *testing.T) {
+	q := NewQuarantine()
+	id := jobID("s", 1)
+	for _, w := range []string{"w2", "w1", "w1"} {
+		fails, _ := q.Failed(w, id, "t", 20, noon)
+		must.False(t, fails)
+	}
+	must.Eq(t, []string{"w1", "w2"}, q.Avoid(id))
+	fails, reason := q.Failed("w3", id, "t", 20, noon)
+	must.True(t, fails)
+	must.StrContains(t, reason, "3 different workers")
+	q.Forget(id)
+	must.Len(t, 0, q.Avoid(id))
+}
+
+func TestProbeTakesOneSmallJob(t *testing.T) {
+	one := job.Shape{Tasks: 1, AcceleratorsPerTask: 1, Adjacency: job.SameWorker}
+	v := View{Now: noon, Workers: []Worker{{Name: "w", Rack: "r", Accelerators: 4, Probing: true}}}
+	for n := range 3 {
+		v.Waiting = append(v.Waiting, Waiting{ID: jobID("s", n), Shape: one, Submitted: noon, DeclaredRun: time.Hour})
+	}
+	v.Waiting[0].Shape.Tasks = 2
+	v.Waiting[1].Avoid = []string{"w"}
+	p := Decide(v)
+	must.Eq(t, []Start{{ID: jobID("s", 2), Workers: []string{"w"}}}, p.Starts)
+	must.Len(t, 0, Decide(after(v, p)).Starts)
+}
