Bound the time of one decision

Change: slots counted by difference when choosing whom to stop; compare lazily; urgent work outside guarantees looks for victims at most 4 times a decision and goes on 200 ms later; the empty cluster is not indexed again.

--- a/guarantee/reclaim.go
+++ b/guarantee/reclaim.go
@@ -45,13 +45,27 @@
 	Cost    float64
 }
 
+// request is what a call of Choose looks for.
+type request struct {
+	room    *topology.Capacity
+	shape   job.Shape
+	avoid   topology.Avoid
+	allowed func(borrower int) bool
+}
+
+// region is a group of workers that count as adjacent.
+type region struct {
+	workers []int
+	has     func(w int) bool
+}
+
 // Choose finds the place for a shape whose clearing costs least. Room counts
 // what is free or becoming free; it is changed during the call and restored.
 // Allowed reports which borrowers may be stopped.
 func (r *Reclaimer) Choose(room *topology.Capacity, s job.Shape, avoid topology.Avoid, allowed func(borrower int) bool) (best Choice, ok bool) {
-	one := normal(s)
-	for _, region := range regions(room, s.Adjacency) {
-		victims, enough := r.clear(room, region, one, avoid, allowed)
+	q := request{room: room, shape: normal(s), avoid: avoid, allowed: allowed}
+	for _, g := range regions(room, s.Adjacency) {
+		victims, enough := r.clear(q, g)
 		cost := r.cost(victims)
 		if !enough || ok && cost >= best.Cost {
 			continue
@@ -59,7 +73,7 @@
 		ok = true
 		best = Choice{Victims: victims, Cost: cost}
 		r.give(room, victims)
-		best.Place = room.FitWithin(region, one, avoid)
+		best.Place = room.FitWithin(g.workers, q.shape, avoid)
 		r.take(room, victims)
 	}
 	if ok && len(best.Place) != s.Tasks {
@@ -69,23 +83,23 @@
 }
 
 // regions returns the groups of workers that count as adjacent.
-func regions(k *topology.Capacity, a job.Adjacency) [][]int {
-	var out [][]int
+func regions(k *topology.Capacity, a job.Adjacency) []region {
+	var out []region
 	switch a {
 	case job.SameWorker:
 		for w := range k.Len() {
-			out = append(out, []int{w})
+			out = append(out, region{[]int{w}, func(x int) bool { return x == w }})
 		}
 	case job.SameRack:
 		for r := range k.Racks() {
-			out = append(out, k.Rack(r))
+			out = append(out, region{k.Rack(r), func(x int) bool { return k.RackOf(x) == r }})
 		}
 	default:
 		all := make([]int, k.Len())
 		for w := range all {
 			all[w] = w
 		}
-		out = append(out, all)
+		out = append(out, region{all, func(int) bool { return true }})
 	}
 	return out
 }
@@ -93,32 +107,55 @@
 // clear returns the borrowers to stop so that the region holds the shape:
 // cheapest per accelerator first, and none that is not needed. Not enough means
 // that stopping all of them does not do.
-func (r *Reclaimer) clear(room *topology.Capacity, region []int, s job.Shape, avoid topology.Avoid, allowed func(int) bool) (victims []int, enough bool) {
-	holds := func() bool { return room.Slots(region, s, avoid) >= s.Tasks }
-	for _, b := range r.candidates(region, allowed) {
-		if holds() {
+func (r *Reclaimer) clear(q request, g region) (victims []int, enough bool) {
+	slots := q.room.Slots(g.workers, q.shape, q.avoid)
+	if slots >= q.shape.Tasks {
+		return nil, true
+	}
+	for _, b := range r.candidates(g.workers, q.allowed) {
+		if slots >= q.shape.Tasks {
 			break
 		}
-		r.give(room, []int{b})
+		slots += r.gain(q, g, b)
 		victims = append(victims, b)
 	}
-	if !holds() {
-		r.take(room, victims)
+	if slots < q.shape.Tasks {
+		r.take(q.room, victims)
 		return nil, false
 	}
 	var needed []int
 	for _, b := range victims {
-		r.take(room, []int{b})
-		if holds() {
+		r.take(q.room, []int{b})
+		gain := r.gain(q, g, b)
+		if slots-gain >= q.shape.Tasks {
+			r.take(q.room, []int{b})
+			slots -= gain
 			continue
 		}
-		r.give(room, []int{b})
 		needed = append(needed, b)
 	}
-	r.take(room, needed)
+	r.take(q.room, needed)
 	return needed, true
 }
 
+// gain frees a borrower's accelerators and returns how many more of the
+// shape's tasks the region then takes.
+func (r *Reclaimer) gain(q request, g region, borrower int) int {
+	b := r.borrowers[borrower]
+	gained := 0
+	for i := range b.Workers {
+		w := b.Workers[i]
+		if !g.has(w) {
+			q.room.GiveAll(b.Workers[i:i+1], b.AcceleratorsPerTask)
+			continue
+		}
+		before := q.room.SlotsOn(w, q.shape, q.avoid)
+		q.room.GiveAll(b.Workers[i:i+1], b.AcceleratorsPerTask)
+		gained += q.room.SlotsOn(w, q.shape, q.avoid) - before
+	}
+	return gained
+}
+
 // candidates returns the borrowers on a region, cheapest per accelerator first.
 func (r *Reclaimer) candidates(region []int, allowed func(int) bool) []int {
 	held := map[int]int{}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -45,6 +45,8 @@
 	predicts  *predictor
 	reclaimer *guarantee.Reclaimer
 	victims   []bool               // borrowers asked to stop in this plan
+	cleared   int                  // times urgent work outside guarantees looked for borrowers to stop
+	noVictims map[job.Shape]bool   // shapes for which urgent work found nobody to reclaim from
 	feasible  map[job.Shape]string // why shapes never run; empty: they may
 	empty     *topology.Capacity   // all workers with nothing running, once needed
 }
@@ -57,13 +59,14 @@
 
 func newDecision(v *View) *decision {
 	d := &decision{
-		v:        v,
-		cluster:  topology.NewCluster(topologyWorkers(v.Workers, false)),
-		book:     guarantee.NewBook(guarantees(v.Guarantees)),
-		teams:    map[team]*quotaUse{},
-		usage:    map[string]int{},
-		predicts: newPredictor(v.Estimates),
-		feasible: map[job.Shape]string{},
+		v:         v,
+		cluster:   topology.NewCluster(topologyWorkers(v.Workers)),
+		book:      guarantee.NewBook(guarantees(v.Guarantees)),
+		teams:     map[team]*quotaUse{},
+		usage:     map[string]int{},
+		predicts:  newPredictor(v.Estimates),
+		feasible:  map[job.Shape]string{},
+		noVictims: map[job.Shape]bool{},
 	}
 	for _, q := range v.Quotas {
 		d.teams[team{q.Organisation, q.Team}] = &quotaUse{limit: q.Accelerators}
@@ -189,16 +192,15 @@
 	return out
 }
 
-// topologyWorkers returns the workers as the topology counts them; with all,
-// unavailable ones count as if they took tasks.
-func topologyWorkers(workers []Worker, all bool) []topology.Worker {
+// topologyWorkers returns the workers as the topology counts them.
+func topologyWorkers(workers []Worker) []topology.Worker {
 	out := make([]topology.Worker, len(workers))
 	for i, w := range workers {
 		out[i] = topology.Worker{
 			Name:         w.Name,
 			Rack:         w.Rack,
 			Accelerators: w.Accelerators,
-			Unavailable:  !all && (w.Unavailable != "" || w.Probing),
+			Unavailable:  w.Unavailable != "" || w.Probing,
 		}
 	}
 	return out
--- a/placement/deficit.go
+++ b/placement/deficit.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-
-	"github.com/cyclamentray/cyclamentray/placement/topology"
 )
 
 // reportDeficits tells which guarantees the present hardware cannot back.
@@ -37,7 +35,7 @@
 			accelerators += w.Accelerators
 		}
 	}
-	whole := topology.NewCapacity(topology.NewCluster(topologyWorkers(d.v.Workers, true)))
+	whole := d.whole().Clone()
 	slots := d.book.UnusedSlots(noSlot)
 	for i := range d.v.Running {
 		if g := &d.v.Running[i]; g.Guaranteed && !g.Stopping {
--- a/placement/feasible.go
+++ b/placement/feasible.go
@@ -64,5 +64,5 @@
 }
 
 func emptyCapacity(workers []Worker) *topology.Capacity {
-	return topology.NewCapacity(topology.NewCluster(topologyWorkers(workers, true)))
+	return topology.NewCapacity(topology.NewCluster(topologyWorkers(workers)).AllAvailable())
 }
--- a/placement/guaranteed.go
+++ b/placement/guaranteed.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/guarantee"
@@ -24,23 +23,25 @@
 // first, so that a later job never takes what was reclaimed for another.
 func (d *decision) startGuaranteed(queue []*Waiting) []*Waiting {
 	served := map[*Waiting]bool{}
-	for _, w := range byRight(queue) {
+	for _, w := range byRight(queue, d.mayClaim()) {
 		served[w] = d.serveGuaranteed(w)
 	}
-	return slices.DeleteFunc(queue, func(w *Waiting) bool { return served[w] })
+	return without(queue, served)
 }
 
-// byRight returns the queue with urgent jobs first, then in order of submission.
-func byRight(queue []*Waiting) []*Waiting {
-	out := slices.Clone(queue)
-	slices.SortFunc(out, func(a, b *Waiting) int {
-		return cmp.Or(
-			compareUrgency(a.Urgent, b.Urgent),
-			a.Submitted.Compare(b.Submitted),
-			compareIDs(a.ID, b.ID),
-		)
-	})
-	return out
+// mayClaim returns a test whether a job may find an unused slot, which asks
+// the book but once for equal claims.
+func (d *decision) mayClaim() func(w *Waiting) bool {
+	known := map[guarantee.Claim]bool{}
+	return func(w *Waiting) bool {
+		c := claimOf(w.ID, w.Shape, w.Urgent)
+		found, ok := known[c]
+		if !ok {
+			_, found = d.book.Find(c)
+			known[c] = found
+		}
+		return found
+	}
 }
 
 func compareUrgency(a, b bool) int {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -14,6 +14,12 @@
 // longer when jobs are ordered.
 const sizeWeight = 0.0
 
+// Bounds of what one decision reclaims for urgent work outside guarantees.
+const (
+	maxClearings  = 4
+	clearingPause = 200 * time.Millisecond // before the next decision goes on with it
+)
+
 // ranked is a waiting job with its place in the order.
 type ranked struct {
 	w     *Waiting
@@ -32,13 +38,7 @@
 		}
 		queue = append(queue, ranked{w, d.score(w)})
 	}
-	slices.SortFunc(queue, func(a, b ranked) int {
-		return cmp.Or(
-			cmp.Compare(b.score, a.score),
-			a.w.Submitted.Compare(b.w.Submitted),
-			compareIDs(a.w.ID, b.w.ID),
-		)
-	})
+	slices.SortFunc(queue, compareRanked)
 	out := make([]*Waiting, len(queue))
 	for i, r := range queue {
 		out[i] = r.w
@@ -46,6 +46,21 @@
 	return out
 }
 
+func compareRanked(a, b ranked) int {
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
+	}
+	return compareAges(a.w, b.w)
+}
+
+// compareAges orders jobs by submission.
+func compareAges(a, b *Waiting) int {
+	if c := a.Submitted.Compare(b.Submitted); c != 0 {
+		return c
+	}
+	return compareIDs(a.ID, b.ID)
+}
+
 // score is the ratio of response to run time that the job would have if it
 // started now.
 func (d *decision) score(w *Waiting) float64 {
@@ -77,7 +92,7 @@
 // ones included.
 func (d *decision) whole() *topology.Capacity {
 	if d.empty == nil {
-		d.empty = emptyCapacity(d.v.Workers)
+		d.empty = topology.NewCapacity(d.cluster.AllAvailable())
 	}
 	return d.empty
 }
@@ -113,9 +128,35 @@
 // startUrgent starts urgent jobs outside guarantees where accelerators are
 // free, or reclaims from borrowers that are not urgent. It returns the rest.
 func (d *decision) startUrgent(queue []*Waiting) []*Waiting {
+	urgent := byRight(queue, func(w *Waiting) bool { return w.Urgent })
 	served := map[*Waiting]bool{}
-	for _, w := range byRight(queue) {
-		served[w] = w.Urgent && !d.overQuota(w) && d.serveUrgent(w)
+	for _, w := range urgent {
+		served[w] = !d.overQuota(w) && d.serveUrgent(w)
+	}
+	return without(queue, served)
+}
+
+// byRight returns the jobs that match, urgent ones first, then by submission.
+func byRight(queue []*Waiting, match func(w *Waiting) bool) []*Waiting {
+	var out []*Waiting
+	for _, w := range queue {
+		if match(w) {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Waiting) int {
+		if c := compareUrgency(a.Urgent, b.Urgent); c != 0 {
+			return c
+		}
+		return compareAges(a, b)
+	})
+	return out
+}
+
+// without returns the queue without the jobs that are served.
+func without(queue []*Waiting, served map[*Waiting]bool) []*Waiting {
+	if len(served) == 0 {
+		return queue
 	}
 	return slices.DeleteFunc(queue, func(w *Waiting) bool { return served[w] })
 }
@@ -126,12 +167,21 @@
 		d.start(w, place, false)
 		return true
 	}
+	if d.noVictims[w.Shape] {
+		return false
+	}
+	if d.cleared++; d.cleared > maxClearings {
+		d.wakeAt(d.v.Now.Add(clearingPause))
+		return false
+	}
 	choice, ok := d.choose(d.soon, w, avoid, func(b int) bool { return !d.v.Running[d.borrowers[b]].Urgent })
-	if ok {
-		d.commit(w, choice, reasonUrgent)
-		d.hold(w, reasonClearing)
+	if !ok {
+		d.noVictims[w.Shape] = true
+		return false
 	}
-	return ok
+	d.commit(w, choice, reasonUrgent)
+	d.hold(w, reasonClearing)
+	return true
 }
 
 func (d *decision) wakeAt(t time.Time) {
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -295,7 +295,7 @@
 // fragmentation is the share of free accelerators not usable by copies of the
 // largest waiting shape, or of the largest guaranteed one.
 func fragmentation(d *replayDomain, gs []Guarantee) (share float64, ok bool) {
-	k := topology.NewCapacity(topology.NewCluster(topologyWorkers(d.workers, false)))
+	k := topology.NewCapacity(topology.NewCluster(topologyWorkers(d.workers)))
 	for _, j := range d.running {
 		for _, name := range j.gang.Workers {
 			w, _ := k.Position(name)
@@ -377,7 +377,7 @@
 		}
 		return p
 	}
-	k := topology.NewCapacity(topology.NewCluster(topologyWorkers(v.Workers, false)))
+	k := topology.NewCapacity(topology.NewCluster(topologyWorkers(v.Workers)))
 	for _, g := range v.Running {
 		for _, name := range g.Workers {
 			w, _ := k.Position(name)
--- a/placement/topology/cluster.go
+++ b/placement/topology/cluster.go
@@ -2,7 +2,10 @@
 // count of their free accelerators. It finds adjacent accelerators for a shape.
 package topology
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 // Worker is a machine with accelerators.
 type Worker struct {
@@ -24,11 +27,13 @@
 // NewCluster indexes workers; the order in which they come does not matter.
 func NewCluster(workers []Worker) *Cluster {
 	c := &Cluster{
-		workers: append([]Worker(nil), workers...),
+		workers: slices.Clone(workers),
 		rackOf:  make([]int, len(workers)),
 		byName:  make(map[string]int, len(workers)),
 	}
-	sort.Slice(c.workers, func(i, j int) bool { return before(c.workers[i], c.workers[j]) })
+	if !slices.IsSortedFunc(c.workers, compareWorkers) {
+		slices.SortFunc(c.workers, compareWorkers)
+	}
 	for i, w := range c.workers {
 		if i == 0 || w.Rack != c.workers[i-1].Rack {
 			c.racks = append(c.racks, nil)
@@ -41,11 +46,18 @@
 	return c
 }
 
-func before(a, b Worker) bool {
-	if a.Rack != b.Rack {
-		return a.Rack < b.Rack
+func compareWorkers(a, b Worker) int {
+	return cmp.Or(cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.Name, b.Name))
+}
+
+// AllAvailable returns the cluster as it is when every worker takes tasks.
+func (c *Cluster) AllAvailable() *Cluster {
+	all := *c
+	all.workers = slices.Clone(c.workers)
+	for w := range all.workers {
+		all.workers[w].Unavailable = false
 	}
-	return a.Name < b.Name
+	return &all
 }
 
 // Len returns the number of workers.
--- a/placement/topology/fit.go
+++ b/placement/topology/fit.go
@@ -110,7 +110,7 @@
 func (k *Capacity) fill(workers []int, s job.Shape, avoid Avoid) []int {
 	order := k.scratch[:0]
 	for _, w := range workers {
-		if k.slotsOf(w, s, avoid) > 0 {
+		if k.SlotsOn(w, s, avoid) > 0 {
 			order = append(order, w)
 		}
 	}
@@ -121,7 +121,7 @@
 	slices.SortStableFunc(order, func(a, b int) int { return k.Free(a) - k.Free(b) })
 	out := make([]int, 0, s.Tasks)
 	for _, w := range order {
-		n := min(s.Tasks-len(out), k.slotsOf(w, s, avoid))
+		n := min(s.Tasks-len(out), k.SlotsOn(w, s, avoid))
 		for range n {
 			out = append(out, w)
 		}
@@ -143,13 +143,13 @@
 func (k *Capacity) Slots(workers []int, s job.Shape, avoid Avoid) int {
 	n := 0
 	for _, w := range workers {
-		n += k.slotsOf(w, s, avoid)
+		n += k.SlotsOn(w, s, avoid)
 	}
 	return n
 }
 
-// slotsOf returns how many of a shape's tasks a worker can take.
-func (k *Capacity) slotsOf(w int, s job.Shape, avoid Avoid) int {
+// SlotsOn returns how many of a shape's tasks a worker can take.
+func (k *Capacity) SlotsOn(w int, s job.Shape, avoid Avoid) int {
 	if !k.usable(w, avoid) {
 		return 0
 	}
