--- a/placement/topology/fit.go
+++ b/placement/topology/fit.go
@@ -26,12 +26,13 @@
 	}
 }
 
-// FitInRack is Fit within one rack.
-func (k *Capacity) FitInRack(r int, s job.Shape, avoid Avoid) []int {
-	if k.slots(k.racks[r], s, avoid) < s.Tasks {
+// FitWithin places a shape's tasks on the given workers, whatever its
+// adjacency, or returns nil if they lack the room.
+func (k *Capacity) FitWithin(workers []int, s job.Shape, avoid Avoid) []int {
+	if k.Slots(workers, s, avoid) < s.Tasks {
 		return nil
 	}
-	return k.fill(k.racks[r], s, avoid)
+	return k.fill(workers, s, avoid)
 }
 
 func (k *Capacity) fitWorker(s job.Shape, avoid Avoid) []int {
@@ -70,7 +71,7 @@
 		if k.rackFree[r] < s.Accelerators() || best >= 0 && k.rackFree[r] >= k.rackFree[best] {
 			continue
 		}
-		if k.slots(rack, s, avoid) >= s.Tasks {
+		if k.Slots(rack, s, avoid) >= s.Tasks {
 			best = r
 		}
 	}
@@ -84,7 +85,7 @@
 	racks := make([]int, 0, len(k.racks))
 	slots := 0
 	for r, rack := range k.racks {
-		if n := k.slots(rack, s, avoid); n > 0 {
+		if n := k.Slots(rack, s, avoid); n > 0 {
 			racks = append(racks, r)
 			slots += n
 		}
@@ -96,7 +97,7 @@
 	left := s
 	var out []int
 	for _, r := range racks {
-		left.Tasks = min(s.Tasks-len(out), k.slots(k.racks[r], s, avoid))
+		left.Tasks = min(s.Tasks-len(out), k.Slots(k.racks[r], s, avoid))
 		out = append(out, k.fill(k.racks[r], left, avoid)...)
 		if len(out) == s.Tasks {
 			break
@@ -109,7 +110,7 @@
 func (k *Capacity) fill(workers []int, s job.Shape, avoid Avoid) []int {
 	order := k.scratch[:0]
 	for _, w := range workers {
-		if k.slotsOf(w, s, avoid) > 0 {
+		if k.SlotsOn(w, s, avoid) > 0 {
 			order = append(order, w)
 		}
 	}
@@ -120,7 +121,7 @@
 	slices.SortStableFunc(order, func(a, b int) int { return k.Free(a) - k.Free(b) })
 	out := make([]int, 0, s.Tasks)
 	for _, w := range order {
-		n := min(s.Tasks-len(out), k.slotsOf(w, s, avoid))
+		n := min(s.Tasks-len(out), k.SlotsOn(w, s, avoid))
 		for range n {
 			out = append(out, w)
 		}
@@ -138,16 +139,17 @@
 	return out
 }
 
-func (k *Capacity) slots(workers []int, s job.Shape, avoid Avoid) int {
+// Slots returns how many of a shape's tasks the given workers can take.
+func (k *Capacity) Slots(workers []int, s job.Shape, avoid Avoid) int {
 	n := 0
 	for _, w := range workers {
-		n += k.slotsOf(w, s, avoid)
+		n += k.SlotsOn(w, s, avoid)
 	}
 	return n
 }
 
-// slotsOf returns how many of a shape's tasks a worker can take.
-func (k *Capacity) slotsOf(w int, s job.Shape, avoid Avoid) int {
+// SlotsOn returns how many of a shape's tasks a worker can take.
+func (k *Capacity) SlotsOn(w int, s job.Shape, avoid Avoid) int {
 	if !k.usable(w, avoid) {
 		return 0
 	}
