Prove keyed requests on every entry host at once

Seen failing first: without claims a key ran on every host; with an unknown outcome recorded as not run, a key whose answer was cut ran twice.

--- /dev/null
+++ b/routing/keyed_test.go
@@ -0,0 +1,162 @@
+package routing_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/claims"
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/routing"
+	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+	"github.com/cyclamentray/cyclamentray/standin/upstream"
+)
+
+// keyedEntry is an entry host with claims.
+type keyedEntry struct {
+	*entry
+	store *faultproxy.Proxy // its way to the platform
+	peers *peer.Server
+	claim *claims.Service
+	stop  func()
+}
+
+// startKeyed starts entry hosts that share a platform and upstreams.
+func startKeyed(t testing.TB, store *kv.Server, n int, interval time.Duration, upstreams ...platform.Host) []*keyedEntry {
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	listeners := make([]net.Listener, n)
+	hosts := upstreams
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		listeners[i] = l
+		hosts = append(hosts, platform.Host{
+			Name: fmt.Sprintf("e%d", i), Kind: platform.EntryHost, FailureDomain: "a", PeerAddress: l.Addr().String(),
+		})
+	}
+	var out []*keyedEntry
+	for i := range n {
+		self := hosts[len(upstreams)+i]
+		out = append(out, startKeyedEntry(t, server.Listener.Addr().String(), listeners[i], self, hosts, interval))
+	}
+	return out
+}
+
+func startKeyedEntry(t testing.TB, store string, l net.Listener, self platform.Host, hosts []platform.Host, interval time.Duration) *keyedEntry {
+	proxy, err := faultproxy.New(store)
+	must.NoError(t, err)
+	s := newShared(5*time.Second, hosts...)
+	s.view = &membership.View{Self: self, Hosts: hosts}
+	pool := peer.NewPool(peer.Options{})
+	service := claims.New(claims.Options{
+		Store:      platform.NewClient("http://" + proxy.Addr()),
+		Peers:      pool,
+		Membership: s, LeaseTTL: 500 * time.Millisecond, CommitInterval: interval,
+	})
+	peers := peer.NewServer(peer.Options{})
+	must.NoError(t, service.RegisterPeer(peers))
+	go func() { _ = peers.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = service.Run(ctx) })
+	stop := sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+	})
+	t.Cleanup(func() {
+		proxy.Close()
+		stop()
+		_ = peers.Close()
+		_ = pool.Close()
+	})
+	return &keyedEntry{entry: startEntry(t, s, service), store: proxy, peers: peers, claim: service, stop: stop}
+}
+
+// Callers send each key to every entry host at once and retry, while upstreams
+// cut answers, the platform loses answers, and an owner of keys is cut off. No
+// key runs twice, and whoever is told "not run" by all hosts is told the truth.
+func TestKeysRunOnceOnEveryHostAtOnce(t *testing.T) {
+	host, u, cutting := runnerHost(t, upstream.Options{Name: "u1", Work: 2 * time.Millisecond})
+	other, v, _ := runnerHost(t, upstream.Options{Name: "u2", Work: 2 * time.Millisecond})
+	entries := startKeyed(t, kv.New(), 3, 5*time.Millisecond, host, other)
+	must.Eq(t, routing.Ran, entries[0].do(t, "POST", "acme", "warm-up").outcome)
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	ran := make(map[string]bool)
+	notRun := make(map[string]bool)
+	const keys = 60
+	for k := range keys {
+		key := fmt.Sprint("key", k)
+		switch k {
+		case 10: // the request arrives whole, its answer is cut
+			cutting.Set(faultproxy.Down, faultproxy.Fault{CutAfter: 0})
+		case 25:
+			cutting.Heal()
+			entries[0].store.Set(faultproxy.Down, faultproxy.Fault{CutAfter: 0})
+			entries[0].store.CutOpen()
+		case 40: // killed: no way to the platform or to its peers
+			entries[0].store.Heal()
+			entries[1].store.Refuse(true)
+			entries[1].store.CutOpen()
+			must.NoError(t, entries[1].peers.Close())
+		}
+		var tries sync.WaitGroup
+		outcomes := make([]routing.Outcome, 2*len(entries))
+		for i := range outcomes {
+			tries.Go(func() { outcomes[i] = entries[i%len(entries)].do(t, "POST", "acme", key).outcome })
+		}
+		callers.Go(func() {
+			tries.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			notRun[key] = true
+			for _, o := range outcomes {
+				ran[key] = ran[key] || o == routing.Ran
+				notRun[key] = notRun[key] && o == routing.NotRun
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	callers.Wait()
+	executions := u.Executions()
+	for key, n := range v.Executions() {
+		executions[key] += n
+	}
+	must.Greater(t, keys/2, len(ran))
+	for k := range keys {
+		key := fmt.Sprint("key", k)
+		must.LessEq(t, 1, executions[key], must.Sprint(key))
+		must.False(t, ran[key] && executions[key] == 0, must.Sprint(key))
+		must.False(t, notRun[key] && executions[key] > 0, must.Sprint(key))
+	}
+}
+
+func TestRepeatedKeyIsAnsweredFromTheRecord(t *testing.T) {
+	host, u, _ := runnerHost(t, upstream.Options{Name: "u1"})
+	entries := startKeyed(t, kv.New(), 2, 5*time.Millisecond, host)
+	first := entries[0].do(t, "POST", "acme", "k")
+	again := entries[1].do(t, "POST", "acme", "k")
+	must.Eq(t, first, again)
+	must.Eq(t, 1, u.Executions()["k"])
+	req, err := http.NewRequest(http.MethodGet, entries[1].url+"/v1/services/loans/outcomes/k", nil)
+	must.NoError(t, err)
+	req.Header.Set("Organisation", "acme")
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, string(routing.Ran), resp.Header.Get(routing.HeaderOutcome))
+}
