--- a/routing/core.go
+++ b/routing/core.go
@@ -351,7 +351,7 @@
 	rate, sum, busy := 0.0, 0.0, 0
 	for _, r := range c.fleet.runners {
 		n := len(r.started)
-		if n == 0 || !r.usable() || now.Before(r.heldUntil) {
+		if n == 0 || r.samples == 0 || !r.usable() || now.Before(r.heldUntil) {
 			continue
 		}
 		other := r.duration(now, best)
--- /dev/null
+++ b/routing/core_test.go
@@ -0,0 +1,237 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// testCore drives a core and answers its dispatches by hand.
+type testCore struct {
+	*Core
+	now  time.Time
+	next uint64
+	sent map[uint64]string // ticket to upstream
+	shed map[uint64]ShedReason
+}
+
+func newTestCore(f Fleet) *testCore {
+	c := &testCore{Core: NewCore(rand.New(rand.NewSource(1))), now: start}
+	c.sent, c.shed = make(map[uint64]string), make(map[uint64]ShedReason)
+	c.take(c.Update(c.now, f))
+	return c
+}
+
+func (c *testCore) take(d Decisions) {
+	for _, x := range d.Dispatches {
+		c.sent[x.Ticket] = x.Upstream.Name
+	}
+	for _, x := range d.Sheds {
+		c.shed[x.Ticket] = x.Reason
+	}
+}
+
+func (c *testCore) submit(organisation string, timeout time.Duration) uint64 {
+	c.next++
+	c.take(c.Submit(c.now, Ticket{ID: c.next, Organisation: organisation, QueueUntil: c.now.Add(timeout), Deadline: c.now.Add(timeout)}))
+	return c.next
+}
+
+func (c *testCore) finish(id uint64, r Result) {
+	delete(c.sent, id)
+	c.take(c.Finish(c.now, Report{Ticket: id, Result: r}))
+}
+
+// on counts the requests in flight at an upstream.
+func (c *testCore) on(upstream string) int {
+	n := 0
+	for _, u := range c.sent {
+		if u == upstream {
+			n++
+		}
+	}
+	return n
+}
+
+func fleetOf(hosts ...platform.Host) Fleet {
+	self := platform.Host{Name: "e1", FailureDomain: "a"}
+	return Fleet{Self: self, EntryHosts: []platform.Host{self}, Upstreams: hosts, Out: map[string]bool{}}
+}
+
+func up(name, domain string, slots int) platform.Host {
+	return platform.Host{Name: name, FailureDomain: domain, Slots: slots, Address: name}
+}
+
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 80).Draw(t, "limit")
+		n := rapid.IntRange(1, 9).Draw(t, "hosts")
+		var hosts []string
+		for i := range n {
+			hosts = append(hosts, fmt.Sprint("e", i))
+		}
+		sum := 0
+		for _, h := range hosts {
+			share := Share(limit, "u", h, hosts)
+			must.LessEq(t, limit/n+1, share)
+			sum += share
+		}
+		must.Eq(t, limit, sum)
+	})
+}
+
+func TestLocalFailureDomainFirstThenSpill(t *testing.T) {
+	f := fleetOf(up("far", "b", 2), up("near", "a", 2))
+	c := newTestCore(f)
+	c.submit("x", time.Minute)
+	c.submit("x", time.Minute)
+	must.Eq(t, 2, c.on("near"))
+	c.submit("x", time.Minute)
+	must.Eq(t, 1, c.on("far"))
+	f.Out = map[string]bool{"a": true}
+	c.finish(1, Answered)
+	c.take(c.Update(c.now, f))
+	c.submit("x", time.Minute)
+	must.Eq(t, 2, c.on("far"))
+	waits := c.submit("x", time.Minute)
+	must.Eq(t, "", c.sent[waits])
+}
+
+// A share shrinks at once when an entry host joins and grows only after a
+// delay when one goes, as its requests may still be running.
+func TestShareGrowsLate(t *testing.T) {
+	f := fleetOf(up("u", "a", 8))
+	one := f.EntryHosts
+	f.EntryHosts = append(one, platform.Host{Name: "e2", FailureDomain: "a"})
+	c := newTestCore(f)
+	for range 8 {
+		c.submit("x", time.Minute)
+	}
+	must.Eq(t, 4, c.on("u"))
+	f.EntryHosts = one
+	c.take(c.Update(c.now, f))
+	must.Eq(t, 4, c.on("u"))
+	c.now = c.now.Add(growDelay)
+	c.take(c.Tick(c.now))
+	must.Eq(t, 8, c.on("u"))
+}
+
+// Requests wait for a busy fast runner rather than go to one that is ten times
+// slower, but a long queue uses that too.
+func TestSlowRunnerIsUsedOnlyWhenItPays(t *testing.T) {
+	c := newTestCore(fleetOf(up("fast", "a", 4), up("slow", "a", 4)))
+	c.fleet.find("fast").succeed(c.now, 10*time.Millisecond)
+	c.fleet.find("slow").succeed(c.now, 100*time.Millisecond)
+	for range 8 {
+		c.submit("x", time.Minute)
+	}
+	must.Eq(t, 4, c.on("fast"))
+	must.Eq(t, 0, c.on("slow"))
+	for range 30 {
+		c.submit("x", time.Minute)
+	}
+	must.Positive(t, c.on("slow"))
+}
+
+func TestOrganisationsShareSlotsEqually(t *testing.T) {
+	c := newTestCore(fleetOf(up("u", "a", 8)))
+	for range 30 {
+		c.submit("large", time.Minute)
+	}
+	for range 6 {
+		c.submit("small", time.Minute)
+	}
+	served := make(map[string]int)
+	for range 12 { // the oldest request ends each time
+		oldest := uint64(0)
+		for id := range c.sent {
+			if oldest == 0 || id < oldest {
+				oldest = id
+			}
+		}
+		served[c.attempts[oldest].ticket.Organisation]++
+		c.finish(oldest, Answered)
+	}
+	must.Eq(t, 4, c.queue.line("small").inFlight)
+	must.Eq(t, 4, c.queue.line("large").inFlight)
+}
+
+func TestFullQueueShedsTheLongestLine(t *testing.T) {
+	c := newTestCore(fleetOf(up("u", "a", 1)))
+	for range minQueue + 1 {
+		c.submit("large", time.Hour)
+	}
+	must.MapEmpty(t, c.shed)
+	small := c.submit("small", time.Hour)
+	must.MapLen(t, 1, c.shed)
+	must.MapNotContainsKey(t, c.shed, small)
+}
+
+func TestHopelessRequestIsShedEarly(t *testing.T) {
+	c := newTestCore(fleetOf(up("u", "a", 1)))
+	c.fleet.find("u").succeed(c.now, time.Second)
+	c.submit("x", time.Minute)
+	c.submit("x", time.Minute)
+	late := c.submit("x", 500*time.Millisecond)
+	must.Eq(t, TooLate, c.shed[late])
+	must.Eq(t, 1, c.queue.length)
+}
+
+func TestRetriesAreBounded(t *testing.T) {
+	c := newTestCore(fleetOf(up("u", "a", 1)))
+	retries := 0
+	for c.Retry() {
+		retries++
+	}
+	must.Eq(t, retryTokens, retries)
+	for range 100 {
+		c.finish(c.submit("x", time.Minute), Answered)
+	}
+	retries = 0
+	for c.Retry() {
+		retries++
+	}
+	must.Between(t, 19, retries, 20)
+}
+
+// A runner that fails gets no request before a probe, and one at a time then.
+func TestFailedRunnerComesBackByProbe(t *testing.T) {
+	c := newTestCore(fleetOf(up("bad", "a", 4), up("good", "b", 4)))
+	c.finish(c.submit("x", time.Minute), Failed)
+	c.submit("x", time.Minute)
+	must.Eq(t, 1, c.on("good"))
+	must.SliceEmpty(t, c.Probes(c.now))
+	c.now = c.now.Add(firstBackoff)
+	must.Len(t, 1, c.Probes(c.now))
+	must.SliceEmpty(t, c.Probes(c.now))
+	c.take(c.Probed(c.now, "bad", true, false))
+	trial := c.submit("x", time.Minute)
+	c.submit("x", time.Minute)
+	must.Eq(t, 1, c.on("bad"))
+	c.finish(trial, Answered)
+	c.submit("x", time.Minute)
+	c.submit("x", time.Minute)
+	must.Greater(t, 1, c.on("bad"))
+}
+
+// A runner that says that it leaves is taken back once it was gone meanwhile.
+func TestLeavingRunnerComesBackAfterARestart(t *testing.T) {
+	c := newTestCore(fleetOf(up("u", "a", 4)))
+	c.finish(c.submit("x", time.Minute), Leaving)
+	for _, alive := range []bool{true, false, true} {
+		waits := c.submit("x", time.Minute)
+		must.Eq(t, "", c.sent[waits])
+		c.now = c.now.Add(leaveProbe)
+		must.Len(t, 1, c.Probes(c.now))
+		c.take(c.Probed(c.now, "u", alive, false))
+	}
+	must.Eq(t, 1, c.on("u"))
+}
