Measure the routing policy against round robin in virtual time

Cause: a lost runner came back late, as requests that failed together each doubled its pause, and probes without an answer doubled it too. Change: failures of one incident count once; a probe that is not answered is repeated every second.

--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -229,7 +229,7 @@
 	for _, alive := range []bool{true, false, true} {
 		waits := c.submit("x", time.Minute)
 		must.Eq(t, "", c.sent[waits])
-		c.now = c.now.Add(leaveProbe)
+		c.now = c.now.Add(probeInterval)
 		must.Len(t, 1, c.Probes(c.now))
 		c.take(c.Probed(c.now, "u", alive, false))
 	}
--- /dev/null
+++ b/routing/policy_bench_test.go
@@ -0,0 +1,357 @@
+package routing
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+// The benchmark drives the decisions of seven entry hosts in virtual time
+// against runners whose speeds differ tenfold, beside plain round robin with
+// the same arrivals.
+const (
+	benchEntryHosts = 7
+	benchRunners    = 50
+	benchSlots      = 8
+	benchDomains    = 4
+	benchSpread     = 10.0                   // fastest to slowest
+	benchWork       = 200 * time.Millisecond // mean, on the slowest runner
+	benchTimeout    = 5 * time.Second
+	benchLength     = 12 * time.Second
+	benchWarmUp     = 3 * time.Second
+	benchLag        = time.Second // until every entry host knows of a change
+	benchReset      = time.Millisecond
+)
+
+// demand is each organisation's part of the offered load.
+var demand = []float64{0.46, 0.18, 0.18, 0.18}
+
+type simRequest struct {
+	id       uint64
+	org      int
+	host     int
+	work     time.Duration
+	arrived  time.Time
+	deadline time.Time
+	attempts int
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type simHeap []simEvent
+
+func (h simHeap) Len() int { return len(h) }
+func (h simHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h simHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *simHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
+type simRunner struct {
+	host    platform.Host
+	speed   float64
+	busy    int
+	waiting []func() // requests beyond the slots wait here
+	lost    bool
+	losses  int // times it was lost
+}
+
+// sim is one run of one policy.
+type sim struct {
+	now      time.Time
+	events   simHeap
+	seq      int
+	rng      *rand.Rand
+	runners  []*simRunner
+	byName   map[string]*simRunner
+	cores    []*Core // empty: round robin
+	turn     []int   // of each entry host, for round robin
+	out      bool    // round robin knows that domain d0 is out
+	fleet    Fleet
+	requests map[uint64]*simRequest
+	next     uint64
+
+	latencies  []time.Duration
+	work       []time.Duration // done in time, by organisation
+	windowFrom time.Time
+	windowWork time.Duration // done in time since windowFrom
+	peak       int
+}
+
+func newSim(core bool, seed int64) *sim {
+	s := &sim{now: start, rng: rand.New(rand.NewSource(seed)), byName: make(map[string]*simRunner), requests: make(map[uint64]*simRequest)}
+	s.work = make([]time.Duration, len(demand))
+	s.windowFrom = start.Add(benchWarmUp)
+	for i := range benchRunners {
+		name := fmt.Sprintf("u%02d", i)
+		host := platform.Host{Name: name, Address: name, FailureDomain: fmt.Sprint("d", i%benchDomains), Slots: benchSlots, Connections: 60}
+		r := &simRunner{host: host, speed: math.Pow(benchSpread, float64(i)/(benchRunners-1))}
+		s.runners = append(s.runners, r)
+		s.byName[name] = r
+		s.fleet.Upstreams = append(s.fleet.Upstreams, host)
+	}
+	s.turn = make([]int, benchEntryHosts)
+	for i := range benchEntryHosts {
+		s.turn[i] = i * benchRunners / benchEntryHosts
+		s.fleet.EntryHosts = append(s.fleet.EntryHosts, platform.Host{Name: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%benchDomains)})
+	}
+	if core {
+		for i := range benchEntryHosts {
+			s.cores = append(s.cores, NewCore(rand.New(rand.NewSource(seed+int64(i)))))
+		}
+	}
+	s.update(false)
+	return s
+}
+
+// update tells every entry host whether domain d0 is out.
+func (s *sim) update(out bool) {
+	s.out = out
+	for i, c := range s.cores {
+		f := s.fleet
+		f.Self, f.Out = f.EntryHosts[i], map[string]bool{"d0": out}
+		s.apply(i, c.Update(s.now, f))
+	}
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), seq: s.seq, do: do})
+}
+
+// capacity is the work on the slowest runner's scale that is done each second.
+func (s *sim) capacity(without string) float64 {
+	total := 0.0
+	for _, r := range s.runners {
+		if r.host.FailureDomain != without {
+			total += benchSlots * r.speed
+		}
+	}
+	return total
+}
+
+// run offers load until the end of the run.
+func (s *sim) run(load float64) {
+	rate := load * s.capacity("") / benchWork.Seconds()
+	end := start.Add(benchLength)
+	var arrive func()
+	arrive = func() {
+		s.arrive()
+		s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	s.after(0, arrive)
+	for i := range s.cores {
+		var tick func()
+		tick = func() {
+			for _, h := range s.cores[i].Probes(s.now) {
+				s.apply(i, s.cores[i].Probed(s.now, h.Name, !s.byName[h.Name].lost, false))
+			}
+			s.apply(i, s.cores[i].Tick(s.now))
+			s.after(20*time.Millisecond, tick)
+		}
+		s.after(0, tick)
+	}
+	for s.events[0].at.Before(end) {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+}
+
+func (s *sim) arrive() {
+	s.next++
+	q := &simRequest{id: s.next, host: s.rng.Intn(benchEntryHosts), arrived: s.now, deadline: s.now.Add(benchTimeout)}
+	q.work = time.Duration(s.rng.ExpFloat64() * float64(benchWork))
+	pick := s.rng.Float64()
+	for q.org = 0; q.org < len(demand)-1 && pick >= demand[q.org]; q.org++ {
+		pick -= demand[q.org]
+	}
+	s.requests[q.id] = q
+	s.submit(q)
+}
+
+func (s *sim) submit(q *simRequest) {
+	if s.cores == nil {
+		s.sendTo(q, s.roundRobin(q.host), func(bool) {})
+		return
+	}
+	t := Ticket{ID: q.id, Organisation: fmt.Sprint("o", q.org), QueueUntil: s.now.Add(q.deadline.Sub(s.now) / queueShare), Deadline: q.deadline, Retry: q.attempts > 0}
+	s.apply(q.host, s.cores[q.host].Submit(s.now, t))
+}
+
+func (s *sim) roundRobin(host int) *simRunner {
+	for {
+		s.turn[host]++
+		r := s.runners[s.turn[host]%len(s.runners)]
+		if !s.out || r.host.FailureDomain != "d0" {
+			return r
+		}
+	}
+}
+
+func (s *sim) apply(host int, d Decisions) {
+	for _, x := range d.Sheds {
+		delete(s.requests, x.Ticket)
+	}
+	for _, x := range d.Dispatches {
+		q := s.requests[x.Ticket]
+		r := s.byName[x.Upstream.Name]
+		s.sendTo(q, r, func(whole bool) {
+			rep := Report{Ticket: q.id, Result: Answered}
+			if !whole {
+				rep.Result = Failed
+			}
+			s.apply(host, s.cores[host].Finish(s.now, rep))
+			if !whole && q.attempts < maxAttempts && s.cores[host].Retry() {
+				s.requests[q.id] = q
+				s.submit(q)
+			}
+		})
+	}
+}
+
+// sendTo works on a request at a runner, after those that wait there.
+func (s *sim) sendTo(q *simRequest, r *simRunner, ended func(whole bool)) {
+	q.attempts++
+	begin := func() {
+		losses := r.losses
+		took := time.Duration(float64(q.work) / r.speed)
+		if r.host.FailureDomain != s.fleet.EntryHosts[q.host].FailureDomain {
+			took += remotePenalty
+		}
+		s.after(took, func() {
+			if r.losses != losses {
+				ended(false)
+				return
+			}
+			r.busy--
+			s.finish(q)
+			ended(true)
+			if len(r.waiting) > 0 {
+				next := r.waiting[0]
+				r.waiting = r.waiting[1:]
+				r.busy++
+				next()
+			}
+		})
+	}
+	switch {
+	case r.lost:
+		s.after(benchReset, func() { ended(false) })
+	case r.busy < benchSlots:
+		r.busy++
+		begin()
+	default:
+		r.waiting = append(r.waiting, begin)
+	}
+	s.peak = max(s.peak, r.busy+len(r.waiting))
+}
+
+func (s *sim) finish(q *simRequest) {
+	delete(s.requests, q.id)
+	if s.now.Before(s.windowFrom) {
+		return
+	}
+	took := s.now.Sub(q.arrived)
+	s.latencies = append(s.latencies, min(took, benchTimeout))
+	if s.now.Before(q.deadline) {
+		s.work[q.org] += q.work
+		s.windowWork += q.work
+	}
+}
+
+// report gives the run's figures: completion times, work done in time as a
+// part of ideal, and the smallest organisation's part of the largest's.
+func (s *sim) report(b *testing.B, ideal float64) {
+	slices.Sort(s.latencies)
+	at := func(q float64) float64 {
+		return float64(s.latencies[int(q*float64(len(s.latencies)-1))]) / float64(time.Millisecond)
+	}
+	b.ReportMetric(at(0.5), "p50-ms")
+	b.ReportMetric(at(0.99), "p99-ms")
+	b.ReportMetric(s.windowWork.Seconds()/ideal, "work/ideal")
+	b.ReportMetric(slices.Min(s.work).Seconds()/slices.Max(s.work).Seconds(), "fairness")
+	b.ReportMetric(float64(s.peak), "peak-on-a-runner")
+	b.ReportMetric(0, "ns/op")
+}
+
+func BenchmarkPolicy(b *testing.B) {
+	for _, load := range []float64{0.5, 0.9, 2.0} {
+		for _, policy := range []string{"core", "round-robin"} {
+			b.Run(fmt.Sprintf("load=%.1f/%s", load, policy), func(b *testing.B) {
+				for range b.N {
+					s := newSim(policy == "core", 1)
+					s.run(load)
+					ideal := min(load, 1) * s.capacity("") * (benchLength - benchWarmUp).Seconds()
+					s.report(b, ideal)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkFailureDomain takes a failure domain out, or loses it, and brings it
+// back, at load 0.9 of all runners. The ideal counts its runners except while
+// they are lost or every entry host knows that they are out.
+func BenchmarkFailureDomain(b *testing.B) {
+	const (
+		load  = 0.9
+		leave = 3 * time.Second
+		back  = 9 * time.Second
+	)
+	for _, lost := range []bool{false, true} {
+		for _, policy := range []string{"core", "round-robin"} {
+			b.Run(fmt.Sprintf("lost=%v/%s", lost, policy), func(b *testing.B) {
+				for range b.N {
+					s := newSim(policy == "core", 1)
+					s.after(leave, func() { s.lose(lost) })
+					s.after(leave+benchLag, func() { s.update(true) })
+					s.after(back, func() { s.restore() })
+					s.after(back+benchLag, func() { s.update(false) })
+					s.run(load)
+					away := back - leave
+					if lost {
+						away += benchLag
+					}
+					absent := min(load*s.capacity(""), s.capacity("d0")) * away.Seconds()
+					present := load * s.capacity("") * (benchLength - benchWarmUp - away).Seconds()
+					s.report(b, absent+present)
+				}
+			})
+		}
+	}
+}
+
+// lose takes domain d0's runners away with what they work on, when they are lost.
+func (s *sim) lose(lost bool) {
+	for _, r := range s.runners {
+		if r.host.FailureDomain == "d0" && lost {
+			r.lost, r.losses, r.busy, r.waiting = true, r.losses+1, 0, nil
+		}
+	}
+}
+
+func (s *sim) restore() {
+	for _, r := range s.runners {
+		r.lost = false
+	}
+}
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	latencyWeight   = 0.1                    // weight of a new latency in the moving average
+	latencyWeight   = 0.05                   // weight of a new latency in the moving average
 	latencyHalfLife = 20 * time.Second       // an unused estimate's excess over the best halves in this time
 	remoteFactor    = 1.5                    // a remote runner must be this much faster than a local one
 	remotePenalty   = 2 * time.Millisecond   // round trip to another failure domain
@@ -17,7 +17,7 @@
 	maxBackoff      = 30 * time.Second
 	answerFailures  = 5                     // consecutive 5xx answers that count as failing
 	leaveHold       = 30 * time.Second      // no requests after a runner's own sign of leaving, unless it was gone meanwhile
-	leaveProbe      = time.Second           // between probes of a runner that is leaving
+	probeInterval   = time.Second           // between probes of a runner that is leaving or does not answer
 	fullHold        = 20 * time.Millisecond // no requests after a runner said that it is full
 	growDelay       = 3 * time.Second       // before slots of a host that is gone are used
 )
@@ -133,8 +133,11 @@
 }
 
 // fail stops new requests for a time that doubles with each failure in a row.
-// jitter is in [0, 1).
+// Requests in flight that fail together count once. jitter is in [0, 1).
 func (r *runner) fail(now time.Time, jitter float64) {
+	if r.suspect {
+		return
+	}
 	pause := firstBackoff << min(r.failures, 10)
 	pause = min(pause, maxBackoff)
 	pause = pause/2 + time.Duration(jitter*float64(pause/2))
@@ -150,7 +153,7 @@
 	r.suspect = true
 	r.gone = false
 	r.leaveUntil = now.Add(leaveHold)
-	r.hold(now.Add(leaveProbe))
+	r.hold(now.Add(probeInterval))
 }
 
 func (r *runner) wantsProbe(now time.Time) bool {
@@ -165,13 +168,14 @@
 	switch {
 	case !alive && leaving:
 		r.gone = true
-		r.hold(now.Add(leaveProbe))
+		r.hold(now.Add(probeInterval))
 	case !alive:
-		r.fail(now, jitter)
+		pause := probeInterval/2 + time.Duration(jitter*float64(probeInterval/2))
+		r.hold(now.Add(pause))
 	case closing:
 		r.leave(now)
 	case leaving && !r.gone && now.Before(r.leaveUntil):
-		r.hold(now.Add(leaveProbe))
+		r.hold(now.Add(probeInterval))
 	default:
 		r.suspect = false
 		r.leaveUntil = time.Time{}
