Wire claims, carried platform calls, seeds and TLS into the entry host

Cause: keyed requests were refused as not run, since no claims were wired; then since taking a shard over read 256 segments under a budget of 10 calls a second (seen: 'call budget: would exceed context deadline' at every host). Ruled out: fewer segments, which would shorten retention. Open: hosts log short platform failures while the stand-in answers.

--- a/claims/journal.go
+++ b/claims/journal.go
@@ -74,30 +74,20 @@
 	return nil, errors.New("claims: the shard's log kept changing; retry later")
 }
 
-// load reads the whole ring.
+// load reads the ring in the order in which its segments are written, up to
+// the first one that was never written: none after it was, either.
 func (j *journal) load(ctx context.Context) ([]segment, error) {
+	ctx = platform.Urgent(ctx)
 	segments := make([]segment, j.opts.Segments)
-	var group errgroup.Group
-	group.SetLimit(loadParallel)
-	for slot := range segments {
-		group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			e, err := j.opts.Store.Get(ctx, j.key(slot))
-			if errors.Is(err, platform.ErrNotFound) {
-				j.versions[slot] = 0
-				return nil
-			}
-			if err != nil {
-				return err
-			}
-			j.versions[slot] = e.Version
-			segments[slot], err = decodeSegment(e.Value)
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return nil, err
+	clear(j.versions)
+	for first := 1; first <= len(segments); first += loadParallel {
+		more, err := j.loadSome(ctx, segments, first, min(first+loadParallel, len(segments)+1))
+		if err != nil {
+			return nil, err
+		}
+		if !more {
+			break
+		}
 	}
 	for slot, s := range segments {
 		j.newest[slot] = time.Time{}
@@ -108,6 +98,40 @@
 	return segments, nil
 }
 
+// loadSome reads the slots of the sequence numbers from first up to, without,
+// end. It returns false when one of them was never written.
+func (j *journal) loadSome(ctx context.Context, segments []segment, first, end int) (more bool, err error) {
+	var group errgroup.Group
+	for seq := first; seq < end; seq++ {
+		slot := j.slot(uint64(seq))
+		group.Go(func() error { return j.loadOne(ctx, segments, slot) })
+	}
+	if err := group.Wait(); err != nil {
+		return false, err
+	}
+	for seq := first; seq < end; seq++ {
+		if j.versions[j.slot(uint64(seq))] == 0 {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+func (j *journal) loadOne(ctx context.Context, segments []segment, slot int) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := j.opts.Store.Get(ctx, j.key(slot))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	j.versions[slot] = e.Version
+	segments[slot], err = decodeSegment(e.Value)
+	return err
+}
+
 func (j *journal) fence(ctx context.Context, segments []segment) error {
 	last := segment{}
 	for _, s := range segments {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -169,37 +169,41 @@
 
 func (d *Deployment) buildEntries(fd string) error {
 	for e := range d.opts.Size.EntryHosts {
-		s, err := d.settings(fmt.Sprintf("%s-e%d", fd, e), fd)
-		if err != nil {
-			return err
-		}
-		logger := log.NewWithOptions(d.opts.Logs, log.Options{Level: d.opts.LogLevel}).With("host", s.Host.Name)
-		host, err := entryhost.New(entryhost.Options{Settings: s, Logger: logger})
+		host, err := d.buildEntry(fmt.Sprintf("%s-e%d", fd, e), fd)
 		if err != nil {
 			return err
 		}
 		d.entries = append(d.entries, host)
-		d.hosts = append(d.hosts, platform.Host{
-			Name:          s.Host.Name,
-			Kind:          platform.EntryHost,
-			FailureDomain: fd,
-			Address:       host.Address(),
-			PeerAddress:   host.PeerAddress(),
-		})
+		d.hosts = append(d.hosts, host.Self())
 	}
 	return nil
 }
 
-func (d *Deployment) settings(name, fd string) (*settings.Settings, error) {
-	hash := auth.HashToken(OperatorToken)
+func (d *Deployment) buildEntry(name, fd string) (*entryhost.Host, error) {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listening on loopback")
+	}
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listening on loopback")
+	}
+	s, err := d.settings(name, fd, callers.Addr(), peers.Addr())
+	if err != nil {
+		return nil, err
+	}
+	logger := log.NewWithOptions(d.opts.Logs, log.Options{Level: d.opts.LogLevel}).With("host", name)
+	return entryhost.New(entryhost.Options{Settings: s, HTTP: callers, Peer: peers, Logger: logger})
+}
+
+func (d *Deployment) settings(name, fd string, callers, peers net.Addr) (*settings.Settings, error) {
 	text := fmt.Sprintf(`{
 		"host": {"name": %q, "failureDomain": %q, "region": "region-1"},
-		"listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0"},
-		"advertise": {"http": "127.0.0.1:1", "peer": "127.0.0.1:1"}, // replaced by the listeners' own
+		"listen": {"http": %q, "peer": %q},
 		"platform": {"urls": [%q]},
 		"operatorTokenHashes": [%q],
-		"timing": {"drainWaitSeconds": 0}
-	}`, name, fd, d.platform, hash)
+		"timing": {"drainWaitSeconds": 0},
+	}`, name, fd, callers, peers, d.platform, auth.HashToken(OperatorToken))
 	return settings.Parse("dev", []byte(text))
 }
 
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/settings"
 )
@@ -40,6 +42,7 @@
 type Host struct {
 	opts   Options
 	log    *log.Logger
+	keys   keys
 	slices *slices
 	server *http.Server
 	ready  atomic.Bool
@@ -60,6 +63,9 @@
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
+	if err := h.loadKeys(); err != nil {
+		return nil, err
+	}
 	built, err := newSlices(h)
 	if err != nil {
 		return nil, err
@@ -79,19 +85,8 @@
 // PeerAddress returns the IP:port of the net/rpc listener.
 func (h *Host) PeerAddress() string { return h.opts.Peer.Addr().String() }
 
-// self returns this host's line of the host list. A port left to the system is
-// known only once it is listened on.
-func (h *Host) self() platform.Host {
-	s := h.opts.Settings
-	self := s.Self()
-	if s.Advertise.HTTP == s.Listen.HTTP {
-		self.Address = h.Address()
-	}
-	if s.Advertise.Peer == s.Listen.Peer {
-		self.PeerAddress = h.PeerAddress()
-	}
-	return self
-}
+// Self returns this host's line of the host list.
+func (h *Host) Self() platform.Host { return h.opts.Settings.Self() }
 
 func (h *Host) listen() error {
 	var err error
@@ -117,6 +112,11 @@
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	h.slices.run(background, group)
+	for _, k := range []*auth.Keys{h.keys.http, h.keys.peer} {
+		if k != nil {
+			group.Go(func() error { return k.Run(background) })
+		}
+	}
 	group.Go(h.servePeers)
 	group.Go(h.serveHTTP)
 	h.ready.Store(true)
@@ -132,7 +132,11 @@
 }
 
 func (h *Host) serveHTTP() error {
-	err := h.server.Serve(h.opts.HTTP)
+	listener := h.opts.HTTP
+	if h.keys.http != nil {
+		listener = tls.NewListener(listener, h.keys.http.ServerConfig())
+	}
+	err := h.server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -6,6 +6,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/claims"
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/election"
 	"github.com/cyclamentray/cyclamentray/gang"
@@ -19,7 +20,8 @@
 
 // slices are the parts of one entry host, in the order in which they are built.
 type slices struct {
-	platform   *platform.Client
+	guard      *platform.Guard
+	platform   *platform.Carrier
 	peers      *peer.Pool
 	peerServer *peer.Server
 	membership *membership.Membership
@@ -27,6 +29,7 @@
 	editor     *config.Editor
 	election   *election.Election
 	auth       *auth.Authenticator
+	claims     *claims.Service
 	router     *routing.Router
 	books      *ledger.Books
 	scheduler  *gang.Scheduler
@@ -35,29 +38,58 @@
 
 func newSlices(h *Host) (*slices, error) {
 	s := &slices{}
-	s.platform = platform.NewClient(h.opts.Settings.Platform.URLs[0])
 	peerOptions := peer.Options{
+		TLS:     h.peerTLS(),
 		Timeout: h.opts.Settings.Timing.PeerTimeout(),
 		Logger:  h.opts.Logger.WithPrefix("peer"),
 		Metrics: h.opts.Metrics,
 	}
 	s.peers = peer.NewPool(peerOptions)
 	s.peerServer = peer.NewServer(peerOptions)
+	s.buildPlatform(h)
 	s.buildMembership(h)
 	s.buildConfig(h)
 	s.buildElection(h)
 	s.buildAuth(h)
+	s.buildClaims(h)
 	s.buildRouter(h)
 	s.buildJobs(h)
 	return s, s.registerPeers()
 }
 
+func (s *slices) buildPlatform(h *Host) {
+	s.guard = platform.New(platform.Options{
+		Base:    h.opts.Settings.Platform.URLs[0],
+		Further: h.opts.Settings.Platform.URLs[1:],
+		Now:     h.opts.Now,
+		Logger:  h.opts.Logger.WithPrefix("platform"),
+		Metrics: h.opts.Metrics,
+	})
+	s.platform = platform.NewCarrier(s.guard, s.peers, s.carriers)
+}
+
+// carriers returns the peers that may carry a call to the platform, those of
+// this failure domain first.
+func (s *slices) carriers() []string {
+	view := s.membership.View()
+	var near, far []string
+	for _, p := range view.Peers() {
+		if p.FailureDomain == view.Self.FailureDomain {
+			near = append(near, p.PeerAddress)
+		} else {
+			far = append(far, p.PeerAddress)
+		}
+	}
+	return append(near, far...)
+}
+
 func (s *slices) buildMembership(h *Host) {
 	s.membership = membership.New(membership.Options{
-		Self:        h.self(),
+		Self:        h.Self(),
 		Incarnation: newIncarnation(h.opts.Now()),
 		Lister:      s.platform,
 		Peers:       s.peers,
+		Seeds:       h.opts.Settings.Seeds,
 		Status:      func() membership.Status { return s.status() },
 		Now:         h.opts.Now,
 		Logger:      h.opts.Logger.WithPrefix("membership"),
@@ -68,7 +100,11 @@
 // status is what heartbeats tell other hosts about this one.
 func (s *slices) status() membership.Status {
 	snap, _ := s.config.Current()
-	status := membership.Status{Revision: snap.Revision, RevisionAge: s.config.Age()}
+	status := membership.Status{
+		Revision:     snap.Revision,
+		RevisionAge:  s.config.Age(),
+		PlatformDown: s.guard.Down(),
+	}
 	if term, _, held := s.election.Term(); held {
 		status.Term = term
 	}
@@ -80,6 +116,7 @@
 		Store:   s.platform,
 		Peers:   s.peers,
 		Members: s.membership,
+		Seeds:   h.opts.Settings.Seeds,
 		Direct:  func() bool { return s.schedules() },
 		Now:     h.opts.Now,
 		Logger:  h.opts.Logger.WithPrefix("config"),
@@ -122,6 +159,17 @@
 	})
 }
 
+func (s *slices) buildClaims(h *Host) {
+	s.claims = claims.New(claims.Options{
+		Now:        h.opts.Now,
+		Logger:     h.opts.Logger.WithPrefix("claims"),
+		Metrics:    h.opts.Metrics,
+		Store:      s.platform,
+		Peers:      s.peers,
+		Membership: s.membership,
+	})
+}
+
 func (s *slices) buildRouter(h *Host) {
 	s.router = routing.New(routing.Options{
 		Now:        h.opts.Now,
@@ -129,6 +177,7 @@
 		Metrics:    h.opts.Metrics,
 		Membership: s.membership,
 		Config:     s.config,
+		Claims:     s.claims,
 	})
 }
 
@@ -182,8 +231,10 @@
 
 func (s *slices) registerPeers() error {
 	for _, register := range []func(*peer.Server) error{
+		s.guard.RegisterPeer,
 		s.membership.RegisterPeer,
 		s.config.RegisterPeer,
+		s.claims.RegisterPeer,
 		s.scheduler.RegisterPeer,
 	} {
 		if err := register(s.peerServer); err != nil {
@@ -199,6 +250,7 @@
 		s.membership.Run,
 		s.config.Run,
 		s.election.Run,
+		s.claims.Run,
 		s.router.Run,
 		s.scheduler.Run,
 		s.intake.Run,
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -32,6 +32,8 @@
 		{Name: "urls", Type: schema.List, Required: true, Min: 1, Max: 16, Doc: "tried in turn",
 			Elem: &schema.Field{Type: schema.String, Required: true, Format: schema.URLFormat}},
 	}},
+	{Name: "seeds", Type: schema.List, Min: 0, Max: 64, Doc: "peer addresses of other entry hosts, asked while the platform cannot be reached",
+		Elem: &schema.Field{Type: schema.String, Required: true, Format: schema.AddressFormat}},
 	{Name: "operatorTokenHashes", Type: schema.List, Min: 0, Max: 64, Doc: "hashes of operators' tokens; empty: operators' calls are refused",
 		Elem: &schema.Field{Type: schema.String, Required: true, Format: schema.HashFormat}},
 	{Name: "tls", Type: schema.Object, Doc: "keys of the listeners", Fields: []schema.Field{
