--- a/config/distribute_test.go
+++ b/config/distribute_test.go
@@ -59,7 +59,7 @@
 			f.awaitRevision(revision)
 			f.stand.SetFaults(fault)
 			_, confirmed := f.hosts[0].Current()
-			booted := f.restart(2) // first of its failure domain, so it has no relay
+			booted := f.restart(2)                                        // first of its failure domain, so it has no relay
 			f.await(func() bool { return booted.revision() == revision }) // from its peers
 			for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				for _, m := range f.hosts {
