Wire the platform guard and the carrier into the entry host

Cause: the entry host used the bare client: no budget, back-off, settled writes or calls carried by peers, and only the first of several platform addresses. Change: every slice's store is now the carrier over the guard; peers learn in heartbeats whether this host reaches the platform.

--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -19,7 +19,8 @@
 
 // slices are the parts of one entry host, in the order in which they are built.
 type slices struct {
-	platform   *platform.Client
+	guard      *platform.Guard   // this host's own calls to the platform
+	platform   *platform.Carrier // the same, or through peers while it is cut off
 	peers      *peer.Pool
 	peerServer *peer.Server
 	membership *membership.Membership
@@ -35,7 +36,14 @@
 
 func newSlices(h *Host) (*slices, error) {
 	s := &slices{}
-	s.platform = platform.NewClient(h.opts.Settings.Platform.URLs[0])
+	urls := h.opts.Settings.Platform.URLs
+	s.guard = platform.New(platform.Options{
+		Base:    urls[0],
+		Others:  urls[1:],
+		Now:     h.opts.Now,
+		Logger:  h.opts.Logger.WithPrefix("platform"),
+		Metrics: h.opts.Metrics,
+	})
 	peerOptions := peer.Options{
 		Timeout: h.opts.Settings.Timing.PeerTimeout(),
 		Logger:  h.opts.Logger.WithPrefix("peer"),
@@ -43,6 +51,7 @@
 	}
 	s.peers = peer.NewPool(peerOptions)
 	s.peerServer = peer.NewServer(peerOptions)
+	s.platform = platform.NewCarrier(s.guard, s.peers, func() []string { return s.membership.Carriers() })
 	s.buildMembership(h)
 	s.buildConfig(h)
 	s.buildElection(h)
@@ -71,7 +80,7 @@
 // status is what heartbeats tell other hosts about this one.
 func (s *slices) status() membership.Status {
 	snap, _ := s.config.Current()
-	status := membership.Status{Revision: snap.Revision, RevisionAge: s.config.Age()}
+	status := membership.Status{Revision: snap.Revision, RevisionAge: s.config.Age(), PlatformDown: s.guard.Down()}
 	if term, _, held := s.election.Term(); held {
 		status.Term = term
 	}
@@ -185,6 +194,7 @@
 
 func (s *slices) registerPeers() error {
 	for _, register := range []func(*peer.Server) error{
+		s.guard.RegisterPeer,
 		s.membership.RegisterPeer,
 		s.config.RegisterPeer,
 		s.scheduler.RegisterPeer,
