--- /dev/null
+++ b/routing/bench_test.go
@@ -0,0 +1,136 @@
+package routing_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/claims"
+	"github.com/cyclamentray/cyclamentray/routing"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+	"github.com/cyclamentray/cyclamentray/standin/upstream"
+)
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	must.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func post(b *testing.B, method, url, key string) routing.Outcome {
+	req, err := http.NewRequest(method, url, strings.NewReader("kit"))
+	must.NoError(b, err)
+	req.Header.Set("Organisation", "acme")
+	if key != "" {
+		req.Header.Set(routing.HeaderKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(b, err)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(b, err)
+	return routing.Outcome(resp.Header.Get(routing.HeaderOutcome))
+}
+
+// BenchmarkAddedLatency compares a call through an entry host with a direct
+// one, in turn, so that both see the same machine.
+func BenchmarkAddedLatency(b *testing.B) {
+	for _, method := range []string{"GET", "POST"} {
+		b.Run(method, func(b *testing.B) {
+			host, _, _ := runnerHost(b, upstream.Options{Name: "u1", Work: 2 * time.Millisecond})
+			e := startEntry(b, newShared(time.Minute, host), nil)
+			direct, via := hdrhistogram.New(1, 1e9, 3), hdrhistogram.New(1, 1e9, 3)
+			var cpu [2]time.Duration
+			for b.Loop() {
+				for i, target := range []string{"http://" + host.Address + "/book", e.url + "/v1/services/loans/requests/book"} {
+					used, began := cpuTime(b), time.Now()
+					post(b, method, target, "")
+					took := time.Since(began).Microseconds()
+					cpu[i] += cpuTime(b) - used
+					_ = []*hdrhistogram.Histogram{direct, via}[i].RecordValue(took)
+				}
+			}
+			for _, q := range []float64{50, 99} {
+				added := via.ValueAtQuantile(q) - direct.ValueAtQuantile(q)
+				b.ReportMetric(float64(added), fmt.Sprintf("added-p%.0f-us", q))
+			}
+			b.ReportMetric(float64((cpu[1]-cpu[0]).Microseconds())/float64(via.TotalCount()), "added-cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkKeyedRequests counts platform calls a keyed request, watches and
+// lease renewals included, with three entry hosts and 64 callers.
+func BenchmarkKeyedRequests(b *testing.B) {
+	const (
+		callers = 64
+		length  = 5 * time.Second
+	)
+	hosts := runnerHosts(b, 4)
+	store := kv.New()
+	entries := startKeyed(b, store, 3, claims.DefaultCommitInterval, hosts...)
+	post(b, "POST", entries[0].url+"/v1/services/loans/requests/book", "warm-up")
+	before := total(store.Calls())
+	latency := hdrhistogram.New(1, 1e9, 3)
+	var ran atomic.Int64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for b.Loop() {
+		end := time.Now().Add(length)
+		for c := range callers {
+			wg.Go(func() {
+				for n := 0; time.Now().Before(end); n++ {
+					began := time.Now()
+					url := entries[(c+n)%len(entries)].url + "/v1/services/loans/requests/book"
+					if post(b, "POST", url, fmt.Sprintf("k-%d-%d", c, n)) == routing.Ran {
+						ran.Add(1)
+					}
+					mu.Lock()
+					_ = latency.RecordValue(time.Since(began).Microseconds())
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+	}
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	b.ReportMetric(float64(total(store.Calls())-before)/float64(ran.Load())*1000, "calls/1000")
+	b.ReportMetric(float64(ran.Load())/b.Elapsed().Seconds(), "requests/s")
+	b.ReportMetric(float64(latency.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(latency.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(mem.Sys)/(1<<20), "MiB-all-hosts")
+}
+
+// BenchmarkIdle gives what an entry host with 50 upstreams spends on routing
+// while no request comes.
+func BenchmarkIdle(b *testing.B) {
+	e := startEntry(b, newShared(time.Minute, runnerHosts(b, 50)...), nil)
+	for range 50 {
+		post(b, "GET", e.url+"/v1/services/loans/requests/book", "")
+	}
+	for b.Loop() {
+		before := cpuTime(b)
+		time.Sleep(2 * time.Second)
+		b.ReportMetric(100*(cpuTime(b)-before).Seconds()/2, "core-percent")
+	}
+}
+
+func total(calls map[string]int) int {
+	n := 0
+	for _, c := range calls {
+		n += c
+	}
+	return n
+}
--- a/routing/call.go
+++ b/routing/call.go
@@ -18,6 +18,7 @@
 
 const (
 	maxBodyBytes   = 1 << 20
+	maxHeldBytes   = 48 << 20 // of the bodies of all requests at once
 	defaultTimeout = 30 * time.Second
 
 	// headerOrganisation tells an upstream whose request it is.
@@ -47,6 +48,20 @@
 	key          string // empty: none
 }
 
+// hold reserves memory for a request's body; it returns the number of bytes to
+// give back. ok is false when too much is held already.
+func (r *Router) hold(req *http.Request) (n int64, ok bool) {
+	n = req.ContentLength
+	if n < 0 || n > maxBodyBytes {
+		n = maxBodyBytes
+	}
+	if r.held.Add(n) > maxHeldBytes {
+		r.held.Add(-n)
+		return 0, false
+	}
+	return n, true
+}
+
 // readCall reads a request for a service that the caller may call.
 func readCall(req *http.Request, organisation string, s config.Service, now time.Time) (*call, *apierr.Error) {
 	body, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes+1))
--- a/routing/router.go
+++ b/routing/router.go
@@ -44,6 +44,7 @@
 	meters   *meters
 	sequence atomic.Uint64
 	inFlight atomic.Int64
+	held     atomic.Int64 // bytes of bodies in memory
 	draining atomic.Bool
 
 	mu       sync.Mutex
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -149,6 +149,21 @@
 	return host, u, proxy
 }
 
+// runnerHosts starts upstreams that take their connections directly.
+func runnerHosts(t testing.TB, n int) []platform.Host {
+	var hosts []platform.Host
+	for i := range n {
+		name := fmt.Sprint("u", i)
+		server := httptest.NewServer(upstream.New(upstream.Options{Name: name, Slots: 64, Work: 2 * time.Millisecond}))
+		t.Cleanup(server.Close)
+		hosts = append(hosts, platform.Host{
+			Name: name, Kind: platform.Upstream, FailureDomain: "a", Service: "loans",
+			Address: server.Listener.Addr().String(), Slots: 64,
+		})
+	}
+	return hosts
+}
+
 func waitFor(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
--- a/routing/serve.go
+++ b/routing/serve.go
@@ -35,6 +35,12 @@
 		writeError(w, NotRun, err)
 		return
 	}
+	held, ok := r.hold(req)
+	if !ok {
+		writeError(w, NotRun, errShed(QueueFull))
+		return
+	}
+	defer r.held.Add(-held)
 	c, err := readCall(req, id.Organisation, config, began)
 	if err != nil {
 		writeError(w, NotRun, err)
