Refuse a retired service's requests with the reason, to its callers only

A retirement removes the document, so the last one seen is kept to tell who may learn of it. Seen failing first: callers got 404 in place of 410.

--- a/routing/access.go
+++ b/routing/access.go
@@ -15,26 +15,63 @@
 	return apierr.New(apierr.NotFound, "no such service", "check the service's name and the token")
 }
 
-// authorise returns the sender and the service that it calls when it may.
+// authorise returns the sender and the service that it calls when it may. The
+// error of kind Retired comes with the service's last document.
 func (r *Router) authorise(req *http.Request) (auth.Identity, config.Service, *apierr.Error) {
 	id, ok := auth.FromContext(req.Context())
 	if !ok {
 		return id, config.Service{}, apierr.New(apierr.Unauthenticated, "no valid token", "send Authorization: Bearer TOKEN")
 	}
-	snap, _ := r.opts.Config.Current()
-	service, found := snap.Services[req.PathValue("service")]
+	snap := r.currentConfig()
+	name := req.PathValue("service")
+	if service, retired := r.retiredService(snap, name); retired {
+		if !mayCall(id, service) {
+			return id, config.Service{}, errNotFound()
+		}
+		return id, service, apierr.New(apierr.Retired, "the service is retired", "call its successor, or ask its team")
+	}
+	service, found := snap.Services[name]
 	if !found || !mayCall(id, service) {
 		return id, config.Service{}, errNotFound()
 	}
-	if _, retired := snap.Retired[service.Name]; retired {
-		return id, config.Service{}, apierr.New(apierr.Retired, "the service is retired", "call its successor, or ask its team")
-	}
 	if service.Requests == nil {
 		return id, config.Service{}, apierr.New(apierr.InvalidInput, "the service takes no requests", "add a requests section to its document")
 	}
 	return id, service, nil
 }
 
+// currentConfig returns the newest snapshot. A retirement removes the service's
+// document, so the last one is kept: it tells whose callers may learn of it.
+func (r *Router) currentConfig() *config.Snapshot {
+	snap, _ := r.opts.Config.Current()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if snap == r.snapshot {
+		return snap
+	}
+	for name := range snap.Retired {
+		if r.snapshot == nil {
+			break
+		}
+		if service, ok := r.snapshot.Services[name]; ok {
+			r.retired[name] = service
+		}
+	}
+	r.snapshot = snap
+	return snap
+}
+
+// retiredService returns the last known document of a retired service. It is
+// empty, and so visible to operators alone, when this host started later.
+func (r *Router) retiredService(snap *config.Snapshot, name string) (config.Service, bool) {
+	if _, retired := snap.Retired[name]; !retired {
+		return config.Service{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.retired[name], true
+}
+
 // mayCall reports whether the sender's organisation owns the service or is
 // named in its shareWith.
 func mayCall(id auth.Identity, s config.Service) bool {
--- a/routing/router.go
+++ b/routing/router.go
@@ -50,6 +50,8 @@
 	mu       sync.Mutex
 	services map[string]*service
 	pools    map[string]*pool // by address
+	snapshot *config.Snapshot // as last seen
+	retired  map[string]config.Service
 }
 
 // New returns a router. Run must be running for it to shed, probe and refresh
@@ -67,7 +69,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool)}
+	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool), retired: make(map[string]config.Service)}
 	r.meters = newMeters(o.Metrics, r)
 	return r
 }
@@ -106,6 +108,7 @@
 }
 
 func (r *Router) tick(ctx context.Context, now time.Time, probes *sync.WaitGroup) {
+	r.currentConfig()
 	for _, s := range r.allServices() {
 		r.refresh(s)
 		for _, host := range s.tick(now) {
@@ -120,8 +123,7 @@
 }
 
 func (r *Router) refresh(s *service) {
-	snap, _ := r.opts.Config.Current()
-	s.refresh(r.opts.Now(), r.opts.Membership.View(), snap)
+	s.refresh(r.opts.Now(), r.opts.Membership.View(), r.currentConfig())
 }
 
 func (r *Router) allServices() []*service {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -185,6 +185,21 @@
 	must.Eq(t, int64(2), u.Executed())
 }
 
+func TestRetiredServiceRefusesAndTellsItsCallersOnly(t *testing.T) {
+	host, u, _ := runnerHost(t, upstream.Options{Name: "u1"})
+	s := newShared(time.Second, host)
+	e := startEntry(t, s, nil)
+	must.Eq(t, routing.Ran, e.do(t, "POST", "north", "").outcome)
+	s.mu.Lock()
+	s.snap = &config.Snapshot{Revision: 2, Retired: map[string]uint64{"loans": 2}}
+	s.mu.Unlock()
+	refused := e.do(t, "POST", "north", "")
+	must.Eq(t, http.StatusGone, refused.status)
+	must.Eq(t, routing.NotRun, refused.outcome)
+	must.Eq(t, http.StatusNotFound, e.do(t, "POST", "stranger", "").status)
+	must.Eq(t, int64(1), u.Executed())
+}
+
 // A kept connection that the upstream's side has closed or lost must not make
 // a non-idempotent request fail or run twice.
 func TestNonIdempotentNotSentOnFrozenConnection(t *testing.T) {
--- a/routing/serve.go
+++ b/routing/serve.go
@@ -137,7 +137,7 @@
 func (r *Router) serveOutcome(w http.ResponseWriter, req *http.Request) {
 	r.announce(w)
 	id, service, err := r.authorise(req)
-	if err != nil {
+	if err != nil && err.Kind != apierr.Retired {
 		writeError(w, NotRun, err)
 		return
 	}
