--- a/routing/serve.go
+++ b/routing/serve.go
@@ -35,6 +35,12 @@
 		writeError(w, NotRun, err)
 		return
 	}
+	held, ok := r.hold(req)
+	if !ok {
+		writeError(w, NotRun, errShed(QueueFull))
+		return
+	}
+	defer r.held.Add(-held)
 	c, err := readCall(req, id.Organisation, config, began)
 	if err != nil {
 		writeError(w, NotRun, err)
@@ -131,7 +137,7 @@
 func (r *Router) serveOutcome(w http.ResponseWriter, req *http.Request) {
 	r.announce(w)
 	id, service, err := r.authorise(req)
-	if err != nil {
+	if err != nil && err.Kind != apierr.Retired {
 		writeError(w, NotRun, err)
 		return
 	}
