--- a/gang/failures_test.go
+++ b/gang/failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	mu   sync.Mutex
 	seen int
 	dead bool
+	done atomic.Int32 // messages of the path that were answered
 }
 
 func (g *gate) Call(ctx context.Context, address, path string, args, reply any) error {
@@ -44,7 +46,11 @@
 	if dead {
 		return errors.New("this host is dead")
 	}
-	return g.WorkerCaller.Call(ctx, address, path, args, reply)
+	err := g.WorkerCaller.Call(ctx, address, path, args, reply)
+	if path == g.path {
+		g.done.Add(1)
+	}
+	return err
 }
 
 // watchCopies fails the test if two generations of the job ever run together.
@@ -199,19 +205,19 @@
 	s := spec("a", 2)
 	c.watchCopies(s)
 	frozen, thaw := make(chan struct{}), make(chan struct{})
-	one := c.entryHost(1, func(o *gang.Options) {
-		o.Workers = &gate{WorkerCaller: gang.NewHTTPWorkers(), path: workerapi.PathStart, nth: 1, act: func() bool {
-			close(frozen)
-			<-thaw
-			return false
-		}}
-	})
+	paused := &gate{WorkerCaller: gang.NewHTTPWorkers(), path: workerapi.PathStart, nth: 1, act: func() bool {
+		close(frozen)
+		<-thaw
+		return false
+	}}
+	one := c.entryHost(1, func(o *gang.Options) { o.Workers = paused })
 	c.submit(one, s)
 	<-frozen
 	two := c.entryHost(2, nil)
 	rec := c.reaches(two, s, job.Running)
 	must.EqOp(t, 2, rec.Generation)
 	close(thaw)
+	holds(t, "the old scheduler's start messages arrive", func() bool { return paused.done.Load() == 2 })
 	one.stop()
 	must.Eq(t, map[uint64]int{2: 2}, c.running(s))
 }
