Repeat ledger writes of a stop until they are confirmed; drop outrun gangs

Directed failures in virtual time: outage, frozen worker, cut-off renewer. Seen failing: without the fence and without waiting out leases two copies ran, with renewals bound to the term the outage ended running gangs.

--- a/gang/cycle.go
+++ b/gang/cycle.go
@@ -56,6 +56,9 @@
 func (s *Scheduler) reconcile(ctx context.Context, now time.Time, records map[string]job.Record) {
 	for _, key := range sortedKeys(records) {
 		rec := records[key]
+		if t := s.runs[key]; t != nil && t.run.outrun(rec) {
+			delete(s.runs, key)
+		}
 		if !live(rec.State) || s.runs[key] != nil {
 			continue
 		}
--- a/gang/effects.go
+++ b/gang/effects.go
@@ -59,7 +59,7 @@
 func (e effect) do(ctx context.Context, a Action) {
 	switch a := a.(type) {
 	case Record:
-		e.post(ctx, Recorded{State: a.State, OK: e.write(ctx, a)})
+		e.post(ctx, e.write(ctx, a))
 	case Reserve:
 		e.post(ctx, e.reserve(ctx, a))
 	case Start:
--- a/gang/messages.go
+++ b/gang/messages.go
@@ -10,10 +10,13 @@
 // Event is something that a run learns.
 type Event interface{ event() }
 
-// Recorded says that the ledger took the run's last record, or did not.
+// Recorded says that the ledger took the run's last record, or may not have.
+// Superseded means that the ledger has the job in a state that this run can
+// not lead to.
 type Recorded struct {
-	State job.State
-	OK    bool
+	State      job.State
+	OK         bool
+	Superseded bool
 }
 
 // Reserved is a worker's answer to a reservation; Code is empty when none came.
--- a/gang/records.go
+++ b/gang/records.go
@@ -21,9 +21,8 @@
 // a state from which the wanted one does not follow.
 var errSuperseded = errors.New("gang: the ledger has the job elsewhere; drop this run")
 
-// write brings the ledger to the run's state. A run whose job has moved on
-// needs no closing record.
-func (e effect) write(ctx context.Context, a Record) bool {
+// write brings the ledger to the run's state.
+func (e effect) write(ctx context.Context, a Record) Recorded {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	rec := e.record
@@ -33,14 +32,9 @@
 		next, err := transition(old, found, rec, a, limit, now)
 		return next, found, err
 	})
-	if errors.Is(err, errSuperseded) {
-		return closing(a.State)
-	}
-	return err == nil
+	return Recorded{State: a.State, OK: err == nil, Superseded: errors.Is(err, errSuperseded)}
 }
 
-func closing(s job.State) bool { return s == job.Queued || s.Terminal() }
-
 func maxFailures(source config.Source, spec job.Spec) int {
 	snap, _ := source.Current()
 	for _, t := range snap.Services[spec.ID.Service].Jobs {
--- a/gang/run.go
+++ b/gang/run.go
@@ -184,27 +184,19 @@
 	if e.State != r.asked {
 		return nil
 	}
+	if e.Superseded {
+		r.enter(Ended, now) // what the ledger has instead is adopted
+		return nil
+	}
 	switch r.Phase {
 	case Recording:
-		if !e.OK {
-			r.enter(Ended, now) // if the record stands after all, it is adopted
-			return nil
-		}
-		r.enter(Reserving, now)
-		var out []Action
-		for _, m := range r.members {
-			out = append(out, Reserve{Worker: m.worker, Tasks: m.tasks})
-		}
-		return out
+		return r.onPlaced(now, e.OK)
 	case Ordered:
-		if !e.OK {
-			r.enter(Running, now) // no record, no stop by choice
-			return nil
+		if e.OK {
+			return r.save(now)
 		}
-		return r.save(now)
 	case Running:
 		r.told = e.OK
-		r.next = now.Add(retryEvery)
 	case Closing:
 		if e.OK {
 			r.enter(Ended, now)
@@ -213,6 +205,30 @@
 	return nil
 }
 
+// onPlaced reserves once the placement is in the ledger. When it may not be,
+// the run ends; a placement that stands after all is adopted.
+func (r *Run) onPlaced(now time.Time, ok bool) []Action {
+	if !ok {
+		r.enter(Ended, now)
+		return nil
+	}
+	r.enter(Reserving, now)
+	var out []Action
+	for _, m := range r.members {
+		out = append(out, Reserve{Worker: m.worker, Tasks: m.tasks})
+	}
+	return out
+}
+
+// outrun tells whether the ledger has the job in a state that a running gang
+// can not be in, so that this run is obsolete.
+func (r *Run) outrun(rec job.Record) bool {
+	if r.Phase != Running {
+		return false
+	}
+	return rec.Generation != r.Gang.Generation || (rec.State != job.Placed && rec.State != job.Running)
+}
+
 func (r *Run) onReserved(now time.Time, e Reserved) []Action {
 	m := r.member(e.Worker)
 	if r.Phase != Reserving || m == nil {
@@ -262,7 +278,13 @@
 	if !r.all(func(m *member) bool { return m.status == runs }) {
 		return nil
 	}
+	return r.whole(now)
+}
+
+// whole notes that every member runs.
+func (r *Run) whole(now time.Time) []Action {
 	r.enter(Running, now)
+	r.next = now.Add(callPatience)
 	return []Action{r.record(job.Running, "")}
 }
 
@@ -318,8 +340,7 @@
 		return r.close(now)
 	}
 	if r.Phase == Adopting && r.all(func(m *member) bool { return m.known }) {
-		r.enter(Running, now)
-		return []Action{r.record(job.Running, "")}
+		return r.whole(now)
 	}
 	return nil
 }
@@ -329,6 +350,7 @@
 	case Running:
 		r.order = e
 		r.enter(Ordered, now)
+		r.next = now.Add(callPatience)
 		return []Action{r.record(job.Stopping, e.Reason)}
 	case Reserving, Starting:
 		r.order = e
@@ -442,10 +464,11 @@
 	case Adopting:
 		return r.tickAdopting(now)
 	case Running:
-		if !r.told && r.asked == job.Running && now.Sub(r.since) >= callPatience && !now.Before(r.next) {
-			r.next = now.Add(callPatience)
-			return []Action{r.record(job.Running, "")}
+		if !r.told {
+			return r.again(now, job.Running, "")
 		}
+	case Ordered:
+		return r.again(now, job.Stopping, r.order.Reason)
 	case Saving:
 		if now.Sub(r.since) >= r.order.Grace {
 			return r.stop(now)
@@ -453,14 +476,20 @@
 	case Stopping:
 		return r.tickStopping(now)
 	case Closing:
-		if !now.Before(r.next) {
-			r.next = now.Add(callPatience)
-			return []Action{r.record(r.order.Next, r.order.Reason)}
-		}
+		return r.again(now, r.order.Next, r.order.Reason)
 	}
 	return nil
 }
 
+// again repeats a record that the ledger did not confirm for a while.
+func (r *Run) again(now time.Time, state job.State, reason string) []Action {
+	if now.Before(r.next) {
+		return nil
+	}
+	r.next = now.Add(callPatience)
+	return []Action{r.record(state, reason)}
+}
+
 func (r *Run) tickAdopting(now time.Time) []Action {
 	if now.Sub(r.since) >= adoptPatience {
 		return r.fail(now, "a worker of the gang did not answer the new scheduler")
--- a/gang/world_test.go
+++ b/gang/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 	termLength   = 10 * time.Second
 	maxTransit   = 3 * time.Second
 	startBound   = 3 * time.Second
-	faultKinds   = 7
+	faultKinds   = 8
 	worldSeeds   = 150
 	// A partial gang lasts at most a lease, one renewal and what is under way.
 	partialBound = Lease + RenewEvery + 2*maxTransit + 2*time.Second
@@ -80,10 +81,12 @@
 	term    uint64
 	leased  time.Time // the platform's end of the present term
 	down    bool      // platform
+	apart   bool      // the entry hosts do not reach each other
 	out     bool
 	outAt   time.Time
-	calm    bool  // no more faults
-	kinds   []int // faults of this seed
+	calm    bool          // no more faults
+	kinds   []int         // faults of this seed
+	runTime time.Duration // of every task; 0: by generation
 	partial map[workerapi.Gang]time.Time
 	starts  int
 }
@@ -95,6 +98,9 @@
 		w.workers = append(w.workers, worker.New(worker.Options{Name: fmt.Sprint(i), Accelerators: 2,
 			Now: func() time.Time { return w.now },
 			RunTime: func(g workerapi.Gang, _ int) time.Duration {
+				if w.runTime > 0 {
+					return w.runTime
+				}
 				return time.Duration(20+int(g.Generation)*7) * time.Second
 			},
 			Fail: func(workerapi.Gang, int) bool { return !w.calm && w.rng.Intn(40) == 0 },
@@ -231,7 +237,7 @@
 	req := workerapi.GangRequest{Term: term, Gang: g}
 	switch a := a.(type) {
 	case Record:
-		post(Recorded{State: a.State, OK: w.write(h, g, term, a)})
+		post(w.write(h, g, term, a))
 	case Reserve:
 		if !w.permitted(h, term) {
 			post(Reserved{Worker: a.Worker, Code: workerapi.Refused})
@@ -267,7 +273,7 @@
 	case Fence:
 		ok := true
 		for _, other := range w.hosts {
-			if other.dead || w.now.Before(other.paused) {
+			if other != h && (w.apart || other.dead || w.now.Before(other.paused)) {
 				ok = false // listed, and does not answer
 				continue
 			}
@@ -279,21 +285,21 @@
 
 // write brings the ledger to a run's state. The answer may be lost after the
 // write took effect.
-func (w *world) write(h *worldHost, g workerapi.Gang, term uint64, a Record) bool {
+func (w *world) write(h *worldHost, g workerapi.Gang, term uint64, a Record) Recorded {
 	if w.down || h.cut {
-		return false
+		return Recorded{State: a.State}
 	}
 	run := h.runs[g.Job]
 	if run == nil {
-		return false
+		return Recorded{State: a.State}
 	}
 	rec := job.Record{Generation: g.Generation, Workers: run.Workers, Term: term}
 	next, err := transition(w.ledger[g.Job], true, rec, a, 100, w.now)
 	if err != nil {
-		return closing(a.State)
+		return Recorded{State: a.State, Superseded: true}
 	}
 	w.ledger[g.Job] = next
-	return !w.lost()
+	return Recorded{State: a.State, OK: !w.lost()}
 }
 
 // refresh reads the configuration and the ledger, and takes or keeps the term.
@@ -372,7 +378,7 @@
 		}
 		h.core.SetRoster(w.now, roster)
 		batches, lost := h.core.Tick(w.now)
-		w.observe(lost)
+		w.observe(i, lost)
 		w.send(i, batches)
 		w.send(i, h.core.Again())
 	})
@@ -390,13 +396,17 @@
 		}
 		reply := w.workers[k].Renew(req)
 		if !w.lost() {
-			w.observe(w.hosts[i].core.Answer(w.now, b, reply))
+			w.observe(i, w.hosts[i].core.Answer(w.now, b, reply))
 		}
 	}
 }
 
-func (w *world) observe(learned []Observation) {
+// observe tells the hosts what a renewal of one of them taught.
+func (w *world) observe(by int, learned []Observation) {
 	for i, h := range w.hosts {
+		if w.apart && i != by {
+			continue
+		}
 		for _, o := range learned {
 			run := h.runs[o.Gang.Job]
 			if run == nil || run.Gang != o.Gang || h.dead || !w.held(h) {
@@ -428,13 +438,15 @@
 	case 5:
 		w.hosts[i].cut = !w.hosts[i].cut
 	case 6:
+		w.apart = !w.apart
+	case 7:
 		w.out = !w.out
 		w.outAt = w.now
 	}
 }
 
 func (w *world) heal() {
-	w.calm, w.down, w.out = true, false, false
+	w.calm, w.down, w.out, w.apart = true, false, false, false
 	w.links = [worldHosts][worldWorkers]bool{}
 	for _, h := range w.hosts {
 		h.cut, h.paused = false, time.Time{}
@@ -521,3 +533,81 @@
 	t.Logf("%d task starts", starts)
 	must.Greater(t, 1000, starts)
 }
+
+// quietWorld has no random faults, and its first host holds the term.
+func quietWorld(t *testing.T) *world {
+	w := newWorld(t, 1)
+	w.calm = true
+	w.runTime = time.Hour
+	w.hosts[1].cut = true
+	w.run(3 * time.Second)
+	w.hosts[1].cut = false
+	w.run(2 * time.Second)
+	return w
+}
+
+// running returns the generation that runs of a job; 0: none.
+func (w *world) running(key string) uint64 {
+	for _, s := range w.workers {
+		for _, t := range s.Tasks().Tasks {
+			if t.State == workerapi.TaskRunning && t.Gang.Job == key {
+				return t.Gang.Generation
+			}
+		}
+	}
+	return 0
+}
+
+func TestOutageStartsNothingAndStopsNothing(t *testing.T) {
+	t.Parallel()
+	w := quietWorld(t)
+	lost := w.ledger["o/s/0"]
+	w.down = true
+	w.run(termLength + 5*time.Second) // no scheduler any more
+	w.workers[number(lost.Workers[0])].Restart()
+	before := w.starts
+	w.run(30 * time.Minute)
+	must.EqOp(t, before, w.starts)
+	must.EqOp(t, 0, w.running("o/s/0"))
+	kept := 0
+	for key, rec := range w.ledger {
+		if !slices.Contains(rec.Workers, lost.Workers[0]) {
+			must.EqOp(t, rec.Generation, w.running(key))
+			kept++
+		}
+	}
+	must.Positive(t, kept)
+	w.down = false
+	w.run(time.Minute)
+	must.Greater(t, 1, w.running("o/s/0"))
+}
+
+func TestFrozenWorkersGangRestartsOnceItsLeaseLapsed(t *testing.T) {
+	t.Parallel()
+	w := quietWorld(t)
+	k := number(w.ledger["o/s/0"].Workers[0])
+	w.links[0][k], w.links[1][k] = true, true
+	w.run(Lease - RenewEvery)
+	must.EqOp(t, 1, w.running("o/s/0"), must.Sprint("its lease has not lapsed"))
+	w.run(2 * time.Minute)
+	again := w.running("o/s/0")
+	must.Greater(t, 1, again)
+	w.links[0][k], w.links[1][k] = false, false
+	w.run(time.Minute)
+	must.EqOp(t, again, w.running("o/s/0"))
+}
+
+// TestCutOffRenewerIsFenced has a host that knows only an old ledger and still
+// reaches a worker that the scheduler can not reach.
+func TestCutOffRenewerIsFenced(t *testing.T) {
+	t.Parallel()
+	w := quietWorld(t)
+	k := number(w.ledger["o/s/0"].Workers[0])
+	w.hosts[1].cut, w.apart = true, true
+	w.links[0][k] = true
+	w.run(5 * time.Minute)
+	must.EqOp(t, 1, w.running("o/s/0"), must.Sprint("the other host goes on renewing"))
+	w.apart = false
+	w.run(5 * time.Minute)
+	must.Greater(t, 1, w.running("o/s/0"))
+}
