--- a/placement/guaranteed.go
+++ b/placement/guaranteed.go
@@ -19,20 +19,40 @@
 )
 
 // startGuaranteed starts the waiting jobs that fit an unused guaranteed shape,
-// or reclaims for them, and returns the other jobs.
+// or reclaims for them, and returns the other jobs. Urgent and older ones come
+// first, so that a later job never takes what was reclaimed for another.
 func (d *decision) startGuaranteed(queue []*Waiting) []*Waiting {
-	var rest []*Waiting
-	for _, urgent := range []bool{true, false} {
-		for _, w := range queue {
-			if w.Urgent != urgent {
-				continue
-			}
-			if !d.serveGuaranteed(w) {
-				rest = append(rest, w)
-			}
+	served := map[*Waiting]bool{}
+	for _, w := range byRight(queue, d.mayClaim()) {
+		served[w] = d.serveGuaranteed(w)
+	}
+	return without(queue, served)
+}
+
+// mayClaim returns a test whether a job may find an unused slot, which asks
+// the book but once for equal claims.
+func (d *decision) mayClaim() func(w *Waiting) bool {
+	known := map[guarantee.Claim]bool{}
+	return func(w *Waiting) bool {
+		c := claimOf(w.ID, w.Shape, w.Urgent)
+		found, ok := known[c]
+		if !ok {
+			_, found = d.book.Find(c)
+			known[c] = found
 		}
+		return found
+	}
+}
+
+func compareUrgency(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
 	}
-	return rest
 }
 
 // serveGuaranteed reports whether the job was started or reclaimed for.
@@ -122,6 +142,7 @@
 	}
 	d.claim(w, choice.Place)
 	d.commit(w, choice, fmt.Sprintf("its accelerators are guaranteed to organisation %s", w.ID.Organisation))
+	d.hold(w, reasonReclaiming)
 	return true
 }
 
@@ -130,7 +151,6 @@
 	d.reclaim(c.Victims, w.ID, reason)
 	d.setAside(c.Place, w.Shape)
 	d.use(w.ID.Organisation, w.Team, w.Shape)
-	d.hold(w, reasonReclaiming)
 }
 
 // choose picks the borrowers to stop for a job among those that are allowed
@@ -188,13 +208,8 @@
 
 // compareHolders orders gangs by their right to keep a guarantee.
 func compareHolders(a, b *Gang) int {
-	if a.Urgent != b.Urgent {
-		if a.Urgent {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
+		compareUrgency(a.Urgent, b.Urgent),
 		cmp.Compare(b.Shape.Accelerators(), a.Shape.Accelerators()),
 		a.Started.Compare(b.Started),
 		compareIDs(a.ID, b.ID),
