Feed placement with failures and learned run times; ask gangs once after their start

Tasks that fail at once were noticed at the next renewal only, after up to 5 s; one listing a second after the start finds them. Learned run times are kept in the store for the next scheduler (Options.Notes).

--- a/gang/cycle.go
+++ b/gang/cycle.go
@@ -33,6 +33,7 @@
 	s.order(ctx, now, records, snap)
 	s.decide(ctx, now, records, snap)
 	s.forget(records)
+	s.saveLearnt(now)
 }
 
 // holdTerm drops everything held under another term than the present one.
@@ -48,6 +49,7 @@
 		return false
 	}
 	s.term = term
+	s.loadLearnt()
 	s.o.Logger.Info("scheduling the failure domain", "failureDomain", s.o.FailureDomain, "term", term)
 	return true
 }
@@ -168,7 +170,7 @@
 		return
 	}
 	plan := s.o.Decide(s.view(now, records, snap))
-	s.wakeAt = plan.Wake
+	s.wakeAt = earlier(plan.Wake, s.quarantine.Next(now))
 	s.setHolds(records, plan.Holds, "waiting for the next decision")
 	s.setDeficits(plan.Deficits)
 	for _, r := range plan.Reclaims {
@@ -179,6 +181,14 @@
 	}
 }
 
+// earlier returns the earlier of two moments; a zero one is never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
 func (s *Scheduler) reclaim(ctx context.Context, r placement.Reclaim) {
 	t := s.runs[r.ID.String()]
 	if t == nil {
--- a/gang/effects.go
+++ b/gang/effects.go
@@ -13,33 +13,16 @@
 // its answer back as an event.
 func (s *Scheduler) act(ctx context.Context, t *tracked, actions []Action) {
 	for _, a := range actions {
-		e := effect{s: s, gang: t.run.Gang, term: s.term, record: t.record, workers: t.run.Workers}
 		if r, ok := a.(Record); ok {
-			s.noteOutcome(t, r)
+			s.learn(t, r)
+			r.Fatal = t.fatal
+			a = r
 		}
+		e := effect{s: s, gang: t.run.Gang, term: s.term, record: t.record, workers: t.run.Workers}
 		s.tasks.Go(func() { e.do(ctx, a) })
 	}
 }
 
-// noteOutcome learns from a run's end and keeps the counters.
-func (s *Scheduler) noteOutcome(t *tracked, r Record) {
-	now := s.o.Now()
-	switch r.State {
-	case job.Running:
-		s.meters.whole.Inc()
-		if t.record.Started.IsZero() {
-			t.record.Started = now
-		}
-	case job.Finished:
-		if !t.record.Started.IsZero() {
-			spec := t.record.Spec
-			s.o.Estimates.Observe(spec.ID.Service, spec.Template, spec.DeclaredRun, now.Sub(t.record.Started))
-		}
-	case job.Queued:
-		s.meters.broken.Inc()
-	}
-}
-
 // effect is the I/O of one action. It holds copies only.
 type effect struct {
 	s       *Scheduler
--- a/gang/messages.go
+++ b/gang/messages.go
@@ -96,6 +96,7 @@
 	Failed  bool     // the run ended in failure
 	Suspect []string // workers on which tasks failed
 	Saved   bool     // every task saved its work
+	Fatal   string   // why the job itself is at fault; empty: it may run again
 }
 
 // Reserve asks for a reservation on a worker.
--- a/gang/records.go
+++ b/gang/records.go
@@ -110,6 +110,8 @@
 	switch {
 	case next.CancelBy != "":
 		next.Enter(job.Cancelled, "cancelled by "+next.CancelBy, now)
+	case a.Fatal != "":
+		next.Enter(job.Failed, a.Fatal, now)
 	case a.Failed && next.Failures >= limit:
 		next.Enter(job.Failed, "it failed too often; last: "+a.Reason, now)
 	default:
--- a/gang/run.go
+++ b/gang/run.go
@@ -26,6 +26,9 @@
 	adoptPatience = 10 * time.Second
 	// callPatience is how long an answer of the ledger is awaited before asking again.
 	callPatience = 5 * time.Second
+	// confirmAfter is how long after its start a gang is asked for once, as many
+	// tasks that fail at all fail at once.
+	confirmAfter = time.Second
 	// retryEvery is the time between two tries of an unanswered stop or fence.
 	retryEvery = time.Second
 )
@@ -80,6 +83,7 @@
 	failed  bool
 	suspect []string
 	asked   job.State // state last handed to the ledger
+	checked bool      // its workers were asked once after the start
 	told    bool      // the ledger has the run as running
 	fenced  time.Time // zero: not fenced
 }
@@ -464,9 +468,7 @@
 	case Adopting:
 		return r.tickAdopting(now)
 	case Running:
-		if !r.told {
-			return r.again(now, job.Running, "")
-		}
+		return r.tickRunning(now)
 	case Ordered:
 		return r.again(now, job.Stopping, r.order.Reason)
 	case Saving:
@@ -481,6 +483,20 @@
 	return nil
 }
 
+func (r *Run) tickRunning(now time.Time) []Action {
+	var out []Action
+	if !r.checked && now.Sub(r.since) >= confirmAfter {
+		r.checked = true
+		for _, m := range r.members {
+			out = append(out, List{Worker: m.worker})
+		}
+	}
+	if !r.told {
+		out = append(out, r.again(now, job.Running, "")...)
+	}
+	return out
+}
+
 // again repeats a record that the ledger did not confirm for a while.
 func (r *Run) again(now time.Time, state job.State, reason string) []Action {
 	if now.Before(r.next) {
--- a/gang/scheduler.go
+++ b/gang/scheduler.go
@@ -39,7 +39,7 @@
 	Workers       WorkerCaller // nil: HTTP
 	Peers         peer.Caller  // nil: this entry host is alone
 	Decide        func(placement.View) placement.Plan
-	Estimates     *placement.Estimates // nil: none are learned
+	Notes         *ledger.Notes // keeps learned run times over schedulers; nil: they are not kept
 	Now           func() time.Time
 	Logger        *log.Logger
 	Metrics       *metrics.Set
@@ -52,9 +52,6 @@
 	if o.Decide == nil {
 		o.Decide = placement.Decide
 	}
-	if o.Estimates == nil {
-		o.Estimates = placement.NewEstimates()
-	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -71,6 +68,8 @@
 type tracked struct {
 	run    *Run
 	record job.Record // as placed or adopted
+	ended  bool       // its outcome was learned from
+	fatal  string     // why the job itself fails; empty: it may run again
 }
 
 // delivery is an event for a run, on its way to the loop.
@@ -92,9 +91,12 @@
 	tasks   sync.WaitGroup // I/O under way
 
 	// Owned by the loop.
-	term   uint64
-	runs   map[string]*tracked
-	wakeAt time.Time
+	term       uint64
+	runs       map[string]*tracked
+	wakeAt     time.Time
+	estimates  *placement.Estimates
+	quarantine *placement.Quarantine
+	learnt     learnt
 
 	mu       sync.Mutex
 	writing  map[string]bool      // queued jobs whose end is being recorded
@@ -120,6 +122,10 @@
 		seen:    make(map[workerapi.Gang]map[string]Listed),
 		holds:   make(map[string]string),
 		meters:  newMeters(o.Metrics),
+
+		estimates:  placement.NewEstimates(),
+		quarantine: placement.NewQuarantine(),
+		learnt:     newLearnt(),
 	}
 	s.renewer = newRenewer(o, s.Observe)
 	return s
@@ -152,6 +158,8 @@
 		case <-ledgerChanged:
 		case <-configChanged:
 		case <-s.wake:
+		case note := <-s.learnt.read:
+			s.adoptLearnt(note)
 		}
 		timer.Stop()
 		s.drain(ctx)
--- a/gang/view.go
+++ b/gang/view.go
@@ -15,7 +15,7 @@
 		Now:        now,
 		Out:        snap.FailureDomains[s.o.FailureDomain].Out,
 		Workers:    s.workers(now),
-		Estimates:  s.o.Estimates,
+		Estimates:  s.estimates,
 		Guarantees: guarantees(snap, s.o.FailureDomain),
 		Quotas:     quotas(snap),
 	}
@@ -77,6 +77,8 @@
 	var out []placement.Worker
 	for _, h := range s.o.Membership.View().Workers(s.o.FailureDomain) {
 		w := placement.Worker{Name: h.Name, Rack: h.Rack, Accelerators: h.Accelerators}
+		w.Unavailable = s.quarantine.Unavailable(h.Name, now)
+		w.Probing = s.quarantine.Probing(h.Name, now)
 		last, missed := s.silent[h.Name]
 		switch {
 		case h.Leaving:
--- a/intake/ledger/ledger.go
+++ b/intake/ledger/ledger.go
@@ -22,6 +22,7 @@
 const (
 	indexPrefix = "cyclamentray/jobs/index"
 	jobsPrefix  = "cyclamentray/jobs/ledger/"
+	notesPrefix = "cyclamentray/jobs/notes"
 	// MaxEntries bounds the entries of one shard, so that its value stays under 1 MB.
 	MaxEntries = 5000
 )
@@ -52,6 +53,9 @@
 // Index maps a job.ID as a string to its claim.
 type Index = Table[Claim]
 
+// Notes keeps what schedulers learned, by a name that the scheduler chooses.
+type Notes = Table[json.RawMessage]
+
 // Options configures a Books.
 type Options struct {
 	Store   platform.Store
@@ -67,6 +71,7 @@
 type Books struct {
 	o     Options
 	index *Index
+	notes *Notes
 	mu    sync.Mutex
 	jobs  map[string]*Jobs
 }
@@ -75,6 +80,7 @@
 func New(o Options) *Books {
 	b := &Books{o: o, jobs: make(map[string]*Jobs)}
 	b.index = NewTable[Claim](b.table(indexPrefix))
+	b.notes = NewTable[json.RawMessage](b.table(notesPrefix))
 	return b
 }
 
@@ -88,6 +94,9 @@
 // Index returns the index over all failure domains.
 func (b *Books) Index() *Index { return b.index }
 
+// Notes returns what schedulers learned.
+func (b *Books) Notes() *Notes { return b.notes }
+
 // Jobs returns a failure domain's ledger.
 func (b *Books) Jobs(failureDomain string) *Jobs {
 	b.mu.Lock()
