Displace gangs that can checkpoint when it saves more waiting than it costs

Change: a blocked job that has a reservation may displace settled gangs that can checkpoint and are expected to outlast it, when the wait saved is 1.5 times the delays caused (a restart, and the job's run where no other room is free). One displacement at a time.

--- a/placement/backfill.go
+++ b/placement/backfill.go
@@ -111,6 +111,10 @@
 		b.d.hold(w, b.shortage(w.Shape))
 		return
 	}
+	if place, ok := b.displace(w, r, avoid); ok {
+		r.from = b.d.v.Now.Add(stopGrace)
+		r.place = place
+	}
 	b.d.hold(w, reservedReason(w.Shape, r.from))
 	b.reservations = append(b.reservations, r)
 	slices.SortStableFunc(b.reservations, func(x, y reservation) int { return x.from.Compare(y.from) })
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -31,6 +31,7 @@
 
 type replayDomain struct {
 	workers []Worker
+	holds   func(job.Shape) bool
 	size    int // accelerators
 	out     bool
 	running []*replayJob
@@ -90,7 +91,7 @@
 	r := &replay{size: size, decide: decide, est: NewEstimates()}
 	for fd := range size.workers {
 		ws := size.cluster(fd)
-		r.domains = append(r.domains, &replayDomain{workers: ws, size: accelerators(ws)})
+		r.domains = append(r.domains, &replayDomain{workers: ws, holds: feasibleIn(ws), size: accelerators(ws)})
 	}
 	for _, t := range trace {
 		j := &replayJob{traceJob: t}
@@ -162,10 +163,8 @@
 	j.predicted = run.Seconds() * float64(j.Shape.Accelerators())
 	best := math.Inf(1)
 	for fd, d := range r.domains {
-		if l := d.load / float64(d.size); !d.out && l < best {
-			if ok, _, _ := Feasible(d.workers, j.Shape); ok {
-				best, j.fd = l, fd
-			}
+		if l := d.load / float64(d.size); !d.out && l < best && d.holds(j.Shape) {
+			best, j.fd = l, fd
 		}
 	}
 	d := r.domains[j.fd]
--- a/placement/trace_test.go
+++ b/placement/trace_test.go
@@ -128,7 +128,7 @@
 		total += accelerators(size.cluster(fd))
 	}
 	work := load * float64(total) * size.span.Seconds()
-	empty := size.cluster(0)
+	holds := feasibleIn(size.cluster(0))
 	var out []traceJob
 	for work > 0 {
 		t := templates[6*pick(r, .40, .30, .15, .15)+r.IntN(6)]
@@ -138,7 +138,7 @@
 			count = 4 + r.IntN(29)
 		}
 		for range count {
-			j := drawJob(r, t, empty, len(out))
+			j := drawJob(r, t, holds, len(out))
 			j.Submitted = time.Time{}.Add(at)
 			work -= j.run.Seconds() * float64(j.Shape.Accelerators())
 			out = append(out, j)
@@ -148,14 +148,24 @@
 	return out
 }
 
-func drawJob(r *rand.Rand, t traceTemplate, empty []Worker, n int) traceJob {
+// feasibleIn returns Feasible on the workers with a memory.
+func feasibleIn(workers []Worker) func(job.Shape) bool {
+	known := map[job.Shape]bool{}
+	return func(s job.Shape) bool {
+		ok, seen := known[s]
+		if !seen {
+			ok, _, _ = Feasible(workers, s)
+			known[s] = ok
+		}
+		return ok
+	}
+}
+
+func drawJob(r *rand.Rand, t traceTemplate, holds func(job.Shape) bool, n int) traceJob {
 	run := clamp(t.median*math.Exp(r.NormFloat64()), 60, 48*3600)
 	declared := clamp(run*t.bias*math.Exp(.8*r.NormFloat64()), run/10, run*10)
 	shape := drawShape(r)
-	for {
-		if ok, _, _ := Feasible(empty, shape); ok {
-			break
-		}
+	for !holds(shape) {
 		shape = drawShape(r)
 	}
 	return traceJob{run: seconds(run), Waiting: Waiting{
