--- a/placement/backfill.go
+++ b/placement/backfill.go
@@ -12,7 +12,7 @@
 
 // Reservations for jobs that do not fit now.
 const (
-	maxReservations = 2
+	maxReservations = 1
 	stopGrace       = time.Minute // time in which a stopping gang is expected to end
 )
 
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -12,7 +12,7 @@
 // equal views give equal plans.
 //
 // Waiting jobs within a guarantee come first, then urgent ones, then the rest
-// in order of how long they have waited for their size.
+// overdue ones first, then in order of how long they have waited for their work.
 func Decide(v View) Plan {
 	d := newDecision(&v)
 	if v.Out {
@@ -45,6 +45,7 @@
 	predicts  *predictor
 	reclaimer *guarantee.Reclaimer
 	victims   []bool               // borrowers asked to stop in this plan
+	beside    map[job.Shape]bool   // whether shapes fit beside all guarantees
 	cleared   int                  // times urgent work outside guarantees looked for borrowers to stop
 	noVictims map[job.Shape]bool   // shapes for which urgent work found nobody to reclaim from
 	feasible  map[job.Shape]string // why shapes never run; empty: they may
@@ -66,6 +67,7 @@
 		usage:     map[string]int{},
 		predicts:  newPredictor(v.Estimates),
 		feasible:  map[job.Shape]string{},
+		beside:    map[job.Shape]bool{},
 		noVictims: map[job.Shape]bool{},
 	}
 	for _, q := range v.Quotas {
--- a/placement/displace.go
+++ b/placement/displace.go
@@ -18,6 +18,7 @@
 
 // displace asks gangs that can checkpoint to stop for a blocked job when that
 // saves it more waiting than it costs them, and returns where the job then goes.
+// An overdue job need not save more than it costs.
 // A gang that finds room elsewhere loses a restart, another also the job's run.
 func (b *backfill) displace(w *Waiting, r reservation, avoid topology.Avoid) (place []int, ok bool) {
 	d := b.d
@@ -27,12 +28,12 @@
 	}
 	run := d.predicts.run(w.ID.Service, w.Template, w.DeclaredRun, backfillQuantile)
 	room := b.levels[len(b.levels)-1].free
-	choice, ok := d.choose(room, w, avoid, func(v int) bool { return d.displaceable(v, run) })
+	choice, ok := d.choose(room, w, avoid, func(v int) bool { return d.displaceable(v, run, d.overdue(w)) })
 	if !ok || len(choice.Victims) == 0 {
 		return nil, false
 	}
 	delay := b.delay(w, room, choice, run)
-	if float64(saved) < displaceGain*float64(delay) {
+	if !d.overdue(w) && float64(saved) < displaceGain*float64(delay) {
 		return nil, false
 	}
 	d.reclaim(choice.Victims, w.ID, reasonMove)
@@ -41,12 +42,12 @@
 
 // displaceable reports whether a borrower may make room for a job of the given
 // run time: it can checkpoint, has settled, and is expected to go on for longer.
-func (d *decision) displaceable(borrower int, run time.Duration) bool {
+func (d *decision) displaceable(borrower int, run time.Duration, overdue bool) bool {
 	g := &d.v.Running[d.borrowers[borrower]]
 	if !g.Checkpoint || g.Urgent || d.v.Now.Sub(g.Started) < settledTime {
 		return false
 	}
-	return d.expectedEnd(g).Sub(d.v.Now) > run
+	return overdue || d.expectedEnd(g).Sub(d.v.Now) > run
 }
 
 // delay returns the sum of the delays of the gangs that a choice displaces.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -10,9 +10,12 @@
 	"github.com/cyclamentray/cyclamentray/placement/topology"
 )
 
-// sizeWeight is the power of a gang's accelerators by which it counts as
-// longer when jobs are ordered.
-const sizeWeight = 0.0
+// Powers of a job's expected run time and accelerators by which its wait counts
+// for less when jobs are ordered.
+const (
+	runWeight  = 1.5
+	sizeWeight = 1.5
+)
 
 // Bounds of what one decision reclaims for urgent work outside guarantees.
 const (
@@ -20,14 +23,19 @@
 	clearingPause = 200 * time.Millisecond // before the next decision goes on with it
 )
 
+// overdueAfter is the wait after which a job goes before all that are not
+// overdue, and may displace others whatever it costs them.
+const overdueAfter = 12 * time.Hour
+
 // ranked is a waiting job with its place in the order.
 type ranked struct {
-	w     *Waiting
-	score float64
+	w       *Waiting
+	score   float64
+	overdue bool
 }
 
 // admit holds the jobs that can never run and returns the others in order:
-// those first that have waited longest for their expected run time.
+// overdue ones, then those that have waited longest for their work.
 func (d *decision) admit() []*Waiting {
 	queue := make([]ranked, 0, len(d.v.Waiting))
 	for i := range d.v.Waiting {
@@ -36,7 +44,7 @@
 			d.hold(w, reason)
 			continue
 		}
-		queue = append(queue, ranked{w, d.score(w)})
+		queue = append(queue, ranked{w, d.score(w), d.overdue(w)})
 	}
 	slices.SortFunc(queue, compareRanked)
 	out := make([]*Waiting, len(queue))
@@ -46,7 +54,16 @@
 	return out
 }
 
+// compareRanked puts overdue jobs first, oldest first, then orders by score.
 func compareRanked(a, b ranked) int {
+	switch {
+	case a.overdue && b.overdue:
+		return compareAges(a.w, b.w)
+	case a.overdue:
+		return -1
+	case b.overdue:
+		return 1
+	}
 	if c := cmp.Compare(b.score, a.score); c != 0 {
 		return c
 	}
@@ -61,13 +78,28 @@
 	return compareIDs(a.ID, b.ID)
 }
 
-// score is the ratio of response to run time that the job would have if it
-// started now.
+// overdue reports whether a job has waited too long and fits beside all
+// guarantees. One that does not can run only while guarantees are not used, so
+// that keeping accelerators for it would hold up others for nothing.
+func (d *decision) overdue(w *Waiting) bool {
+	if d.v.Now.Sub(w.Submitted) < overdueAfter {
+		return false
+	}
+	fits, known := d.beside[w.Shape]
+	if !known {
+		fits = d.spare(noSlot).Fit(w.Shape, nil) != nil
+		d.beside[w.Shape] = fits
+	}
+	return fits
+}
+
+// score grows with a job's wait, and falls with its expected run time and its
+// size: little work that has waited long comes first.
 func (d *decision) score(w *Waiting) float64 {
 	run := d.predicts.run(w.ID.Service, w.Template, w.DeclaredRun, orderQuantile).Seconds()
-	run *= math.Pow(float64(max(1, w.Shape.Accelerators())), sizeWeight)
+	size := float64(max(1, w.Shape.Accelerators()))
 	waited := max(0, d.v.Now.Sub(w.Submitted).Seconds())
-	return (waited + run) / run
+	return (waited + run*size) / (math.Pow(run, runWeight) * math.Pow(size, sizeWeight))
 }
 
 // neverRuns tells why a shape fits on no workers here, even on those that are
