--- a/apierr/apierr.go
+++ b/apierr/apierr.go
@@ -66,8 +66,14 @@
 }
 
 // Join returns nil for no mistakes, the mistake itself for one, and one error
-// that carries them all for several.
+// that carries them all for several. Details of joined mistakes stand beside
+// the others, so that joining twice makes no nesting.
 func Join(mistakes []*Error) *Error {
+	var flat []*Error
+	for _, m := range mistakes {
+		flat = append(flat, Flatten(m)...)
+	}
+	mistakes = flat
 	switch len(mistakes) {
 	case 0:
 		return nil
--- a/settings/check.go
+++ b/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 )
@@ -35,19 +36,22 @@
 }
 
 func (s *Settings) fillAdvertise(c *checker) {
-	if s.Advertise.HTTP == "" {
-		s.Advertise.HTTP = s.Listen.HTTP
-	}
-	if s.Advertise.Peer == "" {
-		s.Advertise.Peer = s.Listen.Peer
-	}
-	c.reachable("advertise.http", s.Advertise.HTTP)
-	c.reachable("advertise.peer", s.Advertise.Peer)
+	c.advertised("advertise.http", &s.Advertise.HTTP, s.Listen.HTTP)
+	c.advertised("advertise.peer", &s.Advertise.Peer, s.Listen.Peer)
 }
 
-func (c *checker) reachable(field, address string) {
-	if unspecified(address) {
-		c.add(field, address+" is no address that others can reach", "write the host's own IP:port")
+// advertised fills in an address and checks that others can reach it. Port 0
+// is allowed only where the listener's own port, once known, takes its place.
+func (c *checker) advertised(field string, address *string, listen string) {
+	if *address == "" {
+		*address = listen
+	}
+	ap, err := netip.ParseAddrPort(*address)
+	if err != nil {
+		return // reported by the field's own check
+	}
+	if ap.Addr().IsUnspecified() || (ap.Port() == 0 && *address != listen) {
+		c.add(field, *address+" is no address that others can reach", "write the host's own IP:port")
 	}
 }
 
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -1,8 +1,6 @@
 package settings
 
 import (
-	"net/netip"
-
 	"github.com/cyclamentray/cyclamentray/internal/schema"
 )
 
@@ -29,7 +27,7 @@
 		{Name: "peer", Type: schema.String, Default: "", Format: schema.AddressFormat, Doc: "empty: listen.peer"},
 	}},
 	{Name: "platform", Type: schema.Object, Doc: "the platform's services", Fields: []schema.Field{
-		{Name: "urls", Type: schema.List, Required: true, Min: 1, Max: 16, Doc: "tried in turn",
+		{Name: "urls", Type: schema.List, Required: true, Min: 1, Max: 16, Doc: "base URLs of the key-value service and host list; the first is used",
 			Elem: &schema.Field{Type: schema.String, Required: true, Format: schema.URLFormat}},
 	}},
 	{Name: "operatorTokenHashes", Type: schema.List, Min: 0, Max: 64, Doc: "hashes of operators' tokens; empty: operators' calls are refused",
@@ -86,8 +84,3 @@
 func duration(name, unit string, byDefault, lowest, highest int, doc string) schema.Field {
 	return schema.Field{Name: name, Type: schema.Int, Unit: unit, Default: byDefault, Min: lowest, Max: highest, Doc: doc}
 }
-
-func unspecified(address string) bool {
-	ap, err := netip.ParseAddrPort(address)
-	return err == nil && (ap.Addr().IsUnspecified() || ap.Port() == 0)
-}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -42,6 +42,7 @@
 		{"plain token", `"platform"`, `"operatorTokenHashes": ["secret"], "platform"`, `s.hujson:3: operatorTokenHashes[0]: "secret" is malformed; write SHA-256 as 64 lower-case hexadecimal digits`},
 		{"host name for IP", `"platform"`, `"listen": {"http": "localhost:80"}, "platform"`, `s.hujson:3: listen.http: "localhost:80" is malformed; write IP:port`},
 		{"address nobody reaches", `"platform"`, `"listen": {"peer": "0.0.0.0:8081"}, "platform"`, `s.hujson: advertise.peer: 0.0.0.0:8081 is no address that others can reach; write the host's own IP:port`},
+		{"port nobody knows", `"platform"`, `"advertise": {"peer": "127.0.0.1:0"}, "platform"`, `s.hujson:3: advertise.peer: 127.0.0.1:0 is no address that others can reach; write the host's own IP:port`},
 		{"half a key pair", `"platform"`, `"tls": {"http": {"certFile": "c.pem"}}, "platform"`, `s.hujson:3: tls.http: certFile and keyFile go together; set both or neither`},
 		{"peer without authority", `"platform"`, `"tls": {"peer": {"certFile": "c.pem", "keyFile": "k.pem"}}, "platform"`, `s.hujson: tls.peer.caFile: entry hosts check each other's certificates against caFile; name the file of the authority's certificates`},
 		{"otlp without endpoint", `"platform"`, `"trace": {"exporter": "otlp"}, "platform"`, `s.hujson: trace.endpoint: exporter otlp needs an endpoint; write the collector's URL, such as http://192.0.2.9:4318/v1/traces`},
@@ -86,6 +87,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal))
+	f.Add([]byte(strings.Replace(minimal, `"platform"`, `"listen": {"http": "127.0.0.1:0"}, "platform"`, 1)))
 	f.Add([]byte(`{"host": {"name": 1}, "timing": {"heartbeatMillis": -5}, /* open`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := Parse("f", data)
