--- /dev/null
+++ b/config/examples_test.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestExamples_AreValidAndOfTheStatedSize(t *testing.T) {
+	for _, user := range []string{"mwambao", "consorcio"} {
+		docs, err := LoadDocuments("../examples/" + user)
+		must.NoError(t, err)
+		must.NoError(t, CheckDocuments(docs, nil))
+		snap := merge(docs, &Snapshot{})
+		must.MapLen(t, 4, snap.FailureDomains)
+		must.MapLen(t, 4, snap.Organisations)
+		requests := 0
+		for _, s := range snap.Services {
+			if s.Requests != nil {
+				requests++
+				must.Len(t, 3, s.Requests.ShareWith)
+			}
+		}
+		must.Eq(t, 1, requests)
+	}
+}
+
+// A partner whose terms differ would be treated differently.
+func TestExamples_ConsorcioPartnersHaveTheSameTerms(t *testing.T) {
+	docs, err := LoadDocuments("../examples/consorcio/organisations.hujson")
+	must.NoError(t, err)
+	for _, d := range docs[1:] {
+		must.Eq(t, docs[0].Organisation.Teams, d.Organisation.Teams)
+		must.Eq(t, docs[0].Organisation.Guarantees, d.Organisation.Guarantees)
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -7,6 +7,10 @@
 	"github.com/cyclamentray/cyclamentray/apierr"
 )
 
+// maxLateStartMillis bounds how long after operators take a failure domain out
+// a task may still start there.
+const maxLateStartMillis = 4000
+
 // checker gathers the mistakes that concern several fields at once.
 type checker struct {
 	file     string
@@ -70,6 +74,10 @@
 	c.twice("timing.heartbeatMillis", t.HeartbeatMillis, "timing.heartbeatTimeoutMillis", t.HeartbeatTimeoutMillis)
 	c.twice("timing.taskRenewMillis", t.TaskRenewMillis, "timing.taskLeaseMillis", t.TaskLeaseMillis)
 	c.twice("timing.confirmMillis", t.ConfirmMillis, "timing.permitMillis", t.PermitMillis)
+	if late := t.PermitMillis + t.ReservationMillis; late > maxLateStartMillis {
+		message := fmt.Sprintf("with reservationMillis, a task could start %d ms after its failure domain was taken out", late)
+		c.add("timing.permitMillis", message, fmt.Sprintf("keep their sum within %d ms", maxLateStartMillis))
+	}
 }
 
 func (c *checker) twice(interval string, every int, limit string, within int) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,6 +47,7 @@
 		{"peer without authority", `"platform"`, `"tls": {"peer": {"certFile": "c.pem", "keyFile": "k.pem"}}, "platform"`, `s.hujson: tls.peer.caFile: entry hosts check each other's certificates against caFile; name the file of the authority's certificates`},
 		{"otlp without endpoint", `"platform"`, `"trace": {"exporter": "otlp"}, "platform"`, `s.hujson: trace.endpoint: exporter otlp needs an endpoint; write the collector's URL, such as http://192.0.2.9:4318/v1/traces`},
 		{"permit too short", `"platform"`, `"timing": {"permitMillis": 600}, "platform"`, `s.hujson: timing.confirmMillis: 500 ms is more than half of timing.permitMillis, which is 600 ms; shorten it, or lengthen timing.permitMillis`},
+		{"starts too late", `"platform"`, `"timing": {"reservationMillis": 2500}, "platform"`, `s.hujson: timing.permitMillis: with reservationMillis, a task could start 4500 ms after its failure domain was taken out; keep their sum within 4000 ms`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
