--- a/config/examples_test.go
+++ b/config/examples_test.go
@@ -1,9 +1,12 @@
 package config
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/internal/golden"
 )
 
 func TestExamples_AreValidAndOfTheStatedSize(t *testing.T) {
@@ -34,3 +37,9 @@
 		must.Eq(t, docs[0].Organisation.Guarantees, d.Organisation.Guarantees)
 	}
 }
+
+func TestDescribe_PageOfFieldsIsCurrent(t *testing.T) {
+	var b strings.Builder
+	must.NoError(t, Describe(&b))
+	golden.CheckFile(t, "../docs/operators/document-fields.txt", strings.TrimSpace(b.String())+"\n")
+}
