Keep a failure domain out when its document is applied again

Found while writing the examples: applying failure-domains.hujson again set out to its default and brought back a failure domain taken out meanwhile. A document that does not state out now takes what is in force; the editor settles it under the revision that it writes at. Ruled out: refusing out in documents, which operators may well want to state.

--- a/config/check.go
+++ b/config/check.go
@@ -50,6 +50,22 @@
 	return docs
 }
 
+// settleOut returns docs in which every failure domain is said to be out or in:
+// a document that leaves it open takes what is in force, so that applying it
+// again does not bring back a failure domain that was taken out meanwhile.
+func settleOut(docs []Document, existing *Snapshot) []Document {
+	settled := make([]Document, len(docs))
+	for i, d := range docs {
+		if d.keepOut {
+			fd := *d.FailureDomain
+			fd.Out = existing.FailureDomains[fd.Name].Out
+			d.FailureDomain, d.keepOut = &fd, false
+		}
+		settled[i] = d
+	}
+	return settled
+}
+
 // merge returns existing with docs added or replaced.
 func merge(docs []Document, existing *Snapshot) *Snapshot {
 	m := &Snapshot{
--- a/config/check_test.go
+++ b/config/check_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -84,6 +85,28 @@
 	}
 }
 
+// Applying a file again must not bring back what operators took out meanwhile.
+func TestSettleOut_DocumentThatDoesNotSayKeepsTheState(t *testing.T) {
+	inForce := &Snapshot{FailureDomains: map[string]FailureDomain{"fd-a": {Name: "fd-a", Region: "east", Out: true}}}
+	cases := []struct {
+		text string
+		out  bool
+	}{
+		{`{"kind": "failure-domain", "name": "fd-a", "region": "east"}`, true},
+		{`{"kind": "failure-domain", "name": "fd-a", "region": "east", "out": false}`, false},
+		{`{"kind": "failure-domain", "name": "fd-b", "region": "east"}`, false},
+	}
+	for _, c := range cases {
+		sent, err := json.Marshal(parse(t, c.text)[0])
+		must.NoError(t, err)
+		settled := settleOut(parse(t, string(sent)), inForce)
+		must.Eq(t, c.out, settled[0].FailureDomain.Out, must.Sprint(c.text))
+		stored, err := json.Marshal(settled[0])
+		must.NoError(t, err)
+		must.StrContains(t, string(stored), `"out":`)
+	}
+}
+
 func TestLoadDocuments_MistakesOfEveryFile(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) {
--- a/config/edit.go
+++ b/config/edit.go
@@ -60,7 +60,7 @@
 // expected, and returns the new revision. The error is an *apierr.Error.
 func (e *Editor) Apply(ctx context.Context, docs []Document, expected uint64) (uint64, error) {
 	return e.run(ctx, &expected, func(snap *Snapshot) ([]Document, []string, error) {
-		return docs, nil, CheckDocuments(docs, snap)
+		return settleOut(docs, snap), nil, CheckDocuments(docs, snap)
 	})
 }
 
--- a/config/fields.go
+++ b/config/fields.go
@@ -100,7 +100,7 @@
 	kindField(),
 	nameField("unique among failure domains"),
 	reference("region", "region it lies in"),
-	flag("out", "taken out of service: nothing starts here"),
+	schema.Field{Name: "out", Type: schema.Bool, Doc: "taken out of service: nothing starts here; absent: stays as it is, a new one is in"},
 )
 
 // kindOnly reports a missing or unknown kind.
--- a/config/parse.go
+++ b/config/parse.go
@@ -20,6 +20,8 @@
 	Service       *Service
 	FailureDomain *FailureDomain
 
+	keepOut bool // a failure domain's document that leaves its field "out" as it is
+
 	file  string         // where it was read from, for mistakes
 	path  string         // path in that file, such as "[3]"
 	lines map[string]int // lines of its fields in that file
@@ -58,21 +60,31 @@
 		return json.Marshal(struct {
 			Kind Kind `json:"kind"`
 			*FailureDomain
-		}{d.Kind, d.FailureDomain})
+			Out *bool `json:"out,omitempty"` // in place of the field beneath
+		}{d.Kind, d.FailureDomain, d.out()})
 	}
 	return nil, errors.Newf("document of unknown kind %q", d.Kind)
 }
 
+// out returns nil when the document leaves the failure domain's state as it is.
+func (d Document) out() *bool {
+	if d.keepOut {
+		return nil
+	}
+	return &d.FailureDomain.Out
+}
+
 // UnmarshalJSON reads a document that was checked before. Input from people
 // goes through ParseDocuments.
 func (d *Document) UnmarshalJSON(data []byte) error {
 	var head struct {
-		Kind Kind `json:"kind"`
+		Kind Kind  `json:"kind"`
+		Out  *bool `json:"out"`
 	}
 	if err := json.Unmarshal(data, &head); err != nil {
 		return err
 	}
-	*d = Document{Kind: head.Kind}
+	*d = Document{Kind: head.Kind, keepOut: head.Kind == KindFailureDomain && head.Out == nil}
 	value, err := d.allocate()
 	if err != nil {
 		return err
