Prove bad input over the whole HTTP path, and mend what it found

Each answers with the kind's status and a remedy; afterwards the configuration is unchanged and a good job is taken.

Seen failing first, three faults of intake's HTTP reader: an oversize job answered 400 where 413 is right, two jobs in one body were read as one, and an unknown state listed nothing with 200. It reads bodies through httpjson now and refuses unknown states.

--- /dev/null
+++ b/entryhost/badinput_test.go
@@ -0,0 +1,139 @@
+package entryhost_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/dev"
+	"github.com/cyclamentray/cyclamentray/internal/httpjson"
+)
+
+const (
+	operator = dev.OperatorToken
+	juice    = "dev-juice-bottlers"
+	depot    = "dev-depot-norte"
+
+	goodJob = `{"id": {"organisation": "juice-bottlers", "service": "filings", "name": "j1"}, "template": "reconcile",
+	  "shape": {"tasks": 1, "acceleratorsPerTask": 8, "adjacency": "rack"}, "declaredRunNanos": 1000000000}`
+)
+
+// deployment boots one entry host a failure domain, with the dev documents in force.
+func deployment(t *testing.T) (url string) {
+	size := dev.DefaultSize()
+	size.EntryHosts = 1
+	d, err := dev.Start(t.Context(), dev.Options{
+		FailureDomains: dev.FailureDomains(), Services: dev.Services(), Size: size,
+		Logs: io.Discard, LogLevel: log.ErrorLevel,
+	})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, d.Close()) })
+	_, err = d.Apply(t.Context())
+	must.NoError(t, err)
+	return d.Addresses()[0]
+}
+
+// send returns an answer's status and body.
+func send(t *testing.T, method, url, token, body string) (int, []byte) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	must.NoError(t, err)
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp.StatusCode, data
+}
+
+func jobWith(old, with string) string { return strings.Replace(goodJob, old, with, 1) }
+
+func apply(documents string) string { return `{"documents": [` + documents + `]}` }
+
+func TestBadInput_TypedErrorsAndNothingLost(t *testing.T) {
+	url := deployment(t)
+	_, before := send(t, "GET", url+"/v1/config", operator, "")
+	huge := strings.Repeat(" ", 2<<20)
+	cases := []struct {
+		name, call, token, body string
+		kind                    apierr.Kind
+	}{
+		{"no token", "POST /v1/jobs", "", goodJob, apierr.Unauthenticated},
+		{"unknown path without a token", "GET /v1/secrets", "", "", apierr.Unauthenticated},
+		{"malformed job", "POST /v1/jobs", juice, `{"id":`, apierr.InvalidInput},
+		{"empty job", "POST /v1/jobs", juice, ``, apierr.InvalidInput},
+		{"unknown field of a job", "POST /v1/jobs", juice, jobWith(`"template"`, `"tmplate": "x", "template"`), apierr.InvalidInput},
+		{"job as a list", "POST /v1/jobs", juice, `[` + goodJob + `]`, apierr.InvalidInput},
+		{"oversize job", "POST /v1/jobs", juice, huge + goodJob, apierr.TooLarge},
+		{"negative tasks", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": -1`), apierr.InvalidInput},
+		{"no tasks", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": 0`), apierr.InvalidInput},
+		{"overflowing shape", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": 9223372036854775807`), apierr.InvalidInput},
+		{"unknown adjacency", "POST /v1/jobs", juice, jobWith(`"rack"`, `"moon"`), apierr.InvalidInput},
+		{"negative run time", "POST /v1/jobs", juice, jobWith(`1000000000`, `-5`), apierr.InvalidInput},
+		{"larger than its template", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": 64`), apierr.InvalidInput},
+		{"unknown template", "POST /v1/jobs", juice, jobWith(`reconcile`, `x`), apierr.InvalidInput},
+		{"unknown service of a job", "POST /v1/jobs", juice, jobWith(`filings`, `x`), apierr.NotFound},
+		{"unknown organisation", "POST /v1/jobs", operator, jobWith(`juice-bottlers`, `x`), apierr.NotFound},
+		{"another organisation's job", "POST /v1/jobs", depot, goodJob, apierr.Forbidden},
+		{"job of an organisation that does not exist", "POST /v1/jobs", depot, jobWith(`juice-bottlers`, `x`), apierr.Forbidden},
+		{"two jobs in one body", "POST /v1/jobs", juice, goodJob + goodJob, apierr.InvalidInput},
+		{"absent job", "GET /v1/jobs/juice-bottlers/filings/absent", juice, "", apierr.NotFound},
+		{"absent job cancelled", "DELETE /v1/jobs/juice-bottlers/filings/absent", juice, "", apierr.NotFound},
+		{"unknown state", "GET /v1/jobs?state=sleeping", juice, "", apierr.InvalidInput},
+		{"unknown service", "GET /v1/services/x/requests/y", juice, "", apierr.NotFound},
+		{"another organisation's service", "GET /v1/services/filings/requests/y", depot, "", apierr.NotFound},
+		{"malformed edit", "POST /v1/config", operator, `{"documents": [{]}`, apierr.InvalidInput},
+		{"oversize edit", "POST /v1/config", operator, huge, apierr.TooLarge},
+		{"empty edit", "POST /v1/config", operator, apply(``), apierr.InvalidInput},
+		{"absurd shape in a document", "POST /v1/config", operator, apply(`{"kind": "service", "name": "filings", "organisation": "juice-bottlers", "team": "levy",
+		  "jobs": [{"name": "reconcile", "shape": {"tasks": 65, "acceleratorsPerTask": -8}, "runSeconds": 1}]}`), apierr.InvalidInput},
+		{"document of an unknown organisation", "POST /v1/config", operator, apply(`{"kind": "service", "name": "s", "organisation": "x", "team": "y"}`), apierr.InvalidInput},
+		{"wrong revision", "POST /v1/config", operator, `{"expectedRevision": 99, "documents": [{"kind": "failure-domain", "name": "fd-z", "region": "r"}]}`, apierr.Conflict},
+		{"caller's edit", "POST /v1/config", juice, apply(`{"kind": "failure-domain", "name": "fd-z", "region": "r"}`), apierr.Forbidden},
+		{"caller takes a failure domain out", "POST /v1/failure-domains/fd-a/out", juice, "", apierr.Forbidden},
+		{"unknown failure domain out", "POST /v1/failure-domains/fd-z/out", operator, "", apierr.NotFound},
+		{"unknown service retired", "POST /v1/services/x/retire", operator, "", apierr.NotFound},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			method, path, _ := strings.Cut(c.call, " ")
+			status, body := send(t, method, url+path, c.token, c.body)
+			got := httpjson.ReadError(status, body)
+			must.Eq(t, c.kind, got.Kind, must.Sprintf("status %d, body %s", status, body))
+			must.Eq(t, (&apierr.Error{Kind: c.kind}).Status(), status)
+			for _, mistake := range apierr.Flatten(got) {
+				must.NotEq(t, "", mistake.Remedy, must.Sprintf("%s", body))
+			}
+		})
+	}
+	_, after := send(t, "GET", url+"/v1/config", operator, "")
+	must.Eq(t, string(before), string(after), must.Sprint("a bad edit changed what is in force"))
+	status, body := send(t, "POST", url+"/v1/jobs", juice, goodJob)
+	must.Eq(t, http.StatusOK, status, must.Sprintf("%s", body))
+}
+
+// An organisation must not tell another's job from one that does not exist.
+func TestOrganisations_LearnNothingOfEachOther(t *testing.T) {
+	url := deployment(t)
+	status, body := send(t, "POST", url+"/v1/jobs", juice, goodJob)
+	must.Eq(t, http.StatusOK, status, must.Sprintf("%s", body))
+	const theirs, absent = "/v1/jobs/juice-bottlers/filings/j1", "/v1/jobs/juice-bottlers/filings/j2"
+	for _, call := range []struct{ method, suffix string }{{"GET", ""}, {"GET", "/explain"}, {"DELETE", ""}} {
+		status, body := send(t, call.method, url+theirs+call.suffix, depot, "")
+		_, missing := send(t, call.method, url+absent+call.suffix, depot, "")
+		must.Eq(t, http.StatusNotFound, status)
+		must.Eq(t, strings.ReplaceAll(string(missing), "j2", "j1"), string(body))
+	}
+	_, list := send(t, "GET", url+"/v1/jobs", depot, "")
+	must.StrNotContains(t, string(list), "j1")
+	_, own := send(t, "GET", url+theirs, juice, "")
+	must.StrNotContains(t, string(own), `"cancelBy"`)
+}
--- a/intake/http.go
+++ b/intake/http.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/internal/httpjson"
 	"github.com/cyclamentray/cyclamentray/job"
 )
 
@@ -78,11 +80,9 @@
 }
 
 func (in *Intake) serveSubmit(r *http.Request, who auth.Identity) (any, error) {
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxSpecBytes))
-	decoder.DisallowUnknownFields()
 	var spec job.Spec
-	if err := decoder.Decode(&spec); err != nil {
-		return nil, apierr.Invalid("", "the body is no job spec: "+err.Error(), "send one job.Spec as JSON")
+	if err := httpjson.Read(nil, r, maxSpecBytes, &spec); err != nil {
+		return nil, err
 	}
 	return in.Submit(r.Context(), who, spec)
 }
@@ -96,7 +96,11 @@
 }
 
 func (in *Intake) serveList(r *http.Request, who auth.Identity) (any, error) {
-	return in.List(r.Context(), who, job.State(r.URL.Query().Get("state")))
+	state := job.State(r.URL.Query().Get("state"))
+	if state != "" && !state.Known() {
+		return nil, apierr.Invalid("state", "unknown state "+strconv.Quote(string(state)), "leave it out, or use a state such as queued or running")
+	}
+	return in.List(r.Context(), who, state)
 }
 
 // List returns the jobs of all failure domains that the sender may see, in the
--- a/job/job.go
+++ b/job/job.go
@@ -62,6 +62,15 @@
 // Terminal reports whether a job in this state never runs again.
 func (s State) Terminal() bool { return s == Finished || s == Failed || s == Cancelled }
 
+// Known reports whether s is one of the states.
+func (s State) Known() bool {
+	switch s {
+	case Queued, Placed, Running, Stopping, Finished, Failed, Cancelled, Moved:
+		return true
+	}
+	return false
+}
+
 // Transition is one change of a job's state, kept for callers.
 type Transition struct {
 	At     time.Time `json:"at"`
