--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -149,6 +149,21 @@
 	return host, u, proxy
 }
 
+// runnerHosts starts upstreams that take their connections directly.
+func runnerHosts(t testing.TB, n int) []platform.Host {
+	var hosts []platform.Host
+	for i := range n {
+		name := fmt.Sprint("u", i)
+		server := httptest.NewServer(upstream.New(upstream.Options{Name: name, Slots: 64, Work: 2 * time.Millisecond}))
+		t.Cleanup(server.Close)
+		hosts = append(hosts, platform.Host{
+			Name: name, Kind: platform.Upstream, FailureDomain: "a", Service: "loans",
+			Address: server.Listener.Addr().String(), Slots: 64,
+		})
+	}
+	return hosts
+}
+
 func waitFor(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
@@ -170,6 +185,21 @@
 	must.Eq(t, int64(2), u.Executed())
 }
 
+func TestRetiredServiceRefusesAndTellsItsCallersOnly(t *testing.T) {
+	host, u, _ := runnerHost(t, upstream.Options{Name: "u1"})
+	s := newShared(time.Second, host)
+	e := startEntry(t, s, nil)
+	must.Eq(t, routing.Ran, e.do(t, "POST", "north", "").outcome)
+	s.mu.Lock()
+	s.snap = &config.Snapshot{Revision: 2, Retired: map[string]uint64{"loans": 2}}
+	s.mu.Unlock()
+	refused := e.do(t, "POST", "north", "")
+	must.Eq(t, http.StatusGone, refused.status)
+	must.Eq(t, routing.NotRun, refused.outcome)
+	must.Eq(t, http.StatusNotFound, e.do(t, "POST", "stranger", "").status)
+	must.Eq(t, int64(1), u.Executed())
+}
+
 // A kept connection that the upstream's side has closed or lost must not make
 // a non-idempotent request fail or run twice.
 func TestNonIdempotentNotSentOnFrozenConnection(t *testing.T) {
