--- a/gang/scheduler_test.go
+++ b/gang/scheduler_test.go
@@ -199,4 +199,5 @@
 	rec := c.reaches(e, s, job.Running)
 	must.SliceContainsAll(t, []string{"w0", "w1"}, rec.Workers)
 	c.reaches(e, s, job.Finished)
+	must.EqOp(t, 5, c.store.Calls()["put"], must.Sprint("writes: index, queued, placed, running, finished"))
 }
