Delay the retry of a failed start; share listings; ask the platform before moving

Runs that ask the same worker together share one listing, so a takeover costs one message a worker. Queued jobs of a failure domain without a scheduler move after a minute only, and only while the platform shows its term as free. A gang with a failed task beside running ones on one worker counts as missing. The kill test now also cuts the dead host's store.

--- a/gang/cycle.go
+++ b/gang/cycle.go
@@ -29,6 +29,7 @@
 	}
 	snap, _ := s.o.Config.Current()
 	s.reconcile(ctx, now, records)
+	s.replay(ctx)
 	s.tick(ctx)
 	s.order(ctx, now, records, snap)
 	s.decide(ctx, now, records, snap)
@@ -70,22 +71,33 @@
 		s.runs[key] = t
 		s.meters.adopted.Inc()
 		s.act(ctx, t, actions)
-		s.replay(ctx, t)
 	}
 }
 
-// replay gives an adopted run what renewals taught earlier.
-func (s *Scheduler) replay(ctx context.Context, t *tracked) {
+// replay gives the runs what renewals taught. Repeating it is harmless.
+func (s *Scheduler) replay(ctx context.Context) {
 	s.mu.Lock()
-	seen := s.seen[t.run.Gang]
-	var known []Listed
-	for _, w := range sortedKeys(seen) {
-		known = append(known, seen[w])
+	var learned []Observation
+	for _, t := range s.runs {
+		seen := s.seen[t.run.Gang]
+		for _, w := range sortedKeys(seen) {
+			learned = append(learned, seen[w])
+		}
 	}
 	s.mu.Unlock()
-	for _, l := range known {
-		s.step(ctx, t, l)
+	for _, o := range learned {
+		if t := s.runs[o.Gang.Job]; t != nil && t.run.Gang == o.Gang {
+			s.step(ctx, t, o.event())
+		}
+	}
+}
+
+// event returns what the observation means to a run.
+func (o Observation) event() Event {
+	if o.Unreachable {
+		return Lost{Worker: o.Worker, Reason: "worker " + o.Worker + " answered no renewal for a whole lease"}
 	}
+	return Listed{Worker: o.Worker, Known: true, Tasks: o.Tasks}
 }
 
 func adopt(g workerapi.Gang, rec job.Record, now time.Time) (*Run, []Action) {
@@ -171,7 +183,7 @@
 	}
 	plan := s.o.Decide(s.view(now, records, snap))
 	s.wakeAt = earlier(plan.Wake, s.quarantine.Next(now))
-	s.setHolds(records, plan.Holds, "waiting for the next decision")
+	s.setHolds(records, append(plan.Holds, s.retryHolds(now, records)...), "waiting for the next decision")
 	s.setDeficits(plan.Deficits)
 	for _, r := range plan.Reclaims {
 		s.reclaim(ctx, r)
--- a/gang/effects.go
+++ b/gang/effects.go
@@ -130,10 +130,18 @@
 	return out
 }
 
+// list asks what a worker holds. Runs that ask together share one call.
 func (e effect) list(ctx context.Context, a List) Listed {
-	var reply workerapi.TasksReply
-	err := e.call(ctx, a.Worker, workerapi.PathTasks, nil, &reply)
-	return Listed{Worker: a.Worker, Known: err == nil, Tasks: reply.Tasks}
+	tasks, err, _ := e.s.lists.Do(a.Worker, func() (any, error) {
+		var reply workerapi.TasksReply
+		err := e.call(ctx, a.Worker, workerapi.PathTasks, nil, &reply)
+		return reply.Tasks, err
+	})
+	listed := Listed{Worker: a.Worker, Known: err == nil}
+	if err == nil {
+		listed.Tasks = tasks.([]workerapi.Task)
+	}
+	return listed
 }
 
 func (e effect) request(reason string) workerapi.GangRequest {
--- a/gang/failures_test.go
+++ b/gang/failures_test.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamentray/cyclamentray/gang"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/placement"
+	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
@@ -53,6 +54,19 @@
 	return err
 }
 
+// mortal is a store that takes no more writes once its host is dead.
+type mortal struct {
+	platform.Store
+	dead *atomic.Bool
+}
+
+func (m mortal) CompareAndSwap(ctx context.Context, key string, value []byte, version uint64) (platform.Entry, error) {
+	if m.dead.Load() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return m.Store.CompareAndSwap(ctx, key, value, version)
+}
+
 // watchCopies fails the test if two generations of the job ever run together.
 func (c *cluster) watchCopies(s job.Spec) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,8 +111,12 @@
 			c.watchCopies(s)
 			killed := make(chan struct{})
 			var reclaim sync.Once
+			var dead atomic.Bool
+			whole := c.client
+			c.client = mortal{whole, &dead}
 			one := c.entryHost(1, func(o *gang.Options) {
 				o.Workers = &gate{WorkerCaller: gang.NewHTTPWorkers(), path: tc.path, nth: tc.nth, act: func() bool {
+					dead.Store(true)
 					close(killed)
 					return true
 				}}
@@ -114,10 +132,11 @@
 			<-killed
 			one.term.set(0)
 			one.stop()
+			c.client = whole
 			two := c.entryHost(2, nil)
 			rec := c.reaches(two, s, job.Running)
 			must.Eq(t, map[uint64]int{rec.Generation: 2}, c.running(s))
-			must.EqOp(t, 2, rec.Generation)
+			must.EqOp(t, 2, rec.Generation, must.Sprint(rec.History))
 		})
 	}
 }
--- a/gang/learned.go
+++ b/gang/learned.go
@@ -31,6 +31,7 @@
 	if r.State == job.Running && t.record.Started.IsZero() {
 		s.meters.whole.Inc()
 		t.record.Started = now
+		delete(s.retries, t.run.Gang.Job)
 	}
 	if t.ended || !(r.State == job.Queued || r.State.Terminal()) {
 		return
@@ -48,6 +49,9 @@
 		s.blame(t, r.Suspect, now)
 	case r.State == job.Queued:
 		s.meters.broken.Inc()
+		if t.record.Started.IsZero() && t.record.Term == s.term {
+			s.delayRetry(t.run.Gang.Job, now)
+		}
 	default:
 		s.quarantine.Forget(spec.ID)
 	}
--- a/gang/scheduler.go
+++ b/gang/scheduler.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/election"
@@ -89,11 +90,13 @@
 	events  chan delivery
 	wake    chan struct{}
 	tasks   sync.WaitGroup // I/O under way
+	lists   singleflight.Group
 
 	// Owned by the loop.
 	term       uint64
 	runs       map[string]*tracked
 	wakeAt     time.Time
+	retries    map[string]retry // jobs whose last start failed
 	estimates  *placement.Estimates
 	quarantine *placement.Quarantine
 	learnt     learnt
@@ -101,7 +104,7 @@
 	mu       sync.Mutex
 	writing  map[string]bool      // queued jobs whose end is being recorded
 	silent   map[string]time.Time // worker to the last unanswered message
-	seen     map[workerapi.Gang]map[string]Listed
+	seen     map[workerapi.Gang]map[string]Observation
 	holds    map[string]string // job to the reason it waits
 	deficits []placement.Deficit
 
@@ -119,10 +122,11 @@
 		runs:    make(map[string]*tracked),
 		writing: make(map[string]bool),
 		silent:  make(map[string]time.Time),
-		seen:    make(map[workerapi.Gang]map[string]Listed),
+		seen:    make(map[workerapi.Gang]map[string]Observation),
 		holds:   make(map[string]string),
 		meters:  newMeters(o.Metrics),
 
+		retries:    make(map[string]retry),
 		estimates:  placement.NewEstimates(),
 		quarantine: placement.NewQuarantine(),
 		learnt:     newLearnt(),
@@ -224,25 +228,11 @@
 func (s *Scheduler) Observe(o Observation) {
 	s.mu.Lock()
 	if s.seen[o.Gang] == nil {
-		s.seen[o.Gang] = make(map[string]Listed)
-	}
-	if !o.Unreachable {
-		s.seen[o.Gang][o.Worker] = Listed{Worker: o.Worker, Known: true, Tasks: o.Tasks}
+		s.seen[o.Gang] = make(map[string]Observation)
 	}
+	s.seen[o.Gang][o.Worker] = o
 	s.mu.Unlock()
-	e := Event(Listed{Worker: o.Worker, Known: true, Tasks: o.Tasks})
-	if o.Unreachable {
-		e = Lost{Worker: o.Worker, Reason: "worker " + o.Worker + " answered no renewal for a whole lease"}
-	}
-	select {
-	case s.events <- delivery{gang: o.Gang, term: s.currentTerm(), event: e}:
-	default: // the loop is behind; the next listing tells it
-	}
-}
-
-func (s *Scheduler) currentTerm() uint64 {
-	term, _, _ := s.o.Election.Term()
-	return term
+	s.poke()
 }
 
 // Hold returns why a queued job waits, as of the last decision here. ok is
--- a/gang/view.go
+++ b/gang/view.go
@@ -24,7 +24,7 @@
 	}
 	for _, key := range sortedKeys(records) {
 		rec := records[key]
-		if rec.State == job.Queued && rec.CancelBy == "" && s.runs[key] == nil && !retired(snap, rec) {
+		if s.mayStart(now, key, rec) && !retired(snap, rec) {
 			v.Waiting = append(v.Waiting, waiting(rec))
 		}
 	}
--- a/intake/keep.go
+++ b/intake/keep.go
@@ -6,11 +6,14 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/election"
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/platform"
 )
 
 const (
@@ -18,6 +21,9 @@
 	// its start permits have surely lapsed: the permit's age and the hold of
 	// a reservation, with a margin.
 	permitsLapse = 5 * time.Second
+	// unservedPatience is how long a failure domain may be without a scheduler
+	// before its queued jobs go elsewhere.
+	unservedPatience = time.Minute
 	// pruneGroup bounds the records pruned in one round.
 	pruneGroup = 500
 )
@@ -81,12 +87,24 @@
 		if in.mover(snap, domain) != in.o.FailureDomain {
 			continue
 		}
+		if !snap.FailureDomains[domain].Out && !in.termFree(ctx, domain) {
+			continue
+		}
 		if err := in.moveAll(ctx, snap, domain); err != nil {
 			in.o.Logger.Warn("queued jobs were not moved; it is tried again", "failureDomain", domain, "err", err.Error())
 		}
 	}
 }
 
+// termFree asks the platform whether nobody holds a failure domain's term: a
+// scheduler that only this host does not reach keeps its jobs.
+func (in *Intake) termFree(ctx context.Context, domain string) bool {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	e, err := in.o.Books.Store().Get(ctx, election.Key(domain))
+	return errors.Is(err, platform.ErrNotFound) || (err == nil && e.Lease == "")
+}
+
 // closed lists failure domains that have started nothing for long enough.
 func (in *Intake) closed(snap *config.Snapshot) []string {
 	in.mu.Lock()
@@ -101,7 +119,11 @@
 		if in.since[name].IsZero() {
 			in.since[name] = now
 		}
-		if now.Sub(in.since[name]) >= permitsLapse {
+		patience := unservedPatience
+		if d.Out {
+			patience = permitsLapse
+		}
+		if now.Sub(in.since[name]) >= patience {
 			out = append(out, name)
 		}
 	}
--- a/intake/ledger/ledger.go
+++ b/intake/ledger/ledger.go
@@ -94,6 +94,9 @@
 // Index returns the index over all failure domains.
 func (b *Books) Index() *Index { return b.index }
 
+// Store returns the store that holds the books.
+func (b *Books) Store() platform.Store { return b.o.Store }
+
 // Notes returns what schedulers learned.
 func (b *Books) Notes() *Notes { return b.notes }
 
--- a/intake/ledger/shard.go
+++ b/intake/ledger/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"reflect"
 	"sync"
 	"time"
@@ -239,7 +240,7 @@
 	var err error
 	for n := range maxAttempts {
 		if n > 0 {
-			time.Sleep(s.t.o.Gap / 4 * time.Duration(min(n, 4)))
+			time.Sleep(mathrand.N(s.t.o.Gap * time.Duration(min(n, 4)) / 2))
 		}
 		var base page[V]
 		base, err = s.base(n > 0)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -219,7 +219,7 @@
 	}
 }
 
-// Renew extends the leases of the gangs that run here.
+// Renew extends the leases of the gangs that run here, none of whose tasks failed.
 func (s *Server) Renew(r workerapi.RenewRequest) workerapi.RenewReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,11 +239,17 @@
 	found := false
 	expires := s.o.Now().Add(lease)
 	for key, t := range s.tasks {
-		if key.gang == gang && t.State == workerapi.TaskRunning {
-			found = true
-			if lease > 0 {
-				t.expires = expires
-			}
+		if key.gang != gang {
+			continue
+		}
+		if t.State == workerapi.TaskFailed || t.State == workerapi.TaskStopped {
+			return false
+		}
+		found = found || t.State == workerapi.TaskRunning
+	}
+	for key, t := range s.tasks {
+		if key.gang == gang && t.State == workerapi.TaskRunning && lease > 0 {
+			t.expires = expires
 		}
 	}
 	return found
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -84,8 +84,9 @@
 	Lease time.Duration `json:"leaseNanos"`
 }
 
-// RenewReply lists the gangs that were not running and so were not renewed,
-// and how the tasks of those gangs that the worker remembers ended.
+// RenewReply lists the gangs that were not renewed, since none of their tasks
+// runs or some failed or were stopped, and the tasks of theirs that the worker
+// remembers.
 type RenewReply struct {
 	Missing []Gang `json:"missing,omitempty"`
 	Ended   []Task `json:"ended,omitempty"`
