Forward submissions and cancellations to the host that writes

Taken by seven entry hosts at once, 2,000 submissions cost 355 writes and 2,000 cancellations 210, as the hosts' writes conflicted. Adaptive delays after a conflict were the other way; they only spread the same writes over a longer time.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +22,7 @@
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
@@ -28,7 +31,6 @@
 
 // site is a store, a configuration and a host list, shared by entry hosts.
 type site struct {
-	t     *testing.T
 	kv    *kv.Server
 	store platform.Store
 	mu    sync.Mutex
@@ -37,8 +39,8 @@
 	now   time.Time
 }
 
-func newSite(t *testing.T) *site {
-	s := &site{t: t, kv: kv.New(), now: time.Unix(1_000_000, 0)}
+func newSite(t testing.TB) *site {
+	s := &site{kv: kv.New(), now: time.Unix(1_000_000, 0)}
 	server := httptest.NewServer(s.kv)
 	t.Cleanup(server.Close)
 	s.store = platform.NewClient(server.URL)
@@ -94,6 +96,38 @@
 		Election: s, Now: s.clock}), books
 }
 
+// viewFrom is the site's host list as one entry host sees it.
+type viewFrom struct{ view membership.View }
+
+func (v *viewFrom) View() *membership.View { return &v.view }
+
+// entryHosts returns intakes of one failure domain that reach each other.
+func (s *site) entryHosts(t testing.TB, n int) ([]*intake.Intake, []*peer.Server) {
+	var hosts []platform.Host
+	var servers []*peer.Server
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		server := peer.NewServer(peer.Options{})
+		t.Cleanup(func() { _ = server.Close() })
+		go func() { _ = server.Serve(listener) }()
+		servers = append(servers, server)
+		hosts = append(hosts, platform.Host{Name: fmt.Sprint("entry", i), Kind: platform.EntryHost,
+			FailureDomain: "fd1", PeerAddress: listener.Addr().String()})
+	}
+	var ins []*intake.Intake
+	for i := range n {
+		pool := peer.NewPool(peer.Options{})
+		t.Cleanup(func() { _ = pool.Close() })
+		view := &viewFrom{membership.View{Self: hosts[i], Hosts: append(slices.Clone(hosts), s.view.Hosts...)}}
+		in := intake.New(intake.Options{FailureDomain: "fd1", Books: ledger.New(ledger.Options{Store: s.store}),
+			Config: s, Membership: view, Election: s, Now: s.clock, Peers: pool})
+		must.NoError(t, in.RegisterPeer(servers[i]))
+		ins = append(ins, in)
+	}
+	return ins, servers
+}
+
 func spec(name string) job.Spec {
 	return job.Spec{ID: job.ID{Organisation: "org", Service: "svc", Name: name}, Template: "train",
 		Shape: job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack}}
@@ -190,24 +224,24 @@
 
 func TestBurstStaysWithinTheWriteBudget(t *testing.T) {
 	t.Parallel()
-	const burst, budget = 2_000, 60
+	const burst, budget, hosts = 2_000, 60, 7
 	s := newSite(t)
-	books := ledger.New(ledger.Options{Store: s.store})
-	in := intake.New(intake.Options{FailureDomain: "fd1", Books: books, Config: s, Membership: s, Election: s, Now: s.clock})
-	each := func(act func(job.Spec) error) int {
+	_, books := s.entryHost("fd1")
+	ins, _ := s.entryHosts(t, hosts)
+	each := func(act func(*intake.Intake, job.Spec) error) int {
 		before := s.kv.Calls()["put"]
 		var wg sync.WaitGroup
 		for i := range burst {
-			wg.Go(func() { must.NoError(t, act(spec(fmt.Sprint("job-", i)))) })
+			wg.Go(func() { must.NoError(t, act(ins[i%hosts], spec(fmt.Sprint("job-", i)))) })
 		}
 		wg.Wait()
 		return s.kv.Calls()["put"] - before
 	}
-	submits := each(func(j job.Spec) error {
+	submits := each(func(in *intake.Intake, j job.Spec) error {
 		_, err := in.Submit(context.Background(), org, j)
 		return err
 	})
-	cancels := each(func(j job.Spec) error {
+	cancels := each(func(in *intake.Intake, j job.Spec) error {
 		_, err := in.Cancel(context.Background(), org, j.ID)
 		return err
 	})
@@ -226,6 +260,26 @@
 	must.EqOp(t, burst, sum)
 }
 
+func TestSubmitWithoutTheHostThatWrites(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	ins, servers := s.entryHosts(t, 2)
+	for i, in := range ins {
+		_, err := in.Submit(context.Background(), org, spec(fmt.Sprint("before-", i)))
+		must.NoError(t, err)
+	}
+	for _, server := range servers {
+		must.NoError(t, server.Close())
+	}
+	for i, in := range ins {
+		_, err := in.Submit(context.Background(), org, spec(fmt.Sprint("after-", i)))
+		must.NoError(t, err)
+	}
+	jobs, err := ins[0].List(context.Background(), org, job.Queued)
+	must.NoError(t, err)
+	must.Len(t, 4, jobs)
+}
+
 func TestQueuedJobsLeaveAFailureDomainThatIsOut(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -19,6 +19,13 @@
 // Submit takes a job, or finds the one that its ID names already. A nil error
 // means that the job is in the ledger.
 func (in *Intake) Submit(ctx context.Context, who auth.Identity, spec job.Spec) (job.Record, error) {
+	if rec, err, ok := in.forward(ctx, methodSubmit, SubmitCall{Who: who, Spec: spec}); ok {
+		return rec, err
+	}
+	return in.submitHere(ctx, who, spec)
+}
+
+func (in *Intake) submitHere(ctx context.Context, who auth.Identity, spec job.Spec) (job.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	rec, err := in.submit(ctx, who, spec)
@@ -164,6 +171,13 @@
 // Cancel asks for a job's end. A queued job ends at once; a running one is
 // stopped by its scheduler. Repeating it is harmless.
 func (in *Intake) Cancel(ctx context.Context, who auth.Identity, id job.ID) (job.Record, error) {
+	if rec, err, ok := in.forward(ctx, methodCancel, CancelCall{Who: who, ID: id}); ok {
+		return rec, err
+	}
+	return in.cancelHere(ctx, who, id)
+}
+
+func (in *Intake) cancelHere(ctx context.Context, who auth.Identity, id job.ID) (job.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	_, domain, err := in.locate(ctx, who, id)
