--- /dev/null
+++ b/internal/cost/deployment_test.go
@@ -0,0 +1,261 @@
+package cost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/cyclamentray/cyclamentray/api"
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/client"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+	"github.com/cyclamentray/cyclamentray/standin/worker"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+const (
+	operatorToken  = "operator"
+	callerToken    = "caller"
+	failureDomains = 4
+	gangTasks      = 8
+	rackWorkers    = 16
+	measured       = "n0" // the failure domain that has jobs
+)
+
+// size is a deployment's size, over all failure domains.
+type size struct {
+	name       string
+	workers    int
+	tasks      int
+	documents  int // services; each has its team
+	entryHosts int
+}
+
+type deployment struct {
+	b       *testing.B
+	size    size
+	store   *kv.Server
+	url     string
+	hosts   []platform.Host
+	workers []*worker.Server
+	pids    map[string]int
+}
+
+func newDeployment(b *testing.B, s size) *deployment {
+	b.Helper()
+	d := &deployment{b: b, size: s, store: kv.New(), pids: map[string]int{}}
+	d.url = "http://" + d.serve(d.store)
+	for i := range s.workers {
+		d.addWorker(i)
+	}
+	for i := range s.entryHosts {
+		fd := fmt.Sprintf("n%d", i%failureDomains)
+		d.hosts = append(d.hosts, platform.Host{
+			Name: fmt.Sprintf("%s-e%d", fd, i/failureDomains), Kind: platform.EntryHost, FailureDomain: fd,
+			Address: freeAddress(b), PeerAddress: freeAddress(b),
+		})
+	}
+	d.store.SetHosts(d.hosts)
+	program := filepath.Join(b.TempDir(), "cyclamentrayd")
+	out, err := exec.Command("go", "build", "-o", program, "../../cmd/cyclamentrayd").CombinedOutput()
+	must.NoError(b, err, must.Sprint(string(out)))
+	for _, h := range d.hosts[s.workers:] {
+		d.startHost(program, h)
+	}
+	d.configure()
+	return d
+}
+
+func (d *deployment) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	d.b.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Config.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func (d *deployment) addWorker(i int) {
+	fd := fmt.Sprintf("n%d", i%failureDomains)
+	accelerators := d.size.tasks/d.size.workers + 4
+	w := worker.New(worker.Options{Name: fmt.Sprintf("%s-w%d", fd, i), Accelerators: accelerators})
+	d.workers = append(d.workers, w)
+	d.hosts = append(d.hosts, platform.Host{
+		Name: fmt.Sprintf("%s-w%d", fd, i), Kind: platform.Worker, FailureDomain: fd, Accelerators: accelerators,
+		Rack: fmt.Sprintf("%s-r%d", fd, i/failureDomains/rackWorkers), Address: d.serve(w),
+	})
+}
+
+func freeAddress(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) startHost(program string, h platform.Host) {
+	file := filepath.Join(d.b.TempDir(), h.Name+".hujson")
+	text := fmt.Sprintf(`{
+		"host": {"name": %q, "failureDomain": %q, "region": "region"},
+		"listen": {"http": %q, "peer": %q},
+		"platform": {"urls": [%q]},
+		"operatorTokenHashes": [%q],
+		"log": {"level": "error"},
+		"timing": {"drainWaitSeconds": 0, "drainTimeoutSeconds": 1},
+	}`, h.Name, h.FailureDomain, h.Address, h.PeerAddress, d.url, auth.HashToken(operatorToken))
+	must.NoError(d.b, os.WriteFile(file, []byte(text), 0o600))
+	cmd := exec.Command(program, "--settings", file)
+	cmd.Stderr = os.Stderr
+	must.NoError(d.b, cmd.Start())
+	d.pids[h.Name] = cmd.Process.Pid
+	d.b.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+}
+
+// configure puts the documents in force: half the teams to each organisation.
+func (d *deployment) configure() {
+	var docs []string
+	for i := range failureDomains {
+		docs = append(docs, fmt.Sprintf(`{"kind": "failure-domain", "name": "n%d", "region": "region"}`, i))
+	}
+	for o := range 4 {
+		teams := ""
+		for t := o; t < d.size.documents; t += 4 {
+			if teams != "" {
+				teams += ","
+			}
+			teams += fmt.Sprintf(`{"name": "t%d", "quota": 5000}`, t)
+		}
+		docs = append(docs, fmt.Sprintf(`{"kind": "organisation", "name": "o%d", "tokenHashes": [%q], "teams": [%s]}`, o, auth.HashToken(fmt.Sprint(callerToken, o)), teams))
+	}
+	for t := range d.size.documents {
+		docs = append(docs, d.service(t, 3600))
+	}
+	d.eventually(func() bool { return d.apply(docs...) == nil })
+	d.eventually(func() bool {
+		for _, h := range d.entries() {
+			resp, err := http.Get("http://" + h.Address + "/readyz")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (d *deployment) service(t, runSeconds int) string {
+	return fmt.Sprintf(`{"kind": "service", "name": "s%d", "organisation": "o%d", "team": "t%d",
+		"jobs": [{"name": "train", "shape": {"tasks": %d, "acceleratorsPerTask": 1, "adjacency": "rack"}, "runSeconds": %d, "checkpoint": true}]}`,
+		t, t%4, t, gangTasks, runSeconds)
+}
+
+func (d *deployment) entries() []platform.Host { return d.hosts[d.size.workers:] }
+
+func (d *deployment) apply(docs ...string) error {
+	var raw []json.RawMessage
+	for _, doc := range docs {
+		raw = append(raw, json.RawMessage(doc))
+	}
+	_, err := client.New("http://"+d.entries()[1].Address, operatorToken).Apply(context.Background(), api.ApplyRequest{Documents: raw})
+	return err
+}
+
+// submit submits jobs that fill the measured failure domain, and waits until
+// their tasks run.
+func (d *deployment) submit(prefix string, jobs int) {
+	c := d.callers()
+	for i := range jobs {
+		spec := job.Spec{
+			ID:       job.ID{Organisation: fmt.Sprint("o", i%4), Service: fmt.Sprint("s", i%4), Name: fmt.Sprint(prefix, i)},
+			Template: "train", Shape: job.Shape{Tasks: gangTasks, AcceleratorsPerTask: 1, Adjacency: job.SameRack},
+			DeclaredRun: time.Hour, Checkpoint: true, FailureDomain: measured,
+		}
+		_, err := c[i%4].Submit(context.Background(), spec)
+		must.NoError(d.b, err)
+	}
+}
+
+func (d *deployment) callers() []*client.Client {
+	var out []*client.Client
+	for o := range 4 {
+		out = append(out, client.New("http://"+d.entries()[0].Address, fmt.Sprint(callerToken, o)))
+	}
+	return out
+}
+
+func (d *deployment) running() int {
+	n := 0
+	for _, w := range d.workers {
+		for _, t := range w.Tasks().Tasks {
+			if t.State == workerapi.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (d *deployment) awaitRunning(tasks int) {
+	d.b.Helper()
+	for range 60 {
+		if d.running() >= tasks {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	list, err := d.callers()[0].Jobs(context.Background(), job.Queued)
+	if err == nil && len(list.Jobs) > 0 {
+		why, _ := d.callers()[0].Explain(context.Background(), list.Jobs[0].Spec.ID)
+		d.b.Logf("%s", why)
+	}
+	d.b.Fatalf("%d of %d tasks run", d.running(), tasks)
+}
+
+// roles returns the pid of the measured failure domain's scheduler and of a
+// neighbour that is not.
+func (d *deployment) roles() (scheduler, plain int) {
+	d.eventually(func() bool {
+		top, err := client.New("http://"+d.entries()[0].Address, operatorToken).Top(context.Background())
+		if err != nil {
+			return false
+		}
+		scheduler = 0
+		for _, h := range top.Hosts {
+			if h.FailureDomain == measured && h.Term != 0 {
+				scheduler = d.pids[h.Name]
+			}
+		}
+		return scheduler != 0
+	})
+	for _, h := range d.entries() {
+		if h.FailureDomain == measured && d.pids[h.Name] != scheduler {
+			plain = d.pids[h.Name]
+		}
+	}
+	return scheduler, plain
+}
+
+func (d *deployment) eventually(holds func() bool) {
+	d.b.Helper()
+	must.Wait(d.b, wait.InitialSuccess(wait.BoolFunc(holds), wait.Timeout(90*time.Second), wait.Gap(200*time.Millisecond)))
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,6 +75,39 @@
 	must.ErrorContains(t, p.Call(context.Background(), address, "Echo.Say", &EchoArgs{}, &reply), "nothing to say")
 }
 
+// deafListener never serves the first connection that it accepts, as when
+// something between the two ends has lost track of it.
+type deafListener struct {
+	net.Listener
+	once sync.Once
+}
+
+func (l *deafListener) Accept() (net.Conn, error) {
+	l.once.Do(func() {
+		if conn, err := l.Listener.Accept(); err == nil {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	})
+	return l.Listener.Accept()
+}
+
+func TestSilentConnectionIsLeftAfterOneTimeout(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := peer.NewServer(peer.Options{})
+	must.NoError(t, s.Register("Echo", &Echo{}))
+	go func() { _ = s.Serve(&deafListener{Listener: l}) }()
+	defer s.Close()
+	p := peer.NewPool(peer.Options{Timeout: 200 * time.Millisecond})
+	defer p.Close()
+	var reply string
+	args := &EchoArgs{Text: "a"}
+	must.ErrorIs(t, p.Call(context.Background(), l.Addr().String(), "Echo.Say", args, &reply), context.DeadlineExceeded)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	must.NoError(t, p.Call(ctx, l.Addr().String(), "Echo.Say", args, &reply))
+}
+
 func TestCallToAFrozenPeerEndsAtItsDeadline(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel, never reads
 	must.NoError(t, err)
