--- a/election/election.go
+++ b/election/election.go
@@ -221,11 +221,11 @@
 	return entry, err
 }
 
-// watch waits for a change for one TTL at most: a watch whose connection went
-// silent must not delay a takeover for longer. The end of the wait is answered
-// by a plain read.
+// watch waits for a change for little more than one TTL: a watch whose
+// connection went silent must not delay a takeover for longer. After such a
+// one the key is read plainly.
 func (e *Election) watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
-	watchCtx, cancel := context.WithTimeout(ctx, e.opts.TTL)
+	watchCtx, cancel := context.WithTimeout(ctx, e.opts.TTL*3/2)
 	defer cancel()
 	entry, err := e.opts.Store.Watch(watchCtx, key, after)
 	if err == nil || ctx.Err() != nil || watchCtx.Err() == nil {
--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -40,32 +40,59 @@
 	d.submit("j", jobs)
 	d.awaitRunning(jobs * gangTasks)
 	time.Sleep(5 * time.Second) // renewals settle
-	scheduler, plain := d.roles()
+	roles := d.roles()
 
 	calls := total(d.store.Calls())
-	before := [2]usage{readUsage(b, scheduler), readUsage(b, plain)}
-	time.Sleep(window)
-	idle := [2]rate{between(before[0], readUsage(b, scheduler)), between(before[1], readUsage(b, plain))}
-	callRate := float64(total(d.store.Calls())-calls) / window.Seconds()
-	idle[0].report(b, "scheduler")
-	idle[1].report(b, "plain")
-	b.ReportMetric(callRate, "platform-calls/s")
+	idle := d.during(roles, func() { time.Sleep(window) })
+	b.ReportMetric(float64(total(d.store.Calls())-calls)/window.Seconds(), "platform-calls/s")
+	for i, r := range roles {
+		idle[i].report(b, r.name)
+	}
 
-	before = [2]usage{readUsage(b, scheduler), readUsage(b, plain)}
-	for i := range edits {
-		if err := d.apply(d.service(5, 1000+i)); err != nil {
-			b.Fatal(err)
+	edited := d.during(roles, func() {
+		for i := range edits {
+			if err := d.apply(d.service(5, 1000+i)); err != nil {
+				b.Fatal(err)
+			}
+			time.Sleep(editSpacing)
 		}
-		time.Sleep(editSpacing)
+	})
+	submitted := d.during(roles, func() {
+		d.submit("x", extraJobs)
+		d.awaitRunning((jobs + extraJobs) * gangTasks)
+	})
+	for i, r := range roles {
+		edited[i].reportEach(b, r.name, "edit", edits, idle[i])
+		submitted[i].reportEach(b, r.name, "job", extraJobs, idle[i])
 	}
-	between(before[0], readUsage(b, scheduler)).reportEach(b, "scheduler", "edit", edits, idle[0])
-	between(before[1], readUsage(b, plain)).reportEach(b, "plain", "edit", edits, idle[1])
+}
 
-	before = [2]usage{readUsage(b, scheduler), readUsage(b, plain)}
-	d.submit("x", extraJobs)
-	d.awaitRunning((jobs + extraJobs) * gangTasks)
-	between(before[0], readUsage(b, scheduler)).reportEach(b, "scheduler", "job", extraJobs, idle[0])
-	between(before[1], readUsage(b, plain)).reportEach(b, "plain", "job", extraJobs, idle[1])
+// role is a process that is measured.
+type role struct {
+	name    string
+	pid     int
+	address string
+}
+
+// during measures each role while run runs. The reading of counters is left out.
+func (d *deployment) during(roles [2]role, run func()) (out [2]rate) {
+	var before, after [2]usage
+	var counters [2]map[string]float64
+	for i, r := range roles {
+		counters[i] = scrape(d.b, r.address)
+		before[i] = readUsage(d.b, r.pid)
+	}
+	run()
+	for i, r := range roles {
+		after[i] = readUsage(d.b, r.pid)
+	}
+	for i, r := range roles {
+		out[i] = between(before[i], after[i])
+		now := scrape(d.b, r.address)
+		out[i].platform = now["platform"] - counters[i]["platform"]
+		out[i].peers = now["peer"] - counters[i]["peer"]
+	}
+	return out
 }
 
 func total(calls map[string]int) int {
@@ -80,8 +107,10 @@
 type rate struct {
 	seconds float64
 	cpu     float64 // seconds of processor time
-	bytes   float64
+	bytes   float64 // both ways, over all connections
 	memory  float64
+
+	platform, peers float64 // parts of bytes
 }
 
 func between(a, b usage) rate {
@@ -96,6 +125,8 @@
 func (r rate) report(b *testing.B, role string) {
 	b.ReportMetric(100*r.cpu/r.seconds, role+"-cpu-%")
 	b.ReportMetric(r.bytes/r.seconds, role+"-B/s")
+	b.ReportMetric(r.platform/r.seconds, role+"-platform-B/s")
+	b.ReportMetric(r.peers/r.seconds, role+"-peer-B/s")
 	b.ReportMetric(r.memory/(1<<20), role+"-MB")
 }
 
--- a/internal/cost/deployment_test.go
+++ b/internal/cost/deployment_test.go
@@ -1,6 +1,7 @@
 package cost
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -231,28 +234,47 @@
 	d.b.Fatalf("%d of %d tasks run", d.running(), tasks)
 }
 
-// roles returns the pid of the measured failure domain's scheduler and of a
-// neighbour that is not.
-func (d *deployment) roles() (scheduler, plain int) {
+// roles returns the measured failure domain's scheduler and a neighbour of it.
+func (d *deployment) roles() (out [2]role) {
+	var scheduler string
 	d.eventually(func() bool {
 		top, err := client.New("http://"+d.entries()[0].Address, operatorToken).Top(context.Background())
 		if err != nil {
 			return false
 		}
-		scheduler = 0
 		for _, h := range top.Hosts {
 			if h.FailureDomain == measured && h.Term != 0 {
-				scheduler = d.pids[h.Name]
+				scheduler = h.Name
 			}
 		}
-		return scheduler != 0
+		return scheduler != ""
 	})
 	for _, h := range d.entries() {
-		if h.FailureDomain == measured && d.pids[h.Name] != scheduler {
-			plain = d.pids[h.Name]
+		switch {
+		case h.Name == scheduler:
+			out[0] = role{"scheduler", d.pids[h.Name], h.Address}
+		case h.FailureDomain == measured:
+			out[1] = role{"plain", d.pids[h.Name], h.Address}
 		}
 	}
-	return scheduler, plain
+	return out
+}
+
+// scrape sums an entry host's byte counters by slice.
+func scrape(b *testing.B, address string) map[string]float64 {
+	b.Helper()
+	resp, err := http.Get("http://" + address + "/metrics")
+	must.NoError(b, err)
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	for scanner := bufio.NewScanner(resp.Body); scanner.Scan(); {
+		name, value, _ := strings.Cut(scanner.Text(), " ")
+		slice, _, found := strings.Cut(strings.TrimPrefix(name, "cyclamentray_"), "_bytes_total")
+		if n, err := strconv.ParseFloat(value, 64); found && err == nil {
+			out[slice] += n
+		}
+	}
+	return out
 }
 
 func (d *deployment) eventually(holds func() bool) {
