--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,96 @@
+package membership_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"go.uber.org/goleak"
+
+	"github.com/cyclamentray/cyclamentray/membership"
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+// lister is a host list that can be away.
+type lister struct {
+	down  atomic.Bool
+	hosts atomic.Pointer[[]platform.Host]
+}
+
+func (l *lister) Hosts(context.Context) ([]platform.Host, error) {
+	if l.down.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return *l.hosts.Load(), nil
+}
+
+type node struct {
+	*membership.Membership
+	self   platform.Host
+	server *peer.Server
+	end    func()
+}
+
+func start(t *testing.T, name string, l *lister, seeds ...string) *node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	n := &node{server: peer.NewServer(peer.Options{})}
+	n.self = platform.Host{Name: name, Kind: platform.EntryHost, FailureDomain: "n1", PeerAddress: listener.Addr().String()}
+	pool := peer.NewPool(peer.Options{})
+	n.Membership = membership.New(membership.Options{Self: n.self, Incarnation: name, Lister: l, Peers: pool, Seeds: seeds})
+	must.NoError(t, n.RegisterPeer(n.server))
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { must.NoError(t, n.server.Serve(listener)) })
+	running.Go(func() { must.NoError(t, n.Run(ctx)) })
+	n.end = sync.OnceFunc(func() {
+		stop()
+		_ = pool.Close()
+		_ = n.server.Close()
+		running.Wait()
+	})
+	return n
+}
+
+func (n *node) peers() map[string]bool {
+	out := map[string]bool{} // name to whether it leaves
+	for _, h := range n.View().Peers() {
+		out[h.Name] = h.Leaving
+	}
+	return out
+}
+
+func TestHostThatBootsDuringAnOutageLearnsOfItsPeersAndTheyOfIt(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l := &lister{}
+	l.hosts.Store(&[]platform.Host{})
+	a := start(t, "a", l)
+	defer a.end()
+	l.hosts.Store(&[]platform.Host{a.self, {Name: "w1", Kind: platform.Worker, FailureDomain: "n1"}})
+	b := start(t, "b", l, a.self.PeerAddress)
+	defer b.end()
+	eventually(t, func() bool { return len(a.View().Hosts) == 3 }) // b, although the list lacks it
+	l.down.Store(true)
+	c := start(t, "c", l, a.self.PeerAddress)
+	defer c.end()
+
+	eventually(t, func() bool { return len(c.peers()) == 2 && len(a.peers()) == 2 && len(b.peers()) == 2 })
+	must.Len(t, 1, c.View().Workers("n1"))
+	b.Drain()
+	eventually(t, func() bool { return a.peers()["b"] && c.peers()["b"] })
+	b.end()
+	eventually(t, func() bool { return a.View().Silent["b"] && c.View().Silent["b"] })
+	must.Eq(t, []string{a.self.PeerAddress}, c.Carriers())
+}
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(holds), wait.Timeout(30*time.Second), wait.Gap(20*time.Millisecond)))
+}
