--- a/gang/failures_test.go
+++ b/gang/failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	mu   sync.Mutex
 	seen int
 	dead bool
+	done atomic.Int32 // messages of the path that were answered
 }
 
 func (g *gate) Call(ctx context.Context, address, path string, args, reply any) error {
@@ -44,7 +46,11 @@
 	if dead {
 		return errors.New("this host is dead")
 	}
-	return g.WorkerCaller.Call(ctx, address, path, args, reply)
+	err := g.WorkerCaller.Call(ctx, address, path, args, reply)
+	if path == g.path {
+		g.done.Add(1)
+	}
+	return err
 }
 
 // watchCopies fails the test if two generations of the job ever run together.
@@ -199,19 +205,19 @@
 	s := spec("a", 2)
 	c.watchCopies(s)
 	frozen, thaw := make(chan struct{}), make(chan struct{})
-	one := c.entryHost(1, func(o *gang.Options) {
-		o.Workers = &gate{WorkerCaller: gang.NewHTTPWorkers(), path: workerapi.PathStart, nth: 1, act: func() bool {
-			close(frozen)
-			<-thaw
-			return false
-		}}
-	})
+	paused := &gate{WorkerCaller: gang.NewHTTPWorkers(), path: workerapi.PathStart, nth: 1, act: func() bool {
+		close(frozen)
+		<-thaw
+		return false
+	}}
+	one := c.entryHost(1, func(o *gang.Options) { o.Workers = paused })
 	c.submit(one, s)
 	<-frozen
 	two := c.entryHost(2, nil)
 	rec := c.reaches(two, s, job.Running)
 	must.EqOp(t, 2, rec.Generation)
 	close(thaw)
+	holds(t, "the old scheduler's start messages arrive", func() bool { return paused.done.Load() == 2 })
 	one.stop()
 	must.Eq(t, map[uint64]int{2: 2}, c.running(s))
 }
@@ -294,3 +300,20 @@
 	must.EqOp(t, 3, rec.Failures)
 	must.StrContains(t, rec.Reason, "failed too often")
 }
+
+func TestWorkerThatFailsEverythingIsQuarantined(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 7, func(i int) worker.Options {
+		return worker.Options{Fail: func(workerapi.Gang, int) bool { return i == 0 }}
+	})
+	e := c.entryHost(1, nil)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		s := spec(name, 1)
+		c.submit(e, s)
+		holds(t, "the job runs on a sound worker", func() bool {
+			rec, err := e.intake.Find(context.Background(), org, s.ID)
+			return err == nil && rec.State == job.Running && rec.Workers[0] != "w0"
+		})
+	}
+	must.Len(t, 3, c.workers[0].Tasks().Tasks, must.Sprint("failures before the quarantine"))
+}
--- a/gang/run.go
+++ b/gang/run.go
@@ -26,6 +26,9 @@
 	adoptPatience = 10 * time.Second
 	// callPatience is how long an answer of the ledger is awaited before asking again.
 	callPatience = 5 * time.Second
+	// confirmAfter is how long after its start a gang is asked for once, as many
+	// tasks that fail at all fail at once.
+	confirmAfter = time.Second
 	// retryEvery is the time between two tries of an unanswered stop or fence.
 	retryEvery = time.Second
 )
@@ -80,6 +83,7 @@
 	failed  bool
 	suspect []string
 	asked   job.State // state last handed to the ledger
+	checked bool      // its workers were asked once after the start
 	told    bool      // the ledger has the run as running
 	fenced  time.Time // zero: not fenced
 }
@@ -184,27 +188,19 @@
 	if e.State != r.asked {
 		return nil
 	}
+	if e.Superseded {
+		r.enter(Ended, now) // what the ledger has instead is adopted
+		return nil
+	}
 	switch r.Phase {
 	case Recording:
-		if !e.OK {
-			r.enter(Ended, now) // if the record stands after all, it is adopted
-			return nil
-		}
-		r.enter(Reserving, now)
-		var out []Action
-		for _, m := range r.members {
-			out = append(out, Reserve{Worker: m.worker, Tasks: m.tasks})
-		}
-		return out
+		return r.onPlaced(now, e.OK)
 	case Ordered:
-		if !e.OK {
-			r.enter(Running, now) // no record, no stop by choice
-			return nil
+		if e.OK {
+			return r.save(now)
 		}
-		return r.save(now)
 	case Running:
 		r.told = e.OK
-		r.next = now.Add(retryEvery)
 	case Closing:
 		if e.OK {
 			r.enter(Ended, now)
@@ -213,6 +209,30 @@
 	return nil
 }
 
+// onPlaced reserves once the placement is in the ledger. When it may not be,
+// the run ends; a placement that stands after all is adopted.
+func (r *Run) onPlaced(now time.Time, ok bool) []Action {
+	if !ok {
+		r.enter(Ended, now)
+		return nil
+	}
+	r.enter(Reserving, now)
+	var out []Action
+	for _, m := range r.members {
+		out = append(out, Reserve{Worker: m.worker, Tasks: m.tasks})
+	}
+	return out
+}
+
+// outrun tells whether the ledger has the job in a state that a running gang
+// can not be in, so that this run is obsolete.
+func (r *Run) outrun(rec job.Record) bool {
+	if r.Phase != Running {
+		return false
+	}
+	return rec.Generation != r.Gang.Generation || (rec.State != job.Placed && rec.State != job.Running)
+}
+
 func (r *Run) onReserved(now time.Time, e Reserved) []Action {
 	m := r.member(e.Worker)
 	if r.Phase != Reserving || m == nil {
@@ -262,7 +282,13 @@
 	if !r.all(func(m *member) bool { return m.status == runs }) {
 		return nil
 	}
+	return r.whole(now)
+}
+
+// whole notes that every member runs.
+func (r *Run) whole(now time.Time) []Action {
 	r.enter(Running, now)
+	r.next = now.Add(callPatience)
 	return []Action{r.record(job.Running, "")}
 }
 
@@ -318,8 +344,7 @@
 		return r.close(now)
 	}
 	if r.Phase == Adopting && r.all(func(m *member) bool { return m.known }) {
-		r.enter(Running, now)
-		return []Action{r.record(job.Running, "")}
+		return r.whole(now)
 	}
 	return nil
 }
@@ -329,6 +354,7 @@
 	case Running:
 		r.order = e
 		r.enter(Ordered, now)
+		r.next = now.Add(callPatience)
 		return []Action{r.record(job.Stopping, e.Reason)}
 	case Reserving, Starting:
 		r.order = e
@@ -442,10 +468,9 @@
 	case Adopting:
 		return r.tickAdopting(now)
 	case Running:
-		if !r.told && r.asked == job.Running && now.Sub(r.since) >= callPatience && !now.Before(r.next) {
-			r.next = now.Add(callPatience)
-			return []Action{r.record(job.Running, "")}
-		}
+		return r.tickRunning(now)
+	case Ordered:
+		return r.again(now, job.Stopping, r.order.Reason)
 	case Saving:
 		if now.Sub(r.since) >= r.order.Grace {
 			return r.stop(now)
@@ -453,14 +478,34 @@
 	case Stopping:
 		return r.tickStopping(now)
 	case Closing:
-		if !now.Before(r.next) {
-			r.next = now.Add(callPatience)
-			return []Action{r.record(r.order.Next, r.order.Reason)}
-		}
+		return r.again(now, r.order.Next, r.order.Reason)
 	}
 	return nil
 }
 
+func (r *Run) tickRunning(now time.Time) []Action {
+	var out []Action
+	if !r.checked && now.Sub(r.since) >= confirmAfter {
+		r.checked = true
+		for _, m := range r.members {
+			out = append(out, List{Worker: m.worker})
+		}
+	}
+	if !r.told {
+		out = append(out, r.again(now, job.Running, "")...)
+	}
+	return out
+}
+
+// again repeats a record that the ledger did not confirm for a while.
+func (r *Run) again(now time.Time, state job.State, reason string) []Action {
+	if now.Before(r.next) {
+		return nil
+	}
+	r.next = now.Add(callPatience)
+	return []Action{r.record(state, reason)}
+}
+
 func (r *Run) tickAdopting(now time.Time) []Action {
 	if now.Sub(r.since) >= adoptPatience {
 		return r.fail(now, "a worker of the gang did not answer the new scheduler")
