Share work, not slots, fairly between organisations

Whoever used the fewest slots went next, and that was the one whose request had just ended on a fast runner, so it kept that runner. Change: the least work done goes next, in units of the runner's usual time.

--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -16,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/claims"
+	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/routing"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/upstream"
@@ -134,3 +137,72 @@
 	}
 	return n
 }
+
+// BenchmarkOverload offers about twice the capacity of ten upstreams, whose
+// speeds differ tenfold, through three entry hosts over real connections.
+func BenchmarkOverload(b *testing.B) {
+	const (
+		callers = 600
+		warmUp  = 2 * time.Second
+		length  = 8 * time.Second
+		base    = 500 * time.Millisecond // on the slowest upstream
+		slots   = 8
+		pause   = 20 * time.Millisecond // of a caller that was refused
+	)
+	var ups []*upstream.Upstream
+	var hosts []platform.Host
+	capacity := 0.0
+	for i := range 10 {
+		name, speed := fmt.Sprint("u", i), math.Pow(10, float64(i)/9)
+		u := upstream.New(upstream.Options{Name: name, Slots: slots, Work: base, Speed: speed})
+		server := httptest.NewServer(u)
+		b.Cleanup(server.Close)
+		ups = append(ups, u)
+		capacity += slots * speed / base.Seconds()
+		hosts = append(hosts, platform.Host{Name: name, Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: server.Listener.Addr().String(), Slots: slots, Connections: 60})
+	}
+	entries := startKeyed(b, kv.New(), 3, claims.DefaultCommitInterval, hosts...)
+	organisations := []string{"acme", "north", "south", "west"}
+	var ran [4]atomic.Int64
+	var unknown atomic.Int64
+	for b.Loop() {
+		var wg sync.WaitGroup
+		from, end := time.Now().Add(warmUp), time.Now().Add(length)
+		for c := range callers {
+			wg.Go(func() {
+				org := min(c*len(organisations)*2/callers/2, 3)
+				if c%2 == 0 {
+					org = 0
+				}
+				for time.Now().Before(end) {
+					outcome := entries[c%3].do(b, "POST", organisations[org], "").outcome
+					now := time.Now()
+					if now.Before(from) || now.After(end) {
+						continue
+					}
+					switch outcome {
+					case routing.Ran:
+						ran[org].Add(1)
+					case routing.Unknown:
+						unknown.Add(1)
+					default:
+						time.Sleep(pause)
+					}
+				}
+			})
+		}
+		wg.Wait()
+	}
+	sum, least, most, peak := int64(0), int64(math.MaxInt64), int64(0), int64(0)
+	for i := range ran {
+		n := ran[i].Load()
+		sum, least, most = sum+n, min(least, n), max(most, n)
+	}
+	for _, u := range ups {
+		peak = max(peak, u.Peak())
+	}
+	b.ReportMetric(float64(sum)/(length-warmUp).Seconds()/capacity, "work/capacity")
+	b.ReportMetric(float64(least)/float64(most), "fairness")
+	b.ReportMetric(float64(unknown.Load()), "unknown")
+	b.ReportMetric(float64(peak), "peak-on-an-upstream")
+}
--- a/routing/core.go
+++ b/routing/core.go
@@ -12,6 +12,7 @@
 const (
 	queuePerSlot    = 4    // waiting tickets for each slot of this host
 	minQueue        = 32   // waiting tickets that are always allowed
+	maxWork         = 20   // typical requests that one is charged at most
 	minLatency      = 1e-5 // seconds; keeps rates finite
 	shedMemory      = time.Second
 	patienceFactor  = 10 // times the expected latency before an idempotent attempt is given up
@@ -207,12 +208,22 @@
 		return Decisions{}
 	}
 	delete(c.attempts, rep.Ticket)
-	c.queue.release(a.ticket.Organisation)
+	c.queue.release(a.ticket.Organisation, work(now, a.runner, rep))
 	c.observe(now, a.runner, rep)
 	delete(a.runner.started, rep.Ticket)
 	return c.pump(now, Decisions{})
 }
 
+// work returns what a request took, in typical requests of its runner, so that
+// the runner's speed does not count.
+func work(now time.Time, r *runner, rep Report) float64 {
+	if rep.Result != Answered || r.samples == 0 {
+		return 1
+	}
+	took := now.Sub(r.started[rep.Ticket]).Seconds()
+	return min(maxWork, took/max(r.latency, minLatency))
+}
+
 func (c *Core) observe(now time.Time, r *runner, rep Report) {
 	latency := now.Sub(r.started[rep.Ticket])
 	switch rep.Result {
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -20,11 +21,17 @@
 	organisation string
 	waiting      []*Ticket // first come first
 	inFlight     int
-	served       uint64 // sequence number of its last dispatch
+	used         float64 // work done and begun, in typical requests
+	served       uint64  // sequence number of its last dispatch
 }
 
-// fairQueue holds waiting tickets and picks the organisation that uses the
-// fewest slots, so that each gets an equal share when all want more.
+// active reports whether the organisation waits or uses slots.
+func (l *line) active() bool { return l.inFlight > 0 || len(l.waiting) > 0 }
+
+// fairQueue holds waiting tickets and picks the organisation that has used the
+// least work, so that each gets an equal share when all want more. Time on a
+// slot would not do: the organisation whose request ends on a fast runner would
+// get that runner's slot again.
 type fairQueue struct {
 	lines  []*line // ordered by organisation
 	length int
@@ -43,6 +50,9 @@
 
 func (q *fairQueue) push(t *Ticket) {
 	l := q.line(t.Organisation)
+	if !l.active() {
+		l.used = max(l.used, q.leastUsed())
+	}
 	if t.Retry {
 		l.waiting = slices.Insert(l.waiting, 0, t)
 	} else {
@@ -65,9 +75,24 @@
 	return best
 }
 
+// leastUsed returns the smallest use of an active organisation. One that comes
+// back from idling starts there and has saved nothing up.
+func (q *fairQueue) leastUsed() float64 {
+	least := math.Inf(1)
+	for _, l := range q.lines {
+		if l.active() {
+			least = min(least, l.used)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
+}
+
 func before(a, b *line) bool {
-	if a.inFlight != b.inFlight {
-		return a.inFlight < b.inFlight
+	if a.used != b.used {
+		return a.used < b.used
 	}
 	return a.served < b.served
 }
@@ -80,10 +105,17 @@
 	q.seq++
 	l.served = q.seq
 	l.inFlight++
+	l.used++
 	return t
 }
 
-func (q *fairQueue) release(organisation string) { q.line(organisation).inFlight-- }
+// release ends a ticket's use of a slot. work is what it took, in typical
+// requests; one was charged when it began.
+func (q *fairQueue) release(organisation string, work float64) {
+	l := q.line(organisation)
+	l.inFlight--
+	l.used += work - 1
+}
 
 // dropFromLongest removes the newest first attempt of the longest line.
 func (q *fairQueue) dropFromLongest() *Ticket {
@@ -134,7 +166,7 @@
 func (q *fairQueue) busyLines() int {
 	n := 0
 	for _, l := range q.lines {
-		if l.inFlight > 0 || len(l.waiting) > 0 {
+		if l.active() {
 			n++
 		}
 	}
