--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -20,8 +20,8 @@
 
 // slices are the parts of one entry host, in the order in which they are built.
 type slices struct {
-	guard      *platform.Guard
-	platform   *platform.Carrier
+	guard      *platform.Guard   // this host's own calls to the platform
+	platform   *platform.Carrier // the same, or through peers while it is cut off
 	peers      *peer.Pool
 	peerServer *peer.Server
 	membership *membership.Membership
@@ -60,27 +60,12 @@
 func (s *slices) buildPlatform(h *Host) {
 	s.guard = platform.New(platform.Options{
 		Base:    h.opts.Settings.Platform.URLs[0],
-		Further: h.opts.Settings.Platform.URLs[1:],
+		Others:  h.opts.Settings.Platform.URLs[1:],
 		Now:     h.opts.Now,
 		Logger:  h.opts.Logger.WithPrefix("platform"),
 		Metrics: h.opts.Metrics,
 	})
-	s.platform = platform.NewCarrier(s.guard, s.peers, s.carriers)
-}
-
-// carriers returns the peers that may carry a call to the platform, those of
-// this failure domain first.
-func (s *slices) carriers() []string {
-	view := s.membership.View()
-	var near, far []string
-	for _, p := range view.Peers() {
-		if p.FailureDomain == view.Self.FailureDomain {
-			near = append(near, p.PeerAddress)
-		} else {
-			far = append(far, p.PeerAddress)
-		}
-	}
-	return append(near, far...)
+	s.platform = platform.NewCarrier(s.guard, s.peers, func() []string { return s.membership.Carriers() })
 }
 
 func (s *slices) buildMembership(h *Host) {
