--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -64,7 +64,7 @@
 func (r replayResult) plus(o replayResult) replayResult {
 	return replayResult{
 		mean: r.mean + o.mean, p95: r.p95 + o.p95, small: r.small + o.small, largest: max(r.largest, o.largest),
-		fragmented: r.fragmented + o.fragmented, work: r.work + o.work,
+		fragmented: r.fragmented + o.fragmented, work: r.work + o.work, ofWanted: r.ofWanted + o.ofWanted,
 	}
 }
 
@@ -74,24 +74,26 @@
 	for _, size := range []traceSize{usersWhole, letterWhole} {
 		b.Run(size.name, func(b *testing.B) {
 			for b.Loop() {
-				ours, fifo := 0.0, 0.0
+				var ours, fifo replayResult
 				for _, seed := range seeds() {
 					trace := drawTrace(size, .8, seed)
-					ours += workKept(size, trace, Decide)
-					fifo += workKept(size, trace, fifoFirstFit)
+					ours = ours.plus(leaveAndReturn(size, trace, Decide))
+					fifo = fifo.plus(leaveAndReturn(size, trace, fifoFirstFit))
 				}
 				n := float64(len(seeds()))
 				b.ReportMetric(0, "ns/op")
-				b.ReportMetric(ours/n, "work")
-				b.ReportMetric(fifo/n, "fifo-work")
+				b.ReportMetric(ours.work/n, "work")
+				b.ReportMetric(fifo.work/n, "fifo-work")
+				b.ReportMetric(ours.ofWanted/n, "work/wanted")
+				b.ReportMetric(fifo.ofWanted/n, "fifo-work/wanted")
 			}
 		})
 	}
 }
 
-func workKept(size traceSize, trace []traceJob, decide func(View) Plan) float64 {
+func leaveAndReturn(size traceSize, trace []traceJob, decide func(View) Plan) replayResult {
 	r := newReplay(size, trace, decide)
 	r.leaveAndReturn()
 	r.run()
-	return r.result().work
+	return r.result()
 }
--- a/placement/displace.go
+++ b/placement/displace.go
@@ -11,7 +11,7 @@
 // When a blocked job displaces running gangs.
 const (
 	restartTime   = 3 * time.Minute  // delay of a gang that is checkpointed and restarted
-	settledTime   = 10 * time.Minute // a gang is not displaced sooner after its start
+	settledTime   = 30 * time.Minute // a gang is not displaced sooner after its start
 	displaceGain  = 1.5              // the wait saved must be this many times the delay caused
 	shortestSaved = 10 * time.Minute // waits that are not worth a displacement
 )
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -7,7 +7,7 @@
 // Quantiles of the run time at which jobs are judged.
 const (
 	orderQuantile    = 0.5 // of waiting jobs, to order them
-	backfillQuantile = 0.8 // of waiting jobs, to let them go ahead of a reservation
+	backfillQuantile = 0.5 // of waiting jobs, to let them go ahead of a reservation
 	remainQuantile   = 0.6 // of running gangs, to tell when accelerators come free
 )
 
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -12,21 +12,21 @@
 
 // replay runs a trace through a policy in virtual time.
 type replay struct {
-	size                traceSize
-	decide              func(View) Plan
-	oracle              bool // tell the policy the true run times
-	now                 time.Time
-	events              eventQueue
-	domains             []*replayDomain
-	est                 *Estimates
-	jobs                []*replayJob
-	outAt               time.Time // zero: no failure domain leaves
-	backAt              time.Time
-	windowEnd           time.Time
-	work, possible      float64 // accelerator-seconds within the window
-	fragmented, fragFor float64
-	decisions           int
-	reclaims, wasted    int
+	size                   traceSize
+	decide                 func(View) Plan
+	oracle                 bool // tell the policy the true run times
+	now                    time.Time
+	events                 eventQueue
+	domains                []*replayDomain
+	est                    *Estimates
+	jobs                   []*replayJob
+	outAt                  time.Time // zero: no failure domain leaves
+	backAt                 time.Time
+	windowEnd              time.Time
+	work, possible, wanted float64 // accelerator-seconds within the window
+	fragmented, fragFor    float64
+	decisions              int
+	reclaims, wasted       int
 }
 
 type replayDomain struct {
@@ -273,14 +273,12 @@
 func (r *replay) account(until time.Time) {
 	dt := until.Sub(r.now).Seconds()
 	inWindow := !r.outAt.IsZero() && !r.now.Before(r.outAt) && r.now.Before(r.windowEnd)
+	capacity, demand := 0, 0
 	for _, d := range r.domains {
 		if inWindow && !d.out {
-			r.possible += dt * float64(d.size)
-			for _, j := range d.running {
-				if !j.gang.Stopping && r.now.Sub(j.gang.Started) >= j.overhead {
-					r.work += dt * float64(j.Shape.Accelerators())
-				}
-			}
+			capacity += d.size
+			demand += d.demand()
+			r.work += dt * float64(d.working(r.now))
 		}
 		if r.now.Before(time.Time{}.Add(r.size.span)) && !d.out && dt > 0 {
 			if f, ok := fragmentation(d, r.size.guarantees()); ok {
@@ -289,6 +287,31 @@
 			}
 		}
 	}
+	r.possible += dt * float64(capacity)
+	r.wanted += dt * float64(min(capacity, demand))
+}
+
+// demand returns the accelerators that a failure domain's jobs could keep busy.
+func (d *replayDomain) demand() int {
+	n := 0
+	for _, j := range d.running {
+		n += j.Shape.Accelerators()
+	}
+	for _, j := range d.waiting {
+		n += j.Shape.Accelerators()
+	}
+	return n
+}
+
+// working returns the accelerators on which progress is made.
+func (d *replayDomain) working(now time.Time) int {
+	n := 0
+	for _, j := range d.running {
+		if !j.gang.Stopping && now.Sub(j.gang.Started) >= j.overhead {
+			n += j.Shape.Accelerators()
+		}
+	}
+	return n
 }
 
 // fragmentation is the share of free accelerators not usable by copies of the
@@ -324,6 +347,7 @@
 	largest    time.Duration // longest wait of a gang of the largest size
 	fragmented float64
 	work       float64 // share of what the accelerators in service could do in the window
+	ofWanted   float64 // share of what they could do with the jobs there were
 }
 
 func (r *replay) result() replayResult {
@@ -354,6 +378,7 @@
 	out.p95 = completions[len(completions)*95/100] / average(runs)
 	out.fragmented = r.fragmented / r.fragFor
 	out.work = r.work / r.possible
+	out.ofWanted = r.work / r.wanted
 	return out
 }
 
