--- a/api/api.go
+++ b/api/api.go
@@ -34,7 +34,15 @@
 	Revision uint64 `json:"revision"`
 }
 
-// JobList is a page of jobs that the caller may see, newest first.
+// Explanation tells a caller why its job waits or what became of it.
+type Explanation struct {
+	Record        job.Record       `json:"record"`
+	FailureDomain string           `json:"failureDomain"`
+	Why           string           `json:"why"`
+	History       []job.Transition `json:"history"` // oldest first
+}
+
+// JobList holds the jobs that the caller may see, ordered by identity.
 type JobList struct {
 	Jobs []job.Record `json:"jobs"`
 }
--- a/client/client.go
+++ b/client/client.go
@@ -75,11 +75,11 @@
 	return rec, err
 }
 
-// Explain returns why a job waits or what became of it, as JSON.
-func (c *Client) Explain(ctx context.Context, id job.ID) (json.RawMessage, error) {
-	var raw json.RawMessage
-	err := c.call(ctx, http.MethodGet, jobPath(id)+"/explain", nil, &raw)
-	return raw, err
+// Explain returns why a job waits or what became of it.
+func (c *Client) Explain(ctx context.Context, id job.ID) (api.Explanation, error) {
+	var why api.Explanation
+	err := c.call(ctx, http.MethodGet, jobPath(id)+"/explain", nil, &why)
+	return why, err
 }
 
 // Apply puts documents in force together. It returns a Conflict error when
@@ -108,6 +108,13 @@
 	return reply, err
 }
 
+// Config returns the documents in force on the entry host.
+func (c *Client) Config(ctx context.Context) (api.ConfigReply, error) {
+	var reply api.ConfigReply
+	err := c.call(ctx, http.MethodGet, "/v1/config", nil, &reply)
+	return reply, err
+}
+
 // Top returns the deployment as the entry host sees it.
 func (c *Client) Top(ctx context.Context) (api.Top, error) {
 	var top api.Top
--- a/config/edit.go
+++ b/config/edit.go
@@ -72,7 +72,7 @@
 			return nil, nil, nil
 		}
 		if _, ok := snap.Services[service]; !ok {
-			return nil, nil, apierr.New(apierr.NotFound, "no service "+service, "list the services with `cyclamentray top`")
+			return nil, nil, apierr.New(apierr.NotFound, "no service "+service, "list the documents with `cyclamentray documents`")
 		}
 		return nil, []string{service}, nil
 	})
@@ -84,7 +84,7 @@
 	return e.run(ctx, nil, func(snap *Snapshot) ([]Document, []string, error) {
 		fd, ok := snap.FailureDomains[name]
 		if !ok {
-			return nil, nil, apierr.New(apierr.NotFound, "no failure domain "+name, "list the failure domains with `cyclamentray top`")
+			return nil, nil, apierr.New(apierr.NotFound, "no failure domain "+name, "list the documents with `cyclamentray documents`")
 		}
 		fd.Out = out
 		return []Document{{Kind: KindFailureDomain, FailureDomain: &fd}}, nil, nil
--- a/intake/http.go
+++ b/intake/http.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamentray/cyclamentray/api"
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/internal/httpjson"
@@ -21,14 +21,6 @@
 	methodHold   = "Gangs.Hold"
 )
 
-// Explanation tells a caller why a job waits, or what happened to it.
-type Explanation struct {
-	Record        job.Record       `json:"record"`
-	FailureDomain string           `json:"failureDomain"`
-	Why           string           `json:"why"`
-	History       []job.Transition `json:"history"`
-}
-
 // Register adds the job calls to mux. The sender's identity is in each
 // request's context.
 func (in *Intake) Register(mux *http.ServeMux) {
@@ -46,31 +38,18 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		who, ok := auth.FromContext(r.Context())
 		if !ok {
-			writeError(w, apierr.New(apierr.Unauthenticated, "no token", "send Authorization: Bearer TOKEN"))
+			httpjson.WriteError(w, apierr.New(apierr.Unauthenticated, "no token", "send Authorization: Bearer TOKEN"))
 			return
 		}
 		answer, err := h(r, who)
 		if err != nil {
-			writeError(w, err)
+			httpjson.WriteError(w, err)
 			return
 		}
-		writeJSON(w, http.StatusOK, answer)
+		httpjson.Write(w, http.StatusOK, answer)
 	}
 }
 
-func writeError(w http.ResponseWriter, err error) {
-	e := apierr.From(err)
-	writeJSON(w, e.Status(), struct {
-		Error *apierr.Error `json:"error"`
-	}{e})
-}
-
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(value)
-}
-
 func pathID(r *http.Request) job.ID {
 	return job.ID{
 		Organisation: r.PathValue("organisation"),
@@ -100,7 +79,11 @@
 	if state != "" && !state.Known() {
 		return nil, apierr.Invalid("state", "unknown state "+strconv.Quote(string(state)), "leave it out, or use a state such as queued or running")
 	}
-	return in.List(r.Context(), who, state)
+	jobs, err := in.List(r.Context(), who, state)
+	if err != nil {
+		return nil, err
+	}
+	return api.JobList{Jobs: jobs}, nil
 }
 
 // List returns the jobs of all failure domains that the sender may see, in the
@@ -145,7 +128,7 @@
 	if rec.State == job.Queued {
 		why = in.why(r.Context(), domain, rec)
 	}
-	return Explanation{Record: rec, FailureDomain: domain, Why: why, History: rec.History}, nil
+	return api.Explanation{Record: rec, FailureDomain: domain, Why: why, History: rec.History}, nil
 }
 
 // why asks the scheduler of the job's failure domain why it waits.
--- a/internal/cli/documents.go
+++ b/internal/cli/documents.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -18,6 +20,7 @@
 	return []command{
 		{"validate", "Check documents and settings", "Reads documents, or settings with --settings, and reports every mistake with its file, line and remedy.", &validateCommand{app: a}},
 		{"apply", "Put documents in force", "Puts all the documents in the files in force together, or none of them.", &applyCommand{app: a}},
+		{"documents", "List the documents in force", "Lists the documents in force and the retired services; with --output json, whole.", &documentsCommand{app: a}},
 		{"retire", "Retire a service for good", "Retires a service: its queued jobs are cancelled, its running ones checkpointed and stopped, its new ones refused.", &retireCommand{app: a}},
 		{"describe", "Describe every field", "Describes every field of documents or settings with its unit, default and range.", &describeCommand{app: a}},
 	}
@@ -104,6 +107,30 @@
 	return nil
 }
 
+type documentsCommand struct {
+	app *app
+}
+
+// Execute lists the documents in force.
+func (c *documentsCommand) Execute([]string) error {
+	cl, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	reply, err := cl.Config(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	lines := []string{fmt.Sprintf("revision %d", reply.Revision)}
+	for _, doc := range reply.Documents {
+		lines = append(lines, doc.ID())
+	}
+	for _, name := range slices.Sorted(maps.Keys(reply.Retired)) {
+		lines = append(lines, fmt.Sprintf("service/%s (retired at revision %d)", name, reply.Retired[name]))
+	}
+	return c.app.print(reply, strings.Join(lines, "\n"))
+}
+
 type retireCommand struct {
 	app  *app
 	Args struct {
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cyclamentray/cyclamentray/api"
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/client"
 	"github.com/cyclamentray/cyclamentray/job"
@@ -197,11 +198,26 @@
 	if err != nil {
 		return err
 	}
-	raw, err := cl.Explain(c.app.ctx, id)
+	why, err := cl.Explain(c.app.ctx, id)
 	if err != nil {
 		return err
 	}
-	return c.app.printRaw(raw)
+	return c.app.print(why, describeExplanation(why))
+}
+
+func describeExplanation(e api.Explanation) string {
+	lines := []string{describeJob(e.Record)}
+	if e.Why != "" {
+		lines = append(lines, e.Why)
+	}
+	for _, t := range e.History {
+		line := fmt.Sprintf("  %s %s", t.At.UTC().Format(time.RFC3339), t.State)
+		if t.Reason != "" {
+			line += ": " + t.Reason
+		}
+		lines = append(lines, line)
+	}
+	return strings.Join(lines, "\n")
 }
 
 // printRaw writes JSON as it is, or indented for people.
--- a/internal/cli/requests.go
+++ b/internal/cli/requests.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"strings"
 
 	"github.com/cyclamentray/cyclamentray/api"
 	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/httpjson"
 )
 
 func requestCommands(a *app) []command {
@@ -18,6 +18,8 @@
 	}
 }
 
+const outcomeRan = "ran"
+
 type requestCommand struct {
 	app    *app
 	Method string `long:"method" default:"GET" description:"HTTP method"`
@@ -39,22 +41,10 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf("%d, outcome %s\n%s", answer.Status, answer.Outcome, answer.Body)
-	if err := c.app.print(answer, text); err != nil {
-		return err
-	}
-	return outcomeError(answer.Status, answer.Outcome)
-}
-
-// outcomeError returns an error for an answer that is not the upstream's own.
-func outcomeError(status int, outcome string) error {
-	switch {
-	case outcome == "unknown":
-		return apierr.New(apierr.OutcomeUnknown, "the request may or may not have run", "ask for its outcome before sending it again")
-	case outcome == "not-run" || status == http.StatusTooManyRequests:
-		return apierr.New(apierr.Unavailable, "the request did not run", "send it again later")
+	if answer.Outcome != outcomeRan {
+		return httpjson.ReadError(answer.Status, answer.Body)
 	}
-	return nil
+	return c.app.print(answer, fmt.Sprintf("%d, outcome %s\n%s", answer.Status, answer.Outcome, answer.Body))
 }
 
 type outcomeCommand struct {
--- a/internal/cost/deployment_test.go
+++ b/internal/cost/deployment_test.go
@@ -229,7 +229,7 @@
 	list, err := d.callers()[0].Jobs(context.Background(), job.Queued)
 	if err == nil && len(list.Jobs) > 0 {
 		why, _ := d.callers()[0].Explain(context.Background(), list.Jobs[0].Spec.ID)
-		d.b.Logf("%s", why)
+		d.b.Logf("%s", why.Why)
 	}
 	d.b.Fatalf("%d of %d tasks run", d.running(), tasks)
 }
