--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -182,6 +182,7 @@
 		Membership:    s.membership,
 		Election:      s.election,
 		Peers:         s.peers,
+		Notes:         s.books.Notes(),
 		Now:           h.opts.Now,
 		Logger:        h.opts.Logger.WithPrefix("gang"),
 		Metrics:       h.opts.Metrics,
@@ -221,6 +222,7 @@
 		s.config.RegisterPeer,
 		s.claims.RegisterPeer,
 		s.scheduler.RegisterPeer,
+		s.intake.RegisterPeer,
 	} {
 		if err := register(s.peerServer); err != nil {
 			return err
