--- a/gang/failures_test.go
+++ b/gang/failures_test.go
@@ -287,7 +287,7 @@
 	must.False(t, tasks[0].Checkpointed.IsZero(), must.Sprint("its work was saved"))
 }
 
-func TestTakingOutChecksGangsIn(t *testing.T) {
+func TestTakingOutStopsGangsWithCheckpoint(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 2, nil)
 	e := c.entryHost(1, nil)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -359,6 +359,11 @@
 	}
 	_, err := in.Cancel(ctx, org, spec("ends").ID)
 	must.NoError(t, err)
+	_, err = books.Jobs("fd1").ReadAll(ctx)
+	must.NoError(t, err)
+	in.Keep(ctx)
+	_, err = in.Find(ctx, org, spec("ends").ID)
+	must.NoError(t, err, must.Sprint("kept for a while"))
 	s.pass(intake.DefaultRetention + time.Second)
 	in.Keep(ctx)
 	records, err := books.Jobs("fd1").ReadAll(ctx)
