--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -163,6 +163,7 @@
 		Membership: s.membership,
 		Config:     s.config,
 		Claims:     s.claims,
+		DrainDelay: h.opts.Settings.Timing.DrainWait(),
 	})
 }
 
