--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -202,10 +202,16 @@
 	h := startCluster(t, 1).hosts[0]
 	h.mustGrant(t, "x", "a")
 	h.proxy.Set(faultproxy.Up, faultproxy.Fault{CutAfter: faultproxy.NoCut, Blackhole: true})
+	started := time.Now()
 	verdict, err := h.claim("during", "a", 100*time.Millisecond)
 	must.Error(t, err)
 	must.Eq(t, claims.Absent, verdict)
-	started := time.Now()
+	for err = nil; err == nil; time.Sleep(time.Millisecond) { // until the first claim's write is given up
+		verdict, err = h.claim("during", "b", testTimeout)
+		must.NotEq(t, claims.Granted, verdict)
+		must.Less(t, testTimeout/2, time.Since(started))
+	}
+	must.ErrorIs(t, err, claims.ErrUnavailable)
 	_, err = h.claim("during2", "a", testTimeout)
 	must.ErrorIs(t, err, claims.ErrUnavailable)
 	must.Less(t, testTimeout/2, time.Since(started))
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -73,8 +73,10 @@
 		s.mu.Unlock()
 		return Reply{}, errNotOwner
 	}
-	known := s.table.records[hashKey(req.Key)] != nil
-	if !known && s.troubled {
+	old := s.table.records[hashKey(req.Key)]
+	known := old != nil
+	if s.troubled && (!known || old.state == pending) {
+		// Nobody was granted the key, and nobody will be before the write settles.
 		s.mu.Unlock()
 		return Reply{}, ErrUnavailable
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -379,6 +379,26 @@
 	}
 }
 
+// A partition swallows everything to and from another failure domain under
+// load. What was sent there is unknown; what comes later runs here.
+func TestPartitionFromAnotherFailureDomain(t *testing.T) {
+	const slots = 8
+	near, _, _ := runnerHost(t, upstream.Options{Name: "near", Work: 5 * time.Millisecond})
+	far, v, link := runnerHost(t, upstream.Options{Name: "far", Work: 5 * time.Millisecond})
+	far.FailureDomain = "b"
+	e := startEntry(t, newShared(time.Second, near, far), nil)
+	stop := load(t, e.self, 3*slots)
+	waitFor(t, "the far one works", func() bool { return v.Executed() > 20 })
+	lost := faultproxy.Fault{CutAfter: faultproxy.NoCut, Blackhole: true}
+	link.Set(faultproxy.Up, lost)
+	link.Set(faultproxy.Down, lost)
+	time.Sleep(3 * time.Second) // three timeouts
+	outcomes := stop()
+	must.Zero(t, outcomes[routing.NotRun])
+	must.Between(t, 1, outcomes[routing.Unknown], 2*slots)
+	must.Greater(t, 500, outcomes[routing.Ran])
+}
+
 // One of two entry hosts drains and exits under load: no caller behind the
 // balancer sees anything but whole answers.
 func TestDrainCutsOffNothing(t *testing.T) {
