Show every hop of a request, job and edit in one trace

A trial with the recorder showed: the router's span beside the entry host's instead of under it, since it read the header again; no spans towards workers and the platform; a job's start in no trace; and 22 of 26 traces heartbeats.

--- a/gang/client.go
+++ b/gang/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamentray/cyclamentray/telemetry"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
@@ -39,7 +40,7 @@
 		MaxIdleConnsPerHost: idlePerWorker,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &HTTPWorkers{client: &http.Client{Transport: transport}, timeout: workerTimeout}
+	return &HTTPWorkers{client: &http.Client{Transport: telemetry.Transport(transport, "worker")}, timeout: workerTimeout}
 }
 
 // Close drops idle connections.
--- a/gang/effects.go
+++ b/gang/effects.go
@@ -6,6 +6,7 @@
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
@@ -40,6 +41,7 @@
 }
 
 func (e effect) do(ctx context.Context, a Action) {
+	ctx = telemetry.WithTraceParent(ctx, e.record.TraceParent)
 	switch a := a.(type) {
 	case Record:
 		e.post(ctx, e.write(ctx, a))
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 // maxMoves bounds how far a moved job is followed.
@@ -46,6 +47,7 @@
 	}
 	now := in.o.Now()
 	rec.Submitted = now
+	rec.TraceParent = telemetry.TraceParent(ctx)
 	rec.Enter(job.Queued, "", now)
 	return in.create(ctx, claim.FailureDomain, rec)
 }
--- a/routing/serve.go
+++ b/routing/serve.go
@@ -9,7 +9,6 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/claims"
@@ -46,8 +45,7 @@
 		writeError(w, NotRun, err)
 		return
 	}
-	ctx := propagation.TraceContext{}.Extract(req.Context(), propagation.HeaderCarrier(req.Header))
-	ctx, span := otel.Tracer(tracerName).Start(ctx, "routing.request")
+	ctx, span := otel.Tracer(tracerName).Start(req.Context(), "routing.request")
 	defer span.End()
 	span.SetAttributes(attribute.String("service", config.Name), attribute.String("method", c.method))
 	s := r.service(config.Name)
--- a/telemetry/http.go
+++ b/telemetry/http.go
@@ -81,6 +81,10 @@
 	return w.status
 }
 
+// pathKey names the path of a call. It is no part of a span's name, since paths
+// hold names without bound.
+const pathKey = attribute.Key("url.path")
+
 // Transport wraps base so that each request is a client span named after the
 // kind of host it goes to, such as "worker", and carries the trace context.
 func Transport(base http.RoundTripper, kind string) http.RoundTripper {
@@ -93,7 +97,8 @@
 }
 
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	ctx, span := StartClient(r.Context(), t.kind+" "+r.Method, attribute.String("peer", r.URL.Host))
+	ctx, span := StartClient(r.Context(), t.kind+" "+r.Method,
+		attribute.String("server.address", r.URL.Host), pathKey.String(r.URL.Path))
 	r = r.Clone(ctx)
 	Inject(ctx, r.Header)
 	resp, err := t.base.RoundTrip(r)
--- a/telemetry/recorder.go
+++ b/telemetry/recorder.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
@@ -164,15 +165,20 @@
 		if !parent.IsValid() {
 			branch, below = "", ""
 		}
-		p.out.WriteString(indent + branch + s.Name() + hostOf(s) + p.timing(s) + failureOf(s) + "\n")
+		p.out.WriteString(indent + branch + s.Name() + pathOf(s) + hostOf(s) + p.timing(s) + failureOf(s) + "\n")
 		p.level(s.SpanContext().SpanID(), indent+below)
 	}
 }
 
-func hostOf(s sdktrace.ReadOnlySpan) string {
+func pathOf(s sdktrace.ReadOnlySpan) string { return attributeOf(s, pathKey, " ") }
+
+func hostOf(s sdktrace.ReadOnlySpan) string { return attributeOf(s, HostKey, " @") }
+
+// attributeOf returns mark and an attribute's value, or "" without the attribute.
+func attributeOf(s sdktrace.ReadOnlySpan, key attribute.Key, mark string) string {
 	for _, a := range s.Attributes() {
-		if a.Key == HostKey {
-			return " @" + a.Value.AsString()
+		if a.Key == key {
+			return mark + a.Value.AsString()
 		}
 	}
 	return ""
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -72,9 +72,9 @@
 
 	must.Eq(t, []string{TraceID(ctx)}, rec.Traces())
 	must.Eq(t, `caller
-└─ entry-host POST
+└─ entry-host POST /v1/jobs/secret
    └─ entry POST /v1/jobs/{name} @a-1  failed: Service Unavailable
-      └─ entry-host POST
+      └─ entry-host POST /v1/jobs/secret
          └─ entry POST /v1/jobs/{name} @b-1  failed: Service Unavailable
             └─ platform.get  failed: store unavailable
 `, rec.Shape(TraceID(ctx)))
@@ -104,6 +104,27 @@
 	must.Eq(t, "", rec.Tree("no trace"))
 }
 
+func TestBackgroundCallsMakeNoTraces(t *testing.T) {
+	rec := record(t)
+	ctx, heartbeat := StartClient(t.Context(), "heartbeat")
+	must.Eq(t, "", TraceParent(ctx))
+	_, received := StartServer(Receive(t.Context(), Carry(ctx)), "heartbeat")
+	received.End()
+	heartbeat.End()
+	must.SliceEmpty(t, rec.Traces())
+}
+
+func TestTraceParent_JoinsLaterWork(t *testing.T) {
+	rec := record(t)
+	ctx, submitted := Start(t.Context(), "submit")
+	kept := TraceParent(ctx)
+	submitted.End()
+	_, later := StartClient(WithTraceParent(t.Context(), kept), "start")
+	later.End()
+	must.Eq(t, "submit\n└─ start\n", rec.Shape(TraceID(ctx)))
+	must.Eq(t, t.Context(), WithTraceParent(t.Context(), ""))
+}
+
 func TestSetupTracing_Exporters(t *testing.T) {
 	var out bytes.Buffer
 	shutdown, err := SetupTracing(t.Context(), Tracing{Exporter: "stdout", Stdout: &out, Host: "a-1"})
--- a/telemetry/trace.go
+++ b/telemetry/trace.go
@@ -73,7 +73,7 @@
 		ratio = float64(t.SamplePercent) / 100
 	}
 	options := []sdktrace.TracerProviderOption{
-		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(ratio))),
+		sdktrace.WithSampler(sdktrace.ParentBased(rootSampler{sdktrace.TraceIDRatioBased(ratio)})),
 		sdktrace.WithResource(resource.NewSchemaless(
 			attribute.String("service.name", tracerName),
 			attribute.String("host.name", t.Host),
@@ -88,6 +88,19 @@
 	return options
 }
 
+// rootSampler leaves out traces that would begin with a call to another
+// process: heartbeats, renewals and other background work, which no caller
+// waits for. A caller that wants its call traced wraps it in Start.
+type rootSampler struct{ sdktrace.Sampler }
+
+// ShouldSample implements Sampler.
+func (s rootSampler) ShouldSample(p sdktrace.SamplingParameters) sdktrace.SamplingResult {
+	if p.Kind == trace.SpanKindClient {
+		return sdktrace.NeverSample().ShouldSample(p)
+	}
+	return s.Sampler.ShouldSample(p)
+}
+
 // Start begins a span for work within the process. Callers must End it.
 func Start(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, trace.Span) {
 	return start(ctx, name, trace.SpanKindInternal, attributes)
@@ -137,6 +150,25 @@
 	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(carried))
 }
 
+const traceParentKey = "traceparent"
+
+// TraceParent returns the trace context of ctx in W3C form, to be kept with
+// work that goes on later; "" when ctx's trace is not recorded.
+func TraceParent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	return Carry(ctx)[traceParentKey]
+}
+
+// WithTraceParent returns ctx within the trace that TraceParent told of.
+func WithTraceParent(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return Receive(ctx, map[string]string{traceParentKey: parent})
+}
+
 // TraceID returns the ID of ctx's trace in hexadecimal, or "" when it has none.
 func TraceID(ctx context.Context) string {
 	sc := trace.SpanContextFromContext(ctx)
