--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -20,7 +20,7 @@
 	Name         string
 	Accelerators int
 	Now          func() time.Time // nil: time.Now
-	// RunTime tells how long a task runs; nil: until stopped.
+	// RunTime tells how long a task runs; nil or an answer of 0: until stopped.
 	RunTime func(gang workerapi.Gang, index int) time.Duration
 	// Fail tells whether a task fails as soon as it starts; nil: none does.
 	Fail func(gang workerapi.Gang, index int) bool
@@ -212,14 +212,14 @@
 	t.GangTasks = r.Size
 	t.expires = now.Add(r.Lease)
 	if s.o.RunTime != nil {
-		t.finish = now.Add(s.o.RunTime(r.Gang, t.Index))
+		t.finish = finishOf(now, s.o.RunTime(r.Gang, t.Index))
 	}
 	if s.o.Fail != nil && s.o.Fail(r.Gang, t.Index) {
 		t.end(workerapi.TaskFailed, "the task failed at its start", now)
 	}
 }
 
-// Renew extends the leases of the gangs that run here.
+// Renew extends the leases of the gangs that run here, none of whose tasks failed.
 func (s *Server) Renew(r workerapi.RenewRequest) workerapi.RenewReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,11 +239,17 @@
 	found := false
 	expires := s.o.Now().Add(lease)
 	for key, t := range s.tasks {
-		if key.gang == gang && t.State == workerapi.TaskRunning {
-			found = true
-			if lease > 0 {
-				t.expires = expires
-			}
+		if key.gang != gang {
+			continue
+		}
+		if t.State == workerapi.TaskFailed || t.State == workerapi.TaskStopped {
+			return false
+		}
+		found = found || t.State == workerapi.TaskRunning
+	}
+	for key, t := range s.tasks {
+		if key.gang == gang && t.State == workerapi.TaskRunning && lease > 0 {
+			t.expires = expires
 		}
 	}
 	return found
@@ -317,3 +323,11 @@
 	}
 	return workerapi.Reply{Code: workerapi.OK}
 }
+
+// finishOf returns when a task that starts now ends by itself; zero: never.
+func finishOf(now time.Time, run time.Duration) time.Time {
+	if run == 0 {
+		return time.Time{}
+	}
+	return now.Add(run)
+}
