--- a/entryhost/badinput_test.go
+++ b/entryhost/badinput_test.go
@@ -16,10 +16,10 @@
 
 const (
 	operator = dev.OperatorToken
-	juice    = "dev-juice-bottlers"
-	depot    = "dev-depot-norte"
+	filer    = "mwambao-mwambao"
+	depot    = "consorcio-playa-kits"
 
-	goodJob = `{"id": {"organisation": "juice-bottlers", "service": "filings", "name": "j1"}, "template": "reconcile",
+	goodJob = `{"id": {"organisation": "mwambao", "service": "levy-filings", "name": "j1"}, "template": "reconcile",
 	  "shape": {"tasks": 1, "acceleratorsPerTask": 8, "adjacency": "rack"}, "declaredRunNanos": 1000000000}`
 )
 
@@ -68,37 +68,37 @@
 	}{
 		{"no token", "POST /v1/jobs", "", goodJob, apierr.Unauthenticated},
 		{"unknown path without a token", "GET /v1/secrets", "", "", apierr.Unauthenticated},
-		{"malformed job", "POST /v1/jobs", juice, `{"id":`, apierr.InvalidInput},
-		{"empty job", "POST /v1/jobs", juice, ``, apierr.InvalidInput},
-		{"unknown field of a job", "POST /v1/jobs", juice, jobWith(`"template"`, `"tmplate": "x", "template"`), apierr.InvalidInput},
-		{"job as a list", "POST /v1/jobs", juice, `[` + goodJob + `]`, apierr.InvalidInput},
-		{"oversize job", "POST /v1/jobs", juice, huge + goodJob, apierr.TooLarge},
-		{"negative tasks", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": -1`), apierr.InvalidInput},
-		{"no tasks", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": 0`), apierr.InvalidInput},
-		{"overflowing shape", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": 9223372036854775807`), apierr.InvalidInput},
-		{"unknown adjacency", "POST /v1/jobs", juice, jobWith(`"rack"`, `"moon"`), apierr.InvalidInput},
-		{"negative run time", "POST /v1/jobs", juice, jobWith(`1000000000`, `-5`), apierr.InvalidInput},
-		{"larger than its template", "POST /v1/jobs", juice, jobWith(`"tasks": 1`, `"tasks": 64`), apierr.InvalidInput},
-		{"unknown template", "POST /v1/jobs", juice, jobWith(`reconcile`, `x`), apierr.InvalidInput},
-		{"unknown service of a job", "POST /v1/jobs", juice, jobWith(`filings`, `x`), apierr.NotFound},
-		{"unknown organisation", "POST /v1/jobs", operator, jobWith(`juice-bottlers`, `x`), apierr.NotFound},
+		{"malformed job", "POST /v1/jobs", filer, `{"id":`, apierr.InvalidInput},
+		{"empty job", "POST /v1/jobs", filer, ``, apierr.InvalidInput},
+		{"unknown field of a job", "POST /v1/jobs", filer, jobWith(`"template"`, `"tmplate": "x", "template"`), apierr.InvalidInput},
+		{"job as a list", "POST /v1/jobs", filer, `[` + goodJob + `]`, apierr.InvalidInput},
+		{"oversize job", "POST /v1/jobs", filer, huge + goodJob, apierr.TooLarge},
+		{"negative tasks", "POST /v1/jobs", filer, jobWith(`"tasks": 1`, `"tasks": -1`), apierr.InvalidInput},
+		{"no tasks", "POST /v1/jobs", filer, jobWith(`"tasks": 1`, `"tasks": 0`), apierr.InvalidInput},
+		{"overflowing shape", "POST /v1/jobs", filer, jobWith(`"tasks": 1`, `"tasks": 9223372036854775807`), apierr.InvalidInput},
+		{"unknown adjacency", "POST /v1/jobs", filer, jobWith(`"rack"`, `"moon"`), apierr.InvalidInput},
+		{"negative run time", "POST /v1/jobs", filer, jobWith(`1000000000`, `-5`), apierr.InvalidInput},
+		{"larger than its template", "POST /v1/jobs", filer, jobWith(`"tasks": 1`, `"tasks": 64`), apierr.InvalidInput},
+		{"unknown template", "POST /v1/jobs", filer, jobWith(`reconcile`, `x`), apierr.InvalidInput},
+		{"unknown service of a job", "POST /v1/jobs", filer, jobWith(`levy-filings`, `x`), apierr.NotFound},
+		{"unknown organisation", "POST /v1/jobs", operator, jobWith(`mwambao`, `x`), apierr.NotFound},
 		{"another organisation's job", "POST /v1/jobs", depot, goodJob, apierr.Forbidden},
-		{"job of an organisation that does not exist", "POST /v1/jobs", depot, jobWith(`juice-bottlers`, `x`), apierr.Forbidden},
-		{"two jobs in one body", "POST /v1/jobs", juice, goodJob + goodJob, apierr.InvalidInput},
-		{"absent job", "GET /v1/jobs/juice-bottlers/filings/absent", juice, "", apierr.NotFound},
-		{"absent job cancelled", "DELETE /v1/jobs/juice-bottlers/filings/absent", juice, "", apierr.NotFound},
-		{"unknown state", "GET /v1/jobs?state=sleeping", juice, "", apierr.InvalidInput},
-		{"unknown service", "GET /v1/services/x/requests/y", juice, "", apierr.NotFound},
-		{"another organisation's service", "GET /v1/services/filings/requests/y", depot, "", apierr.NotFound},
+		{"job of an organisation that does not exist", "POST /v1/jobs", depot, jobWith(`mwambao`, `x`), apierr.Forbidden},
+		{"two jobs in one body", "POST /v1/jobs", filer, goodJob + goodJob, apierr.InvalidInput},
+		{"absent job", "GET /v1/jobs/mwambao/levy-filings/absent", filer, "", apierr.NotFound},
+		{"absent job cancelled", "DELETE /v1/jobs/mwambao/levy-filings/absent", filer, "", apierr.NotFound},
+		{"unknown state", "GET /v1/jobs?state=sleeping", filer, "", apierr.InvalidInput},
+		{"unknown service", "GET /v1/services/x/requests/y", filer, "", apierr.NotFound},
+		{"another organisation's service", "GET /v1/services/levy-filings/requests/y", depot, "", apierr.NotFound},
 		{"malformed edit", "POST /v1/config", operator, `{"documents": [{]}`, apierr.InvalidInput},
 		{"oversize edit", "POST /v1/config", operator, huge, apierr.TooLarge},
 		{"empty edit", "POST /v1/config", operator, apply(``), apierr.InvalidInput},
-		{"absurd shape in a document", "POST /v1/config", operator, apply(`{"kind": "service", "name": "filings", "organisation": "juice-bottlers", "team": "levy",
+		{"absurd shape in a document", "POST /v1/config", operator, apply(`{"kind": "service", "name": "levy-filings", "organisation": "mwambao", "team": "filings",
 		  "jobs": [{"name": "reconcile", "shape": {"tasks": 65, "acceleratorsPerTask": -8}, "runSeconds": 1}]}`), apierr.InvalidInput},
 		{"document of an unknown organisation", "POST /v1/config", operator, apply(`{"kind": "service", "name": "s", "organisation": "x", "team": "y"}`), apierr.InvalidInput},
 		{"wrong revision", "POST /v1/config", operator, `{"expectedRevision": 99, "documents": [{"kind": "failure-domain", "name": "fd-z", "region": "r"}]}`, apierr.Conflict},
-		{"caller's edit", "POST /v1/config", juice, apply(`{"kind": "failure-domain", "name": "fd-z", "region": "r"}`), apierr.Forbidden},
-		{"caller takes a failure domain out", "POST /v1/failure-domains/fd-a/out", juice, "", apierr.Forbidden},
+		{"caller's edit", "POST /v1/config", filer, apply(`{"kind": "failure-domain", "name": "fd-z", "region": "r"}`), apierr.Forbidden},
+		{"caller takes a failure domain out", "POST /v1/failure-domains/fd-a/out", filer, "", apierr.Forbidden},
 		{"unknown failure domain out", "POST /v1/failure-domains/fd-z/out", operator, "", apierr.NotFound},
 		{"unknown service retired", "POST /v1/services/x/retire", operator, "", apierr.NotFound},
 	}
@@ -116,16 +116,16 @@
 	}
 	_, after := send(t, "GET", url+"/v1/config", operator, "")
 	must.Eq(t, string(before), string(after), must.Sprint("a bad edit changed what is in force"))
-	status, body := send(t, "POST", url+"/v1/jobs", juice, goodJob)
+	status, body := send(t, "POST", url+"/v1/jobs", filer, goodJob)
 	must.Eq(t, http.StatusOK, status, must.Sprintf("%s", body))
 }
 
 // An organisation must not tell another's job from one that does not exist.
 func TestOrganisations_LearnNothingOfEachOther(t *testing.T) {
 	url := deployment(t)
-	status, body := send(t, "POST", url+"/v1/jobs", juice, goodJob)
+	status, body := send(t, "POST", url+"/v1/jobs", filer, goodJob)
 	must.Eq(t, http.StatusOK, status, must.Sprintf("%s", body))
-	const theirs, absent = "/v1/jobs/juice-bottlers/filings/j1", "/v1/jobs/juice-bottlers/filings/j2"
+	const theirs, absent = "/v1/jobs/mwambao/levy-filings/j1", "/v1/jobs/mwambao/levy-filings/j2"
 	for _, call := range []struct{ method, suffix string }{{"GET", ""}, {"GET", "/explain"}, {"DELETE", ""}} {
 		status, body := send(t, call.method, url+theirs+call.suffix, depot, "")
 		_, missing := send(t, call.method, url+absent+call.suffix, depot, "")
@@ -134,6 +134,6 @@
 	}
 	_, list := send(t, "GET", url+"/v1/jobs", depot, "")
 	must.StrNotContains(t, string(list), "j1")
-	_, own := send(t, "GET", url+theirs, juice, "")
+	_, own := send(t, "GET", url+theirs, filer, "")
 	must.StrNotContains(t, string(own), `"cancelBy"`)
 }
--- a/entryhost/trace_test.go
+++ b/entryhost/trace_test.go
@@ -41,9 +41,9 @@
 	t.Cleanup(func() { must.NoError(t, shutdown(context.Background())) })
 	url := deployment(t)
 
-	request := traced(t, "GET", url+"/v1/services/filings/requests/returns", juice, "")
+	request := traced(t, "GET", url+"/v1/services/levy-filings/requests/returns", filer, "")
 	edit := traced(t, "POST", url+"/v1/failure-domains/fd-b/out", operator, "")
-	submission := traced(t, "POST", url+"/v1/jobs", juice, goodJob)
+	submission := traced(t, "POST", url+"/v1/jobs", filer, goodJob)
 	awaitShape(t, rec, submission, "worker POST /v1/start")
 	awaitShape(t, rec, edit, "platform PUT")
 
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -27,7 +27,7 @@
 		{Name: "peer", Type: schema.String, Default: "", Format: schema.AddressFormat, Doc: "empty: listen.peer"},
 	}},
 	{Name: "platform", Type: schema.Object, Doc: "the platform's services", Fields: []schema.Field{
-		{Name: "urls", Type: schema.List, Required: true, Min: 1, Max: 16, Doc: "base URLs of the key-value service and host list; the first is used",
+		{Name: "urls", Type: schema.List, Required: true, Min: 1, Max: 16, Doc: "base URLs of the key-value service and host list; tried in turn",
 			Elem: &schema.Field{Type: schema.String, Required: true, Format: schema.URLFormat}},
 	}},
 	{Name: "seeds", Type: schema.List, Min: 0, Max: 64, Doc: "peer addresses of other entry hosts, asked while the platform cannot be reached",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,7 +47,7 @@
 
 // Platform says where the platform's services are.
 type Platform struct {
-	URLs []string `json:"urls"` // the first is used
+	URLs []string `json:"urls"` // tried in turn
 }
 
 // TLS holds the key files of both listeners.
