--- a/config/distribute.go
+++ b/config/distribute.go
@@ -16,11 +16,13 @@
 )
 
 const (
-	// readInterval is the time between freshness reads. They overlap, so that a
-	// slow platform delays what is known without stopping it.
+	// readInterval is the time between freshness reads of a scheduler. They
+	// overlap, so that a slow platform delays what is known without stopping it.
 	readInterval = 500 * time.Millisecond
-	readTimeout  = 2 * time.Second
-	maxReads     = 4 // in flight at once
+	// relayInterval is the same for a host that only passes the news on.
+	relayInterval = time.Second
+	readTimeout   = 2 * time.Second
+	maxReads      = 4 // in flight at once
 	// fetchTimeout bounds the fetching of a whole revision.
 	fetchTimeout = 10 * time.Second
 	// staleAfter is the age from which a host also asks its peers.
@@ -72,6 +74,7 @@
 	past      []manifest // oldest first, without the current one
 	changed   chan struct{}
 	reads     int       // freshness reads in flight
+	lastRead  time.Time // when the last one was sent
 	fetching  uint64    // revision being fetched; 0: none
 	relayOff  time.Time // until then the relay is not asked
 	polling   bool      // a call to the relay is in flight
@@ -143,10 +146,13 @@
 	relay := d.relay()
 	now := d.opts.Now()
 	d.mu.Lock()
-	direct := relay == "" || now.Before(d.relayOff) || d.opts.Direct()
-	read := direct && d.reads < maxReads
+	schedules := d.opts.Direct()
+	direct := relay == "" || now.Before(d.relayOff) || schedules
+	due := schedules || now.Sub(d.lastRead) >= relayInterval-readInterval/2
+	read := direct && due && d.reads < maxReads
 	if read {
 		d.reads++
+		d.lastRead = now
 	}
 	poll := !direct && !d.polling
 	if poll {
--- a/config/distribute_test.go
+++ b/config/distribute_test.go
@@ -74,6 +74,7 @@
 
 func TestSlowPlatformKeepsFreshness(t *testing.T) {
 	f := newFleet(t, 1, 1)
+	f.schedulers = true
 	f.stand.SetFaults(kv.Faults{Delay: 1300 * time.Millisecond})
 	f.start()
 	f.await(func() bool { return f.hosts[0].Age() < time.Minute })
--- a/config/edit.go
+++ b/config/edit.go
@@ -142,7 +142,7 @@
 
 // accept swaps the head. That is the moment at which the edit is in force.
 func (e *Editor) accept(ctx context.Context, next *edition, old head, version uint64) (uint64, error) {
-	nonce := strconv.FormatUint(rand.Uint64(), 36)
+	nonce := strconv.FormatUint(uint64(rand.Uint32()), 36)
 	edits := append(append([]string(nil), old.Edits...), nonce)
 	if len(edits) > recentEdits {
 		edits = edits[len(edits)-recentEdits:]
--- a/config/store.go
+++ b/config/store.go
@@ -17,7 +17,7 @@
 	contentPrefix = "cyclamentray/config/content/"
 	// recentEdits is how many accepted edits the head remembers, for writers
 	// whose answer was lost.
-	recentEdits = 16
+	recentEdits = 8
 	// fetchParallel bounds the reads in flight while a revision is fetched.
 	fetchParallel = 8
 )
