Order fairly between organisations

A job counts as larger by its organisation's share of what is in use, so one organisation's 2,000 queued jobs do not hold up another's.

--- a/placement/queue.go
+++ b/placement/queue.go
@@ -17,6 +17,10 @@
 	sizeWeight = 1.5
 )
 
+// shareWeight makes a job count as larger by its organisation's share of the
+// accelerators in use, so that one organisation's queue does not hold up others.
+const shareWeight = 8.0
+
 // Bounds of what one decision reclaims for urgent work outside guarantees.
 const (
 	maxClearings  = 4
@@ -98,6 +102,7 @@
 func (d *decision) score(w *Waiting) float64 {
 	run := d.predicts.run(w.ID.Service, w.Template, w.DeclaredRun, orderQuantile).Seconds()
 	size := float64(max(1, w.Shape.Accelerators()))
+	size *= 1 + shareWeight*float64(d.usage[w.ID.Organisation])/float64(max(1, d.whole().TotalFree()))
 	waited := max(0, d.v.Now.Sub(w.Submitted).Seconds())
 	return (waited + run*size) / (math.Pow(run, runWeight) * math.Pow(size, sizeWeight))
 }
