--- a/dev/dev.go
+++ b/dev/dev.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,9 +29,6 @@
 // OperatorToken is the operator's token of a dev deployment.
 const OperatorToken = "dev-operator"
 
-// CallerToken returns the token of an organisation of the shipped documents.
-func CallerToken(organisation string) string { return "dev-" + organisation }
-
 // Size says what a dev deployment consists of, per failure domain.
 type Size struct {
 	EntryHosts     int
@@ -45,7 +43,7 @@
 // DefaultSize is large enough for the shipped examples.
 func DefaultSize() Size {
 	return Size{
-		EntryHosts: 2, Racks: 2, WorkersPerRack: 3, Accelerators: 8, Upstreams: 2,
+		EntryHosts: 2, Racks: 4, WorkersPerRack: 6, Accelerators: 8, Upstreams: 2,
 		TaskRun: 1500 * time.Millisecond, RequestWork: 5 * time.Millisecond,
 	}
 }
@@ -141,7 +139,14 @@
 	return nil
 }
 
-func (d *Deployment) runTime(workerapi.Gang, int) time.Duration { return d.opts.Size.TaskRun }
+// runTime returns how long a task runs; 0: until it is stopped.
+func (d *Deployment) runTime(g workerapi.Gang, _ int) time.Duration {
+	name := g.Job[strings.LastIndex(g.Job, "/")+1:]
+	if strings.HasPrefix(name, longPrefix) {
+		return 0
+	}
+	return d.opts.Size.TaskRun
+}
 
 func (d *Deployment) startUpstreams(fd string) error {
 	for _, service := range d.opts.Services {
@@ -169,37 +174,41 @@
 
 func (d *Deployment) buildEntries(fd string) error {
 	for e := range d.opts.Size.EntryHosts {
-		s, err := d.settings(fmt.Sprintf("%s-e%d", fd, e), fd)
-		if err != nil {
-			return err
-		}
-		logger := log.NewWithOptions(d.opts.Logs, log.Options{Level: d.opts.LogLevel}).With("host", s.Host.Name)
-		host, err := entryhost.New(entryhost.Options{Settings: s, Logger: logger})
+		host, err := d.buildEntry(fmt.Sprintf("%s-e%d", fd, e), fd)
 		if err != nil {
 			return err
 		}
 		d.entries = append(d.entries, host)
-		d.hosts = append(d.hosts, platform.Host{
-			Name:          s.Host.Name,
-			Kind:          platform.EntryHost,
-			FailureDomain: fd,
-			Address:       host.Address(),
-			PeerAddress:   host.PeerAddress(),
-		})
+		d.hosts = append(d.hosts, host.Self())
 	}
 	return nil
 }
 
-func (d *Deployment) settings(name, fd string) (*settings.Settings, error) {
-	hash := auth.HashToken(OperatorToken)
+func (d *Deployment) buildEntry(name, fd string) (*entryhost.Host, error) {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listening on loopback")
+	}
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listening on loopback")
+	}
+	s, err := d.settings(name, fd, callers.Addr(), peers.Addr())
+	if err != nil {
+		return nil, err
+	}
+	logger := log.NewWithOptions(d.opts.Logs, log.Options{Level: d.opts.LogLevel}).With("host", name)
+	return entryhost.New(entryhost.Options{Settings: s, HTTP: callers, Peer: peers, Logger: logger})
+}
+
+func (d *Deployment) settings(name, fd string, callers, peers net.Addr) (*settings.Settings, error) {
 	text := fmt.Sprintf(`{
 		"host": {"name": %q, "failureDomain": %q, "region": "region-1"},
-		"listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0"},
-		"advertise": {"http": "127.0.0.1:1", "peer": "127.0.0.1:1"}, // replaced by the listeners' own
+		"listen": {"http": %q, "peer": %q},
 		"platform": {"urls": [%q]},
 		"operatorTokenHashes": [%q],
-		"timing": {"drainWaitSeconds": 0}
-	}`, name, fd, d.platform, hash)
+		"timing": {"drainWaitSeconds": 0},
+	}`, name, fd, callers, peers, d.platform, auth.HashToken(OperatorToken))
 	return settings.Parse("dev", []byte(text))
 }
 
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/settings"
 )
 
@@ -39,6 +42,7 @@
 type Host struct {
 	opts   Options
 	log    *log.Logger
+	keys   keys
 	slices *slices
 	server *http.Server
 	ready  atomic.Bool
@@ -59,6 +63,9 @@
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
+	if err := h.loadKeys(); err != nil {
+		return nil, err
+	}
 	built, err := newSlices(h)
 	if err != nil {
 		return nil, err
@@ -78,6 +85,9 @@
 // PeerAddress returns the IP:port of the net/rpc listener.
 func (h *Host) PeerAddress() string { return h.opts.Peer.Addr().String() }
 
+// Self returns this host's line of the host list.
+func (h *Host) Self() platform.Host { return h.opts.Settings.Self() }
+
 func (h *Host) listen() error {
 	var err error
 	if h.opts.HTTP == nil {
@@ -96,12 +106,18 @@
 }
 
 // Run serves until ctx ends, then drains: it reports not ready, hands over the
-// term, waits for the balancer, and finishes every request in flight.
+// term, and serves on until the balancer has seen it and every request in
+// flight is answered.
 func (h *Host) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	h.slices.run(background, group)
+	for _, k := range []*auth.Keys{h.keys.http, h.keys.peer} {
+		if k != nil {
+			group.Go(func() error { return k.Run(background) })
+		}
+	}
 	group.Go(h.servePeers)
 	group.Go(h.serveHTTP)
 	h.ready.Store(true)
@@ -117,7 +133,11 @@
 }
 
 func (h *Host) serveHTTP() error {
-	err := h.server.Serve(h.opts.HTTP)
+	listener := h.opts.HTTP
+	if h.keys.http != nil {
+		listener = tls.NewListener(listener, h.keys.http.ServerConfig())
+	}
+	err := h.server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -139,7 +159,6 @@
 	if err := h.slices.election.Resign(ctx); err != nil {
 		h.log.Warn("term not handed over; it lapses by itself", "err", err)
 	}
-	waitFor(ctx, timing.DrainWait())
 	if err := h.slices.router.Drain(ctx); err != nil {
 		h.log.Error("requests were still in flight at the limit", "err", err)
 	}
@@ -149,15 +168,6 @@
 	h.log.Info("drained")
 }
 
-func waitFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (h *Host) close() {
 	_ = h.server.Close()
 	_ = h.slices.peerServer.Close()
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -6,6 +6,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/claims"
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/election"
 	"github.com/cyclamentray/cyclamentray/gang"
@@ -19,7 +20,8 @@
 
 // slices are the parts of one entry host, in the order in which they are built.
 type slices struct {
-	platform   *platform.Client
+	guard      *platform.Guard   // this host's own calls to the platform
+	platform   *platform.Carrier // the same, or through peers while it is cut off
 	peers      *peer.Pool
 	peerServer *peer.Server
 	membership *membership.Membership
@@ -27,6 +29,7 @@
 	editor     *config.Editor
 	election   *election.Election
 	auth       *auth.Authenticator
+	claims     *claims.Service
 	router     *routing.Router
 	books      *ledger.Books
 	scheduler  *gang.Scheduler
@@ -35,32 +38,43 @@
 
 func newSlices(h *Host) (*slices, error) {
 	s := &slices{}
-	s.platform = platform.NewClient(h.opts.Settings.Platform.URLs[0])
 	peerOptions := peer.Options{
+		TLS:     h.peerTLS(),
 		Timeout: h.opts.Settings.Timing.PeerTimeout(),
 		Logger:  h.opts.Logger.WithPrefix("peer"),
 		Metrics: h.opts.Metrics,
 	}
 	s.peers = peer.NewPool(peerOptions)
 	s.peerServer = peer.NewServer(peerOptions)
+	s.buildPlatform(h)
 	s.buildMembership(h)
 	s.buildConfig(h)
 	s.buildElection(h)
 	s.buildAuth(h)
+	s.buildClaims(h)
 	s.buildRouter(h)
 	s.buildJobs(h)
 	return s, s.registerPeers()
 }
 
+func (s *slices) buildPlatform(h *Host) {
+	s.guard = platform.New(platform.Options{
+		Base:    h.opts.Settings.Platform.URLs[0],
+		Others:  h.opts.Settings.Platform.URLs[1:],
+		Now:     h.opts.Now,
+		Logger:  h.opts.Logger.WithPrefix("platform"),
+		Metrics: h.opts.Metrics,
+	})
+	s.platform = platform.NewCarrier(s.guard, s.peers, func() []string { return s.membership.Carriers() })
+}
+
 func (s *slices) buildMembership(h *Host) {
-	self := h.opts.Settings.Self()
-	self.Address = h.Address()
-	self.PeerAddress = h.PeerAddress()
 	s.membership = membership.New(membership.Options{
-		Self:        self,
+		Self:        h.Self(),
 		Incarnation: newIncarnation(h.opts.Now()),
 		Lister:      s.platform,
 		Peers:       s.peers,
+		Seeds:       h.opts.Settings.Seeds,
 		Status:      func() membership.Status { return s.status() },
 		Now:         h.opts.Now,
 		Logger:      h.opts.Logger.WithPrefix("membership"),
@@ -71,7 +85,11 @@
 // status is what heartbeats tell other hosts about this one.
 func (s *slices) status() membership.Status {
 	snap, _ := s.config.Current()
-	status := membership.Status{Revision: snap.Revision, RevisionAge: s.config.Age()}
+	status := membership.Status{
+		Revision:     snap.Revision,
+		RevisionAge:  s.config.Age(),
+		PlatformDown: s.guard.Down(),
+	}
 	if term, _, held := s.election.Term(); held {
 		status.Term = term
 	}
@@ -83,6 +101,7 @@
 		Store:   s.platform,
 		Peers:   s.peers,
 		Members: s.membership,
+		Seeds:   h.opts.Settings.Seeds,
 		Direct:  func() bool { return s.schedules() },
 		Now:     h.opts.Now,
 		Logger:  h.opts.Logger.WithPrefix("config"),
@@ -125,6 +144,17 @@
 	})
 }
 
+func (s *slices) buildClaims(h *Host) {
+	s.claims = claims.New(claims.Options{
+		Now:        h.opts.Now,
+		Logger:     h.opts.Logger.WithPrefix("claims"),
+		Metrics:    h.opts.Metrics,
+		Store:      s.platform,
+		Peers:      s.peers,
+		Membership: s.membership,
+	})
+}
+
 func (s *slices) buildRouter(h *Host) {
 	s.router = routing.New(routing.Options{
 		Now:        h.opts.Now,
@@ -132,6 +162,8 @@
 		Metrics:    h.opts.Metrics,
 		Membership: s.membership,
 		Config:     s.config,
+		Claims:     s.claims,
+		DrainDelay: h.opts.Settings.Timing.DrainWait(),
 	})
 }
 
@@ -151,6 +183,7 @@
 		Membership:    s.membership,
 		Election:      s.election,
 		Peers:         s.peers,
+		Notes:         s.books.Notes(),
 		Now:           h.opts.Now,
 		Logger:        h.opts.Logger.WithPrefix("gang"),
 		Metrics:       h.opts.Metrics,
@@ -185,8 +218,10 @@
 
 func (s *slices) registerPeers() error {
 	for _, register := range []func(*peer.Server) error{
+		s.guard.RegisterPeer,
 		s.membership.RegisterPeer,
 		s.config.RegisterPeer,
+		s.claims.RegisterPeer,
 		s.scheduler.RegisterPeer,
 	} {
 		if err := register(s.peerServer); err != nil {
@@ -202,6 +237,7 @@
 		s.membership.Run,
 		s.config.Run,
 		s.election.Run,
+		s.claims.Run,
 		s.router.Run,
 		s.scheduler.Run,
 		s.intake.Run,
--- a/gang/cycle.go
+++ b/gang/cycle.go
@@ -29,10 +29,12 @@
 	}
 	snap, _ := s.o.Config.Current()
 	s.reconcile(ctx, now, records)
+	s.replay(ctx)
 	s.tick(ctx)
 	s.order(ctx, now, records, snap)
 	s.decide(ctx, now, records, snap)
 	s.forget(records)
+	s.saveLearnt(now)
 }
 
 // holdTerm drops everything held under another term than the present one.
@@ -48,6 +50,7 @@
 		return false
 	}
 	s.term = term
+	s.loadLearnt()
 	s.o.Logger.Info("scheduling the failure domain", "failureDomain", s.o.FailureDomain, "term", term)
 	return true
 }
@@ -56,6 +59,9 @@
 func (s *Scheduler) reconcile(ctx context.Context, now time.Time, records map[string]job.Record) {
 	for _, key := range sortedKeys(records) {
 		rec := records[key]
+		if t := s.runs[key]; t != nil && t.run.outrun(rec) {
+			delete(s.runs, key)
+		}
 		if !live(rec.State) || s.runs[key] != nil {
 			continue
 		}
@@ -65,24 +71,35 @@
 		s.runs[key] = t
 		s.meters.adopted.Inc()
 		s.act(ctx, t, actions)
-		s.replay(ctx, t)
 	}
 }
 
-// replay gives an adopted run what renewals taught earlier.
-func (s *Scheduler) replay(ctx context.Context, t *tracked) {
+// replay gives the runs what renewals taught. Repeating it is harmless.
+func (s *Scheduler) replay(ctx context.Context) {
 	s.mu.Lock()
-	seen := s.seen[t.run.Gang]
-	var known []Listed
-	for _, w := range sortedKeys(seen) {
-		known = append(known, seen[w])
+	var learned []Observation
+	for _, t := range s.runs {
+		seen := s.seen[t.run.Gang]
+		for _, w := range sortedKeys(seen) {
+			learned = append(learned, seen[w])
+		}
 	}
 	s.mu.Unlock()
-	for _, l := range known {
-		s.step(ctx, t, l)
+	for _, o := range learned {
+		if t := s.runs[o.Gang.Job]; t != nil && t.run.Gang == o.Gang {
+			s.step(ctx, t, o.event())
+		}
 	}
 }
 
+// event returns what the observation means to a run.
+func (o Observation) event() Event {
+	if o.Unreachable {
+		return Lost{Worker: o.Worker, Reason: "worker " + o.Worker + " answered no renewal for a whole lease"}
+	}
+	return Listed{Worker: o.Worker, Known: true, Tasks: o.Tasks}
+}
+
 func adopt(g workerapi.Gang, rec job.Record, now time.Time) (*Run, []Action) {
 	if rec.State != job.Stopping {
 		return Adopt(g, rec.Workers, now)
@@ -165,8 +182,8 @@
 		return
 	}
 	plan := s.o.Decide(s.view(now, records, snap))
-	s.wakeAt = plan.Wake
-	s.setHolds(records, plan.Holds, "waiting for the next decision")
+	s.wakeAt = earlier(plan.Wake, s.quarantine.Next(now))
+	s.setHolds(records, append(plan.Holds, s.retryHolds(now, records)...), "waiting for the next decision")
 	s.setDeficits(plan.Deficits)
 	for _, r := range plan.Reclaims {
 		s.reclaim(ctx, r)
@@ -176,6 +193,14 @@
 	}
 }
 
+// earlier returns the earlier of two moments; a zero one is never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
 func (s *Scheduler) reclaim(ctx context.Context, r placement.Reclaim) {
 	t := s.runs[r.ID.String()]
 	if t == nil {
--- a/routing/core.go
+++ b/routing/core.go
@@ -12,6 +12,7 @@
 const (
 	queuePerSlot    = 4    // waiting tickets for each slot of this host
 	minQueue        = 32   // waiting tickets that are always allowed
+	maxWork         = 20   // typical requests that one is charged at most
 	minLatency      = 1e-5 // seconds; keeps rates finite
 	shedMemory      = time.Second
 	patienceFactor  = 10 // times the expected latency before an idempotent attempt is given up
@@ -21,7 +22,8 @@
 // Fleet is what membership and configuration say about one service.
 type Fleet struct {
 	Self       platform.Host   // this entry host
-	EntryHosts []string        // names of the known entry hosts, this one included
+	EntryHosts []platform.Host // the known entry hosts, this one included
+	Silent     map[string]bool // entry hosts that are not heard at present
 	Upstreams  []platform.Host // the service's upstreams
 	Out        map[string]bool // failure domains taken out
 }
@@ -117,12 +119,26 @@
 	return c.pump(now, Decisions{})
 }
 
+// sharers returns the names of the entry hosts that share an upstream. One that
+// is silent is left out, unless it stands in the upstream's failure domain: cut
+// off from here, it may well be using the upstream.
+func (f Fleet) sharers(upstream platform.Host) []string {
+	var names []string
+	for _, h := range f.EntryHosts {
+		if !f.Silent[h.Name] || h.FailureDomain == upstream.FailureDomain {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
 // slotShare bounds the slots also by the connections, of which each request
 // in flight uses one.
 func slotShare(host platform.Host, f Fleet) int {
-	share := Share(host.Slots, host.Name, f.Self.Name, f.EntryHosts)
+	names := f.sharers(host)
+	share := Share(host.Slots, host.Name, f.Self.Name, names)
 	if host.Connections > 0 {
-		share = min(share, Share(host.Connections, host.Name, f.Self.Name, f.EntryHosts))
+		share = min(share, Share(host.Connections, host.Name, f.Self.Name, names))
 	}
 	return share
 }
@@ -192,12 +208,22 @@
 		return Decisions{}
 	}
 	delete(c.attempts, rep.Ticket)
-	c.queue.release(a.ticket.Organisation)
+	c.queue.release(a.ticket.Organisation, work(now, a.runner, rep))
 	c.observe(now, a.runner, rep)
 	delete(a.runner.started, rep.Ticket)
 	return c.pump(now, Decisions{})
 }
 
+// work returns what a request took, in typical requests of its runner, so that
+// the runner's speed does not count.
+func work(now time.Time, r *runner, rep Report) float64 {
+	if rep.Result != Answered || r.samples == 0 {
+		return 1
+	}
+	took := now.Sub(r.started[rep.Ticket]).Seconds()
+	return min(maxWork, took/max(r.latency, minLatency))
+}
+
 func (c *Core) observe(now time.Time, r *runner, rep Report) {
 	latency := now.Sub(r.started[rep.Ticket])
 	switch rep.Result {
@@ -336,7 +362,7 @@
 	rate, sum, busy := 0.0, 0.0, 0
 	for _, r := range c.fleet.runners {
 		n := len(r.started)
-		if n == 0 || !r.usable() || now.Before(r.heldUntil) {
+		if n == 0 || r.samples == 0 || !r.usable() || now.Before(r.heldUntil) {
 			continue
 		}
 		other := r.duration(now, best)
--- a/routing/router.go
+++ b/routing/router.go
@@ -44,11 +44,14 @@
 	meters   *meters
 	sequence atomic.Uint64
 	inFlight atomic.Int64
+	held     atomic.Int64 // bytes of bodies in memory
 	draining atomic.Bool
 
 	mu       sync.Mutex
 	services map[string]*service
 	pools    map[string]*pool // by address
+	snapshot *config.Snapshot // as last seen
+	retired  map[string]config.Service
 }
 
 // New returns a router. Run must be running for it to shed, probe and refresh
@@ -66,7 +69,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool)}
+	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool), retired: make(map[string]config.Service)}
 	r.meters = newMeters(o.Metrics, r)
 	return r
 }
@@ -105,6 +108,7 @@
 }
 
 func (r *Router) tick(ctx context.Context, now time.Time, probes *sync.WaitGroup) {
+	r.currentConfig()
 	for _, s := range r.allServices() {
 		r.refresh(s)
 		for _, host := range s.tick(now) {
@@ -119,8 +123,7 @@
 }
 
 func (r *Router) refresh(s *service) {
-	snap, _ := r.opts.Config.Current()
-	s.refresh(r.opts.Now(), r.opts.Membership.View(), snap)
+	s.refresh(r.opts.Now(), r.opts.Membership.View(), r.currentConfig())
 }
 
 func (r *Router) allServices() []*service {
@@ -164,7 +167,8 @@
 		return 0
 	}
 	view := r.opts.Membership.View()
-	return Share(host.Connections, host.Name, view.Self.Name, entryHosts(view))
+	f := Fleet{EntryHosts: entryHosts(view), Silent: view.Silent}
+	return Share(host.Connections, host.Name, view.Self.Name, f.sharers(host))
 }
 
 func (r *Router) trim() {
