--- a/guarantee/reclaim.go
+++ b/guarantee/reclaim.go
@@ -65,6 +65,9 @@
 func (r *Reclaimer) Choose(room *topology.Capacity, s job.Shape, avoid topology.Avoid, allowed func(borrower int) bool) (best Choice, ok bool) {
 	q := request{room: room, shape: normal(s), avoid: avoid, allowed: allowed}
 	for _, g := range regions(room, s.Adjacency) {
+		if room.SlotsIfEmpty(g.workers, q.shape) < q.shape.Tasks {
+			continue
+		}
 		victims, enough := r.clear(q, g)
 		cost := r.cost(victims)
 		if !enough || ok && cost >= best.Cost {
@@ -112,7 +115,7 @@
 	if slots >= q.shape.Tasks {
 		return nil, true
 	}
-	for _, b := range r.candidates(g.workers, q.allowed) {
+	for _, b := range r.candidates(q, g) {
 		if slots >= q.shape.Tasks {
 			break
 		}
@@ -156,13 +159,23 @@
 	return gained
 }
 
-// candidates returns the borrowers on a region, cheapest per accelerator first.
-func (r *Reclaimer) candidates(region []int, allowed func(int) bool) []int {
+// candidate is a borrower and its cost for each accelerator freed.
+type candidate struct {
+	borrower int
+	cost     float64
+}
+
+// candidates returns the borrowers on the workers of a region that could hold a
+// task, cheapest per accelerator first.
+func (r *Reclaimer) candidates(q request, g region) []int {
 	held := map[int]int{}
 	var out []int
-	for _, w := range region {
+	for _, w := range g.workers {
+		if q.room.Worker(w).Accelerators < q.shape.AcceleratorsPerTask {
+			continue
+		}
 		for _, b := range r.onWorker[w] {
-			if !allowed(b) {
+			if !q.allowed(b) {
 				continue
 			}
 			if held[b] == 0 {
@@ -171,11 +184,16 @@
 			held[b] += r.on(b, w)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b int) int {
-		costA := (r.borrowers[a].Cost + GangCost) / float64(held[a])
-		costB := (r.borrowers[b].Cost + GangCost) / float64(held[b])
-		return cmp.Or(cmp.Compare(costA, costB), cmp.Compare(a, b))
+	ranked := make([]candidate, len(out))
+	for i, b := range out {
+		ranked[i] = candidate{b, (r.borrowers[b].Cost + GangCost) / float64(held[b])}
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.borrower, b.borrower))
 	})
+	for i, c := range ranked {
+		out[i] = c.borrower
+	}
 	return out
 }
 
--- a/placement/backfill.go
+++ b/placement/backfill.go
@@ -95,7 +95,7 @@
 	if len(b.reservations) == 0 {
 		return 0
 	}
-	run := b.d.predicts.run(w.ID.Service, w.Template, w.DeclaredRun, backfillQuantile)
+	run := b.d.predicts.backfill(w)
 	end := b.d.v.Now.Add(run)
 	return sort.Search(len(b.reservations), func(i int) bool { return !b.reservations[i].from.Before(end) })
 }
@@ -183,5 +183,5 @@
 		return d.v.Now.Add(stopGrace)
 	}
 	ran := max(0, d.v.Now.Sub(g.Started))
-	return g.Started.Add(d.predicts.after(g.ID.Service, g.Template, g.DeclaredRun, ran, remainQuantile))
+	return g.Started.Add(d.predicts.whole(g, ran))
 }
--- a/placement/displace.go
+++ b/placement/displace.go
@@ -26,7 +26,7 @@
 	if saved < shortestSaved || d.anyStopping() {
 		return nil, false
 	}
-	run := d.predicts.run(w.ID.Service, w.Template, w.DeclaredRun, backfillQuantile)
+	run := d.predicts.backfill(w)
 	room := b.levels[len(b.levels)-1].free
 	choice, ok := d.choose(room, w, avoid, func(v int) bool { return d.displaceable(v, run, d.overdue(w)) })
 	if !ok || len(choice.Victims) == 0 {
--- a/placement/predict.go
+++ b/placement/predict.go
@@ -1,8 +1,6 @@
 package placement
 
-import (
-	"time"
-)
+import "time"
 
 // Quantiles of the run time at which jobs are judged.
 const (
@@ -14,28 +12,54 @@
 // predictor reads estimates, blending each template's history but once.
 type predictor struct {
 	estimates *Estimates
-	blends    map[[2]string]*ratios
+	blends    map[[2]string]*blend
+}
+
+// blend is a template's history and its ratios at the quantiles for jobs that
+// have not started.
+type blend struct {
+	*ratios
+	order, backfill float64
 }
 
 func newPredictor(e *Estimates) *predictor {
-	return &predictor{estimates: e, blends: map[[2]string]*ratios{}}
+	return &predictor{estimates: e, blends: map[[2]string]*blend{}}
 }
 
-func (p *predictor) run(service, template string, declared time.Duration, q float64) time.Duration {
-	return p.after(service, template, declared, 0, q)
+// order returns the run time by which a waiting job is ordered.
+func (p *predictor) order(w *Waiting) time.Duration {
+	return p.scaled(w, func(b *blend) float64 { return b.order })
 }
 
-// after returns the whole run time of a job that has run for elapsed.
-func (p *predictor) after(service, template string, declared, elapsed time.Duration, q float64) time.Duration {
-	declared = max(declared, shortestRun)
+// backfill returns the run time that a waiting job is given to go ahead.
+func (p *predictor) backfill(w *Waiting) time.Duration {
+	return p.scaled(w, func(b *blend) float64 { return b.backfill })
+}
+
+func (p *predictor) scaled(w *Waiting, ratio func(b *blend) float64) time.Duration {
+	declared := max(w.DeclaredRun, shortestRun)
+	if p.estimates == nil {
+		return declared
+	}
+	return time.Duration(ratio(p.blend(w.ID.Service, w.Template)) * float64(declared))
+}
+
+// whole returns the whole run time of a gang that has run for elapsed.
+func (p *predictor) whole(g *Gang, elapsed time.Duration) time.Duration {
+	declared := max(g.DeclaredRun, shortestRun)
 	if p.estimates == nil {
 		return max(declared, elapsed+elapsed/4)
 	}
+	return predictFrom(p.blend(g.ID.Service, g.Template).ratios, declared, elapsed, remainQuantile)
+}
+
+func (p *predictor) blend(service, template string) *blend {
 	k := [2]string{service, template}
-	r := p.blends[k]
-	if r == nil {
-		r = p.estimates.blended(service, template)
-		p.blends[k] = r
+	b := p.blends[k]
+	if b == nil {
+		r := p.estimates.blended(service, template)
+		b = &blend{r, r.quantile(0, orderQuantile), r.quantile(0, backfillQuantile)}
+		p.blends[k] = b
 	}
-	return predictFrom(r, declared, elapsed, q)
+	return b
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -23,7 +23,7 @@
 
 // Bounds of what one decision reclaims for urgent work outside guarantees.
 const (
-	maxClearings  = 4
+	maxClearings  = 2
 	clearingPause = 200 * time.Millisecond // before the next decision goes on with it
 )
 
@@ -100,7 +100,7 @@
 // score grows with a job's wait, and falls with its expected run time and its
 // size: little work that has waited long comes first.
 func (d *decision) score(w *Waiting) float64 {
-	run := d.predicts.run(w.ID.Service, w.Template, w.DeclaredRun, orderQuantile).Seconds()
+	run := d.predicts.order(w).Seconds()
 	size := float64(max(1, w.Shape.Accelerators()))
 	size *= 1 + shareWeight*float64(d.usage[w.ID.Organisation])/float64(max(1, d.whole().TotalFree()))
 	waited := max(0, d.v.Now.Sub(w.Submitted).Seconds())
--- a/placement/topology/cluster.go
+++ b/placement/topology/cluster.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/cyclamentray/cyclamentray/job"
 )
 
 // Worker is a machine with accelerators.
@@ -81,6 +83,19 @@
 	return w, ok
 }
 
+// SlotsIfEmpty returns how many of a shape's tasks the given workers could take
+// if nothing ran on them.
+func (c *Cluster) SlotsIfEmpty(workers []int, s job.Shape) int {
+	if s.AcceleratorsPerTask == 0 {
+		return s.Tasks
+	}
+	n := 0
+	for _, w := range workers {
+		n += c.workers[w].Accelerators / s.AcceleratorsPerTask
+	}
+	return n
+}
+
 // Names returns the names of the workers at the given positions.
 func (c *Cluster) Names(positions []int) []string {
 	names := make([]string, len(positions))
