Tell callers of a retirement on every host; be ready only with a host list

Ruled out: the organisation's name in the tombstone, which would lack the organisations that the service was shared with.

--- a/config/document.go
+++ b/config/document.go
@@ -84,6 +84,8 @@
 	Services       map[string]Service
 	FailureDomains map[string]FailureDomain
 	Retired        map[string]uint64 // service name to the revision that retired it
+
+	RetiredServices map[string]Service // last documents of retired services
 }
 
 // Source gives the newest snapshot that a host knows.
--- a/config/manifest.go
+++ b/config/manifest.go
@@ -47,6 +47,8 @@
 		Services:       map[string]Service{},
 		FailureDomains: map[string]FailureDomain{},
 		Retired:        m.Retired,
+
+		RetiredServices: map[string]Service{},
 	}
 }
 
@@ -81,13 +83,23 @@
 	case KindOrganisation:
 		e.snap.Organisations[d.Name()] = *d.Organisation
 	case KindService:
-		e.snap.Services[d.Name()] = *d.Service
+		e.addService(*d.Service)
 	case KindFailureDomain:
 		e.snap.FailureDomains[d.Name()] = *d.FailureDomain
 	}
 	return nil
 }
 
+// addService keeps a retired service's last document apart: it tells whose
+// callers may learn of the retirement.
+func (e *edition) addService(s Service) {
+	if _, retired := e.snap.Retired[s.Name]; retired {
+		e.snap.RetiredServices[s.Name] = s
+		return
+	}
+	e.snap.Services[s.Name] = s
+}
+
 // next returns the edition that follows e with docs added or replaced and
 // services retired, or e itself when that changes nothing.
 func (e *edition) next(docs []Document, retired []string) (*edition, error) {
@@ -107,7 +119,6 @@
 		m.Documents[d.ID()] = hash
 	}
 	for _, name := range retired {
-		delete(m.Documents, string(KindService)+"/"+name)
 		m.Retired[name] = m.Revision
 	}
 	if maps.Equal(m.Documents, e.manifest.Documents) && maps.Equal(m.Retired, e.manifest.Retired) {
--- a/entryhost/handler.go
+++ b/entryhost/handler.go
@@ -41,7 +41,7 @@
 }
 
 // Ready returns nil when the host can take work: it is not draining, and knows
-// a configuration and other hosts. The error is an *apierr.Error.
+// a configuration and the host list. The error is an *apierr.Error.
 func (h *Host) Ready() error {
 	snap, _ := h.slices.config.Current()
 	switch {
@@ -49,8 +49,8 @@
 		return apierr.New(apierr.Unavailable, "the host is draining", "use another entry host")
 	case snap.Revision == 0:
 		return apierr.New(apierr.Unavailable, "the host has no configuration yet", "wait until it reaches the platform or a peer")
-	case len(h.slices.membership.View().Hosts) == 0:
-		return apierr.New(apierr.Unavailable, "the host knows no other hosts yet", "wait until it reaches the platform or a peer")
+	case !h.slices.membership.Listed():
+		return apierr.New(apierr.Unavailable, "the host has no host list yet", "wait until it reaches the platform or a peer")
 	}
 	return nil
 }
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -267,13 +267,25 @@
 		"listen": {"http": %q, "peer": %q},
 		"advertise": {"http": %q, "peer": %q},
 		"platform": {"urls": ["http://%s"]},
+		"seeds": [%s],
 		"operatorTokenHashes": [%q],
 		"timing": {"drainWaitSeconds": 1, "drainTimeoutSeconds": 30},
-	}`, e.host.Name, e.host.FailureDomain, e.host.Address, e.listen, e.host.Address, e.host.PeerAddress, e.link.Addr(), auth.HashToken(operatorToken))
+	}`, e.host.Name, e.host.FailureDomain, e.host.Address, e.listen, e.host.Address, e.host.PeerAddress, e.link.Addr(), c.seeds(e), auth.HashToken(operatorToken))
 	must.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
 	e.process = start(c.t, "cyclamentrayd", "--settings", file)
 }
 
+// seeds returns the peer addresses of the other entry hosts, as a JSON list's inside.
+func (c *cluster) seeds(self *entry) string {
+	var list []string
+	for _, e := range c.entries {
+		if e != self {
+			list = append(list, fmt.Sprintf("%q", e.host.PeerAddress))
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
 // applyDocuments puts one organisation with one service in force everywhere.
 func (c *cluster) applyDocuments(failureDomains []string) {
 	docs := []string{
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -307,6 +307,13 @@
 	m.publish()
 }
 
+// Listed reports whether a host list was read, from the platform or a peer.
+func (m *Membership) Listed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
 func (m *Membership) repeatList() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/routing/access.go
+++ b/routing/access.go
@@ -22,9 +22,9 @@
 	if !ok {
 		return id, config.Service{}, apierr.New(apierr.Unauthenticated, "no valid token", "send Authorization: Bearer TOKEN")
 	}
-	snap := r.currentConfig()
+	snap, _ := r.opts.Config.Current()
 	name := req.PathValue("service")
-	if service, retired := r.retiredService(snap, name); retired {
+	if service, retired := snap.RetiredServices[name]; retired {
 		if !mayCall(id, service) {
 			return id, config.Service{}, errNotFound()
 		}
@@ -40,38 +40,6 @@
 	return id, service, nil
 }
 
-// currentConfig returns the newest snapshot. A retirement removes the service's
-// document, so the last one is kept: it tells whose callers may learn of it.
-func (r *Router) currentConfig() *config.Snapshot {
-	snap, _ := r.opts.Config.Current()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if snap == r.snapshot {
-		return snap
-	}
-	for name := range snap.Retired {
-		if r.snapshot == nil {
-			break
-		}
-		if service, ok := r.snapshot.Services[name]; ok {
-			r.retired[name] = service
-		}
-	}
-	r.snapshot = snap
-	return snap
-}
-
-// retiredService returns the last known document of a retired service. It is
-// empty, and so visible to operators alone, when this host started later.
-func (r *Router) retiredService(snap *config.Snapshot, name string) (config.Service, bool) {
-	if _, retired := snap.Retired[name]; !retired {
-		return config.Service{}, false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.retired[name], true
-}
-
 // mayCall reports whether the sender's organisation owns the service or is
 // named in its shareWith.
 func mayCall(id auth.Identity, s config.Service) bool {
--- a/routing/router.go
+++ b/routing/router.go
@@ -50,8 +50,6 @@
 	mu       sync.Mutex
 	services map[string]*service
 	pools    map[string]*pool // by address
-	snapshot *config.Snapshot // as last seen
-	retired  map[string]config.Service
 }
 
 // New returns a router. Run must be running for it to shed, probe and refresh
@@ -69,7 +67,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool), retired: make(map[string]config.Service)}
+	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool)}
 	r.meters = newMeters(o.Metrics, r)
 	return r
 }
@@ -108,7 +106,6 @@
 }
 
 func (r *Router) tick(ctx context.Context, now time.Time, probes *sync.WaitGroup) {
-	r.currentConfig()
 	for _, s := range r.allServices() {
 		r.refresh(s)
 		for _, host := range s.tick(now) {
@@ -123,7 +120,8 @@
 }
 
 func (r *Router) refresh(s *service) {
-	s.refresh(r.opts.Now(), r.opts.Membership.View(), r.currentConfig())
+	snap, _ := r.opts.Config.Current()
+	s.refresh(r.opts.Now(), r.opts.Membership.View(), snap)
 }
 
 func (r *Router) allServices() []*service {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -191,7 +191,7 @@
 	e := startEntry(t, s, nil)
 	must.Eq(t, routing.Ran, e.do(t, "POST", "north", "").outcome)
 	s.mu.Lock()
-	s.snap = &config.Snapshot{Revision: 2, Retired: map[string]uint64{"loans": 2}}
+	s.snap = &config.Snapshot{Revision: 2, Retired: map[string]uint64{"loans": 2}, RetiredServices: s.snap.Services}
 	s.mu.Unlock()
 	refused := e.do(t, "POST", "north", "")
 	must.Eq(t, http.StatusGone, refused.status)
