Validate documents together, and against what is in force on request

validate checked each file alone, so an unknown organisation or a retired name came to light at apply only. It now checks all files together, and with --in-force against the documents that an entry host has. apply reports the mistakes of every file, not of the first.

--- a/config/check.go
+++ b/config/check.go
@@ -32,6 +32,13 @@
 	return CheckDocuments(snap.Documents(), &Snapshot{Retired: snap.Retired})
 }
 
+// SnapshotOf returns the snapshot that documents make up, to check others against.
+func SnapshotOf(revision uint64, docs []Document, retired map[string]uint64) *Snapshot {
+	s := merge(docs, &Snapshot{})
+	s.Revision, s.Retired = revision, retired
+	return s
+}
+
 // Documents returns the snapshot's documents, ordered by kind and name.
 func (s *Snapshot) Documents() []Document {
 	var docs []Document
--- a/internal/cli/documents.go
+++ b/internal/cli/documents.go
@@ -30,43 +30,6 @@
 	Files []string `positional-arg-name:"FILE" required:"1"`
 }
 
-type validateCommand struct {
-	app      *app
-	Settings bool     `long:"settings" description:"the files are settings of entry hosts, not documents"`
-	Args     filesArg `positional-args:"yes"`
-}
-
-// Execute checks the files and reports all their mistakes at once.
-func (c *validateCommand) Execute([]string) error {
-	var mistakes []*apierr.Error
-	for _, name := range c.Args.Files {
-		if err := c.check(name); err != nil {
-			mistakes = append(mistakes, apierr.From(err))
-		}
-	}
-	if err := apierr.Join(mistakes); err != nil {
-		return err
-	}
-	return c.app.print(map[string]bool{"valid": true}, fmt.Sprintf("%d files are valid", len(c.Args.Files)))
-}
-
-func (c *validateCommand) check(name string) error {
-	if c.Settings {
-		_, err := settings.Load(name)
-		return err
-	}
-	_, err := readDocuments(name)
-	return err
-}
-
-func readDocuments(name string) ([]config.Document, error) {
-	data, err := readFile(name)
-	if err != nil {
-		return nil, err
-	}
-	return config.ParseDocuments(name, data)
-}
-
 type applyCommand struct {
 	app      *app
 	Expected uint64   `long:"expected-revision" description:"refuse the edit unless this revision is in force; 0: whatever is in force"`
@@ -76,14 +39,12 @@
 // Execute puts the documents in force.
 func (c *applyCommand) Execute([]string) error {
 	req := api.ApplyRequest{Expected: c.Expected}
-	for _, name := range c.Args.Files {
-		docs, err := readDocuments(name)
-		if err != nil {
-			return err
-		}
-		if err := appendDocuments(&req, docs); err != nil {
-			return err
-		}
+	docs, err := config.LoadDocuments(c.Args.Files...)
+	if err != nil {
+		return err
+	}
+	if err := appendDocuments(&req, docs); err != nil {
+		return err
 	}
 	cl, err := c.app.client()
 	if err != nil {
--- a/internal/cli/requests.go
+++ b/internal/cli/requests.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 
 	"github.com/cyclamentray/cyclamentray/api"
-	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/internal/httpjson"
 )
 
@@ -109,12 +107,3 @@
 	}
 	return strings.TrimSuffix(b.String(), "\n")
 }
-
-// readFile reads a document or settings file that an operator named.
-func readFile(name string) ([]byte, error) {
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return nil, apierr.Invalid(name, err.Error(), "name a file that can be read")
-	}
-	return data, nil
-}
