Prove the choice of whom to stop, and list the proofs

The case for gangs that are not needed had passed without the pruning it was written for; it now has a worker on which one of two gangs does.

--- a/guarantee/guarantee_test.go
+++ b/guarantee/guarantee_test.go
@@ -132,17 +132,18 @@
 func TestChoose(t *testing.T) {
 	cases := []struct {
 		name      string
+		size      int // accelerators of each of two workers
 		borrowers []Borrower
 		want      []int
 	}{
-		{"least lost work", []Borrower{{[]int{0, 0}, 2, 9000}, {[]int{1, 1}, 2, 100}}, []int{1}},
-		{"fewest gangs", []Borrower{{[]int{0}, 2, 100}, {[]int{0}, 2, 100}, {[]int{1, 1}, 2, 100}}, []int{2}},
-		{"none that is not needed", []Borrower{{[]int{0}, 1, 0}, {[]int{0}, 3, 2100}, {[]int{1, 1}, 2, 90000}}, []int{0, 1}},
-		{"nobody where it is free", []Borrower{{[]int{0, 0}, 2, 0}}, nil},
+		{"least lost work", 4, []Borrower{{[]int{0, 0}, 2, 9000}, {[]int{1, 1}, 2, 100}}, []int{1}},
+		{"fewest gangs", 4, []Borrower{{[]int{0}, 2, 100}, {[]int{0}, 2, 100}, {[]int{1, 1}, 2, 100}}, []int{2}},
+		{"none that is not needed", 8, []Borrower{{[]int{0}, 2, 0}, {[]int{0}, 6, 3000}, {[]int{1}, 8, 90000}}, []int{1}},
+		{"nobody where it is free", 4, []Borrower{{[]int{0, 0}, 2, 0}}, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			k := capacity(4, 4)
+			k := capacity(c.size, c.size)
 			for _, b := range c.borrowers {
 				k.TakeAll(b.Workers, b.AcceleratorsPerTask)
 			}
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -123,6 +123,19 @@
 	must.Eq(t, "beside", p.Reclaims[0].ID.Name)
 }
 
+func TestReclaimIsFairBetweenOrganisations(t *testing.T) {
+	b := newBuilder(3)
+	b.running("modest", "one", whole, time.Hour, time.Hour, "w0")
+	b.running("greedy", "two", whole, time.Hour, time.Hour, "w1")
+	b.running("greedy", "three", whole, time.Hour, time.Hour, "w2")
+	b.v.Guarantees = []Guarantee{{"a", whole, 1}}
+	b.waiting("a", "urgent", whole, time.Hour, 0).Urgent = true
+	p := Decide(b.v)
+	must.Len(t, 1, p.Reclaims)
+	must.Eq(t, "greedy", p.Reclaims[0].ID.Organisation)
+	must.Eq(t, reasonReclaiming, holdOf(p, "urgent"))
+}
+
 func TestDeficitNamesCause(t *testing.T) {
 	b := newBuilder(2)
 	b.v.Guarantees = []Guarantee{{"a", whole, 2}}
