--- /dev/null
+++ b/placement/baseline_test.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/placement/topology"
+)
+
+// fifoFirstFit is the baseline: strict order of submission, first place by name.
+func fifoFirstFit(v View) Plan {
+	var p Plan
+	if v.Out {
+		for _, g := range v.Running {
+			if g.Checkpoint && !g.Stopping {
+				p.Reclaims = append(p.Reclaims, Reclaim{ID: g.ID})
+			}
+		}
+		return p
+	}
+	k := topology.NewCapacity(topology.NewCluster(topologyWorkers(v.Workers)))
+	for _, g := range v.Running {
+		for _, name := range g.Workers {
+			w, _ := k.Position(name)
+			k.Take(w, g.Shape.AcceleratorsPerTask)
+		}
+	}
+	queue := slices.Clone(v.Waiting)
+	slices.SortStableFunc(queue, func(a, b Waiting) int { return a.Submitted.Compare(b.Submitted) })
+	for _, w := range queue {
+		place := firstFit(k, w.Shape)
+		if place == nil {
+			return p
+		}
+		k.TakeAll(place, w.Shape.AcceleratorsPerTask)
+		p.Starts = append(p.Starts, Start{ID: w.ID, Workers: k.Names(place)})
+	}
+	return p
+}
+
+// firstFit takes the first workers in name order.
+func firstFit(k *topology.Capacity, s job.Shape) []int {
+	var regions [][]int
+	for r := range k.Racks() {
+		regions = append(regions, k.Rack(r))
+	}
+	if s.Adjacency == job.SameFailureDomain {
+		regions = [][]int{slices.Concat(regions...)}
+	}
+	for _, region := range regions {
+		var place []int
+		for _, w := range region {
+			if s.Adjacency == job.SameWorker {
+				place = place[:0]
+			}
+			for n := k.Free(w); n >= s.AcceleratorsPerTask && len(place) < s.Tasks; n -= s.AcceleratorsPerTask {
+				place = append(place, w)
+			}
+			if len(place) == s.Tasks {
+				return place
+			}
+		}
+	}
+	return nil
+}
--- a/placement/reasons.go
+++ b/placement/reasons.go
@@ -13,7 +13,7 @@
 	reasonDrain      = "operators have taken the failure domain out of service; the job goes on from its checkpoint elsewhere"
 	reasonReclaiming = "its organisation's guaranteed accelerators are being reclaimed for it; it starts when the gangs on them have stopped"
 	reasonClearing   = "accelerators are being reclaimed for it as it is urgent; it starts when the gangs on them have stopped, unless work within a guarantee needs them"
-	reasonMove       = "it is moved to make adjacent room for a larger gang, and goes on from its checkpoint"
+	reasonMove       = "it is moved, or paused, for a job that this saves more waiting than it costs; it goes on from its checkpoint"
 	reasonUrgent     = "urgent work needs its accelerators"
 )
 
