Let a failure domain take held jobs that it could start at once

Change: Pull names the jobs held elsewhere that start at once beside a failure domain's own jobs and reservations. The replay moves a job at most once in 10 min; intake has yet to use it. TestPullTakesWhatStartsAtOnce.

--- a/placement/backfill.go
+++ b/placement/backfill.go
@@ -57,6 +57,7 @@
 		}
 		b.serve(w)
 	}
+	d.left = b.levels[len(b.levels)-1].free
 }
 
 func (b *backfill) serve(w *Waiting) {
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -35,6 +35,7 @@
 	for _, seed := range seeds() {
 		trace := drawTrace(size, load, seed)
 		r := newReplay(size, trace, Decide)
+		r.pulls = true
 		r.run()
 		ours = ours.plus(r.result())
 		reclaims += r.reclaims
@@ -42,7 +43,7 @@
 		r.run()
 		fifo = fifo.plus(r.result())
 		r = newReplay(size, trace, Decide)
-		r.oracle = true
+		r.oracle, r.pulls = true, true
 		r.run()
 		oracle = oracle.plus(r.result())
 	}
@@ -77,8 +78,8 @@
 				var ours, fifo replayResult
 				for _, seed := range seeds() {
 					trace := drawTrace(size, .8, seed)
-					ours = ours.plus(leaveAndReturn(size, trace, Decide))
-					fifo = fifo.plus(leaveAndReturn(size, trace, fifoFirstFit))
+					ours = ours.plus(leaveAndReturn(size, trace, Decide, true))
+					fifo = fifo.plus(leaveAndReturn(size, trace, fifoFirstFit, false))
 				}
 				n := float64(len(seeds()))
 				b.ReportMetric(0, "ns/op")
@@ -91,8 +92,9 @@
 	}
 }
 
-func leaveAndReturn(size traceSize, trace []traceJob, decide func(View) Plan) replayResult {
+func leaveAndReturn(size traceSize, trace []traceJob, decide func(View) Plan, pulls bool) replayResult {
 	r := newReplay(size, trace, decide)
+	r.pulls = pulls
 	r.leaveAndReturn()
 	r.run()
 	return r.result()
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -14,18 +14,22 @@
 // Waiting jobs within a guarantee come first, then urgent ones, then the rest
 // overdue ones first, then in order of how long they have waited for their work.
 func Decide(v View) Plan {
-	d := newDecision(&v)
 	if v.Out {
-		d.drain()
-		return d.plan
+		return drain(&v)
 	}
+	return decide(&v).plan
+}
+
+// decide makes the plan of a failure domain that is in service.
+func decide(v *View) *decision {
+	d := newDecision(v)
 	d.reportDeficits()
 	queue := d.admit()
 	queue = d.startGuaranteed(queue)
 	queue = d.startUrgent(queue)
 	queue = d.startProbes(queue)
 	d.startRest(queue)
-	return d.plan
+	return d
 }
 
 // decision is the state of one call of Decide.
@@ -36,6 +40,7 @@
 	free      *topology.Capacity // free now and set aside for nobody
 	soon      *topology.Capacity // free, and what stopping gangs will free
 	firm      *topology.Capacity // not held by work within guarantees
+	left      *topology.Capacity // free beside reservations once the plan's jobs have started
 	book      *guarantee.Book
 	backing   *guarantee.Backing
 	places    [][]int // worker of each task of each running gang; unknown ones left out
@@ -171,15 +176,17 @@
 }
 
 // drain holds everything and asks gangs that can save their work to stop.
-func (d *decision) drain() {
-	for i := range d.v.Running {
-		if g := &d.v.Running[i]; g.Checkpoint && !g.Stopping {
-			d.plan.Reclaims = append(d.plan.Reclaims, Reclaim{ID: g.ID, Reason: reasonDrain})
+func drain(v *View) Plan {
+	var p Plan
+	for i := range v.Running {
+		if g := &v.Running[i]; g.Checkpoint && !g.Stopping {
+			p.Reclaims = append(p.Reclaims, Reclaim{ID: g.ID, Reason: reasonDrain})
 		}
 	}
-	for i := range d.v.Waiting {
-		d.hold(&d.v.Waiting[i], reasonOut)
+	for i := range v.Waiting {
+		p.Holds = append(p.Holds, Hold{ID: v.Waiting[i].ID, Reason: reasonOut})
 	}
+	return p
 }
 
 func claimOf(id job.ID, s job.Shape, urgent bool) guarantee.Claim {
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -194,3 +194,17 @@
 	must.NoError(t, json.Unmarshal(data, &again))
 	must.Eq(t, near, again.Predict("s", "t", 2*time.Hour, .5))
 }
+
+func TestPullTakesWhatStartsAtOnce(t *testing.T) {
+	b := newBuilder(2)
+	b.running("a", "half", whole, time.Hour, 0, "w0").Checkpoint = false
+	o := newBuilder(0)
+	o.waiting("b", "wide", shapeOf(2, 4, job.SameRack), time.Hour, time.Hour)
+	o.waiting("b", "fits", whole, time.Hour, time.Hour)
+	o.waiting("b", "late", whole, time.Hour, time.Minute)
+	must.Eq(t, []job.ID{o.v.Waiting[1].ID}, Pull(b.v, o.v.Waiting))
+	b.waiting("a", "own", shapeOf(2, 4, job.SameRack), time.Minute, time.Hour) // has a reservation
+	must.Len(t, 0, Pull(b.v, o.v.Waiting))
+	b.v.Out = true
+	must.Len(t, 0, Pull(b.v, o.v.Waiting))
+}
--- /dev/null
+++ b/placement/pull.go
@@ -0,0 +1,31 @@
+package placement
+
+import "github.com/cyclamentray/cyclamentray/job"
+
+// Pull returns which of the jobs offered by other failure domains, where they
+// are held, this one could start at once beside its own jobs and reservations.
+// They are taken in the order offered. It does not change v.
+func Pull(v View, offered []Waiting) []job.ID {
+	if v.Out || len(offered) == 0 {
+		return nil
+	}
+	d := decide(&v)
+	if len(d.plan.Reclaims) > 0 {
+		return nil // it is short of room itself
+	}
+	var out []job.ID
+	for i := range offered {
+		w := &offered[i]
+		if d.overQuota(w) {
+			continue
+		}
+		place := d.left.Fit(w.Shape, d.avoid(w))
+		if place == nil {
+			continue
+		}
+		d.left.TakeAll(place, w.Shape.AcceleratorsPerTask)
+		d.use(w.ID.Organisation, w.Team, w.Shape)
+		out = append(out, w.ID)
+	}
+	return out
+}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -15,6 +15,7 @@
 	size                   traceSize
 	decide                 func(View) Plan
 	oracle                 bool // tell the policy the true run times
+	pulls                  bool // failure domains with room take held jobs of others
 	now                    time.Time
 	events                 eventQueue
 	domains                []*replayDomain
@@ -42,13 +43,13 @@
 
 type replayJob struct {
 	traceJob
-	fd         int
-	gang       Gang
-	generation int
-	done       time.Duration // progress kept
-	overhead   time.Duration // of this start
-	predicted  float64
-	first, end time.Time
+	fd                int
+	gang              Gang
+	generation        int
+	done              time.Duration // progress kept
+	overhead          time.Duration // of this start
+	predicted         float64
+	first, end, moved time.Time
 }
 
 type event struct {
@@ -83,8 +84,9 @@
 }
 
 const (
-	replayGrace   = time.Minute
-	replayRestart = 2 * time.Minute
+	replayGrace     = time.Minute
+	replayRestart   = 2 * time.Minute
+	replayMovePause = 10 * time.Minute
 )
 
 func newReplay(size traceSize, trace []traceJob, decide func(View) Plan) *replay {
@@ -118,13 +120,53 @@
 		for len(r.events) > 0 && r.events[0].at.Equal(r.now) {
 			r.handle(heap.Pop(&r.events).(event))
 		}
-		for fd, d := range r.domains {
-			if d.dirty {
-				d.dirty = false
-				r.apply(fd, r.decide(r.view(d)))
+		r.decideAll()
+		for fd := range r.domains {
+			r.pull(fd)
+		}
+		r.decideAll()
+	}
+}
+
+func (r *replay) decideAll() {
+	for fd, d := range r.domains {
+		if d.dirty {
+			d.dirty = false
+			r.apply(fd, r.decide(r.view(d)))
+		}
+	}
+}
+
+// pull moves jobs that other failure domains hold to one that could start them.
+func (r *replay) pull(fd int) {
+	d := r.domains[fd]
+	if !r.pulls || d.out {
+		return
+	}
+	var offered []Waiting
+	byID := map[job.ID]*replayJob{}
+	for other, from := range r.domains {
+		if other == fd || from.out {
+			continue
+		}
+		for _, j := range from.waiting {
+			if r.now.Sub(j.moved) >= replayMovePause {
+				offered = append(offered, j.Waiting)
+				byID[j.ID] = j
 			}
 		}
 	}
+	slices.SortStableFunc(offered, func(a, b Waiting) int { return a.Submitted.Compare(b.Submitted) })
+	for _, id := range Pull(r.view(d), offered) {
+		j := byID[id]
+		from := r.domains[j.fd]
+		from.waiting = slices.DeleteFunc(from.waiting, func(o *replayJob) bool { return o == j })
+		from.load -= j.predicted
+		d.load += j.predicted
+		j.fd, j.moved = fd, r.now
+		d.waiting = append(d.waiting, j)
+		d.dirty = true
+	}
 }
 
 func (r *replay) handle(e event) {
