--- a/gang/effects.go
+++ b/gang/effects.go
@@ -5,7 +5,6 @@
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
@@ -81,12 +80,11 @@
 }
 
 func (s *Scheduler) address(worker string) (string, error) {
-	for _, h := range s.o.Membership.View().Hosts {
-		if h.Name == worker && h.Kind == platform.Worker {
-			return h.Address, nil
-		}
+	address, listed := workerAddress(s.o, worker)
+	if !listed {
+		return "", apierr.New(apierr.Unavailable, "worker "+worker+" is not listed", "wait until the host list has it again")
 	}
-	return "", apierr.New(apierr.Unavailable, "worker "+worker+" is not listed", "wait until the host list has it again")
+	return address, nil
 }
 
 func (e effect) reserve(ctx context.Context, a Reserve) Reserved {
--- /dev/null
+++ b/gang/peers.go
@@ -0,0 +1,91 @@
+package gang
+
+import (
+	"context"
+
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+// Methods of the net/rpc service that entry hosts of a failure domain offer
+// each other.
+const (
+	peerService   = "Gangs"
+	methodRelease = peerService + ".Release"
+	methodObserve = peerService + ".Observe"
+	methodHold    = peerService + ".Hold"
+)
+
+// release promises that this host renews the gang no more, and waits for
+// messages already under way.
+func (r *renewer) release(g workerapi.Gang) {
+	r.mu.Lock()
+	r.core.Release(r.o.Now(), g)
+	r.mu.Unlock()
+	r.round.Lock() // waits for the present round
+	defer r.round.Unlock()
+}
+
+// fence gets that promise from every entry host that may renew the gang, the
+// silent ones included: one that does not answer may still renew.
+func (r *renewer) fence(ctx context.Context, g workerapi.Gang) bool {
+	r.release(g)
+	view := r.o.Membership.View()
+	all := true
+	for _, h := range view.Hosts {
+		if h.Kind != platform.EntryHost || h.FailureDomain != r.o.FailureDomain || h.Name == view.Self.Name {
+			continue
+		}
+		all = all && r.askRelease(ctx, h.PeerAddress, g)
+	}
+	return all
+}
+
+func (r *renewer) askRelease(ctx context.Context, address string, g workerapi.Gang) bool {
+	if r.o.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
+	defer cancel()
+	return r.o.Peers.Call(ctx, address, methodRelease, g, &Ack{}) == nil
+}
+
+// Ack is the answer of a peer method that returns nothing else.
+type Ack struct{ OK bool }
+
+// HoldReply is the answer to a question why a job waits.
+type HoldReply struct {
+	Reason string
+	Known  bool
+}
+
+// RegisterPeer offers the renewal and explanation methods to other entry hosts.
+func (s *Scheduler) RegisterPeer(server *peer.Server) error {
+	return server.Register(peerService, &peerMethods{s})
+}
+
+type peerMethods struct{ s *Scheduler }
+
+// Release promises to renew a gang no more.
+func (p *peerMethods) Release(g workerapi.Gang, reply *Ack) error {
+	p.s.renewer.release(g)
+	reply.OK = true
+	return nil
+}
+
+// Observe takes what another entry host's renewals taught.
+func (p *peerMethods) Observe(learned []Observation, reply *Ack) error {
+	for _, o := range learned {
+		p.s.Observe(o)
+	}
+	reply.OK = true
+	return nil
+}
+
+// Hold tells why a queued job waits, if this host schedules.
+func (p *peerMethods) Hold(id job.ID, reply *HoldReply) error {
+	reply.Reason, reply.Known = p.s.Hold(id)
+	return nil
+}
