Publish the view of hosts when it changed, else once a second

Change: heartbeats that change nothing publish nothing; names are sorted in place of whole hosts. Ruled out: keeping the hosts sorted in the table; building is rare now.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -18,6 +18,7 @@
 	nearInterval     = time.Second      // between heartbeats within a failure domain
 	farInterval      = 10 * time.Second // between heartbeats across failure domains
 	tickInterval     = 250 * time.Millisecond
+	publishInterval  = time.Second // of a view in which only time has passed
 	listInterval     = 3 * time.Second
 	listTimeout      = 2 * time.Second
 	listWatchTimeout = 15 * time.Second
@@ -76,11 +77,12 @@
 	opts Options
 	view atomic.Pointer[View]
 
-	mu       sync.Mutex
-	table    *table
-	draining bool
-	listed   bool // a list has been read, from the platform or from a peer
-	work     sync.WaitGroup
+	mu        sync.Mutex
+	table     *table
+	published time.Time
+	draining  bool
+	listed    bool // a list has been read, from the platform or from a peer
+	work      sync.WaitGroup
 }
 
 // New returns a membership that knows only this host; call Run.
@@ -171,8 +173,11 @@
 
 func (m *Membership) tick(ctx context.Context) {
 	m.mu.Lock()
-	due := m.table.due(m.opts.Now())
-	m.publish()
+	now := m.opts.Now()
+	due := m.table.due(now)
+	if now.Sub(m.published) >= publishInterval {
+		m.publish()
+	}
 	m.mu.Unlock()
 	for _, h := range due {
 		m.work.Go(func() { m.beat(ctx, h.PeerAddress) })
@@ -181,7 +186,8 @@
 
 // publish makes the table's view the present one. The caller holds mu.
 func (m *Membership) publish() {
-	v := m.table.view(m.opts.Now())
+	m.published = m.opts.Now()
+	v := m.table.view(m.published)
 	m.view.Store(v)
 	m.opts.Metrics.GetOrCreateGauge("cyclamentray_membership_hosts", nil).Set(float64(len(v.Hosts)))
 	m.opts.Metrics.GetOrCreateGauge("cyclamentray_membership_silent_peers", nil).Set(float64(len(v.Silent)))
@@ -208,8 +214,9 @@
 func (m *Membership) heard(b Beat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.applyBeat(m.opts.Now(), b)
-	m.publish()
+	if m.table.applyBeat(m.opts.Now(), b) {
+		m.publish()
+	}
 }
 
 // readLists reads the list again and again. A list that can be watched is sent
--- a/membership/table.go
+++ b/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -92,12 +93,13 @@
 }
 
 // applyBeat takes in what an entry host said of itself, in a heartbeat or in
-// the answer to one. It outranks the list.
-func (t *table) applyBeat(now time.Time, b Beat) {
+// the answer to one. It outranks the list. It reports whether the view changes.
+func (t *table) applyBeat(now time.Time, b Beat) (changed bool) {
 	if b.Host.Name == "" || b.Host.Name == t.self.Name {
-		return
+		return false
 	}
 	r := t.records[b.Host.Name]
+	changed = r == nil || r.incarnation != b.Incarnation || r.draining != b.Draining || r.silent(now, t.self)
 	if r == nil || r.incarnation != b.Incarnation {
 		r = t.put(now, b.Host)
 		r.incarnation = b.Incarnation
@@ -107,6 +109,7 @@
 	r.heard = now
 	r.status = b.Status
 	r.status.At = now
+	return changed
 }
 
 // observe takes in that a host answered first-hand.
@@ -192,6 +195,9 @@
 
 // massAbsent returns the groups of hosts of which the list lacks many.
 func (t *table) massAbsent() map[group]bool {
+	if !t.anyAbsent() {
+		return nil
+	}
 	known, absent := map[group]int{}, map[group]int{}
 	for _, r := range t.records {
 		for _, g := range groups(r.host) {
@@ -208,6 +214,15 @@
 	return mass
 }
 
+func (t *table) anyAbsent() bool {
+	for _, r := range t.records {
+		if r.absentReads > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func inMass(h platform.Host, mass map[group]bool) bool {
 	for _, g := range groups(h) {
 		if mass[g] {
@@ -219,19 +234,19 @@
 
 // view publishes what is known at now.
 func (t *table) view(now time.Time) *View {
-	v := &View{Self: t.self, Silent: map[string]bool{}}
+	v := &View{Self: t.self, Silent: map[string]bool{}, Hosts: make([]platform.Host, 0, len(t.records))}
 	mass := t.massAbsent()
-	for _, r := range t.records {
-		if r.gone(now, inMass(r.host, mass)) {
+	for _, name := range slices.Sorted(maps.Keys(t.records)) {
+		r := t.records[name]
+		if r.absentReads > 0 && r.gone(now, inMass(r.host, mass)) {
 			continue
 		}
 		h := r.host
 		h.Leaving = h.Leaving || r.draining
 		v.Hosts = append(v.Hosts, h)
 		if r.silent(now, t.self) {
-			v.Silent[h.Name] = true
+			v.Silent[name] = true
 		}
 	}
-	sortHosts(v.Hosts)
 	return v
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -2,7 +2,12 @@
 // list, heartbeats between entry hosts, and what was seen first-hand.
 package membership
 
-import "github.com/cyclamentray/cyclamentray/platform"
+import (
+	"slices"
+	"strings"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+)
 
 // View is the membership at one moment. It is immutable once published.
 type View struct {
@@ -11,6 +16,17 @@
 	Silent map[string]bool // entry hosts that do not answer heartbeats now
 }
 
+// Find returns the host of a name.
+func (v *View) Find(name string) (platform.Host, bool) {
+	i, found := slices.BinarySearchFunc(v.Hosts, name, func(h platform.Host, name string) int {
+		return strings.Compare(h.Name, name)
+	})
+	if !found {
+		return platform.Host{}, false
+	}
+	return v.Hosts[i], true
+}
+
 // Select returns the hosts for which keep is true, ordered by name.
 func (v *View) Select(keep func(platform.Host) bool) []platform.Host {
 	var out []platform.Host
