Take over a shard's log without using it up

Cause: each change of owner used a segment of the ring, and a full ring could not be taken over at all, so its keys would have been refused for an hour. Change: the slot after the newest segment is rewritten with what it holds in place of starting a new segment there. Seen failing first: the earlier owner's write succeeded with either of the two rewrites left out (TestEarlierOwnerIsFenced); TestFullLogRefusesNewKeys without the check of the retention.

--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/claims"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
@@ -41,7 +43,7 @@
 	hosts []*host
 }
 
-func startCluster(t *testing.T, n int) *cluster {
+func startCluster(t *testing.T, n int, change ...func(*claims.Options)) *cluster {
 	store := kv.New()
 	server := httptest.NewServer(store)
 	t.Cleanup(func() {
@@ -58,23 +60,27 @@
 		list = append(list, platform.Host{Name: fmt.Sprintf("e%d", i), Kind: platform.EntryHost, PeerAddress: l.Addr().String()})
 	}
 	for i := range n {
-		c.hosts = append(c.hosts, startHost(t, server.Listener.Addr().String(), listeners[i], list, i))
+		c.hosts = append(c.hosts, startHost(t, server.Listener.Addr().String(), listeners[i], list, i, change))
 	}
 	return c
 }
 
-func startHost(t *testing.T, store string, l net.Listener, list []platform.Host, i int) *host {
+func startHost(t *testing.T, store string, l net.Listener, list []platform.Host, i int, change []func(*claims.Options)) *host {
 	proxy, err := faultproxy.New(store)
 	must.NoError(t, err)
 	pool := peer.NewPool(peer.Options{Timeout: 500 * time.Millisecond})
-	service := claims.New(claims.Options{
+	o := claims.Options{
 		Store:          platform.NewClient("http://" + proxy.Addr()),
 		Peers:          pool,
 		Membership:     staticView{&membership.View{Self: list[i], Hosts: list}},
 		CommitInterval: 5 * time.Millisecond,
 		LeaseTTL:       leaseTTL,
 		Segments:       8,
-	})
+	}
+	for _, f := range change {
+		f(&o)
+	}
+	service := claims.New(o)
 	server := peer.NewServer(peer.Options{})
 	must.NoError(t, service.RegisterPeer(server))
 	go func() { _ = server.Serve(l) }()
@@ -142,7 +148,9 @@
 		recent   = 200                   // and is tried until so many newer ones came up
 		leastKey = 50                    // granted
 	)
-	c := startCluster(t, 3)
+	c := startCluster(t, 3, func(o *claims.Options) {
+		o.Segments, o.EventsPerSegment = 512, 8 // often on to the next segment
+	})
 	c.hosts[0].mustGrant(t, "first", "a")
 	began := time.Now()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -242,6 +250,32 @@
 	}
 }
 
+// A ring of 4 segments of 2 claims takes 8 keys within their retention. Then
+// new keys are refused, also by the next owner, and nothing is forgotten.
+func TestFullLogRefusesNewKeys(t *testing.T) {
+	const room = 8
+	var passed atomic.Int64 // added to the clock
+	c := startCluster(t, 2, func(o *claims.Options) {
+		o.Shards, o.Segments, o.EventsPerSegment = 1, 4, 2
+		o.Now = func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }
+	})
+	for i := range room {
+		c.hosts[i%2].mustGrant(t, fmt.Sprint("k", i), "a")
+	}
+	for i, h := range c.hosts {
+		_, err := h.claim("more", "a", testTimeout)
+		must.Eq(t, apierr.Overloaded, apierr.KindOf(err))
+		for k := range room {
+			must.Eq(t, claims.Running, h.mustClaim(t, fmt.Sprint("k", k), "b"))
+		}
+		if i == 0 {
+			h.stop()
+		}
+	}
+	passed.Store(int64(2 * claims.DefaultRetention))
+	c.hosts[1].mustGrant(t, "more", "b")
+}
+
 // A key bound to an entry host needs no platform, and ends with that host.
 func TestBoundKeysWorkWithoutThePlatform(t *testing.T) {
 	c := startCluster(t, 2)
--- a/claims/journal.go
+++ b/claims/journal.go
@@ -53,9 +53,10 @@
 
 // takeOver fences every earlier owner and returns the log's events in order.
 //
-// An earlier owner can write only to the newest segment or to the one after
-// it. Both are written here, at the versions that were read, before anything
-// is decided; so its next write fails, and no event of its is missed.
+// An earlier owner can write only to the newest segment or to the slot after
+// it. Both are rewritten here, at the versions that were read, before anything
+// is decided; so its next write fails, and no event of its is missed. Nothing
+// is lost or used up, so a full log can be taken over too.
 func (j *journal) takeOver(ctx context.Context) ([]event, error) {
 	for range maxFenceTries {
 		segments, err := j.load(ctx)
@@ -132,6 +133,7 @@
 	return err
 }
 
+// fence rewrites the newest segment and the slot after it, with what they hold.
 func (j *journal) fence(ctx context.Context, segments []segment) error {
 	last := segment{}
 	for _, s := range segments {
@@ -145,22 +147,21 @@
 	if last.seq > 0 {
 		last.term = j.term
 		last.commits++
-		if err := j.settle(ctx, last); err != nil {
+		if err := j.settle(ctx, j.slot(last.seq), last); err != nil {
 			return err
 		}
 	}
-	next := segment{term: j.term, seq: last.seq + 1, newest: last.newest}
-	if err := j.checkReusable(next.seq); err != nil {
-		return err
-	}
-	if err := j.settle(ctx, next); err != nil {
+	slot := j.slot(last.seq + 1)
+	next := segments[slot]
+	next.term = j.term
+	next.commits++
+	if err := j.settle(ctx, slot, next); err != nil {
 		return err
 	}
-	// What the reused slot held is past its retention.
-	if old := segments[j.slot(next.seq)]; old.seq != next.seq {
-		segments[j.slot(next.seq)] = segment{}
+	j.open = last
+	if last.seq == 0 {
+		j.open = segment{term: j.term, seq: 1}
 	}
-	j.open = next
 	return nil
 }
 
@@ -203,7 +204,7 @@
 	next.events = append(next.events[:len(next.events):len(next.events)], events...)
 	backoff := firstBackoff
 	for {
-		err := j.settle(ctx, next)
+		err := j.settle(ctx, j.slot(next.seq), next)
 		if err == nil {
 			j.open = next
 			j.newest[j.slot(next.seq)] = next.newest
@@ -221,13 +222,12 @@
 	}
 }
 
-// settle writes a segment once. When the write's answer is lost it reads back;
+// settle writes a segment to its slot once. When the write's answer is lost it reads back;
 // an error other than ErrConflict leaves open whether the write took effect, and
 // the same segment must be settled again before any other.
-func (j *journal) settle(ctx context.Context, s segment) error {
+func (j *journal) settle(ctx context.Context, slot int, s segment) error {
 	ctx, cancel := context.WithTimeout(platform.Urgent(ctx), callTimeout)
 	defer cancel()
-	slot := j.slot(s.seq)
 	value := s.encode()
 	e, err := j.opts.Store.CompareAndSwap(ctx, j.key(slot), value, j.versions[slot])
 	if err == nil {
--- /dev/null
+++ b/claims/journal_test.go
@@ -0,0 +1,63 @@
+package claims
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+// After a take-over the earlier owner's next write fails, whichever segments
+// the two of them write to.
+func TestEarlierOwnerIsFenced(t *testing.T) {
+	const perSegment = 4
+	for _, c := range []struct {
+		name       string
+		later, old int // events that the later and then the earlier owner append
+	}{
+		{"same segment", 1, 1},
+		{"later owner went on to the next segment", perSegment, 1},
+		{"earlier owner goes on to the next segment", 1, perSegment},
+		{"both go on to the next segment", perSegment, perSegment},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(kv.New())
+			defer server.Close()
+			o := Options{Store: platform.NewClient(server.URL), Segments: 4, EventsPerSegment: perSegment}.withDefaults()
+			ctx := t.Context()
+			ignore := func(error) {}
+			earlier, later := newJournal(&o, 0, 1, ignore), newJournal(&o, 0, 2, ignore)
+			_, err := earlier.takeOver(ctx)
+			must.NoError(t, err)
+			must.NoError(t, earlier.append(ctx, make([]event, perSegment-1)))
+			events, err := later.takeOver(ctx)
+			must.NoError(t, err)
+			must.Len(t, perSegment-1, events)
+			must.NoError(t, later.append(ctx, make([]event, c.later)))
+			must.ErrorIs(t, earlier.append(ctx, make([]event, c.old)), errFenced)
+			_, err = earlier.takeOver(ctx)
+			must.ErrorIs(t, err, errFenced)
+		})
+	}
+}
+
+func TestSegmentSurvivesTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "data")
+		s, err := decodeSegment(data)
+		if err == nil {
+			must.Eq(t, data, s.encode())
+		}
+		s = segment{term: rapid.Uint64().Draw(t, "term"), seq: rapid.Uint64().Draw(t, "seq")}
+		for range rapid.IntRange(0, 5).Draw(t, "events") {
+			s.events = append(s.events, event{kind: eventDone, attempt: rapid.Uint64().Draw(t, "attempt")})
+		}
+		again, err := decodeSegment(s.encode())
+		must.NoError(t, err)
+		must.Eq(t, s.encode(), again.encode())
+	})
+}
