--- a/config/edit.go
+++ b/config/edit.go
@@ -72,7 +72,7 @@
 			return nil, nil, nil
 		}
 		if _, ok := snap.Services[service]; !ok {
-			return nil, nil, apierr.New(apierr.NotFound, "no service "+service, "list the services with `cyclamentray top`")
+			return nil, nil, apierr.New(apierr.NotFound, "no service "+service, "list the documents with `cyclamentray documents`")
 		}
 		return nil, []string{service}, nil
 	})
@@ -84,7 +84,7 @@
 	return e.run(ctx, nil, func(snap *Snapshot) ([]Document, []string, error) {
 		fd, ok := snap.FailureDomains[name]
 		if !ok {
-			return nil, nil, apierr.New(apierr.NotFound, "no failure domain "+name, "list the failure domains with `cyclamentray top`")
+			return nil, nil, apierr.New(apierr.NotFound, "no failure domain "+name, "list the documents with `cyclamentray documents`")
 		}
 		fd.Out = out
 		return []Document{{Kind: KindFailureDomain, FailureDomain: &fd}}, nil, nil
@@ -142,7 +142,7 @@
 
 // accept swaps the head. That is the moment at which the edit is in force.
 func (e *Editor) accept(ctx context.Context, next *edition, old head, version uint64) (uint64, error) {
-	nonce := strconv.FormatUint(rand.Uint64(), 36)
+	nonce := strconv.FormatUint(uint64(rand.Uint32()), 36)
 	edits := append(append([]string(nil), old.Edits...), nonce)
 	if len(edits) > recentEdits {
 		edits = edits[len(edits)-recentEdits:]
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -223,6 +223,7 @@
 		s.config.RegisterPeer,
 		s.claims.RegisterPeer,
 		s.scheduler.RegisterPeer,
+		s.intake.RegisterPeer,
 	} {
 		if err := register(s.peerServer); err != nil {
 			return err
