--- a/api/api.go
+++ b/api/api.go
@@ -73,4 +73,10 @@
 	Accelerators int    `json:"accelerators"`
 	Queued       int    `json:"queued"`
 	Running      int    `json:"running"`
+	Scheduler    string `json:"scheduler,omitempty"` // entry host that holds the term; empty: none is known
+
+	// Deficits tells which guarantees the present hardware cannot back, and why.
+	Deficits []string `json:"deficits,omitempty"`
+	// Unknown tells why jobs and deficits are not known; empty: they are.
+	Unknown string `json:"unknown,omitempty"`
 }
--- a/client/client.go
+++ b/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/internal/httpjson"
 	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 const (
@@ -34,7 +35,8 @@
 // New returns a client of the entry host at base, such as
 // "http://127.0.0.1:7070", that presents token.
 func New(base, token string) *Client {
-	return NewWithHTTP(base, token, &http.Client{Timeout: callTimeout})
+	transport := telemetry.Transport(http.DefaultTransport, "entry host")
+	return NewWithHTTP(base, token, &http.Client{Transport: transport, Timeout: callTimeout})
 }
 
 // NewWithHTTP is New with a caller's own HTTP client, for TLS.
--- a/dev/scenario.go
+++ b/dev/scenario.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamentray/cyclamentray/client"
 	"github.com/cyclamentray/cyclamentray/examples"
 	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 const (
@@ -106,6 +107,8 @@
 type scenario struct {
 	d        *Deployment
 	out      io.Writer
+	recorder *telemetry.Recorder // nil: no trace is printed
+	traceID  string              // of the first filing
 	operator *client.Client
 	filer    *client.Client
 	depot    *client.Client
@@ -114,11 +117,15 @@
 // Scenario applies the documents, runs requests and gangs of both first users,
 // takes a failure domain out and back, retires a service, and writes a line
 // about each step to out.
-func (d *Deployment) Scenario(ctx context.Context, out io.Writer) error {
+//
+// With a recorder, which must receive the process's spans, it prints the trace
+// of the filing.
+func (d *Deployment) Scenario(ctx context.Context, out io.Writer, rec *telemetry.Recorder) error {
 	urls := d.Addresses()
 	s := &scenario{
 		d:        d,
 		out:      out,
+		recorder: rec,
 		operator: client.New(urls[0], OperatorToken),
 		filer:    client.New(urls[0], Tokens()[mwambao]),
 		depot:    client.New(urls[len(urls)-1], Tokens()[partner]),
@@ -130,6 +137,7 @@
 			return err
 		}
 	}
+	s.showTrace()
 	return nil
 }
 
@@ -156,17 +164,36 @@
 // file sends one filing to every entry host under one idempotency key.
 func (s *scenario) file(ctx context.Context) error {
 	for _, url := range s.d.Addresses() {
-		caller := client.New(url, Tokens()[mwambao])
-		answer, err := caller.Request(ctx, http.MethodPost, filings, "returns/2026-11", "return-2026-11", []byte(`{"litres": 1200}`))
-		if err != nil {
-			return errors.Wrap(err, "filing the return")
+		if err := s.fileAt(ctx, url); err != nil {
+			return err
 		}
-		s.say("filing: POST returns/2026-11 answered %d, outcome %s", answer.Status, answer.Outcome)
 	}
 	s.say("filing: executed %d times", s.d.Executions("return-2026-11"))
 	return nil
 }
 
+func (s *scenario) fileAt(ctx context.Context, url string) error {
+	ctx, span := telemetry.Start(ctx, "caller files a return")
+	caller := client.New(url, Tokens()[mwambao])
+	answer, err := caller.Request(ctx, http.MethodPost, filings, "returns/2026-11", "return-2026-11", []byte(`{"litres": 1200}`))
+	span.End()
+	if err != nil {
+		return errors.Wrap(err, "filing the return")
+	}
+	s.say("filing: POST returns/2026-11 answered %d, outcome %s", answer.Status, answer.Outcome)
+	if s.traceID == "" {
+		s.traceID = telemetry.TraceID(ctx)
+	}
+	return nil
+}
+
+// showTrace prints the first filing's trace, whose spans have all ended by now.
+func (s *scenario) showTrace() {
+	if s.recorder != nil {
+		s.say("trace of the first filing:\n%s", s.recorder.Tree(s.traceID))
+	}
+}
+
 func (s *scenario) reconcile(ctx context.Context) error {
 	spec := job.Spec{
 		ID:          job.ID{Organisation: mwambao, Service: filings, Name: "november"},
--- a/entryhost/operators.go
+++ b/entryhost/operators.go
@@ -2,14 +2,12 @@
 
 import (
 	"net/http"
-	"sort"
 
 	"github.com/cyclamentray/cyclamentray/api"
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/internal/httpjson"
-	"github.com/cyclamentray/cyclamentray/platform"
 )
 
 // registerOperators adds the calls that only operators may make.
@@ -106,68 +104,3 @@
 	httpjson.Write(w, http.StatusOK, api.EditReply{Revision: revision})
 	return nil
 }
-
-func (h *Host) showTop(w http.ResponseWriter, _ *http.Request) error {
-	httpjson.Write(w, http.StatusOK, api.Top{Hosts: h.hostStatuses(), FailureDomains: h.failureDomainStatuses()})
-	return nil
-}
-
-// hostStatuses tells what each entry host last said of itself.
-func (h *Host) hostStatuses() []api.HostStatus {
-	s := h.slices
-	own := s.status()
-	statuses := []api.HostStatus{{
-		Name:          h.opts.Settings.Host.Name,
-		FailureDomain: h.opts.Settings.Host.FailureDomain,
-		Revision:      own.Revision,
-		ConfirmedAge:  own.RevisionAge,
-		Term:          own.Term,
-		Draining:      !h.ready.Load(),
-	}}
-	heard := s.membership.Statuses()
-	for _, p := range s.membership.View().Peers() {
-		status, ok := heard[p.Name]
-		line := api.HostStatus{Name: p.Name, FailureDomain: p.FailureDomain, Draining: p.Leaving}
-		if ok {
-			line.Revision = status.Revision
-			line.ConfirmedAge = status.RevisionAge + h.opts.Now().Sub(status.At)
-			line.Term = status.Term
-			line.HeardAge = h.opts.Now().Sub(status.At)
-		} else {
-			line.Unreached = "no heartbeat from it yet"
-		}
-		statuses = append(statuses, line)
-	}
-	return statuses
-}
-
-func (h *Host) failureDomainStatuses() []api.FailureDomainStatus {
-	snap, _ := h.slices.config.Current()
-	names := make([]string, 0, len(snap.FailureDomains))
-	for name := range snap.FailureDomains {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	statuses := make([]api.FailureDomainStatus, 0, len(names))
-	for _, name := range names {
-		statuses = append(statuses, h.failureDomainStatus(snap.FailureDomains[name]))
-	}
-	return statuses
-}
-
-func (h *Host) failureDomainStatus(fd config.FailureDomain) api.FailureDomainStatus {
-	status := api.FailureDomainStatus{Name: fd.Name, Out: fd.Out}
-	for _, w := range h.slices.membership.View().Workers(fd.Name) {
-		status.Workers++
-		status.Accelerators += usable(w)
-	}
-	return status
-}
-
-// usable returns a worker's accelerators, none of them when it is leaving.
-func usable(w platform.Host) int {
-	if w.Leaving {
-		return 0
-	}
-	return w.Accelerators
-}
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -205,15 +205,23 @@
 
 // serving reports whether some entry host is known to schedule a failure domain.
 func (s *slices) serving(failureDomain string) bool {
+	_, ok := s.schedulerOf(failureDomain)
+	return ok
+}
+
+// schedulerOf returns the entry host that is known to hold a failure domain's term.
+func (s *slices) schedulerOf(failureDomain string) (platform.Host, bool) {
 	view := s.membership.View()
 	if view.Self.FailureDomain == failureDomain && s.schedules() {
-		return true
+		return view.Self, true
 	}
 	statuses := s.membership.Statuses()
-	schedulers := view.Select(func(h platform.Host) bool {
-		return h.Kind == platform.EntryHost && h.FailureDomain == failureDomain && statuses[h.Name].Term != 0
-	})
-	return len(schedulers) > 0
+	for _, p := range view.Peers() {
+		if p.FailureDomain == failureDomain && statuses[p.Name].Term != 0 {
+			return p, true
+		}
+	}
+	return platform.Host{}, false
 }
 
 func (s *slices) registerPeers() error {
--- a/gang/peers.go
+++ b/gang/peers.go
@@ -16,6 +16,7 @@
 	methodRelease = peerService + ".Release"
 	methodObserve = peerService + ".Observe"
 	methodHold    = peerService + ".Hold"
+	methodSummary = peerService + ".Summary"
 )
 
 // release promises that this host renews the gang no more, and waits for
--- /dev/null
+++ b/gang/summary.go
@@ -0,0 +1,48 @@
+package gang
+
+import (
+	"context"
+
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/placement"
+)
+
+// Summary sums up a failure domain's jobs, for operators.
+type Summary struct {
+	Queued   int
+	Running  int                 // placed, running or stopping
+	Deficits []placement.Deficit // guarantees that the present hardware cannot back
+}
+
+// SummaryArgs asks for a summary.
+type SummaryArgs struct{}
+
+// Summary sums up the failure domain as this host last saw it.
+func (s *Scheduler) Summary() Summary {
+	sum := Summary{Deficits: s.Deficits()}
+	records, _, _ := s.o.Ledger.Snapshot()
+	for _, rec := range records {
+		switch {
+		case rec.State == job.Queued:
+			sum.Queued++
+		case live(rec.State):
+			sum.Running++
+		}
+	}
+	return sum
+}
+
+// SummaryOf asks the scheduler whose peer listener is at address.
+func (s *Scheduler) SummaryOf(ctx context.Context, address string) (Summary, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var sum Summary
+	err := s.o.Peers.Call(ctx, address, methodSummary, SummaryArgs{}, &sum)
+	return sum, err
+}
+
+// Summary answers another entry host's question.
+func (p *peerMethods) Summary(_ SummaryArgs, reply *Summary) error {
+	*reply = p.s.Summary()
+	return nil
+}
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -7,13 +7,16 @@
 	"slices"
 
 	"github.com/charmbracelet/log"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"github.com/cyclamentray/cyclamentray/dev"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 type devCommand struct {
 	app     *app
 	Once    bool `long:"once" description:"run the example work, print a report and exit"`
+	Trace   bool `long:"trace" description:"with --once, print the traces of a filing, a line for each hop"`
 	Verbose bool `long:"verbose" description:"show the entry hosts' logs on standard error"`
 }
 
@@ -23,6 +26,10 @@
 	if c.Verbose {
 		level = log.InfoLevel
 	}
+	rec, err := c.recorder()
+	if err != nil {
+		return err
+	}
 	d, err := dev.Start(c.app.ctx, dev.Options{
 		FailureDomains: dev.FailureDomains(),
 		Services:       dev.Services(),
@@ -35,11 +42,21 @@
 	}
 	defer func() { _ = d.Close() }()
 	if c.Once {
-		return d.Scenario(c.app.ctx, c.app.out)
+		return d.Scenario(c.app.ctx, c.app.out, rec)
 	}
 	return c.stay(d)
 }
 
+// recorder receives the process's spans when traces are asked for.
+func (c *devCommand) recorder() (*telemetry.Recorder, error) {
+	if !c.Trace {
+		return nil, nil
+	}
+	rec := telemetry.NewRecorder()
+	_, err := telemetry.SetupTracing(c.app.ctx, telemetry.Tracing{Processors: []sdktrace.SpanProcessor{rec}})
+	return rec, err
+}
+
 // stay keeps the deployment up until the command is interrupted.
 func (c *devCommand) stay(d *dev.Deployment) error {
 	if _, err := d.Apply(c.app.ctx); err != nil {
--- a/internal/cli/requests.go
+++ b/internal/cli/requests.go
@@ -103,7 +103,15 @@
 		if d.Out {
 			state = "out"
 		}
-		fmt.Fprintf(&b, "%-12s %-8s %d workers, %d accelerators, %d queued, %d running\n", d.Name, state, d.Workers, d.Accelerators, d.Queued, d.Running)
+		fmt.Fprintf(&b, "%-12s %-8s %d workers, %d accelerators", d.Name, state, d.Workers, d.Accelerators)
+		if d.Unknown != "" {
+			b.WriteString(", jobs not known: " + d.Unknown + "\n")
+			continue
+		}
+		fmt.Fprintf(&b, ", %d queued, %d running\n", d.Queued, d.Running)
+		for _, deficit := range d.Deficits {
+			b.WriteString("  guarantee not backed: " + deficit + "\n")
+		}
 	}
 	return strings.TrimSuffix(b.String(), "\n")
 }
