Drop settings that nothing reads

14 of 20 times and limits had no effect: the slices hold those lengths as constants, some unlike the documented defaults (task lease 20 s against 30 s). Ruled out: handing them to the slices. They carry promises, and hosts on which they differ would break together what each keeps alone.

The two tests of rules between times (half of the lease, late start) went with the fields that they checked.

--- a/settings/check.go
+++ b/settings/check.go
@@ -1,16 +1,11 @@
 package settings
 
 import (
-	"fmt"
 	"net/netip"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 )
 
-// maxLateStartMillis bounds how long after operators take a failure domain out
-// a task may still start there.
-const maxLateStartMillis = 4000
-
 // checker gathers the mistakes that concern several fields at once.
 type checker struct {
 	file     string
@@ -35,7 +30,6 @@
 	if s.Trace.Exporter == ExportOTLP && s.Trace.Endpoint == "" {
 		c.add("trace.endpoint", "exporter otlp needs an endpoint", "write the collector's URL, such as http://192.0.2.9:4318/v1/traces")
 	}
-	c.timing(s.Timing)
 	return c.mistakes
 }
 
@@ -67,23 +61,3 @@
 		c.add(field+".caFile", "entry hosts check each other's certificates against caFile", "name the file of the authority's certificates")
 	}
 }
-
-// timing checks that each interval leaves room for at least two tries within
-// the lease or permit that depends on it.
-func (c *checker) timing(t Timing) {
-	c.twice("timing.heartbeatMillis", t.HeartbeatMillis, "timing.heartbeatTimeoutMillis", t.HeartbeatTimeoutMillis)
-	c.twice("timing.taskRenewMillis", t.TaskRenewMillis, "timing.taskLeaseMillis", t.TaskLeaseMillis)
-	c.twice("timing.confirmMillis", t.ConfirmMillis, "timing.permitMillis", t.PermitMillis)
-	if late := t.PermitMillis + t.ReservationMillis; late > maxLateStartMillis {
-		message := fmt.Sprintf("with reservationMillis, a task could start %d ms after its failure domain was taken out", late)
-		c.add("timing.permitMillis", message, fmt.Sprintf("keep their sum within %d ms", maxLateStartMillis))
-	}
-}
-
-func (c *checker) twice(interval string, every int, limit string, within int) {
-	if 2*every <= within {
-		return
-	}
-	message := fmt.Sprintf("%d ms is more than half of %s, which is %d ms", every, limit, within)
-	c.add(interval, message, "shorten it, or lengthen "+limit)
-}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -48,8 +48,6 @@
 		{Name: "level", Type: schema.String, Default: "info", Enum: []string{"debug", "info", "warn", "error"}, Doc: "least severe level that is logged"},
 	}},
 	{Name: "limits", Type: schema.Object, Doc: "what one host takes", Fields: []schema.Field{
-		{Name: "bodyBytes", Type: schema.Int, Unit: unitBytes, Default: 1 << 20, Min: 1 << 10, Max: 64 << 20, Doc: "largest body of a caller's request"},
-		{Name: "answerBytes", Type: schema.Int, Unit: unitBytes, Default: 8 << 20, Min: 1 << 10, Max: 64 << 20, Doc: "largest answer of an upstream"},
 		{Name: "documentBytes", Type: schema.Int, Unit: unitBytes, Default: 1 << 20, Min: 1 << 10, Max: schema.MaxBytes, Doc: "largest body of an operators' edit"},
 	}},
 	{Name: "timing", Type: schema.Object, Doc: "intervals and time limits", Fields: timingFields},
@@ -64,21 +62,9 @@
 }
 
 var timingFields = []schema.Field{
-	duration("heartbeatMillis", unitMillis, 1000, 50, 60_000, "interval between heartbeats"),
-	duration("heartbeatTimeoutMillis", unitMillis, 4000, 100, 300_000, "silence after which a host counts as gone"),
-	duration("hostListMillis", unitMillis, 2000, 50, 60_000, "interval between reads of the platform's host list"),
-	duration("confirmMillis", unitMillis, 500, 50, 1000, "interval between confirmations of the configuration"),
-	duration("permitMillis", unitMillis, 2000, 100, 3000, "age of a confirmation under which tasks may start"),
-	duration("reservationMillis", unitMillis, 1000, 100, 5000, "how long a worker holds a reservation"),
 	duration("schedulerLeaseMillis", unitMillis, 5000, 500, 60_000, "lease of a failure domain's scheduler"),
-	duration("taskLeaseMillis", unitMillis, 30_000, 1000, 600_000, "how long tasks run on without a renewal"),
-	duration("taskRenewMillis", unitMillis, 8000, 100, 300_000, "interval between renewals of tasks"),
-	duration("scheduleMillis", unitMillis, 500, 10, 10_000, "longest time between placement decisions"),
 	duration("ledgerBatchMillis", unitMillis, 50, 0, 2000, "how long changes of jobs gather into one write"),
-	duration("platformTimeoutMillis", unitMillis, 2000, 50, 30_000, "deadline of one call to the platform"),
 	duration("peerTimeoutMillis", unitMillis, 2000, 50, 30_000, "deadline of one call to an entry host"),
-	duration("checkpointGraceSeconds", unitSeconds, 30, 0, 3600, "time a task gets to save its work"),
-	duration("idleConnectionSeconds", unitSeconds, 20, 1, 3600, "age at which idle connections to upstreams close"),
 	duration("drainWaitSeconds", unitSeconds, 5, 0, 300, "time reported as not ready before listeners close"),
 	duration("drainTimeoutSeconds", unitSeconds, 120, 1, 3600, "longest time for requests to finish on shutdown"),
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -94,8 +94,6 @@
 
 // Limits bound what one host takes.
 type Limits struct {
-	BodyBytes     int `json:"bodyBytes"`     // largest body of a caller's request
-	AnswerBytes   int `json:"answerBytes"`   // largest answer of an upstream
 	DocumentBytes int `json:"documentBytes"` // largest body of an operator's edit
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -19,8 +19,8 @@
 func TestParse_FillsInDefaults(t *testing.T) {
 	s, err := Parse("s.hujson", []byte(minimal))
 	must.NoError(t, err)
-	must.Eq(t, time.Second, s.Timing.Heartbeat())
-	must.Eq(t, 2*time.Second, s.Timing.Permit())
+	must.Eq(t, 2*time.Second, s.Timing.PeerTimeout())
+	must.Eq(t, 5*time.Second, s.Timing.DrainWait())
 	must.Eq(t, ExportNone, s.Trace.Exporter)
 	must.Eq(t, s.Listen.Peer, s.Advertise.Peer)
 	must.False(t, s.TLS.HTTP.Enabled())
@@ -37,7 +37,7 @@
 		{"twice", `"name": "a-1"`, `"name": "a-1", "name": "a-2"`, `s.hujson:2: host.name: field appears twice; keep one of the two`},
 		{"wrong type", `"a-1"`, `7`, `s.hujson:2: host.name: a number where a string is expected; write 1 to 63 lower-case letters, digits and hyphens`},
 		{"null", `"a-1"`, `null`, `s.hujson:2: host.name: null where a string is expected; write 1 to 63 lower-case letters, digits and hyphens`},
-		{"not an integer", `"platform"`, `"limits": {"bodyBytes": 1e9}, "platform"`, `s.hujson:3: limits.bodyBytes: 1e9 is not an integer in range; write an integer from 1024 to 67108864 bytes`},
+		{"not an integer", `"platform"`, `"limits": {"documentBytes": 1e9}, "platform"`, `s.hujson:3: limits.documentBytes: 1e9 is not an integer in range; write an integer from 1024 to 1048576 bytes`},
 		{"empty list", `["http://127.0.0.1:8500"]`, `[]`, `s.hujson:3: platform.urls: list has 0 elements; write a list of 1 to 16 elements`},
 		{"plain token", `"platform"`, `"operatorTokenHashes": ["secret"], "platform"`, `s.hujson:3: operatorTokenHashes[0]: "secret" is malformed; write SHA-256 as 64 lower-case hexadecimal digits`},
 		{"host name for IP", `"platform"`, `"listen": {"http": "localhost:80"}, "platform"`, `s.hujson:3: listen.http: "localhost:80" is malformed; write IP:port`},
@@ -46,8 +46,6 @@
 		{"half a key pair", `"platform"`, `"tls": {"http": {"certFile": "c.pem"}}, "platform"`, `s.hujson:3: tls.http: certFile and keyFile go together; set both or neither`},
 		{"peer without authority", `"platform"`, `"tls": {"peer": {"certFile": "c.pem", "keyFile": "k.pem"}}, "platform"`, `s.hujson: tls.peer.caFile: entry hosts check each other's certificates against caFile; name the file of the authority's certificates`},
 		{"otlp without endpoint", `"platform"`, `"trace": {"exporter": "otlp"}, "platform"`, `s.hujson: trace.endpoint: exporter otlp needs an endpoint; write the collector's URL, such as http://192.0.2.9:4318/v1/traces`},
-		{"permit too short", `"platform"`, `"timing": {"permitMillis": 600}, "platform"`, `s.hujson: timing.confirmMillis: 500 ms is more than half of timing.permitMillis, which is 600 ms; shorten it, or lengthen timing.permitMillis`},
-		{"starts too late", `"platform"`, `"timing": {"reservationMillis": 2500}, "platform"`, `s.hujson: timing.permitMillis: with reservationMillis, a task could start 4500 ms after its failure domain was taken out; keep their sum within 4000 ms`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -89,7 +87,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal))
 	f.Add([]byte(strings.Replace(minimal, `"platform"`, `"listen": {"http": "127.0.0.1:0"}, "platform"`, 1)))
-	f.Add([]byte(`{"host": {"name": 1}, "timing": {"heartbeatMillis": -5}, /* open`))
+	f.Add([]byte(`{"host": {"name": 1}, "timing": {"peerTimeoutMillis": -5}, /* open`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := Parse("f", data)
 		if err != nil {
