--- a/gang/client.go
+++ b/gang/client.go
@@ -10,10 +10,15 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
+const tracerName = "cyclamentray/gang"
+
 const (
 	workerTimeout  = time.Second // of one message to a worker
 	maxWorkerReply = 1 << 20     // bytes
@@ -49,10 +54,16 @@
 func (h *HTTPWorkers) Call(ctx context.Context, address, path string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, h.timeout)
 	defer cancel()
+	if path != workerapi.PathRenew { // renewals belong to no request or job
+		var span trace.Span
+		ctx, span = otel.Tracer(tracerName).Start(ctx, "gang.worker"+path, trace.WithSpanKind(trace.SpanKindClient))
+		defer span.End()
+	}
 	req, err := newRequest(ctx, address, path, args)
 	if err != nil {
 		return err
 	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	resp, err := h.client.Do(req)
 	if err != nil {
 		return err
--- a/gang/effects.go
+++ b/gang/effects.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/workerapi"
@@ -39,6 +41,8 @@
 }
 
 func (e effect) do(ctx context.Context, a Action) {
+	carrier := propagation.MapCarrier{"traceparent": e.record.Trace}
+	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
 	switch a := a.(type) {
 	case Record:
 		e.post(ctx, e.write(ctx, a))
--- /dev/null
+++ b/gang/trace_test.go
@@ -0,0 +1,39 @@
+package gang_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// TestJobsHopsShareTheTraceOfItsSubmission is not parallel: the tracer provider
+// is the process's.
+func TestJobsHopsShareTheTraceOfItsSubmission(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	before := otel.GetTracerProvider()
+	otel.SetTracerProvider(trace.NewTracerProvider(trace.WithSpanProcessor(spans)))
+	defer otel.SetTracerProvider(before)
+	c := newCluster(t, 1, nil)
+	e := c.entryHost(1, nil)
+	s := spec("a", 1)
+	ctx, root := otel.Tracer("test").Start(context.Background(), "caller")
+	_, err := e.intake.Submit(ctx, org, s)
+	must.NoError(t, err)
+	root.End()
+	c.reaches(e, s, job.Running)
+	holds(t, "every hop has a span in the caller's trace", func() bool {
+		seen := make(map[string]bool)
+		for _, span := range spans.Ended() {
+			if span.SpanContext().TraceID() == root.SpanContext().TraceID() {
+				seen[span.Name()] = true
+			}
+		}
+		return seen["intake.submit"] && seen["gang.worker/v1/reserve"] && seen["gang.worker/v1/start"]
+	})
+}
--- a/intake/forward.go
+++ b/intake/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
@@ -26,14 +27,16 @@
 
 // SubmitCall is a submission taken by another entry host.
 type SubmitCall struct {
-	Who  auth.Identity
-	Spec job.Spec
+	Who   auth.Identity
+	Spec  job.Spec
+	Trace string // W3C traceparent of the caller
 }
 
 // CancelCall is a cancellation taken by another entry host.
 type CancelCall struct {
-	Who auth.Identity
-	ID  job.ID
+	Who   auth.Identity
+	ID    job.ID
+	Trace string // W3C traceparent of the caller
 }
 
 // JobReply answers both; Error is nil on success.
@@ -58,16 +61,22 @@
 
 // Submit takes a job for another entry host.
 func (p *peerMethods) Submit(c SubmitCall, reply *JobReply) error {
-	reply.set(p.in.submitHere(context.Background(), c.Who, c.Spec))
+	reply.set(p.in.submitHere(traced(c.Trace), c.Who, c.Spec))
 	return nil
 }
 
 // Cancel cancels a job for another entry host.
 func (p *peerMethods) Cancel(c CancelCall, reply *JobReply) error {
-	reply.set(p.in.cancelHere(context.Background(), c.Who, c.ID))
+	reply.set(p.in.cancelHere(traced(c.Trace), c.Who, c.ID))
 	return nil
 }
 
+// traced returns a context under the caller's trace.
+func traced(traceparent string) context.Context {
+	carrier := propagation.MapCarrier{"traceparent": traceparent}
+	return propagation.TraceContext{}.Extract(context.Background(), carrier)
+}
+
 // forward hands a call to the host that writes for the failure domain, so that
 // a burst over many entry hosts is still written in few groups. ok is false
 // when this host is the one, or when the other did not answer: the call is then
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
@@ -13,13 +15,22 @@
 	"github.com/cyclamentray/cyclamentray/platform"
 )
 
+const tracerName = "cyclamentray/intake"
+
+// traceParent returns the caller's trace in W3C form, for the job's later hops.
+func traceParent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier["traceparent"]
+}
+
 // maxMoves bounds how far a moved job is followed.
 const maxMoves = 8
 
 // Submit takes a job, or finds the one that its ID names already. A nil error
 // means that the job is in the ledger.
 func (in *Intake) Submit(ctx context.Context, who auth.Identity, spec job.Spec) (job.Record, error) {
-	if rec, err, ok := in.forward(ctx, methodSubmit, SubmitCall{Who: who, Spec: spec}); ok {
+	if rec, err, ok := in.forward(ctx, methodSubmit, SubmitCall{Who: who, Spec: spec, Trace: traceParent(ctx)}); ok {
 		return rec, err
 	}
 	return in.submitHere(ctx, who, spec)
@@ -28,6 +39,8 @@
 func (in *Intake) submitHere(ctx context.Context, who auth.Identity, spec job.Spec) (job.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "intake.submit")
+	defer span.End()
 	rec, err := in.submit(ctx, who, spec)
 	if err != nil {
 		in.refused.Inc()
@@ -53,6 +66,7 @@
 	}
 	now := in.o.Now()
 	rec.Submitted = now
+	rec.Trace = traceParent(ctx)
 	rec.Enter(job.Queued, "", now)
 	return in.create(ctx, claim.FailureDomain, rec)
 }
@@ -171,7 +185,7 @@
 // Cancel asks for a job's end. A queued job ends at once; a running one is
 // stopped by its scheduler. Repeating it is harmless.
 func (in *Intake) Cancel(ctx context.Context, who auth.Identity, id job.ID) (job.Record, error) {
-	if rec, err, ok := in.forward(ctx, methodCancel, CancelCall{Who: who, ID: id}); ok {
+	if rec, err, ok := in.forward(ctx, methodCancel, CancelCall{Who: who, ID: id, Trace: traceParent(ctx)}); ok {
 		return rec, err
 	}
 	return in.cancelHere(ctx, who, id)
@@ -180,6 +194,8 @@
 func (in *Intake) cancelHere(ctx context.Context, who auth.Identity, id job.ID) (job.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "intake.cancel")
+	defer span.End()
 	_, domain, err := in.locate(ctx, who, id)
 	if err != nil {
 		return job.Record{}, explainStore(err)
--- a/job/job.go
+++ b/job/job.go
@@ -114,6 +114,7 @@
 	MovedTo      string       `json:"movedTo,omitempty"`     // failure domain whose ledger has the job now
 	Arrived      bool         `json:"arrived,omitempty"`     // the move to MovedTo is complete
 	Moves        int          `json:"moves,omitempty"`       // moves between failure domains so far
+	Trace        string       `json:"trace,omitempty"`       // W3C traceparent of the submission; empty: not traced
 	History      []Transition `json:"history,omitempty"`     // at most MaxTransitions, oldest first
 }
 
