--- a/gang/bench_test.go
+++ b/gang/bench_test.go
@@ -23,6 +23,7 @@
 	"github.com/cyclamentray/cyclamentray/platform"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
@@ -72,14 +73,14 @@
 // newBenchDomain starts workers that run benchTasks tasks in gangs of the
 // given size, each gang within one rack.
 func newBenchDomain(b *testing.B, gangTasks int) *benchDomain {
-	d := &benchDomain{calls: NewHTTPWorkers()}
+	d := &benchDomain{}
 	d.snap.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1"}}
-	transport := d.calls.client.Transport.(*http.Transport)
-	dial := transport.DialContext
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerWorker}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return countingConn{conn, &d.bytes}, err
 	}
+	d.calls = &HTTPWorkers{client: &http.Client{Transport: telemetry.Transport(transport, "worker")}, timeout: workerTimeout}
 	store := httptest.NewServer(kv.New())
 	b.Cleanup(store.Close)
 	books := ledger.New(ledger.Options{Store: platform.NewClient(store.URL), Gap: time.Millisecond})
--- a/gang/trace_test.go
+++ b/gang/trace_test.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
 // TestJobsHopsShareTheTraceOfItsSubmission is not parallel: the tracer provider
@@ -32,8 +33,11 @@
 		for _, span := range spans.Ended() {
 			if span.SpanContext().TraceID() == root.SpanContext().TraceID() {
 				seen[span.Name()] = true
+				for _, a := range span.Attributes() {
+					seen[a.Value.String()] = true
+				}
 			}
 		}
-		return seen["intake.submit"] && seen["gang.worker/v1/reserve"] && seen["gang.worker/v1/start"]
+		return seen["intake.submit"] && seen[workerapi.PathReserve] && seen[workerapi.PathStart]
 	})
 }
--- a/intake/forward.go
+++ b/intake/forward.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 // forwardTimeout bounds a call to the entry host that writes for the others.
@@ -61,22 +61,16 @@
 
 // Submit takes a job for another entry host.
 func (p *peerMethods) Submit(c SubmitCall, reply *JobReply) error {
-	reply.set(p.in.submitHere(traced(c.Trace), c.Who, c.Spec))
+	reply.set(p.in.submitHere(telemetry.WithTraceParent(context.Background(), c.Trace), c.Who, c.Spec))
 	return nil
 }
 
 // Cancel cancels a job for another entry host.
 func (p *peerMethods) Cancel(c CancelCall, reply *JobReply) error {
-	reply.set(p.in.cancelHere(traced(c.Trace), c.Who, c.ID))
+	reply.set(p.in.cancelHere(telemetry.WithTraceParent(context.Background(), c.Trace), c.Who, c.ID))
 	return nil
 }
 
-// traced returns a context under the caller's trace.
-func traced(traceparent string) context.Context {
-	carrier := propagation.MapCarrier{"traceparent": traceparent}
-	return propagation.TraceContext{}.Extract(context.Background(), carrier)
-}
-
 // forward hands a call to the host that writes for the failure domain, so that
 // a burst over many entry hosts is still written in few groups. ok is false
 // when this host is the one, or when the other did not answer: the call is then
--- a/internal/cli/documents.go
+++ b/internal/cli/documents.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -18,6 +20,7 @@
 	return []command{
 		{"validate", "Check documents and settings", "Reads documents, or settings with --settings, and reports every mistake with its file, line and remedy.", &validateCommand{app: a}},
 		{"apply", "Put documents in force", "Puts all the documents in the files in force together, or none of them.", &applyCommand{app: a}},
+		{"documents", "List the documents in force", "Lists the documents in force and the retired services; with --output json, whole.", &documentsCommand{app: a}},
 		{"retire", "Retire a service for good", "Retires a service: its queued jobs are cancelled, its running ones checkpointed and stopped, its new ones refused.", &retireCommand{app: a}},
 		{"describe", "Describe every field", "Describes every field of documents or settings with its unit, default and range.", &describeCommand{app: a}},
 	}
@@ -27,43 +30,6 @@
 	Files []string `positional-arg-name:"FILE" required:"1"`
 }
 
-type validateCommand struct {
-	app      *app
-	Settings bool     `long:"settings" description:"the files are settings of entry hosts, not documents"`
-	Args     filesArg `positional-args:"yes"`
-}
-
-// Execute checks the files and reports all their mistakes at once.
-func (c *validateCommand) Execute([]string) error {
-	var mistakes []*apierr.Error
-	for _, name := range c.Args.Files {
-		if err := c.check(name); err != nil {
-			mistakes = append(mistakes, apierr.From(err))
-		}
-	}
-	if err := apierr.Join(mistakes); err != nil {
-		return err
-	}
-	return c.app.print(map[string]bool{"valid": true}, fmt.Sprintf("%d files are valid", len(c.Args.Files)))
-}
-
-func (c *validateCommand) check(name string) error {
-	if c.Settings {
-		_, err := settings.Load(name)
-		return err
-	}
-	_, err := readDocuments(name)
-	return err
-}
-
-func readDocuments(name string) ([]config.Document, error) {
-	data, err := readFile(name)
-	if err != nil {
-		return nil, err
-	}
-	return config.ParseDocuments(name, data)
-}
-
 type applyCommand struct {
 	app      *app
 	Expected uint64   `long:"expected-revision" description:"refuse the edit unless this revision is in force; 0: whatever is in force"`
@@ -73,14 +39,12 @@
 // Execute puts the documents in force.
 func (c *applyCommand) Execute([]string) error {
 	req := api.ApplyRequest{Expected: c.Expected}
-	for _, name := range c.Args.Files {
-		docs, err := readDocuments(name)
-		if err != nil {
-			return err
-		}
-		if err := appendDocuments(&req, docs); err != nil {
-			return err
-		}
+	docs, err := config.LoadDocuments(c.Args.Files...)
+	if err != nil {
+		return err
+	}
+	if err := appendDocuments(&req, docs); err != nil {
+		return err
 	}
 	cl, err := c.app.client()
 	if err != nil {
@@ -104,6 +68,30 @@
 	return nil
 }
 
+type documentsCommand struct {
+	app *app
+}
+
+// Execute lists the documents in force.
+func (c *documentsCommand) Execute([]string) error {
+	cl, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	reply, err := cl.Config(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	lines := []string{fmt.Sprintf("revision %d", reply.Revision)}
+	for _, doc := range reply.Documents {
+		lines = append(lines, doc.ID())
+	}
+	for _, name := range slices.Sorted(maps.Keys(reply.Retired)) {
+		lines = append(lines, fmt.Sprintf("service/%s (retired at revision %d)", name, reply.Retired[name]))
+	}
+	return c.app.print(reply, strings.Join(lines, "\n"))
+}
+
 type retireCommand struct {
 	app  *app
 	Args struct {
