--- a/intake/forward.go
+++ b/intake/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 // forwardTimeout bounds a call to the entry host that writes for the others.
@@ -26,14 +27,16 @@
 
 // SubmitCall is a submission taken by another entry host.
 type SubmitCall struct {
-	Who  auth.Identity
-	Spec job.Spec
+	Who   auth.Identity
+	Spec  job.Spec
+	Trace string // W3C traceparent of the caller
 }
 
 // CancelCall is a cancellation taken by another entry host.
 type CancelCall struct {
-	Who auth.Identity
-	ID  job.ID
+	Who   auth.Identity
+	ID    job.ID
+	Trace string // W3C traceparent of the caller
 }
 
 // JobReply answers both; Error is nil on success.
@@ -58,13 +61,13 @@
 
 // Submit takes a job for another entry host.
 func (p *peerMethods) Submit(c SubmitCall, reply *JobReply) error {
-	reply.set(p.in.submitHere(context.Background(), c.Who, c.Spec))
+	reply.set(p.in.submitHere(telemetry.WithTraceParent(context.Background(), c.Trace), c.Who, c.Spec))
 	return nil
 }
 
 // Cancel cancels a job for another entry host.
 func (p *peerMethods) Cancel(c CancelCall, reply *JobReply) error {
-	reply.set(p.in.cancelHere(context.Background(), c.Who, c.ID))
+	reply.set(p.in.cancelHere(telemetry.WithTraceParent(context.Background(), c.Trace), c.Who, c.ID))
 	return nil
 }
 
