--- a/internal/cli/requests.go
+++ b/internal/cli/requests.go
@@ -87,6 +87,9 @@
 	var b strings.Builder
 	for _, h := range top.Hosts {
 		fmt.Fprintf(&b, "%-12s %-8s revision %d, confirmed %s ago", h.Name, h.FailureDomain, h.Revision, h.ConfirmedAge.Round(pollInterval/2))
+		if h.HeardAge != 0 {
+			fmt.Fprintf(&b, ", heard %s ago", h.HeardAge.Round(pollInterval/2))
+		}
 		if h.Term != 0 {
 			fmt.Fprintf(&b, ", scheduler under term %d", h.Term)
 		}
