--- a/dev/scenario.go
+++ b/dev/scenario.go
@@ -103,6 +103,26 @@
 	return nil
 }
 
+// reconciliation returns a job of Mwambao's filings with 8 accelerators a task.
+func reconciliation(name string, tasks int) job.Spec {
+	return gangSpec(job.ID{Organisation: mwambao, Service: filings, Name: name}, "reconcile", tasks)
+}
+
+// forecast returns a job of a Consorcio partner: 2 tasks with 8 accelerators each.
+func forecast(name string) job.Spec {
+	return gangSpec(job.ID{Organisation: partner, Service: demand, Name: name}, "train", 2)
+}
+
+func gangSpec(id job.ID, template string, tasks int) job.Spec {
+	return job.Spec{
+		ID:          id,
+		Template:    template,
+		Shape:       job.Shape{Tasks: tasks, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
+		DeclaredRun: 2 * time.Second,
+		Checkpoint:  true,
+	}
+}
+
 // scenario runs real work against a deployment and reports each step.
 type scenario struct {
 	d        *Deployment
@@ -131,7 +151,7 @@
 		depot:    client.New(urls[len(urls)-1], Tokens()[partner]),
 	}
 	for _, step := range []func(context.Context) error{
-		s.apply, s.request, s.file, s.reconcile, s.forecast, s.refuse, s.takeOut, s.bringIn, s.retire,
+		s.apply, s.request, s.file, s.reconcile, s.predict, s.refuse, s.takeOut, s.bringIn, s.retire,
 	} {
 		if err := step(ctx); err != nil {
 			return err
@@ -195,25 +215,11 @@
 }
 
 func (s *scenario) reconcile(ctx context.Context) error {
-	spec := job.Spec{
-		ID:          job.ID{Organisation: mwambao, Service: filings, Name: "november"},
-		Template:    "reconcile",
-		Shape:       job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-		DeclaredRun: 2 * time.Second,
-		Checkpoint:  true,
-	}
-	return s.runJob(ctx, s.filer, spec)
+	return s.runJob(ctx, s.filer, reconciliation("november", 2))
 }
 
-func (s *scenario) forecast(ctx context.Context) error {
-	spec := job.Spec{
-		ID:          job.ID{Organisation: partner, Service: demand, Name: "spring"},
-		Template:    "train",
-		Shape:       job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-		DeclaredRun: 2 * time.Second,
-		Checkpoint:  true,
-	}
-	return s.runJob(ctx, s.depot, spec)
+func (s *scenario) predict(ctx context.Context) error {
+	return s.runJob(ctx, s.depot, forecast("spring"))
 }
 
 func (s *scenario) runJob(ctx context.Context, caller *client.Client, spec job.Spec) error {
@@ -254,12 +260,7 @@
 }
 
 func (s *scenario) refuse(ctx context.Context) error {
-	spec := job.Spec{
-		ID:       job.ID{Organisation: mwambao, Service: filings, Name: "too-large"},
-		Template: "reconcile",
-		Shape:    job.Shape{Tasks: 64, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-	}
-	_, err := s.filer.Submit(ctx, spec)
+	_, err := s.filer.Submit(ctx, reconciliation("too-large", job.MaxGangTasks))
 	if err == nil {
 		return errors.New("a job larger than its template was taken")
 	}
@@ -276,12 +277,7 @@
 		return err
 	}
 	s.say("failure domain: fd-a is out on every entry host at revision %d", reply.Revision)
-	spec := job.Spec{
-		ID:       job.ID{Organisation: mwambao, Service: filings, Name: "december"},
-		Template: "reconcile",
-		Shape:    job.Shape{Tasks: 1, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-	}
-	return s.runJob(ctx, s.filer, spec)
+	return s.runJob(ctx, s.filer, reconciliation("december", 1))
 }
 
 func (s *scenario) bringIn(ctx context.Context) error {
@@ -294,12 +290,7 @@
 }
 
 func (s *scenario) retire(ctx context.Context) error {
-	long := job.Spec{
-		ID:         job.ID{Organisation: partner, Service: demand, Name: longPrefix + "autumn"},
-		Template:   "train",
-		Shape:      job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-		Checkpoint: true,
-	}
+	long := forecast(longPrefix + "autumn")
 	if _, err := s.depot.Submit(ctx, long); err != nil {
 		return errors.Wrap(err, "submitting a long job")
 	}
@@ -313,12 +304,7 @@
 	if err := s.d.waitRevision(ctx, reply.Revision); err != nil {
 		return err
 	}
-	spec := job.Spec{
-		ID:       job.ID{Organisation: partner, Service: demand, Name: "summer"},
-		Template: "train",
-		Shape:    job.Shape{Tasks: 1, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-	}
-	_, refusal := s.depot.Submit(ctx, spec)
+	_, refusal := s.depot.Submit(ctx, forecast("summer"))
 	if refusal == nil {
 		return errors.New("a job of a retired service was taken")
 	}
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -32,6 +32,16 @@
 	return job.ID{Organisation: parts[0], Service: parts[1], Name: parts[2]}, nil
 }
 
+// target returns the job that an argument names, and a client to ask about it.
+func (a *app) target(arg string) (job.ID, *client.Client, error) {
+	id, err := parseJob(arg)
+	if err != nil {
+		return job.ID{}, nil, err
+	}
+	cl, err := a.client()
+	return id, cl, err
+}
+
 type jobArg struct {
 	Job string `positional-arg-name:"ORGANISATION/SERVICE/NAME" required:"yes"`
 }
@@ -52,11 +62,7 @@
 
 // Execute submits the job.
 func (c *submitCommand) Execute([]string) error {
-	id, err := parseJob(c.Args.Job)
-	if err != nil {
-		return err
-	}
-	cl, err := c.app.client()
+	id, cl, err := c.app.target(c.Args.Job)
 	if err != nil {
 		return err
 	}
@@ -168,11 +174,7 @@
 
 // Execute cancels the job.
 func (c *cancelCommand) Execute([]string) error {
-	id, err := parseJob(c.Args.Job)
-	if err != nil {
-		return err
-	}
-	cl, err := c.app.client()
+	id, cl, err := c.app.target(c.Args.Job)
 	if err != nil {
 		return err
 	}
@@ -190,11 +192,7 @@
 
 // Execute prints the explanation of a job.
 func (c *explainCommand) Execute([]string) error {
-	id, err := parseJob(c.Args.Job)
-	if err != nil {
-		return err
-	}
-	cl, err := c.app.client()
+	id, cl, err := c.app.target(c.Args.Job)
 	if err != nil {
 		return err
 	}
