--- a/dev/scenario.go
+++ b/dev/scenario.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamentray/cyclamentray/client"
 	"github.com/cyclamentray/cyclamentray/examples"
 	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 const (
@@ -102,10 +103,32 @@
 	return nil
 }
 
+// reconciliation returns a job of Mwambao's filings with 8 accelerators a task.
+func reconciliation(name string, tasks int) job.Spec {
+	return gangSpec(job.ID{Organisation: mwambao, Service: filings, Name: name}, "reconcile", tasks)
+}
+
+// forecast returns a job of a Consorcio partner: 2 tasks with 8 accelerators each.
+func forecast(name string) job.Spec {
+	return gangSpec(job.ID{Organisation: partner, Service: demand, Name: name}, "train", 2)
+}
+
+func gangSpec(id job.ID, template string, tasks int) job.Spec {
+	return job.Spec{
+		ID:          id,
+		Template:    template,
+		Shape:       job.Shape{Tasks: tasks, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
+		DeclaredRun: 2 * time.Second,
+		Checkpoint:  true,
+	}
+}
+
 // scenario runs real work against a deployment and reports each step.
 type scenario struct {
 	d        *Deployment
 	out      io.Writer
+	recorder *telemetry.Recorder // nil: no trace is printed
+	traceID  string              // of the first filing
 	operator *client.Client
 	filer    *client.Client
 	depot    *client.Client
@@ -114,22 +137,27 @@
 // Scenario applies the documents, runs requests and gangs of both first users,
 // takes a failure domain out and back, retires a service, and writes a line
 // about each step to out.
-func (d *Deployment) Scenario(ctx context.Context, out io.Writer) error {
+//
+// With a recorder, which must receive the process's spans, it prints the trace
+// of the filing.
+func (d *Deployment) Scenario(ctx context.Context, out io.Writer, rec *telemetry.Recorder) error {
 	urls := d.Addresses()
 	s := &scenario{
 		d:        d,
 		out:      out,
+		recorder: rec,
 		operator: client.New(urls[0], OperatorToken),
 		filer:    client.New(urls[0], Tokens()[mwambao]),
 		depot:    client.New(urls[len(urls)-1], Tokens()[partner]),
 	}
 	for _, step := range []func(context.Context) error{
-		s.apply, s.request, s.file, s.reconcile, s.forecast, s.refuse, s.takeOut, s.bringIn, s.retire,
+		s.apply, s.request, s.file, s.reconcile, s.predict, s.refuse, s.takeOut, s.bringIn, s.retire,
 	} {
 		if err := step(ctx); err != nil {
 			return err
 		}
 	}
+	s.showTrace()
 	return nil
 }
 
@@ -156,37 +184,42 @@
 // file sends one filing to every entry host under one idempotency key.
 func (s *scenario) file(ctx context.Context) error {
 	for _, url := range s.d.Addresses() {
-		caller := client.New(url, Tokens()[mwambao])
-		answer, err := caller.Request(ctx, http.MethodPost, filings, "returns/2026-11", "return-2026-11", []byte(`{"litres": 1200}`))
-		if err != nil {
-			return errors.Wrap(err, "filing the return")
+		if err := s.fileAt(ctx, url); err != nil {
+			return err
 		}
-		s.say("filing: POST returns/2026-11 answered %d, outcome %s", answer.Status, answer.Outcome)
 	}
 	s.say("filing: executed %d times", s.d.Executions("return-2026-11"))
 	return nil
 }
 
-func (s *scenario) reconcile(ctx context.Context) error {
-	spec := job.Spec{
-		ID:          job.ID{Organisation: mwambao, Service: filings, Name: "november"},
-		Template:    "reconcile",
-		Shape:       job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-		DeclaredRun: 2 * time.Second,
-		Checkpoint:  true,
+func (s *scenario) fileAt(ctx context.Context, url string) error {
+	ctx, span := telemetry.Start(ctx, "caller files a return")
+	caller := client.New(url, Tokens()[mwambao])
+	answer, err := caller.Request(ctx, http.MethodPost, filings, "returns/2026-11", "return-2026-11", []byte(`{"litres": 1200}`))
+	span.End()
+	if err != nil {
+		return errors.Wrap(err, "filing the return")
+	}
+	s.say("filing: POST returns/2026-11 answered %d, outcome %s", answer.Status, answer.Outcome)
+	if s.traceID == "" {
+		s.traceID = telemetry.TraceID(ctx)
 	}
-	return s.runJob(ctx, s.filer, spec)
+	return nil
 }
 
-func (s *scenario) forecast(ctx context.Context) error {
-	spec := job.Spec{
-		ID:          job.ID{Organisation: partner, Service: demand, Name: "spring"},
-		Template:    "train",
-		Shape:       job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-		DeclaredRun: 2 * time.Second,
-		Checkpoint:  true,
+// showTrace prints the first filing's trace, whose spans have all ended by now.
+func (s *scenario) showTrace() {
+	if s.recorder != nil {
+		s.say("trace of the first filing:\n%s", s.recorder.Tree(s.traceID))
 	}
-	return s.runJob(ctx, s.depot, spec)
+}
+
+func (s *scenario) reconcile(ctx context.Context) error {
+	return s.runJob(ctx, s.filer, reconciliation("november", 2))
+}
+
+func (s *scenario) predict(ctx context.Context) error {
+	return s.runJob(ctx, s.depot, forecast("spring"))
 }
 
 func (s *scenario) runJob(ctx context.Context, caller *client.Client, spec job.Spec) error {
@@ -227,12 +260,7 @@
 }
 
 func (s *scenario) refuse(ctx context.Context) error {
-	spec := job.Spec{
-		ID:       job.ID{Organisation: mwambao, Service: filings, Name: "too-large"},
-		Template: "reconcile",
-		Shape:    job.Shape{Tasks: 64, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-	}
-	_, err := s.filer.Submit(ctx, spec)
+	_, err := s.filer.Submit(ctx, reconciliation("too-large", job.MaxGangTasks))
 	if err == nil {
 		return errors.New("a job larger than its template was taken")
 	}
@@ -249,12 +277,7 @@
 		return err
 	}
 	s.say("failure domain: fd-a is out on every entry host at revision %d", reply.Revision)
-	spec := job.Spec{
-		ID:       job.ID{Organisation: mwambao, Service: filings, Name: "december"},
-		Template: "reconcile",
-		Shape:    job.Shape{Tasks: 1, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-	}
-	return s.runJob(ctx, s.filer, spec)
+	return s.runJob(ctx, s.filer, reconciliation("december", 1))
 }
 
 func (s *scenario) bringIn(ctx context.Context) error {
@@ -267,12 +290,7 @@
 }
 
 func (s *scenario) retire(ctx context.Context) error {
-	long := job.Spec{
-		ID:         job.ID{Organisation: partner, Service: demand, Name: longPrefix + "autumn"},
-		Template:   "train",
-		Shape:      job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-		Checkpoint: true,
-	}
+	long := forecast(longPrefix + "autumn")
 	if _, err := s.depot.Submit(ctx, long); err != nil {
 		return errors.Wrap(err, "submitting a long job")
 	}
@@ -286,12 +304,7 @@
 	if err := s.d.waitRevision(ctx, reply.Revision); err != nil {
 		return err
 	}
-	spec := job.Spec{
-		ID:       job.ID{Organisation: partner, Service: demand, Name: "summer"},
-		Template: "train",
-		Shape:    job.Shape{Tasks: 1, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
-	}
-	_, refusal := s.depot.Submit(ctx, spec)
+	_, refusal := s.depot.Submit(ctx, forecast("summer"))
 	if refusal == nil {
 		return errors.New("a job of a retired service was taken")
 	}
--- a/internal/cli/requests.go
+++ b/internal/cli/requests.go
@@ -87,6 +87,9 @@
 	var b strings.Builder
 	for _, h := range top.Hosts {
 		fmt.Fprintf(&b, "%-12s %-8s revision %d, confirmed %s ago", h.Name, h.FailureDomain, h.Revision, h.ConfirmedAge.Round(pollInterval/2))
+		if h.HeardAge != 0 {
+			fmt.Fprintf(&b, ", heard %s ago", h.HeardAge.Round(pollInterval/2))
+		}
 		if h.Term != 0 {
 			fmt.Fprintf(&b, ", scheduler under term %d", h.Term)
 		}
@@ -103,7 +106,15 @@
 		if d.Out {
 			state = "out"
 		}
-		fmt.Fprintf(&b, "%-12s %-8s %d workers, %d accelerators, %d queued, %d running\n", d.Name, state, d.Workers, d.Accelerators, d.Queued, d.Running)
+		fmt.Fprintf(&b, "%-12s %-8s %d workers, %d accelerators", d.Name, state, d.Workers, d.Accelerators)
+		if d.Unknown != "" {
+			b.WriteString(", jobs not known: " + d.Unknown + "\n")
+			continue
+		}
+		fmt.Fprintf(&b, ", %d queued, %d running\n", d.Queued, d.Running)
+		for _, deficit := range d.Deficits {
+			b.WriteString("  guarantee not backed: " + deficit + "\n")
+		}
 	}
 	return strings.TrimSuffix(b.String(), "\n")
 }
