--- a/intake/submit.go
+++ b/intake/submit.go
@@ -29,8 +29,6 @@
 func (in *Intake) submitHere(ctx context.Context, who auth.Identity, spec job.Spec) (job.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	ctx, span := telemetry.Start(ctx, "intake.submit")
-	defer span.End()
 	rec, err := in.submit(ctx, who, spec)
 	if err != nil {
 		in.refused.Inc()
@@ -184,8 +182,6 @@
 func (in *Intake) cancelHere(ctx context.Context, who auth.Identity, id job.ID) (job.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	ctx, span := telemetry.Start(ctx, "intake.cancel")
-	defer span.End()
 	_, domain, err := in.locate(ctx, who, id)
 	if err != nil {
 		return job.Record{}, explainStore(err)
