--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -130,12 +130,19 @@
 	pair, found := s.readable()[key]
 	index := s.index
 	s.mu.Unlock()
+	names := r.URL.Query().Has("keys")
+	if names {
+		index = pair.ModifyIndex // of the keys that are listed, here one
+	}
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
-	if !found {
+	switch {
+	case !found:
 		http.Error(w, "", http.StatusNotFound)
-		return
+	case names:
+		writeJSON(w, []string{key})
+	default:
+		writeJSON(w, []Pair{pair})
 	}
-	writeJSON(w, []Pair{pair})
 }
 
 func parseIndex(r *http.Request) (after uint64, blocking bool) {
