--- a/routing/router.go
+++ b/routing/router.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	tickInterval = 20 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	trimInterval = time.Second
 	drainPoll    = 10 * time.Millisecond
 )
