Delete configuration content that no revision names

Change: the accepting host deletes the documents and the manifest that its edit put an end to; keys carry the edit's nonce, so text that returns is safe from a late deletion. Deleting is an optional ability of a store. Ruled out: deletion after a while by any host, which needs agreement on what is still in use; a bare hash as key (the late-deletion test then lost a document).

--- a/config/edit.go
+++ b/config/edit.go
@@ -130,19 +130,23 @@
 	if err != nil {
 		return 0, err
 	}
-	next, err := base.next(docs, retired)
+	nonce := strconv.FormatUint(uint64(rand.Uint32()), 36)
+	next, err := base.next(docs, retired, nonce)
 	if err != nil || next == base {
 		return base.manifest.Revision, err
 	}
 	if err := e.archive.save(ctx, next, base); err != nil {
 		return 0, err
 	}
-	return e.accept(ctx, next, h, version)
+	revision, err := e.accept(ctx, next, h, version, nonce)
+	if err == nil {
+		e.archive.clean(ctx, next, base)
+	}
+	return revision, err
 }
 
 // accept swaps the head. That is the moment at which the edit is in force.
-func (e *Editor) accept(ctx context.Context, next *edition, old head, version uint64) (uint64, error) {
-	nonce := strconv.FormatUint(uint64(rand.Uint32()), 36)
+func (e *Editor) accept(ctx context.Context, next *edition, old head, version uint64, nonce string) (uint64, error) {
 	edits := append(append([]string(nil), old.Edits...), nonce)
 	if len(edits) > recentEdits {
 		edits = edits[len(edits)-recentEdits:]
--- a/config/edit_test.go
+++ b/config/edit_test.go
@@ -65,3 +65,52 @@
 	_, err = e.SetFailureDomain(ctx, "nowhere", true)
 	must.Eq(t, apierr.NotFound, apierr.KindOf(err))
 }
+
+func TestContentThatNoRevisionNamesIsDeleted(t *testing.T) {
+	ctx := context.Background()
+	stand, store := newStore(t)
+	e := config.NewEditor(config.EditorOptions{Store: store})
+	revision, err := e.Apply(ctx, []config.Document{failureDomain("n1"), failureDomain("n2")}, 0)
+	must.NoError(t, err)
+	for n := range 6 { // the same text returns again and again
+		revision, err = e.SetFailureDomain(ctx, "n1", n%2 == 0)
+		must.NoError(t, err)
+	}
+	must.Len(t, 4, stand.Keys())                       // the head, the manifest and two documents
+	again, err := e.SetFailureDomain(ctx, "n1", false) // reads it all, and changes nothing
+	must.NoError(t, err)
+	must.Eq(t, revision, again)
+}
+
+// lateDeleter runs a hook before its first deletion.
+type lateDeleter struct {
+	*platform.Client
+	before func()
+}
+
+func (s *lateDeleter) Delete(ctx context.Context, key string) error {
+	if s.before != nil {
+		s.before()
+		s.before = nil
+	}
+	return s.Client.Delete(ctx, key)
+}
+
+func TestLateDeletionSparesTextThatHasReturned(t *testing.T) {
+	ctx := context.Background()
+	server := httptest.NewServer(kv.New())
+	defer server.Close()
+	store := platform.NewClient(server.URL)
+	other := config.NewEditor(config.EditorOptions{Store: store})
+	_, err := other.Apply(ctx, []config.Document{failureDomain("n1")}, 0)
+	must.NoError(t, err)
+	late := &lateDeleter{Client: store, before: func() {
+		_, err := other.SetFailureDomain(ctx, "n1", false) // the text of revision 1
+		must.NoError(t, err)
+	}}
+	_, err = config.NewEditor(config.EditorOptions{Store: late}).SetFailureDomain(ctx, "n1", true)
+	must.NoError(t, err)
+	again, err := other.SetFailureDomain(ctx, "n1", false)
+	must.NoError(t, err) // every document is still there
+	must.Eq(t, 3, again)
+}
--- a/config/linear_test.go
+++ b/config/linear_test.go
@@ -187,6 +187,8 @@
 	operators.Wait()
 	close(stop)
 	faults.Wait()
+	_, err = newEditor(0).SetFailureDomain(context.Background(), "n0", true) // finds every document
+	must.NoError(t, err)
 	outcomes := map[apierr.Kind]int{}
 	for _, op := range r.history {
 		outcomes[op.Output.(editOutput).kind]++
--- a/config/manifest.go
+++ b/config/manifest.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"maps"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,7 +14,7 @@
 // immutable. Its JSON is canonical: maps are written in the order of their keys.
 type manifest struct {
 	Revision  uint64            `json:"revision"`
-	Documents map[string]string `json:"documents"` // Document.ID to hash
+	Documents map[string]string `json:"documents"` // Document.ID to reference
 	Retired   map[string]uint64 `json:"retired"`   // service name to the revision that retired it
 }
 
@@ -25,6 +26,17 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// newReference names content by its hash and the edit that wrote it. Content
+// that a later edit drops is never referenced again, even when the same text
+// returns, so it can be deleted.
+func newReference(hash, nonce string) string { return hash + "." + nonce }
+
+// hashIn returns the hash in a reference.
+func hashIn(reference string) string {
+	hash, _, _ := strings.Cut(reference, ".")
+	return hash
+}
+
 // edition is one revision in full: the manifest, the documents and the snapshot
 // made of them. It is immutable.
 type edition struct {
@@ -61,7 +73,8 @@
 		return nil, err
 	}
 	e := &edition{manifest: m, hash: hashOf(raw), content: make(map[string][]byte, len(m.Documents)), snap: newSnapshot(m)}
-	for id, hash := range m.Documents {
+	for id, reference := range m.Documents {
+		hash := hashIn(reference)
 		body, ok := content[hash]
 		if !ok || hashOf(body) != hash {
 			return nil, errors.Newf("revision %d: document %s is missing or damaged", m.Revision, id)
@@ -101,8 +114,8 @@
 }
 
 // next returns the edition that follows e with docs added or replaced and
-// services retired, or e itself when that changes nothing.
-func (e *edition) next(docs []Document, retired []string) (*edition, error) {
+// services retired, or e itself when that changes nothing. nonce is the edit's.
+func (e *edition) next(docs []Document, retired []string, nonce string) (*edition, error) {
 	m := manifest{
 		Revision:  e.manifest.Revision + 1,
 		Documents: maps.Clone(e.manifest.Documents),
@@ -116,7 +129,9 @@
 		}
 		hash := hashOf(body)
 		content[hash] = body
-		m.Documents[d.ID()] = hash
+		if hashIn(m.Documents[d.ID()]) != hash {
+			m.Documents[d.ID()] = newReference(hash, nonce)
+		}
 	}
 	for _, name := range retired {
 		m.Retired[name] = m.Revision
@@ -127,6 +142,17 @@
 	return assemble(m, content)
 }
 
+// dropped lists the references of base that e no longer has.
+func (e *edition) dropped(base *edition) []string {
+	var out []string
+	for id, reference := range base.manifest.Documents {
+		if e.manifest.Documents[id] != reference {
+			out = append(out, reference)
+		}
+	}
+	return out
+}
+
 // Delta turns the manifest at revision From into the one at Revision. From 0
 // stands for the empty manifest.
 type Delta struct {
@@ -149,10 +175,10 @@
 		Retired:   map[string]uint64{},
 		Content:   map[string][]byte{},
 	}
-	for id, hash := range e.manifest.Documents {
-		if old.Documents[id] != hash {
-			d.Documents[id] = hash
-			d.Content[hash] = e.content[hash]
+	for id, reference := range e.manifest.Documents {
+		if old.Documents[id] != reference {
+			d.Documents[id] = reference
+			d.Content[hashIn(reference)] = e.content[hashIn(reference)]
 		}
 	}
 	for id := range old.Documents {
--- a/config/store.go
+++ b/config/store.go
@@ -68,21 +68,21 @@
 	return err
 }
 
-// content reads content by its hash.
-func (a archive) content(ctx context.Context, hash string) ([]byte, error) {
-	entry, err := a.store.Get(ctx, contentPrefix+hash)
+// content reads content by its reference.
+func (a archive) content(ctx context.Context, reference string) ([]byte, error) {
+	entry, err := a.store.Get(ctx, contentPrefix+reference)
 	if err != nil {
-		return nil, errors.Wrapf(err, "reading configuration content %s", hash)
+		return nil, errors.Wrapf(err, "reading configuration content %s", reference)
 	}
-	if hashOf(entry.Value) != hash {
-		return nil, errors.Newf("configuration content %s is damaged", hash)
+	if hashOf(entry.Value) != hashIn(reference) {
+		return nil, errors.Newf("configuration content %s is damaged", reference)
 	}
 	return entry.Value, nil
 }
 
-// put writes content under its hash. Content that is there already is the same.
-func (a archive) put(ctx context.Context, content []byte) error {
-	key := contentPrefix + hashOf(content)
+// put writes content under its reference. What is there already is the same.
+func (a archive) put(ctx context.Context, reference string, content []byte) error {
+	key := contentPrefix + reference
 	_, err := a.store.CompareAndSwap(ctx, key, content, 0)
 	if err == nil || errors.Is(err, platform.ErrConflict) {
 		return nil
@@ -124,7 +124,8 @@
 	content := make(map[string][]byte, len(m.Documents))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(fetchParallel)
-	for _, hash := range m.Documents {
+	for _, reference := range m.Documents {
+		hash := hashIn(reference)
 		if body, ok := known.content[hash]; ok {
 			mu.Lock()
 			content[hash] = body
@@ -132,7 +133,7 @@
 			continue
 		}
 		g.Go(func() error {
-			body, err := a.content(ctx, hash)
+			body, err := a.content(ctx, reference)
 			mu.Lock()
 			defer mu.Unlock()
 			content[hash] = body
@@ -146,9 +147,9 @@
 func (a archive) save(ctx context.Context, next, base *edition) error {
 	g, groupCtx := errgroup.WithContext(ctx)
 	g.SetLimit(fetchParallel)
-	for hash, body := range next.content {
-		if _, ok := base.content[hash]; !ok {
-			g.Go(func() error { return a.put(groupCtx, body) })
+	for id, reference := range next.manifest.Documents {
+		if base.manifest.Documents[id] != reference {
+			g.Go(func() error { return a.put(groupCtx, reference, next.content[hashIn(reference)]) })
 		}
 	}
 	if err := g.Wait(); err != nil {
@@ -158,5 +159,20 @@
 	if err != nil {
 		return err
 	}
-	return a.put(ctx, raw)
+	return a.put(ctx, next.hash, raw)
+}
+
+// clean deletes what next has put an end to. A reader that is still at base
+// finds content missing, takes nothing, and reads the head again. A store that
+// cannot delete keeps it all.
+func (a archive) clean(ctx context.Context, next, base *edition) {
+	store, ok := a.store.(platform.Deleter)
+	if !ok {
+		return
+	}
+	for _, reference := range append(next.dropped(base), base.hash) {
+		if reference != "" {
+			_ = store.Delete(ctx, contentPrefix+reference) // at worst it stays
+		}
+	}
 }
