--- a/config/manifest.go
+++ b/config/manifest.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"encoding/json"
 	"maps"
 	"strings"
@@ -20,10 +20,14 @@
 
 func (m manifest) encode() ([]byte, error) { return json.Marshal(m) }
 
-// hashOf names content by its SHA-256.
+// hashBytes is how much of the SHA-256 names content. The manifest, which is
+// read with every edit, repeats it for each document.
+const hashBytes = 16
+
+// hashOf names content by the first half of its SHA-256.
 func hashOf(content []byte) string {
 	sum := sha256.Sum256(content)
-	return hex.EncodeToString(sum[:])
+	return base64.RawURLEncoding.EncodeToString(sum[:hashBytes])
 }
 
 // newReference names content by its hash and the edit that wrote it. Content
