--- a/gang/bench_test.go
+++ b/gang/bench_test.go
@@ -152,6 +152,7 @@
 		b.Run(fmt.Sprintf("gang=%d", tasks), func(b *testing.B) {
 			d := newBenchDomain(b, tasks)
 			var all, most, messages, mostMessages float64
+			b.ResetTimer()
 			for range b.N {
 				all, most, messages, mostMessages = 0, 0, 0, 0
 				for h := range benchHosts {
@@ -165,6 +166,9 @@
 					messages, mostMessages = messages+m, max(mostMessages, m)
 				}
 			}
+			b.StopTimer()
+			rounds := float64(2 * benchHosts * b.N)
+			b.ReportMetric(b.Elapsed().Seconds()*1000/rounds, "ms/round")
 			per := RenewEvery.Seconds()
 			b.ReportMetric(most/per, "B/s-busiest-host")
 			b.ReportMetric(all/per/benchHosts, "B/s-host")
