--- /dev/null
+++ b/gang/leaving_test.go
@@ -0,0 +1,66 @@
+package gang_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/gang"
+	"github.com/cyclamentray/cyclamentray/intake"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/platform"
+)
+
+// TestGangLeavesAFailureDomainThatIsOut takes out the failure domain of a
+// running gang: it is stopped there, moved, and runs in the other one.
+func TestGangLeavesAFailureDomainThatIsOut(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, nil)
+	for i := range c.view.view.Hosts {
+		if h := &c.view.view.Hosts[i]; h.Kind == platform.Worker && h.Name >= "w2" {
+			h.FailureDomain = "fd2"
+		}
+	}
+	both := func(out bool) func(*config.Snapshot) {
+		return func(s *config.Snapshot) {
+			s.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1", Out: out}, "fd2": {Name: "fd2", Out: !out}}
+		}
+	}
+	c.config.edit(both(false))
+	one := c.entryHost(1, nil)
+	c.secondEntryHost()
+	s := spec("a", 2)
+	s.Checkpoint = true
+	c.watchCopies(s)
+	c.submit(one, s)
+	c.reaches(one, s, job.Running)
+
+	c.config.edit(both(true))
+	holds(t, "the gang runs in the other failure domain", func() bool {
+		rec, err := one.intake.Find(context.Background(), org, s.ID)
+		return err == nil && rec.State == job.Running && rec.Moves == 1
+	})
+	rec := c.reaches(one, s, job.Running)
+	must.SliceContainsAll(t, []string{"w2", "w3"}, rec.Workers)
+	must.Eq(t, map[uint64]int{2: 2}, c.running(s))
+	must.False(t, rec.Checkpointed.IsZero())
+}
+
+// secondEntryHost schedules fd2, and moves queued jobs to it.
+func (c *cluster) secondEntryHost() {
+	term := &fakeTerm{term: 7}
+	books := ledger.New(ledger.Options{Store: c.client, Gap: 5 * time.Millisecond})
+	in := intake.New(intake.Options{FailureDomain: "fd2", Books: books, Config: c.config, Membership: c.view, Election: term})
+	g := gang.New(gang.Options{FailureDomain: "fd2", Ledger: books.Jobs("fd2"), Config: c.config, Membership: c.view, Election: term})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = books.Run(ctx, "fd2") })
+	wg.Go(func() { _ = g.Run(ctx) })
+	wg.Go(func() { _ = in.Run(ctx) })
+	c.t.Cleanup(func() { cancel(); wg.Wait() })
+}
