Check job calls for linearizability under store faults

A history of submissions, look-ups and cancellations of the same names through four entry hosts, with a store that is down, slow or loses answers, checked by porcupine for three seeds.

--- /dev/null
+++ b/intake/linear_test.go
@@ -0,0 +1,225 @@
+package intake_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/intake"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/job"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+)
+
+type call int
+
+const (
+	submitting call = iota
+	finding
+	cancelling
+)
+
+// jobInput is one caller's call about one job. Variants are different specs
+// under the same name.
+type jobInput struct {
+	call    call
+	name    string
+	variant int
+}
+
+type jobOutput struct {
+	kind      apierr.Kind // empty: the call succeeded
+	variant   int
+	cancelled bool
+}
+
+// jobState is one name as the model sees it. A failed submission may have
+// bound the name to its spec without having made the job.
+type jobState struct {
+	bound, exists, cancelled bool
+	variant                  int
+}
+
+func (s jobState) bind(variant int) jobState {
+	if !s.bound {
+		s.bound, s.variant = true, variant
+	}
+	return s
+}
+
+func (s jobState) create(variant int) jobState {
+	s = s.bind(variant)
+	s.exists = s.exists || s.variant == variant
+	return s
+}
+
+func (s jobState) cancel() jobState {
+	s.cancelled = s.cancelled || s.exists
+	return s
+}
+
+func (s jobState) shows(out jobOutput) bool {
+	return s.exists && s.variant == out.variant && s.cancelled == out.cancelled
+}
+
+// jobStep lists the states that a call's answer allows.
+func jobStep(s jobState, in jobInput, out jobOutput) []any {
+	after := map[call]jobState{submitting: s.create(in.variant), finding: s, cancelling: s.cancel()}[in.call]
+	switch {
+	case out.kind == "":
+		if after.shows(out) {
+			return []any{after}
+		}
+	case out.kind == apierr.Conflict:
+		if in.call == submitting && s.bound && s.variant != in.variant {
+			return []any{s}
+		}
+	case out.kind == apierr.NotFound:
+		if in.call != submitting && !s.exists {
+			return []any{s}
+		}
+	case out.kind == apierr.Unavailable && in.call == submitting: // says that no job was made
+		return []any{s, s.bind(in.variant)}
+	case out.kind == apierr.Unavailable:
+		return []any{s}
+	case out.kind == apierr.OutcomeUnknown:
+		return []any{s, s.bind(in.variant), after}
+	}
+	return nil
+}
+
+var jobModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byName := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			name := op.Input.(jobInput).name
+			byName[name] = append(byName[name], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byName {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{jobState{}} },
+	Step: func(state, input, output any) []any {
+		return jobStep(state.(jobState), input.(jobInput), output.(jobOutput))
+	},
+	Equal: func(a, b any) bool { return a == b },
+	DescribeOperation: func(input, output any) string {
+		return fmt.Sprintf("%+v -> %+v", input, output)
+	},
+}
+
+// caller makes random calls through its own entry host.
+type caller struct {
+	in     *intake.Intake
+	random *rand.Rand
+	client int
+	began  time.Time
+	calls  []porcupine.Operation
+}
+
+func (c *caller) run(calls, names int) {
+	for range calls {
+		in := jobInput{call: call(c.random.IntN(3)), name: fmt.Sprint("job-", c.random.IntN(names)), variant: c.random.IntN(2)}
+		began := time.Since(c.began)
+		out := c.make(in)
+		ended := int64(time.Since(c.began))
+		if out.kind == apierr.OutcomeUnknown {
+			ended = math.MaxInt64 // it may yet take effect
+		}
+		time.Sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
+		c.calls = append(c.calls, porcupine.Operation{ClientId: c.client, Input: in, Call: int64(began), Output: out, Return: ended})
+	}
+}
+
+func (c *caller) make(in jobInput) jobOutput {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s := spec(in.name)
+	s.Shape.Tasks = in.variant + 1
+	var rec job.Record
+	var err error
+	switch in.call {
+	case submitting:
+		rec, err = c.in.Submit(ctx, org, s)
+	case finding:
+		rec, err = c.in.Find(ctx, org, s.ID)
+	case cancelling:
+		rec, err = c.in.Cancel(ctx, org, s.ID)
+	}
+	if err != nil {
+		return jobOutput{kind: apierr.KindOf(err)}
+	}
+	return jobOutput{variant: rec.Spec.Shape.Tasks - 1, cancelled: rec.State == job.Cancelled}
+}
+
+func disturb(store *kv.Server, random *rand.Rand, stop <-chan struct{}) {
+	faults := []kv.Faults{{}, {}, {Down: true}, {LoseAnswers: -1}, {Delay: 60 * time.Millisecond}, {Delay: 30 * time.Millisecond, LoseAnswers: -1}}
+	for {
+		store.SetFaults(faults[random.IntN(len(faults))])
+		select {
+		case <-time.After(time.Duration(30+random.IntN(150)) * time.Millisecond):
+		case <-stop:
+			return
+		}
+	}
+}
+
+// Submissions, look-ups and cancellations of the same names through four entry
+// hosts, while the store fails and loses answers, look as if made one by one.
+func TestJobCallsAreLinearizable(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { checkJobCalls(t, seed) })
+	}
+}
+
+func checkJobCalls(t *testing.T, seed uint64) {
+	quiet := log.New(io.Discard)
+	const callers, calls, names = 4, 40, 20
+	s := newSite(t)
+	server := httptest.NewServer(s.kv)
+	defer server.Close()
+	began := time.Now()
+	stop := make(chan struct{})
+	var faults, running sync.WaitGroup
+	faults.Go(func() { disturb(s.kv, rand.New(rand.NewPCG(seed, 0)), stop) })
+	var all []*caller
+	for client := range callers {
+		var store platform.Store = platform.NewClient(server.URL) // leaves lost answers to the ledger
+		if client == 0 {
+			store = platform.New(platform.Options{Base: server.URL, Rate: 1000, Burst: 1000})
+		}
+		books := ledger.New(ledger.Options{Store: store, Gap: 10 * time.Millisecond, Logger: quiet})
+		in := intake.New(intake.Options{FailureDomain: "fd1", Books: books, Config: s, Membership: s, Election: s, Now: s.clock, Logger: quiet})
+		c := &caller{in: in, random: rand.New(rand.NewPCG(seed, uint64(client+1))), client: client, began: began}
+		all = append(all, c)
+		running.Go(func() { c.run(calls, names) })
+	}
+	running.Wait()
+	close(stop)
+	faults.Wait()
+	var history []porcupine.Operation
+	outcomes := make(map[apierr.Kind]int)
+	for _, c := range all {
+		history = append(history, c.calls...)
+		for _, op := range c.calls {
+			outcomes[op.Output.(jobOutput).kind]++
+		}
+	}
+	t.Logf("outcomes: %v", outcomes)
+	must.Eq(t, porcupine.Ok, porcupine.CheckOperationsTimeout(jobModel.ToModel(), history, 30*time.Second))
+}
