Let a booting host ask a peer before it reads every document

Cause: a fleet that boots at once would read every document on every host. Change: a host that holds nothing asks a peer first; fetches wait for the call budget. What a tick starts is decided in one function.

--- a/config/distribute.go
+++ b/config/distribute.go
@@ -144,34 +144,45 @@
 
 func (d *Distributor) tick(ctx context.Context) {
 	relay := d.relay()
-	now := d.opts.Now()
+	w := d.due(d.opts.Now(), relay != "", d.opts.Direct())
+	if w.read {
+		d.work.Go(func() { d.readHead(ctx) })
+	}
+	if w.poll {
+		d.work.Go(func() { d.pollRelay(ctx, relay) })
+	}
+	if w.ask {
+		d.work.Go(func() { d.askPeer(ctx) })
+	}
+}
+
+// dueWork is what a tick starts.
+type dueWork struct {
+	read bool // read the head from the platform
+	poll bool // ask the relay
+	ask  bool // ask any peer, as nothing was confirmed lately
+}
+
+// due decides what to start at now, and marks it as started.
+func (d *Distributor) due(now time.Time, hasRelay, schedules bool) (w dueWork) {
 	d.mu.Lock()
-	schedules := d.opts.Direct()
-	direct := relay == "" || now.Before(d.relayOff) || schedules
-	due := schedules || now.Sub(d.lastRead) >= relayInterval-readInterval/2
-	read := direct && due && d.reads < maxReads
-	if read {
+	defer d.mu.Unlock()
+	direct := schedules || !hasRelay || now.Before(d.relayOff)
+	rested := schedules || now.Sub(d.lastRead) >= relayInterval-readInterval/2
+	if direct && rested && d.reads < maxReads {
+		w.read = true
 		d.reads++
 		d.lastRead = now
 	}
-	poll := !direct && !d.polling
-	if poll {
+	if !direct && !d.polling {
+		w.poll = true
 		d.polling = true
 	}
-	ask := now.Sub(d.confirmed) > staleAfter && now.Sub(d.asked) >= askPeerInterval
-	if ask {
+	if now.Sub(d.confirmed) > staleAfter && now.Sub(d.asked) >= askPeerInterval {
+		w.ask = true
 		d.asked = now
 	}
-	d.mu.Unlock()
-	if read {
-		d.work.Go(func() { d.readHead(ctx) })
-	}
-	if poll {
-		d.work.Go(func() { d.pollRelay(ctx, relay) })
-	}
-	if ask {
-		d.work.Go(func() { d.askPeer(ctx) })
-	}
+	return w
 }
 
 // relay returns the address of the neighbour that reads the platform for this
@@ -238,8 +249,12 @@
 	d.fetching = h.Revision
 	known := d.current
 	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(platform.Urgent(ctx), fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	if known.manifest.Revision == 0 { // a booting host spares the platform hundreds of reads
+		d.askPeer(ctx)
+		known = d.newest()
+	}
 	next, err := d.archive.load(ctx, h, known)
 	if err == nil {
 		d.adopt(next, sent)
