Share defaults of Options and waiting between slices

Change: internal/defaults and internal/pause; a slice without a logger is silent. Behaviour otherwise unchanged; tests of the changed packages pass.

--- a/claims/journal.go
+++ b/claims/journal.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
 
@@ -215,7 +216,7 @@
 			return errFenced
 		}
 		j.troubled(err)
-		if !pause(ctx, backoff) {
+		if !pause.For(ctx, backoff) {
 			return ctx.Err()
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -250,15 +251,3 @@
 	}
 	return errors.Mark(err, platform.ErrUnavailable)
 }
-
-// pause waits; it reports false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/claims/lease.go
+++ b/claims/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
 
@@ -49,7 +50,7 @@
 
 // run renews the lease until ctx ends.
 func (k *leaseKeeper) run(ctx context.Context, interval time.Duration) {
-	for pause(ctx, interval) {
+	for pause.For(ctx, interval) {
 		k.mu.Lock()
 		lease := k.lease
 		k.mu.Unlock()
--- a/claims/service.go
+++ b/claims/service.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
@@ -71,15 +72,9 @@
 	setDefault(&o.CommitInterval, DefaultCommitInterval)
 	setDefault(&o.CompletionDelay, DefaultCompletionDelay)
 	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	if o.Logger == nil {
-		o.Logger = log.New(io.Discard)
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Now = defaults.Now(o.Now)
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	o.commits = o.Metrics.GetOrCreateCounter("cyclamentray_claims_commits_total")
 	o.grants = o.Metrics.GetOrCreateCounter("cyclamentray_claims_grants_total")
 	return o
@@ -189,7 +184,7 @@
 		if !errors.Is(err, errNotOwner) {
 			return err
 		}
-		if s.storeFails.Load() || !pause(ctx, routeRetry) {
+		if s.storeFails.Load() || !pause.For(ctx, routeRetry) {
 			return ErrUnavailable
 		}
 	}
@@ -239,7 +234,7 @@
 }
 
 func (s *Service) expire(ctx context.Context) {
-	for pause(ctx, expireInterval) {
+	for pause.For(ctx, expireInterval) {
 		s.mu.Lock()
 		for _, sh := range s.owned {
 			sh.expire()
@@ -262,7 +257,7 @@
 		s.storeFails.Store(err != nil)
 		if err != nil {
 			first = true
-			pause(ctx, backoff)
+			pause.For(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -272,7 +267,7 @@
 		if head.Lease != "" {
 			continue
 		}
-		if !pause(ctx, s.takeOverDelay()) {
+		if !pause.For(ctx, s.takeOverDelay()) {
 			return
 		}
 		if term, ok := s.acquire(ctx, index); ok {
@@ -327,7 +322,7 @@
 	defer cancel()
 	lease, err := s.lease.get(callCtx)
 	if err != nil {
-		pause(ctx, firstBackoff)
+		pause.For(ctx, firstBackoff)
 		return 0, false
 	}
 	e, err := s.opts.Store.Acquire(callCtx, headKey(index), value, lease)
@@ -335,7 +330,7 @@
 		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrLeaseLost) {
 			s.lease.lost(lease)
 		}
-		pause(ctx, firstBackoff)
+		pause.For(ctx, firstBackoff)
 		return 0, false
 	}
 	return e.Version, true
@@ -347,7 +342,7 @@
 	if err != nil {
 		s.opts.Logger.Warn("Taking a shard of claims over failed", "shard", index, "err", err)
 		s.lease.drop(ctx)
-		pause(ctx, maxBackoff)
+		pause.For(ctx, maxBackoff)
 		return
 	}
 	s.opts.Logger.Info("Owning a shard of claims", "shard", index, "term", term)
@@ -371,7 +366,7 @@
 		head, err := s.read(ctx, headKey(index), seen, failed)
 		failed = err != nil
 		if err != nil {
-			pause(ctx, maxBackoff)
+			pause.For(ctx, maxBackoff)
 			continue
 		}
 		seen = head.Version
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 )
 
 // errNotOwner means that this host does not own the key's shard.
@@ -154,7 +155,7 @@
 			return err
 		}
 		if wrote {
-			pause(ctx, s.opts.CommitInterval)
+			pause.For(ctx, s.opts.CommitInterval)
 		}
 	}
 	_, err := s.commit(writes)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/election"
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
@@ -55,15 +56,9 @@
 	if o.Retention == 0 {
 		o.Retention = DefaultRetention
 	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	if o.Logger == nil {
-		o.Logger = log.Default()
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Now = defaults.Now(o.Now)
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	return o
 }
 
--- a/intake/ledger/shard.go
+++ b/intake/ledger/shard.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
 
@@ -167,7 +168,7 @@
 			err = s.watch(ctx, after)
 		}
 		if err != nil {
-			sleep(ctx, retryDelay)
+			pause.For(ctx, retryDelay)
 		}
 	}
 }
@@ -183,15 +184,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *shard[V]) update(ctx context.Context, key string, change Change[V]) (V, error) {
 	u := &update[V]{key: key, change: change, done: make(chan result[V], 1)}
 	u.gone = func() bool { return ctx.Err() != nil }
--- a/intake/ledger/table.go
+++ b/intake/ledger/table.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
 
@@ -56,15 +57,9 @@
 	if o.Gap == 0 {
 		o.Gap = DefaultGap
 	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	if o.Logger == nil {
-		o.Logger = log.Default()
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Now = defaults.Now(o.Now)
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	t := &Table[V]{
 		o:       o,
 		changed: make(chan struct{}),
--- a/routing/execute.go
+++ b/routing/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 )
@@ -129,15 +128,3 @@
 	}
 	return res
 }
-
-// sleep waits for d or until ctx ends; it reports whether d passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/routing/keyed.go
+++ b/routing/keyed.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/claims"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 )
 
 const (
@@ -76,16 +77,16 @@
 
 // claim asks for the key, waiting while another attempt runs.
 func (r *Router) claim(ctx context.Context, c *call, req claims.Request) (claims.Reply, error) {
-	pause := firstPoll
+	delay := firstPoll
 	for {
 		reply, err := r.claimOnce(ctx, c.deadline, req)
 		if err != nil || reply.Verdict != claims.Running {
 			return reply, err
 		}
-		if r.opts.Now().Add(pause).After(c.deadline) || !sleep(ctx, pause) {
+		if r.opts.Now().Add(delay).After(c.deadline) || !pause.For(ctx, delay) {
 			return reply, nil
 		}
-		pause = min(2*pause, maxPoll)
+		delay = min(2*delay, maxPoll)
 	}
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand"
 	"net/http"
 	"sync"
@@ -16,6 +15,8 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
@@ -55,18 +56,12 @@
 // New returns a router. Run must be running for it to shed, probe and refresh
 // on time.
 func New(o Options) *Router {
-	if o.Now == nil {
-		o.Now = time.Now
-	}
+	o.Now = defaults.Now(o.Now)
 	if o.Seed == 0 {
 		o.Seed = rand.Int63()
 	}
-	if o.Logger == nil {
-		o.Logger = log.New(io.Discard)
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	r := &Router{opts: o, services: make(map[string]*service), pools: make(map[string]*pool)}
 	r.meters = newMeters(o.Metrics, r)
 	return r
@@ -202,11 +197,11 @@
 // answers are flushed. It returns ctx's error when ctx ends first.
 func (r *Router) Drain(ctx context.Context) error {
 	r.draining.Store(true)
-	if !sleep(ctx, r.opts.DrainDelay) {
+	if !pause.For(ctx, r.opts.DrainDelay) {
 		return ctx.Err()
 	}
 	for r.inFlight.Load() > 0 {
-		if !sleep(ctx, drainPoll) {
+		if !pause.For(ctx, drainPoll) {
 			return ctx.Err()
 		}
 	}
