--- /dev/null
+++ b/internal/docs/doc.go
@@ -0,0 +1,2 @@
+// Package docs holds tests that keep the pages under docs true.
+package docs
