Log each unbacked guarantee once, name hosts in peers' spans, bound request reads

Spans of net/rpc hops named no host. A slow sender of a body could hold a connection for good. Change: deficits are compared one by one and shown as a gauge on the scheduler; peer spans carry the host; a request's read ends after a minute.

--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -25,6 +25,7 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	readTimeout       = time.Minute // of a whole request, its body included
 	idleTimeout       = 2 * time.Minute
 )
 
@@ -74,6 +75,7 @@
 	h.server = &http.Server{
 		Handler:           h.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 	}
 	return h, nil
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -39,6 +39,7 @@
 func newSlices(h *Host) (*slices, error) {
 	s := &slices{}
 	peerOptions := peer.Options{
+		Host:    h.opts.Settings.Host.Name,
 		TLS:     h.peerTLS(),
 		Timeout: h.opts.Settings.Timing.PeerTimeout(),
 		Logger:  h.opts.Logger.WithPrefix("peer"),
--- a/gang/cycle.go
+++ b/gang/cycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -242,15 +243,16 @@
 
 func (s *Scheduler) setDeficits(deficits []placement.Deficit) {
 	s.mu.Lock()
-	grew := len(deficits) > len(s.deficits)
+	before := s.deficits
 	s.deficits = deficits
 	s.mu.Unlock()
-	if !grew {
-		return
-	}
 	for _, d := range deficits {
-		s.meters.deficits.Inc()
-		s.o.Logger.Warn("a guarantee can not be backed", "organisation", d.Organisation, "missing", d.Missing, "reason", d.Reason)
+		if !slices.Contains(before, d) {
+			s.o.Logger.Warn("a guarantee can not be backed", "organisation", d.Organisation, "missing", d.Missing, "reason", d.Reason)
+		}
+	}
+	if len(before) > 0 && len(deficits) == 0 {
+		s.o.Logger.Info("all guarantees are backed again")
 	}
 }
 
--- a/gang/scheduler.go
+++ b/gang/scheduler.go
@@ -126,6 +126,7 @@
 		quarantine: placement.NewQuarantine(),
 		learnt:     newLearnt(),
 	}
+	o.Metrics.GetOrCreateGauge("cyclamentray_gang_deficits", func() float64 { return float64(len(s.Deficits())) })
 	s.renewer = newRenewer(o, s.Observe)
 	return s
 }
@@ -242,8 +243,12 @@
 	return reason, ok
 }
 
-// Deficits returns the guarantees that the last decision here could not back.
+// Deficits returns the guarantees that the last decision here could not back;
+// none when this host does not schedule the failure domain.
 func (s *Scheduler) Deficits() []placement.Deficit {
+	if _, _, held := s.o.Election.Term(); !held {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.deficits
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -14,6 +14,8 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
 // answerTimeout bounds the sending of an answer to a peer that does not read.
@@ -132,6 +134,7 @@
 // writes under its own lock; mu covers the calls that both touch.
 type serverCodec struct {
 	stream
+	host   string          // of the serving side, for spans
 	ctx    context.Context // ends with the connection
 	cancel context.CancelFunc
 	last   uint64 // sequence number of the request whose body comes next
@@ -140,9 +143,9 @@
 	calls map[uint64]serverCall
 }
 
-func newServerCodec(conn net.Conn) *serverCodec {
+func newServerCodec(conn net.Conn, host string) *serverCodec {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &serverCodec{stream: newStream(conn), ctx: ctx, cancel: cancel, calls: make(map[uint64]serverCall)}
+	return &serverCodec{stream: newStream(conn), host: host, ctx: ctx, cancel: cancel, calls: make(map[uint64]serverCall)}
 }
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
@@ -159,7 +162,7 @@
 func (c *serverCodec) begin(h requestHeader) {
 	ctx := propagator.Extract(c.ctx, propagation.MapCarrier{"traceparent": h.Trace})
 	ctx, span := otel.Tracer(tracerName).Start(ctx, h.Method,
-		trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("rpc.system", "net/rpc")))
+		trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("rpc.system", "net/rpc"), telemetry.HostKey.String(c.host)))
 	cancel := context.CancelFunc(func() {})
 	if h.Wait > 0 {
 		ctx, cancel = context.WithTimeout(ctx, h.Wait)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -34,6 +34,7 @@
 
 // Options configures a Server or a Pool. The zero value works without TLS.
 type Options struct {
+	Host    string      // name of this host, for spans; empty: not told
 	TLS     *tls.Config // nil: plain TCP
 	Timeout time.Duration
 	Logger  *log.Logger
--- a/peer/server.go
+++ b/peer/server.go
@@ -85,7 +85,7 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.serving.Done()
-	s.rpc.ServeCodec(newServerCodec(conn))
+	s.rpc.ServeCodec(newServerCodec(conn, s.opts.Host))
 	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
