--- a/config/distribute.go
+++ b/config/distribute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
@@ -49,15 +49,9 @@
 	if o.Direct == nil {
 		o.Direct = func() bool { return false }
 	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	if o.Logger == nil {
-		o.Logger = log.New(io.Discard)
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Now = defaults.Now(o.Now)
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	return o
 }
 
--- a/config/edit.go
+++ b/config/edit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -13,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
 
@@ -41,15 +42,9 @@
 
 // NewEditor returns an editor.
 func NewEditor(opts EditorOptions) *Editor {
-	if opts.Now == nil {
-		opts.Now = time.Now
-	}
-	if opts.Logger == nil {
-		opts.Logger = log.New(io.Discard)
-	}
-	if opts.Metrics == nil {
-		opts.Metrics = metrics.NewSet()
-	}
+	opts.Now = defaults.Now(opts.Now)
+	opts.Logger = defaults.Logger(opts.Logger)
+	opts.Metrics = defaults.Metrics(opts.Metrics)
 	return &Editor{opts: opts, archive: archive{store: opts.Store}}
 }
 
@@ -105,7 +100,7 @@
 		if expected != nil {
 			break
 		}
-		pause(ctx, time.Duration(rand.Int64N(int64(editBackoff<<try))))
+		pause.For(ctx, time.Duration(rand.Int64N(int64(editBackoff<<try))))
 	}
 	err := apierr.New(apierr.Conflict, "another operator's edit was accepted first", "read the configuration again and apply your change to it")
 	e.count(err)
@@ -175,7 +170,7 @@
 		now, at, err := e.archive.head(ctx)
 		switch {
 		case err != nil:
-			pause(ctx, editBackoff)
+			pause.For(ctx, editBackoff)
 		case now.accepted(nonce):
 			return nil
 		case at != version && now.Revision < h.Revision+recentEdits:
@@ -227,12 +222,3 @@
 	}
 	return e
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/election/election.go
+++ b/election/election.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,6 +12,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
 
@@ -53,18 +54,12 @@
 	if o.TTL <= 0 {
 		o.TTL = DefaultTTL
 	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
+	o.Now = defaults.Now(o.Now)
 	if o.Random == nil {
 		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	if o.Logger == nil {
-		o.Logger = log.New(io.Discard)
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	return o
 }
 
@@ -166,7 +161,7 @@
 	if !e.waitFree(ctx) {
 		return platform.Lease{}, false
 	}
-	sleep(ctx, time.Duration(e.opts.Random.Int64N(int64(candidateJitter))))
+	pause.For(ctx, time.Duration(e.opts.Random.Int64N(int64(candidateJitter))))
 	sent := e.opts.Now()
 	callCtx, cancel := context.WithTimeout(ctx, e.opts.TTL)
 	defer cancel()
@@ -198,7 +193,7 @@
 			entry, err = e.watch(ctx, key, seen.Version)
 		}
 		if err != nil {
-			sleep(ctx, e.retryDelay())
+			pause.For(ctx, e.retryDelay())
 			continue
 		}
 		seen = entry
@@ -240,7 +235,7 @@
 // no more.
 func (e *Election) hold(ctx context.Context, lease platform.Lease) {
 	for ctx.Err() == nil {
-		sleep(ctx, e.opts.TTL/renewalsPerTTL)
+		pause.For(ctx, e.opts.TTL/renewalsPerTTL)
 		sent := e.opts.Now()
 		if !e.holds(sent) {
 			e.opts.Logger.Warn("term lapsed")
@@ -292,12 +287,3 @@
 func (e *Election) retryDelay() time.Duration {
 	return e.opts.TTL/renewalsPerTTL + time.Duration(e.opts.Random.Int64N(int64(e.opts.TTL/renewalsPerTTL)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -250,13 +251,26 @@
 	return p
 }
 
+// nextPort is the next port to try for an entry host. It lies below the range
+// that the kernel gives to outgoing connections, so that a host finds its port
+// free when it is started again.
+var nextPort atomic.Int32
+
+const firstPort = 20_000
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 10_000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)))
+		if err != nil {
+			continue
+		}
+		must.NoError(t, l.Close())
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // startEntry starts an entry host's process, again after it has ended.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
 )
@@ -60,15 +61,9 @@
 	if o.Status == nil {
 		o.Status = func() Status { return Status{} }
 	}
-	if o.Now == nil {
-		o.Now = time.Now
-	}
-	if o.Logger == nil {
-		o.Logger = log.New(io.Discard)
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Now = defaults.Now(o.Now)
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	return o
 }
 
@@ -232,7 +227,7 @@
 			index, err = m.readList(ctx, watcher)
 		}
 		if err != nil || !watches {
-			pause(ctx, listInterval)
+			pause.For(ctx, listInterval)
 		}
 	}
 }
@@ -281,15 +276,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // askSeeds takes over a peer's view: a host that boots while the platform is
 // away has nothing else to start from.
 func (m *Membership) askSeeds(ctx context.Context) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/internal/defaults"
 )
 
 // DefaultTimeout bounds a call whose context has no deadline.
@@ -45,15 +47,7 @@
 	if o.Timeout <= 0 {
 		o.Timeout = DefaultTimeout
 	}
-	if o.Logger == nil {
-		o.Logger = log.New(discard{})
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewSet()
-	}
+	o.Logger = defaults.Logger(o.Logger)
+	o.Metrics = defaults.Metrics(o.Metrics)
 	return o
 }
-
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
