Name ledgers and assignments as such; count connections' bytes in one place

Cause: reading as a newcomer: ledger.Books and guarantee.Book needed explaining, and two packages held the same counted connection.

--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -31,7 +31,7 @@
 	auth       *auth.Authenticator
 	claims     *claims.Service
 	router     *routing.Router
-	books      *ledger.Books
+	ledgers    *ledger.Ledgers
 	scheduler  *gang.Scheduler
 	intake     *intake.Intake
 }
@@ -169,7 +169,7 @@
 }
 
 func (s *slices) buildJobs(h *Host) {
-	s.books = ledger.New(ledger.Options{
+	s.ledgers = ledger.New(ledger.Options{
 		Store:   s.platform,
 		Gap:     h.opts.Settings.Timing.LedgerBatch(),
 		Now:     h.opts.Now,
@@ -179,19 +179,19 @@
 	failureDomain := h.opts.Settings.Host.FailureDomain
 	s.scheduler = gang.New(gang.Options{
 		FailureDomain: failureDomain,
-		Ledger:        s.books.Jobs(failureDomain),
+		Ledger:        s.ledgers.Jobs(failureDomain),
 		Config:        s.config,
 		Membership:    s.membership,
 		Election:      s.election,
 		Peers:         s.peers,
-		Notes:         s.books.Notes(),
+		Notes:         s.ledgers.Notes(),
 		Now:           h.opts.Now,
 		Logger:        h.opts.Logger.WithPrefix("gang"),
 		Metrics:       h.opts.Metrics,
 	})
 	s.intake = intake.New(intake.Options{
 		FailureDomain: failureDomain,
-		Books:         s.books,
+		Ledgers:       s.ledgers,
 		Config:        s.config,
 		Membership:    s.membership,
 		Election:      s.election,
@@ -254,5 +254,5 @@
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
-	group.Go(func() error { return s.books.Run(ctx, s.membership.View().Self.FailureDomain) })
+	group.Go(func() error { return s.ledgers.Run(ctx, s.membership.View().Self.FailureDomain) })
 }
--- a/gang/bench_test.go
+++ b/gang/bench_test.go
@@ -83,8 +83,8 @@
 	d.calls = &HTTPWorkers{client: &http.Client{Transport: telemetry.Transport(transport, "worker")}, timeout: workerTimeout}
 	store := httptest.NewServer(kv.New())
 	b.Cleanup(store.Close)
-	books := ledger.New(ledger.Options{Store: platform.NewClient(store.URL), Gap: time.Millisecond})
-	d.jobs = books.Jobs("fd1")
+	ledgers := ledger.New(ledger.Options{Store: platform.NewClient(store.URL), Gap: time.Millisecond})
+	d.jobs = ledgers.Jobs("fd1")
 	for i := range benchHosts {
 		d.view.Hosts = append(d.view.Hosts, platform.Host{Name: fmt.Sprint("entry", i), Kind: platform.EntryHost, FailureDomain: "fd1"})
 	}
--- a/gang/leaving_test.go
+++ b/gang/leaving_test.go
@@ -54,12 +54,12 @@
 // secondEntryHost schedules fd2, and moves queued jobs to it.
 func (c *cluster) secondEntryHost() {
 	term := &fakeTerm{term: 7}
-	books := ledger.New(ledger.Options{Store: c.client, Gap: 5 * time.Millisecond})
-	in := intake.New(intake.Options{FailureDomain: "fd2", Books: books, Config: c.config, Membership: c.view, Election: term})
-	g := gang.New(gang.Options{FailureDomain: "fd2", Ledger: books.Jobs("fd2"), Config: c.config, Membership: c.view, Election: term})
+	ledgers := ledger.New(ledger.Options{Store: c.client, Gap: 5 * time.Millisecond})
+	in := intake.New(intake.Options{FailureDomain: "fd2", Ledgers: ledgers, Config: c.config, Membership: c.view, Election: term})
+	g := gang.New(gang.Options{FailureDomain: "fd2", Ledger: ledgers.Jobs("fd2"), Config: c.config, Membership: c.view, Election: term})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = books.Run(ctx, "fd2") })
+	wg.Go(func() { _ = ledgers.Run(ctx, "fd2") })
 	wg.Go(func() { _ = g.Run(ctx) })
 	wg.Go(func() { _ = in.Run(ctx) })
 	c.t.Cleanup(func() { cancel(); wg.Wait() })
--- a/gang/scheduler_test.go
+++ b/gang/scheduler_test.go
@@ -126,26 +126,26 @@
 
 // entry is one entry host's slices.
 type entry struct {
-	books  *ledger.Books
-	intake *intake.Intake
-	gang   *gang.Scheduler
-	term   *fakeTerm
-	stop   func()
+	ledgers *ledger.Ledgers
+	intake  *intake.Intake
+	gang    *gang.Scheduler
+	term    *fakeTerm
+	stop    func()
 }
 
 // entryHost starts an entry host that holds the given term; 0 holds none.
 func (c *cluster) entryHost(term uint64, change func(*gang.Options)) *entry {
 	e := &entry{term: &fakeTerm{term: term}}
-	e.books = ledger.New(ledger.Options{Store: c.client, Gap: 5 * time.Millisecond})
-	e.intake = intake.New(intake.Options{FailureDomain: "fd1", Books: e.books, Config: c.config, Membership: c.view, Election: e.term})
-	o := gang.Options{FailureDomain: "fd1", Ledger: e.books.Jobs("fd1"), Config: c.config, Membership: c.view, Election: e.term}
+	e.ledgers = ledger.New(ledger.Options{Store: c.client, Gap: 5 * time.Millisecond})
+	e.intake = intake.New(intake.Options{FailureDomain: "fd1", Ledgers: e.ledgers, Config: c.config, Membership: c.view, Election: e.term})
+	o := gang.Options{FailureDomain: "fd1", Ledger: e.ledgers.Jobs("fd1"), Config: c.config, Membership: c.view, Election: e.term}
 	if change != nil {
 		change(&o)
 	}
 	e.gang = gang.New(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = e.books.Run(ctx, "fd1") })
+	wg.Go(func() { _ = e.ledgers.Run(ctx, "fd1") })
 	wg.Go(func() { _ = e.gang.Run(ctx) })
 	e.stop = func() { cancel(); wg.Wait() }
 	c.t.Cleanup(e.stop)
--- a/guarantee/book.go
+++ b/guarantee/assignment.go
@@ -13,8 +13,8 @@
 	Shape        job.Shape
 }
 
-// Book assigns claims to slots, at most one to each.
-type Book struct {
+// Assignment assigns claims to slots, at most one to each.
+type Assignment struct {
 	slots  []Slot
 	claims []Claim
 	holder []int            // claim that uses each slot; unused: -1
@@ -24,9 +24,9 @@
 
 const unused = -1
 
-// NewBook returns a book in which every slot is unused.
-func NewBook(gs []Guarantee) *Book {
-	b := &Book{byOrg: map[string][]int{}, free: map[string]int{}}
+// NewAssignment returns an assignment in which every slot is unused.
+func NewAssignment(gs []Guarantee) *Assignment {
+	b := &Assignment{byOrg: map[string][]int{}, free: map[string]int{}}
 	for _, g := range gs {
 		for range g.Count {
 			b.slots = append(b.slots, Slot{Organisation: g.Organisation, Shape: g.Shape})
@@ -51,20 +51,20 @@
 }
 
 // Slots returns every slot. Callers must not change it.
-func (b *Book) Slots() []Slot { return b.slots }
+func (b *Assignment) Slots() []Slot { return b.slots }
 
 // Unused reports whether no claim uses the slot.
-func (b *Book) Unused(slot int) bool { return b.holder[slot] == unused }
+func (b *Assignment) Unused(slot int) bool { return b.holder[slot] == unused }
 
 // Find returns the slot that would no longer be unused if the claim were
 // added, without adding it. Earlier claims keep a slot, perhaps another one.
-func (b *Book) Find(c Claim) (slot int, ok bool) {
+func (b *Assignment) Find(c Claim) (slot int, ok bool) {
 	return b.walk(c, nil)
 }
 
 // Add adds a claim and returns the slot that is no longer unused, if its
 // organisation has one for it.
-func (b *Book) Add(c Claim) (slot int, ok bool) {
+func (b *Assignment) Add(c Claim) (slot int, ok bool) {
 	b.claims = append(b.claims, c)
 	slot, ok = b.walk(c, b.assign)
 	if !ok {
@@ -75,12 +75,12 @@
 	return slot, true
 }
 
-func (b *Book) assign(slot, claim int) { b.holder[slot] = claim }
+func (b *Assignment) assign(slot, claim int) { b.holder[slot] = claim }
 
 // walk searches an augmenting path from the claim to an unused slot, and calls
 // assign for each slot on it. So a claim is turned down only when no way of
 // sharing out the slots serves it beside the earlier ones.
-func (b *Book) walk(c Claim, assign func(slot, claim int)) (end int, ok bool) {
+func (b *Assignment) walk(c Claim, assign func(slot, claim int)) (end int, ok bool) {
 	if b.free[c.Organisation] == 0 {
 		return 0, false
 	}
--- a/guarantee/backing.go
+++ b/guarantee/backing.go
@@ -24,10 +24,10 @@
 // Missing returns the slots that have no accelerators.
 func (b *Backing) Missing() []int { return b.missed }
 
-// Back makes a backing plan for the given slots of a book. The capacity is what
+// Back makes a backing plan for the given slots of an assignment. The capacity is what
 // non-reclaimable work leaves; it is not changed. When not all slots can be
 // backed, the plan backs as many as the best order found does.
-func (b *Book) Back(k *topology.Capacity, slots []int) *Backing {
+func (b *Assignment) Back(k *topology.Capacity, slots []int) *Backing {
 	best := b.greedy(k, slots, hardestFirst)
 	for _, order := range []slotOrder{largestFirst, nearestFirst} {
 		if len(best.missed) == 0 {
@@ -47,7 +47,7 @@
 }
 
 // UnusedSlots returns the slots that no claim uses, without the one given.
-func (b *Book) UnusedSlots(without int) []int {
+func (b *Assignment) UnusedSlots(without int) []int {
 	var out []int
 	for s := range b.slots {
 		if b.Unused(s) && s != without {
@@ -57,7 +57,7 @@
 	return out
 }
 
-func (b *Book) accelerators(slots []int) int {
+func (b *Assignment) accelerators(slots []int) int {
 	n := 0
 	for _, s := range slots {
 		n += b.slots[s].Shape.Accelerators()
@@ -92,7 +92,7 @@
 	)
 }
 
-func (b *Book) greedy(k *topology.Capacity, slots []int, order slotOrder) *Backing {
+func (b *Assignment) greedy(k *topology.Capacity, slots []int, order slotOrder) *Backing {
 	k = k.Clone()
 	p := &Backing{places: make(map[int][]int, len(slots))}
 	for _, s := range b.sorted(slots, order) {
@@ -108,7 +108,7 @@
 	return p
 }
 
-func (b *Book) sorted(slots []int, order slotOrder) []int {
+func (b *Assignment) sorted(slots []int, order slotOrder) []int {
 	slots = slices.Clone(slots)
 	slices.SortStableFunc(slots, func(x, y int) int { return order(b.slots[x].Shape, b.slots[y].Shape) })
 	return slots
@@ -116,7 +116,7 @@
 
 // search tries every way to back all slots, task by task, until it has taken
 // searchSteps. It returns nil when it found none.
-func (b *Book) search(k *topology.Capacity, slots []int) *Backing {
+func (b *Assignment) search(k *topology.Capacity, slots []int) *Backing {
 	s := &searcher{k: k.Clone(), steps: searchSteps}
 	order := b.sorted(slots, hardestFirst)
 	for _, slot := range order {
--- a/guarantee/guarantee_test.go
+++ b/guarantee/guarantee_test.go
@@ -53,7 +53,7 @@
 		for range 1 + r.IntN(5) {
 			gs = append(gs, Guarantee{"a", shape(1+r.IntN(3), 1+r.IntN(3), adjacencies[r.IntN(3)]), 1})
 		}
-		b := NewBook(gs)
+		b := NewAssignment(gs)
 		p := b.Back(k, b.UnusedSlots(-1))
 		want := packs(k.Clone(), b.Slots())
 		must.Eq(t, want, len(p.Missing()) == 0, must.Sprintf("%+v", gs))
@@ -65,7 +65,7 @@
 	must.Greater(t, 300, backed)
 }
 
-func checkPlaces(t *testing.T, k *topology.Capacity, b *Book, p *Backing) {
+func checkPlaces(t *testing.T, k *topology.Capacity, b *Assignment, p *Backing) {
 	for i, s := range b.Slots() {
 		place := p.Place(i)
 		must.Len(t, s.Shape.Tasks, place)
@@ -107,11 +107,11 @@
 	return place(nil)
 }
 
-// TestBookMovesEarlierClaims: a claim gets a slot although an earlier one took
+// TestAssignmentMovesEarlierClaims: a claim gets a slot although an earlier one took
 // the only slot that fits it, since that one fits another.
-func TestBookMovesEarlierClaims(t *testing.T) {
+func TestAssignmentMovesEarlierClaims(t *testing.T) {
 	small, large := shape(1, 4, job.SameWorker), shape(2, 3, job.SameFailureDomain)
-	b := NewBook([]Guarantee{{"a", small, 1}, {"a", large, 1}})
+	b := NewAssignment([]Guarantee{{"a", small, 1}, {"a", large, 1}})
 	_, ok := b.Add(Claim{"a", shape(1, 3, job.SameWorker), false}) // fits both; takes the smaller
 	must.True(t, ok)
 	_, ok = b.Add(Claim{"a", small, false}) // fits only the smaller
--- a/intake/choose.go
+++ b/intake/choose.go
@@ -175,7 +175,7 @@
 }
 
 func (l *loads) records(ctx context.Context, domain string) (map[string]job.Record, error) {
-	jobs := l.o.Books.Jobs(domain)
+	jobs := l.o.Ledgers.Jobs(domain)
 	if records, _, complete := jobs.Snapshot(); complete && domain == l.o.FailureDomain {
 		return records, nil
 	}
--- a/intake/http.go
+++ b/intake/http.go
@@ -95,7 +95,7 @@
 	var g errgroup.Group
 	for i, name := range names {
 		g.Go(func() error {
-			records, err := in.o.Books.Jobs(name).ReadAll(ctx)
+			records, err := in.o.Ledgers.Jobs(name).ReadAll(ctx)
 			pages[i] = records
 			return err
 		})
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -31,7 +31,7 @@
 // Options configures an Intake.
 type Options struct {
 	FailureDomain string
-	Books         *ledger.Books
+	Ledgers       *ledger.Ledgers
 	Config        config.Source
 	Membership    membership.Source
 	Election      election.Holder
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -89,11 +89,11 @@
 	change(&s.snap)
 }
 
-// entryHost returns an entry host's intake and its books.
-func (s *site) entryHost(domain string) (*intake.Intake, *ledger.Books) {
-	books := ledger.New(ledger.Options{Store: s.store, Gap: 20 * time.Millisecond})
-	return intake.New(intake.Options{FailureDomain: domain, Books: books, Config: s, Membership: s,
-		Election: s, Now: s.clock}), books
+// entryHost returns an entry host's intake and its ledgers.
+func (s *site) entryHost(domain string) (*intake.Intake, *ledger.Ledgers) {
+	ledgers := ledger.New(ledger.Options{Store: s.store, Gap: 20 * time.Millisecond})
+	return intake.New(intake.Options{FailureDomain: domain, Ledgers: ledgers, Config: s, Membership: s,
+		Election: s, Now: s.clock}), ledgers
 }
 
 // viewFrom is the site's host list as one entry host sees it.
@@ -120,7 +120,7 @@
 		pool := peer.NewPool(peer.Options{})
 		t.Cleanup(func() { _ = pool.Close() })
 		view := &viewFrom{membership.View{Self: hosts[i], Hosts: append(slices.Clone(hosts), s.view.Hosts...)}}
-		in := intake.New(intake.Options{FailureDomain: "fd1", Books: ledger.New(ledger.Options{Store: s.store}),
+		in := intake.New(intake.Options{FailureDomain: "fd1", Ledgers: ledger.New(ledger.Options{Store: s.store}),
 			Config: s, Membership: view, Election: s, Now: s.clock, Peers: pool})
 		must.NoError(t, in.RegisterPeer(servers[i]))
 		ins = append(ins, in)
@@ -145,10 +145,10 @@
 		})
 	}
 	wg.Wait()
-	in, books := s.entryHost("fd1")
-	one, err := books.Jobs("fd1").ReadAll(context.Background())
+	in, ledgers := s.entryHost("fd1")
+	one, err := ledgers.Jobs("fd1").ReadAll(context.Background())
 	must.NoError(t, err)
-	two, err := books.Jobs("fd2").ReadAll(context.Background())
+	two, err := ledgers.Jobs("fd2").ReadAll(context.Background())
 	must.NoError(t, err)
 	must.EqOp(t, 1, len(one)+len(two))
 	other := spec("a")
@@ -227,7 +227,7 @@
 	t.Parallel()
 	const burst, budget, hosts = 2_000, 60, 7
 	s := newSite(t)
-	_, books := s.entryHost("fd1")
+	_, ledgers := s.entryHost("fd1")
 	ins, _ := s.entryHosts(t, hosts)
 	each := func(act func(*intake.Intake, job.Spec) error) int {
 		before := s.kv.Calls()["put"]
@@ -251,7 +251,7 @@
 	must.LessEq(t, budget, cancels)
 	sum := 0
 	for _, domain := range []string{"fd1", "fd2"} {
-		records, err := books.Jobs(domain).ReadAll(context.Background())
+		records, err := ledgers.Jobs(domain).ReadAll(context.Background())
 		must.NoError(t, err)
 		for _, rec := range records {
 			must.EqOp(t, job.Cancelled, rec.State)
@@ -285,7 +285,7 @@
 	t.Parallel()
 	s := newSite(t)
 	s.edit(func(c *config.Snapshot) { c.FailureDomains["fd2"] = config.FailureDomain{Name: "fd2", Out: true} })
-	in, books := s.entryHost("fd1")
+	in, ledgers := s.entryHost("fd1")
 	ctx := context.Background()
 	for _, name := range []string{"waits", "runs", "pinned"} {
 		j := spec(name)
@@ -296,7 +296,7 @@
 		must.NoError(t, err)
 	}
 	placed := spec("runs").ID.String()
-	_, err := books.Jobs("fd1").Update(ctx, placed, func(old job.Record, _ bool) (job.Record, bool, error) {
+	_, err := ledgers.Jobs("fd1").Update(ctx, placed, func(old job.Record, _ bool) (job.Record, bool, error) {
 		old.Enter(job.Placed, "", s.clock())
 		return old, true, nil
 	})
@@ -306,21 +306,21 @@
 	})
 	other, _ := s.entryHost("fd2")
 	other.Keep(ctx)
-	_, found, err := books.Jobs("fd2").Read(ctx, spec("waits").ID.String())
+	_, found, err := ledgers.Jobs("fd2").Read(ctx, spec("waits").ID.String())
 	must.NoError(t, err)
 	must.False(t, found, must.Sprint("start permits have not lapsed yet"))
 	s.pass(10 * time.Second)
 	other.Keep(ctx)
 	other.Keep(ctx)
 
-	moved, err := books.Jobs("fd2").ReadAll(ctx)
+	moved, err := ledgers.Jobs("fd2").ReadAll(ctx)
 	must.NoError(t, err)
 	must.Len(t, 1, sortedNames(moved))
 	must.EqOp(t, job.Queued, moved[spec("waits").ID.String()].State)
 	rec, err := in.Submit(ctx, org, spec("waits"))
 	must.NoError(t, err, must.Sprint("a repeated submission follows the job"))
 	must.EqOp(t, 1, rec.Moves)
-	left, err := books.Jobs("fd1").ReadAll(ctx)
+	left, err := ledgers.Jobs("fd1").ReadAll(ctx)
 	must.NoError(t, err)
 	must.EqOp(t, job.Moved, left[spec("waits").ID.String()].State)
 	must.EqOp(t, job.Placed, left[placed].State)
@@ -351,7 +351,7 @@
 	t.Parallel()
 	s := newSite(t)
 	s.edit(func(c *config.Snapshot) { delete(c.FailureDomains, "fd2") })
-	in, books := s.entryHost("fd1")
+	in, ledgers := s.entryHost("fd1")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, name := range []string{"ends", "waits"} {
@@ -360,14 +360,14 @@
 	}
 	_, err := in.Cancel(ctx, org, spec("ends").ID)
 	must.NoError(t, err)
-	_, err = books.Jobs("fd1").ReadAll(ctx)
+	_, err = ledgers.Jobs("fd1").ReadAll(ctx)
 	must.NoError(t, err)
 	in.Keep(ctx)
 	_, err = in.Find(ctx, org, spec("ends").ID)
 	must.NoError(t, err, must.Sprint("kept for a while"))
 	s.pass(intake.DefaultRetention + time.Second)
 	in.Keep(ctx)
-	records, err := books.Jobs("fd1").ReadAll(ctx)
+	records, err := ledgers.Jobs("fd1").ReadAll(ctx)
 	must.NoError(t, err)
 	must.Eq(t, []string{spec("waits").ID.String()}, sortedNames(records))
 	_, err = in.Find(ctx, org, spec("ends").ID)
--- a/intake/keep.go
+++ b/intake/keep.go
@@ -31,7 +31,7 @@
 // prune drops ended jobs after their retention: from the index first, so that
 // an index entry without a record can only be a new job's.
 func (in *Intake) prune(ctx context.Context) {
-	jobs := in.o.Books.Jobs(in.o.FailureDomain)
+	jobs := in.o.Ledgers.Jobs(in.o.FailureDomain)
 	records, _, _ := jobs.Snapshot()
 	in.finishMoves(ctx, in.o.FailureDomain, records)
 	var old []string
@@ -61,7 +61,7 @@
 // a job that moved on is looked up where it went.
 func (in *Intake) pruneOne(ctx context.Context, key string, rec job.Record) error {
 	here := in.o.FailureDomain
-	_, err := in.o.Books.Index().Update(ctx, key, func(old ledger.Claim, found bool) (ledger.Claim, bool, error) {
+	_, err := in.o.Ledgers.Index().Update(ctx, key, func(old ledger.Claim, found bool) (ledger.Claim, bool, error) {
 		if !found || old.FailureDomain != here {
 			return old, found, nil
 		}
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = in.o.Books.Jobs(here).Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
+	_, err = in.o.Ledgers.Jobs(here).Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
 		keep := found && !old.State.Terminal() && old.State != job.Moved
 		return old, keep, nil
 	})
@@ -101,7 +101,7 @@
 func (in *Intake) termFree(ctx context.Context, domain string) bool {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	e, err := in.o.Books.Store().Get(ctx, election.Key(domain))
+	e, err := in.o.Ledgers.Store().Get(ctx, election.Key(domain))
 	return errors.Is(err, platform.ErrNotFound) || (err == nil && e.Lease == "")
 }
 
@@ -147,7 +147,7 @@
 }
 
 func (in *Intake) moveAll(ctx context.Context, snap *config.Snapshot, from string) error {
-	records, err := in.o.Books.Jobs(from).ReadAll(ctx)
+	records, err := in.o.Ledgers.Jobs(from).ReadAll(ctx)
 	if err != nil {
 		return err
 	}
@@ -174,7 +174,7 @@
 
 func (in *Intake) moveOne(ctx context.Context, key, from, to string) error {
 	now := in.o.Now()
-	left, err := in.o.Books.Jobs(from).Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
+	left, err := in.o.Ledgers.Jobs(from).Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
 		if !found || !movable(old) {
 			return old, found, nil
 		}
@@ -195,7 +195,7 @@
 	if _, err := in.create(ctx, left.MovedTo, arrived(left, in.o.Now())); err != nil {
 		return err
 	}
-	_, err := in.o.Books.Index().Update(ctx, key, func(old ledger.Claim, found bool) (ledger.Claim, bool, error) {
+	_, err := in.o.Ledgers.Index().Update(ctx, key, func(old ledger.Claim, found bool) (ledger.Claim, bool, error) {
 		if old.FailureDomain == from {
 			old.FailureDomain = left.MovedTo
 		}
@@ -204,7 +204,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = in.o.Books.Jobs(from).Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
+	_, err = in.o.Ledgers.Jobs(from).Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
 		old.Arrived = old.Arrived || (old.State == job.Moved && old.Moves == left.Moves)
 		return old, found, nil
 	})
--- a/intake/ledger/ledger.go
+++ b/intake/ledger/ledger.go
@@ -56,7 +56,7 @@
 // Notes keeps what schedulers learned, by a name that the scheduler chooses.
 type Notes = Table[json.RawMessage]
 
-// Options configures a Books.
+// Options configures a Ledgers.
 type Options struct {
 	Store   platform.Store
 	Shards  int           // 0: DefaultShards; the same on every host
@@ -66,9 +66,9 @@
 	Metrics *metrics.Set
 }
 
-// Books gives the ledgers of all failure domains and the index over them.
+// Ledgers gives the ledgers of all failure domains and the index over them.
 // It is safe for concurrent use.
-type Books struct {
+type Ledgers struct {
 	o     Options
 	index *Index
 	notes *Notes
@@ -76,15 +76,15 @@
 	jobs  map[string]*Jobs
 }
 
-// New returns the books kept in a store. Nothing is read yet.
-func New(o Options) *Books {
-	b := &Books{o: o, jobs: make(map[string]*Jobs)}
+// New returns the ledgers kept in a store. Nothing is read yet.
+func New(o Options) *Ledgers {
+	b := &Ledgers{o: o, jobs: make(map[string]*Jobs)}
 	b.index = NewTable[Claim](b.table(indexPrefix))
 	b.notes = NewTable[json.RawMessage](b.table(notesPrefix))
 	return b
 }
 
-func (b *Books) table(prefix string) TableOptions {
+func (b *Ledgers) table(prefix string) TableOptions {
 	return TableOptions{
 		Store: b.o.Store, Prefix: prefix, Shards: b.o.Shards, Gap: b.o.Gap,
 		Now: b.o.Now, Logger: b.o.Logger, Metrics: b.o.Metrics,
@@ -92,16 +92,16 @@
 }
 
 // Index returns the index over all failure domains.
-func (b *Books) Index() *Index { return b.index }
+func (b *Ledgers) Index() *Index { return b.index }
 
-// Store returns the store that holds the books.
-func (b *Books) Store() platform.Store { return b.o.Store }
+// Store returns the store that holds the ledgers.
+func (b *Ledgers) Store() platform.Store { return b.o.Store }
 
 // Notes returns what schedulers learned.
-func (b *Books) Notes() *Notes { return b.notes }
+func (b *Ledgers) Notes() *Notes { return b.notes }
 
 // Jobs returns a failure domain's ledger.
-func (b *Books) Jobs(failureDomain string) *Jobs {
+func (b *Ledgers) Jobs(failureDomain string) *Jobs {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.jobs[failureDomain]
@@ -113,6 +113,6 @@
 }
 
 // Run keeps the ledger of one failure domain fresh until ctx ends.
-func (b *Books) Run(ctx context.Context, failureDomain string) error {
+func (b *Ledgers) Run(ctx context.Context, failureDomain string) error {
 	return b.Jobs(failureDomain).Run(ctx)
 }
--- a/intake/linear_test.go
+++ b/intake/linear_test.go
@@ -203,8 +203,8 @@
 		if client == 0 {
 			store = platform.New(platform.Options{Base: server.URL, Rate: 1000, Burst: 1000})
 		}
-		books := ledger.New(ledger.Options{Store: store, Gap: 10 * time.Millisecond, Logger: quiet})
-		in := intake.New(intake.Options{FailureDomain: "fd1", Books: books, Config: s, Membership: s, Election: s, Now: s.clock, Logger: quiet})
+		ledgers := ledger.New(ledger.Options{Store: store, Gap: 10 * time.Millisecond, Logger: quiet})
+		in := intake.New(intake.Options{FailureDomain: "fd1", Ledgers: ledgers, Config: s, Membership: s, Election: s, Now: s.clock, Logger: quiet})
 		c := &caller{in: in, random: rand.New(rand.NewPCG(seed, uint64(client+1))), client: client, began: began}
 		all = append(all, c)
 		running.Go(func() { c.run(calls, names) })
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -76,7 +76,7 @@
 func (in *Intake) claim(ctx context.Context, spec job.Spec, domain string) (ledger.Claim, error) {
 	digest := ledger.Digest(spec)
 	now := in.o.Now()
-	return in.o.Books.Index().Update(ctx, spec.ID.String(), func(old ledger.Claim, found bool) (ledger.Claim, bool, error) {
+	return in.o.Ledgers.Index().Update(ctx, spec.ID.String(), func(old ledger.Claim, found bool) (ledger.Claim, bool, error) {
 		if !found {
 			return ledger.Claim{FailureDomain: domain, Digest: digest, At: now}, true, nil
 		}
@@ -97,7 +97,7 @@
 func (in *Intake) create(ctx context.Context, domain string, rec job.Record) (job.Record, error) {
 	for range maxMoves {
 		rec.FailureDomain = domain
-		got, err := in.o.Books.Jobs(domain).Update(ctx, rec.Spec.ID.String(),
+		got, err := in.o.Ledgers.Jobs(domain).Update(ctx, rec.Spec.ID.String(),
 			func(old job.Record, found bool) (job.Record, bool, error) {
 				back := old.State == job.Moved && old.Moves < rec.Moves
 				if !found || back {
@@ -140,7 +140,7 @@
 	if !who.MaySee(id.Organisation) {
 		return job.Record{}, "", errNoJob(id)
 	}
-	claim, found, err := in.o.Books.Index().Read(ctx, id.String())
+	claim, found, err := in.o.Ledgers.Index().Read(ctx, id.String())
 	if err != nil {
 		return job.Record{}, "", err
 	}
@@ -154,7 +154,7 @@
 func (in *Intake) follow(ctx context.Context, domain string, id job.ID) (job.Record, string, error) {
 	var left job.Record
 	for range maxMoves {
-		rec, found, err := in.o.Books.Jobs(domain).Read(ctx, id.String())
+		rec, found, err := in.o.Ledgers.Jobs(domain).Read(ctx, id.String())
 		switch {
 		case err != nil:
 			return job.Record{}, "", err
@@ -191,7 +191,7 @@
 		by = "an operator"
 	}
 	now := in.o.Now()
-	rec, err := in.o.Books.Jobs(domain).Update(ctx, id.String(), func(old job.Record, found bool) (job.Record, bool, error) {
+	rec, err := in.o.Ledgers.Jobs(domain).Update(ctx, id.String(), func(old job.Record, found bool) (job.Record, bool, error) {
 		if !found || old.State == job.Moved {
 			return old, found, apierr.New(apierr.Unavailable, "the job is moving to another failure domain", "cancel it again")
 		}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -9,7 +9,6 @@
 	"reflect"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -17,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cyclamentray/cyclamentray/apierr"
+	"github.com/cyclamentray/cyclamentray/internal/countedconn"
 )
 
 // Pool keeps one connection to each peer and makes calls over it.
@@ -154,7 +154,7 @@
 	defer cancel()
 	conn, err := p.connect(ctx, address)
 	if err == nil {
-		conn = countBytes(conn, p.opts.Metrics)
+		conn = countedconn.New(conn, p.opts.Metrics, "cyclamentray_peer_bytes_total")
 		onBroken := func() { p.retire(address, l) }
 		l.client = rpc.NewClientWithCodec(&clientCodec{stream: newStream(conn), onBroken: onBroken})
 	} else {
@@ -234,29 +234,3 @@
 	name := fmt.Sprintf(`cyclamentray_peer_calls_total{method=%q,outcome=%q}`, method, outcome)
 	p.opts.Metrics.GetOrCreateCounter(name).Inc()
 }
-
-// countedConn counts a connection's bytes.
-type countedConn struct {
-	net.Conn
-	in, out *metrics.Counter
-}
-
-func countBytes(conn net.Conn, set *metrics.Set) net.Conn {
-	return &countedConn{
-		Conn: conn,
-		in:   set.GetOrCreateCounter(`cyclamentray_peer_bytes_total{direction="in"}`),
-		out:  set.GetOrCreateCounter(`cyclamentray_peer_bytes_total{direction="out"}`),
-	}
-}
-
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.in.Add(n)
-	return n, err
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.out.Add(n)
-	return n, err
-}
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/internal/countedconn"
 )
 
 // Server serves net/rpc calls of other entry hosts. It is safe for concurrent use.
@@ -71,7 +73,7 @@
 	if s.opts.TLS != nil {
 		conn = tls.Server(conn, s.opts.TLS)
 	}
-	conn = countBytes(conn, s.opts.Metrics)
+	conn = countedconn.New(conn, s.opts.Metrics, "cyclamentray_peer_bytes_total")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -34,27 +34,27 @@
 
 // decision is the state of one call of Decide.
 type decision struct {
-	v         *View
-	plan      Plan
-	cluster   *topology.Cluster
-	free      *topology.Capacity // free now and set aside for nobody
-	soon      *topology.Capacity // free, and what stopping gangs will free
-	firm      *topology.Capacity // not held by work within guarantees
-	left      *topology.Capacity // free beside reservations once the plan's jobs have started
-	book      *guarantee.Book
-	backing   *guarantee.Backing
-	places    [][]int // worker of each task of each running gang; unknown ones left out
-	borrowers []int   // running gangs that may be reclaimed
-	teams     map[team]*quotaUse
-	usage     map[string]int // accelerators in use by each organisation
-	predicts  *predictor
-	reclaimer *guarantee.Reclaimer
-	victims   []bool               // borrowers asked to stop in this plan
-	beside    map[job.Shape]bool   // whether shapes fit beside all guarantees
-	cleared   int                  // times urgent work outside guarantees looked for borrowers to stop
-	noVictims map[job.Shape]bool   // shapes for which urgent work found nobody to reclaim from
-	feasible  map[job.Shape]string // why shapes never run; empty: they may
-	empty     *topology.Capacity   // all workers with nothing running, once needed
+	v          *View
+	plan       Plan
+	cluster    *topology.Cluster
+	free       *topology.Capacity // free now and set aside for nobody
+	soon       *topology.Capacity // free, and what stopping gangs will free
+	firm       *topology.Capacity // not held by work within guarantees
+	left       *topology.Capacity // free beside reservations once the plan's jobs have started
+	assignment *guarantee.Assignment
+	backing    *guarantee.Backing
+	places     [][]int // worker of each task of each running gang; unknown ones left out
+	borrowers  []int   // running gangs that may be reclaimed
+	teams      map[team]*quotaUse
+	usage      map[string]int // accelerators in use by each organisation
+	predicts   *predictor
+	reclaimer  *guarantee.Reclaimer
+	victims    []bool               // borrowers asked to stop in this plan
+	beside     map[job.Shape]bool   // whether shapes fit beside all guarantees
+	cleared    int                  // times urgent work outside guarantees looked for borrowers to stop
+	noVictims  map[job.Shape]bool   // shapes for which urgent work found nobody to reclaim from
+	feasible   map[job.Shape]string // why shapes never run; empty: they may
+	empty      *topology.Capacity   // all workers with nothing running, once needed
 }
 
 // team names a team of an organisation.
@@ -65,15 +65,15 @@
 
 func newDecision(v *View) *decision {
 	d := &decision{
-		v:         v,
-		cluster:   topology.NewCluster(topologyWorkers(v.Workers)),
-		book:      guarantee.NewBook(guarantees(v.Guarantees)),
-		teams:     map[team]*quotaUse{},
-		usage:     map[string]int{},
-		predicts:  newPredictor(v.Estimates),
-		feasible:  map[job.Shape]string{},
-		beside:    map[job.Shape]bool{},
-		noVictims: map[job.Shape]bool{},
+		v:          v,
+		cluster:    topology.NewCluster(topologyWorkers(v.Workers)),
+		assignment: guarantee.NewAssignment(guarantees(v.Guarantees)),
+		teams:      map[team]*quotaUse{},
+		usage:      map[string]int{},
+		predicts:   newPredictor(v.Estimates),
+		feasible:   map[job.Shape]string{},
+		beside:     map[job.Shape]bool{},
+		noVictims:  map[job.Shape]bool{},
 	}
 	for _, q := range v.Quotas {
 		d.teams[team{q.Organisation, q.Team}] = &quotaUse{limit: q.Accelerators}
@@ -82,7 +82,7 @@
 	d.free = d.firm.Clone()
 	d.soon = d.firm.Clone()
 	d.addRunning()
-	d.backing = d.book.Back(d.firm, d.book.UnusedSlots(noSlot))
+	d.backing = d.assignment.Back(d.firm, d.assignment.UnusedSlots(noSlot))
 	return d
 }
 
@@ -104,7 +104,7 @@
 	}
 	for _, i := range d.claimOrder() {
 		g := &d.v.Running[i]
-		if _, ok := d.book.Add(claimOf(g.ID, g.Shape, g.Urgent)); ok {
+		if _, ok := d.assignment.Add(claimOf(g.ID, g.Shape, g.Urgent)); ok {
 			d.firm.TakeAll(d.places[i], g.Shape.AcceleratorsPerTask)
 			continue
 		}
--- a/placement/deficit.go
+++ b/placement/deficit.go
@@ -13,7 +13,7 @@
 	reason := d.deficitReason()
 	at := map[Deficit]int{}
 	for _, slot := range missing {
-		s := d.book.Slots()[slot]
+		s := d.assignment.Slots()[slot]
 		key := Deficit{Organisation: s.Organisation, Shape: s.Shape}
 		i, seen := at[key]
 		if !seen {
@@ -36,13 +36,13 @@
 		}
 	}
 	whole := d.whole().Clone()
-	slots := d.book.UnusedSlots(noSlot)
+	slots := d.assignment.UnusedSlots(noSlot)
 	for i := range d.v.Running {
 		if g := &d.v.Running[i]; g.Guaranteed && !g.Stopping {
 			whole.TakeAll(d.positions(g.Workers), g.Shape.AcceleratorsPerTask)
 		}
 	}
-	if workers > 0 && len(d.book.Back(whole, slots).Missing()) == 0 {
+	if workers > 0 && len(d.assignment.Back(whole, slots).Missing()) == 0 {
 		return fmt.Sprintf("%d workers with %d accelerators are unavailable; bring them back or lower the guarantees",
 			workers, accelerators)
 	}
--- a/placement/guaranteed.go
+++ b/placement/guaranteed.go
@@ -30,14 +30,14 @@
 }
 
 // mayClaim returns a test whether a job may find an unused slot, which asks
-// the book but once for equal claims.
+// the assignment but once for equal claims.
 func (d *decision) mayClaim() func(w *Waiting) bool {
 	known := map[guarantee.Claim]bool{}
 	return func(w *Waiting) bool {
 		c := claimOf(w.ID, w.Shape, w.Urgent)
 		found, ok := known[c]
 		if !ok {
-			_, found = d.book.Find(c)
+			_, found = d.assignment.Find(c)
 			known[c] = found
 		}
 		return found
@@ -57,7 +57,7 @@
 
 // serveGuaranteed reports whether the job was started or reclaimed for.
 func (d *decision) serveGuaranteed(w *Waiting) bool {
-	slot, ok := d.book.Find(claimOf(w.ID, w.Shape, w.Urgent))
+	slot, ok := d.assignment.Find(claimOf(w.ID, w.Shape, w.Urgent))
 	if !ok || d.overQuota(w) {
 		return false
 	}
@@ -87,11 +87,11 @@
 // claim makes the place firm and the job's slot used. The places that back
 // other slots stay as they are unless the place took some of them.
 func (d *decision) claim(w *Waiting, place []int) {
-	slot, _ := d.book.Add(claimOf(w.ID, w.Shape, w.Urgent))
+	slot, _ := d.assignment.Add(claimOf(w.ID, w.Shape, w.Urgent))
 	spare := d.spare(slot)
 	d.firm.TakeAll(place, w.Shape.AcceleratorsPerTask)
 	if !holds(spare, place, w.Shape) {
-		d.backing = d.book.Back(d.firm, d.book.UnusedSlots(noSlot))
+		d.backing = d.assignment.Back(d.firm, d.assignment.UnusedSlots(noSlot))
 	}
 }
 
@@ -111,8 +111,8 @@
 // other than the given one holds.
 func (d *decision) spare(slot int) *topology.Capacity {
 	k := d.firm.Clone()
-	for s, unused := range d.book.Slots() {
-		if s != slot && d.book.Unused(s) {
+	for s, unused := range d.assignment.Slots() {
+		if s != slot && d.assignment.Unused(s) {
 			k.TakeAll(d.backing.Place(s), unused.Shape.AcceleratorsPerTask)
 		}
 	}
@@ -122,14 +122,14 @@
 // leavesBacking reports whether as many of the other unused slots can be
 // backed once the job runs at the place as before.
 func (d *decision) leavesBacking(w *Waiting, slot int, place []int) bool {
-	others := d.book.UnusedSlots(slot)
+	others := d.assignment.UnusedSlots(slot)
 	before := 0
 	if len(d.backing.Missing()) > 0 {
-		before = len(d.book.Back(d.firm, others).Missing())
+		before = len(d.assignment.Back(d.firm, others).Missing())
 	}
 	k := d.firm.Clone()
 	k.TakeAll(place, w.Shape.AcceleratorsPerTask)
-	return len(d.book.Back(k, others).Missing()) <= before
+	return len(d.assignment.Back(k, others).Missing()) <= before
 }
 
 // reclaimWithin sets accelerators aside for a guaranteed job and asks the
@@ -192,7 +192,7 @@
 // uses beyond its guarantees.
 func (d *decision) excess() map[string]float64 {
 	promised := map[string]int{}
-	for _, s := range d.book.Slots() {
+	for _, s := range d.assignment.Slots() {
 		promised[s.Organisation] += s.Shape.Accelerators()
 	}
 	all := 0
