Let a failure domain that returns take over gangs that wait elsewhere

Cause: queued jobs left a failure domain that was taken out, but none came back with it: they waited in a full one beside empty accelerators (seen with entry host processes: a gang still queued 40 s after the return). Ruled out: taking at every decision (a read of every ledger each second), and offers by the holder, which lacks the other failure domains' view. Change: a failure domain in which nothing waits looks at the other queues every 10 s and takes unpinned jobs that have waited 15 s and that placement.Pull says it could start at once, by the moves that exist already.

--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -196,6 +196,7 @@
 		Membership:    s.membership,
 		Election:      s.election,
 		Hold:          s.scheduler.Hold,
+		Takes:         s.scheduler.Takes,
 		Serving:       s.serving,
 		Peers:         s.peers,
 		Now:           h.opts.Now,
--- a/gang/scheduler.go
+++ b/gang/scheduler.go
@@ -83,6 +83,7 @@
 	permit  Permit
 	renewer *renewer
 	events  chan delivery
+	offers  chan offer
 	wake    chan struct{}
 	tasks   sync.WaitGroup // I/O under way
 	lists   singleflight.Group
@@ -112,6 +113,7 @@
 	s := &Scheduler{
 		o:       o,
 		permit:  Permit{FailureDomain: o.FailureDomain, Config: o.Config, Election: o.Election},
+		offers:  make(chan offer),
 		events:  make(chan delivery, eventBuffer),
 		wake:    make(chan struct{}, 1),
 		runs:    make(map[string]*tracked),
@@ -160,6 +162,8 @@
 		case <-s.wake:
 		case note := <-s.learnt.read:
 			s.adoptLearnt(note)
+		case o := <-s.offers:
+			s.answer(o)
 		}
 		timer.Stop()
 		s.drain(ctx)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -38,7 +38,10 @@
 	// Hold tells why a queued job of this failure domain waits; nil: unknown.
 	Hold func(job.ID) (reason string, ok bool)
 	// Serving tells whether a failure domain has a scheduler; nil: all have.
-	Serving   func(failureDomain string) bool
+	Serving func(failureDomain string) bool
+	// Takes tells which queued jobs of other failure domains this one could
+	// start at once; nil: none.
+	Takes     func(ctx context.Context, records []job.Record) []job.ID
 	Peers     peer.Caller   // nil: this entry host is alone
 	Retention time.Duration // 0: DefaultRetention
 	Now       func() time.Time
@@ -70,6 +73,8 @@
 	submitted *metrics.Counter
 	refused   *metrics.Counter
 
+	pulled time.Time // last look at other failure domains' queues; owned by Keep
+
 	mu    sync.Mutex
 	since map[string]time.Time // failure domain to the moment since which it starts nothing
 }
@@ -86,9 +91,10 @@
 	}
 }
 
-// Run prunes ended jobs of this failure domain, and moves queued ones away
-// from failure domains that start nothing, until ctx ends. Only the host that
-// holds the failure domain's term does so.
+// Run prunes ended jobs of this failure domain, moves queued ones away from
+// failure domains that start nothing, and takes over those that could start
+// here at once, until ctx ends. Only the host that holds the failure domain's
+// term does so.
 func (in *Intake) Run(ctx context.Context) error {
 	ticker := time.NewTicker(keepEvery)
 	defer ticker.Stop()
@@ -110,4 +116,5 @@
 	}
 	in.prune(ctx)
 	in.move(ctx)
+	in.pull(ctx)
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -37,6 +37,7 @@
 	snap  config.Snapshot
 	view  membership.View
 	now   time.Time
+	stop  []func() // ends what reads the ledgers
 }
 
 func newSite(t testing.TB) *site {
--- a/intake/keep.go
+++ b/intake/keep.go
@@ -162,7 +162,7 @@
 		if err != nil || to == from || snap.FailureDomains[to].Out {
 			continue
 		}
-		g.Go(func() error { return in.moveOne(ctx, key, from, to) })
+		g.Go(func() error { return in.moveOne(ctx, key, from, to, "failure domain "+from+" starts nothing") })
 	}
 	return g.Wait()
 }
@@ -172,14 +172,14 @@
 	return rec.State == job.Queued && rec.CancelBy == "" && rec.Spec.FailureDomain == ""
 }
 
-func (in *Intake) moveOne(ctx context.Context, key, from, to string) error {
+func (in *Intake) moveOne(ctx context.Context, key, from, to, reason string) error {
 	now := in.o.Now()
 	left, err := in.o.Ledgers.Jobs(from).Update(ctx, key, func(old job.Record, found bool) (job.Record, bool, error) {
 		if !found || !movable(old) {
 			return old, found, nil
 		}
 		old.MovedTo, old.Arrived = to, false
-		old.Enter(job.Moved, "failure domain "+from+" starts nothing", now)
+		old.Enter(job.Moved, reason, now)
 		old.Ended = now
 		return old, true, nil
 	})
--- /dev/null
+++ b/intake/pull.go
@@ -0,0 +1,88 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+const (
+	// pullEvery is the time between two looks at other failure domains' queues.
+	pullEvery = 10 * time.Second
+	// heldFor is how long a job has waited where it is before another failure
+	// domain may take it.
+	heldFor = 15 * time.Second
+	// movedRest is the least time between two moves of one job.
+	movedRest = 10 * time.Minute
+)
+
+// pull takes over queued jobs of failure domains in service that this one could
+// start at once, as after its return to service. It looks only while nothing
+// waits here, so that a busy failure domain costs no reads.
+func (in *Intake) pull(ctx context.Context) {
+	now := in.o.Now()
+	snap, _ := in.o.Config.Current()
+	here := snap.FailureDomains[in.o.FailureDomain]
+	if in.o.Takes == nil || here.Out || now.Sub(in.pulled) < pullEvery || in.waiting() {
+		return
+	}
+	in.pulled = now
+	for _, from := range sortedKeys(snap.FailureDomains) {
+		if from == here.Name || snap.FailureDomains[from].Out || !in.o.Serving(from) {
+			continue
+		}
+		if err := in.pullFrom(ctx, from); err != nil {
+			in.o.Logger.Warn("queued jobs were not taken over; it is tried again", "failureDomain", from, "err", err.Error())
+		}
+	}
+}
+
+// waiting reports whether a job is queued in this failure domain.
+func (in *Intake) waiting() bool {
+	records, _, complete := in.o.Ledgers.Jobs(in.o.FailureDomain).Snapshot()
+	for _, rec := range records {
+		if rec.State == job.Queued {
+			return true
+		}
+	}
+	return !complete
+}
+
+func (in *Intake) pullFrom(ctx context.Context, from string) error {
+	records, err := in.o.Ledgers.Jobs(from).ReadAll(ctx)
+	if err != nil {
+		return err
+	}
+	var offered []job.Record
+	for _, key := range sortedKeys(records) {
+		if rec := records[key]; movable(rec) && in.rested(rec) {
+			offered = append(offered, rec)
+		}
+	}
+	if len(offered) == 0 {
+		return nil
+	}
+	var g errgroup.Group
+	for _, id := range in.o.Takes(ctx, offered) {
+		g.Go(func() error {
+			return in.moveOne(ctx, id.String(), from, in.o.FailureDomain, "failure domain "+in.o.FailureDomain+" has room for it")
+		})
+	}
+	return g.Wait()
+}
+
+// rested reports whether a queued job has waited long enough where it is.
+func (in *Intake) rested(rec job.Record) bool {
+	since := rec.Submitted
+	if n := len(rec.History); n > 0 {
+		since = rec.History[n-1].At
+	}
+	rest := heldFor
+	if rec.Moves > 0 {
+		rest = movedRest
+	}
+	return in.o.Now().Sub(since) >= rest
+}
--- /dev/null
+++ b/intake/pull_test.go
@@ -0,0 +1,102 @@
+package intake_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/intake"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+// taker returns the intake of a host whose scheduler has room for the named jobs.
+func (s *site) taker(domain string, names ...string) *intake.Intake {
+	ledgers := ledger.New(ledger.Options{Store: s.store, Gap: 20 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = append(s.stop, cancel)
+	go func() { _ = ledgers.Run(ctx, domain) }()
+	return intake.New(intake.Options{
+		FailureDomain: domain, Ledgers: ledgers, Config: s, Membership: s, Election: s, Now: s.clock,
+		Takes: func(_ context.Context, records []job.Record) []job.ID {
+			var taken []job.ID
+			for _, rec := range records {
+				for _, name := range names {
+					if rec.Spec.ID.Name == name {
+						taken = append(taken, rec.Spec.ID)
+					}
+				}
+			}
+			return taken
+		},
+	})
+}
+
+// A failure domain with room takes queued jobs that have waited elsewhere: not
+// pinned ones, none twice within the rest, and none for a failure domain that
+// is out.
+func TestFailureDomainWithRoomTakesWaitingJobs(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	t.Cleanup(func() {
+		for _, stop := range s.stop {
+			stop()
+		}
+	})
+	ctx := context.Background()
+	s.edit(func(c *config.Snapshot) { c.FailureDomains["fd2"] = config.FailureDomain{Name: "fd2", Out: true} })
+	in, ledgers := s.entryHost("fd1")
+	pinned := spec("pinned")
+	pinned.FailureDomain = "fd1"
+	for _, sp := range []job.Spec{spec("waits"), spec("stays"), pinned} {
+		_, err := in.Submit(ctx, org, sp)
+		must.NoError(t, err)
+	}
+	held := func(domain string) []string {
+		records, err := ledgers.Jobs(domain).ReadAll(ctx)
+		must.NoError(t, err)
+		for key, rec := range records {
+			if rec.State != job.Queued {
+				delete(records, key)
+			}
+		}
+		return slices.Sorted(maps.Keys(records))
+	}
+	all := []string{"org/svc/pinned", "org/svc/stays", "org/svc/waits"}
+	other := s.taker("fd2", "waits", "pinned")
+	for range 20 {
+		s.pass(time.Minute)
+		other.Keep(ctx)
+		must.Eq(t, all, held("fd1"), must.Sprint("fd2 is out"))
+		time.Sleep(10 * time.Millisecond) // its own ledger is read meanwhile
+	}
+
+	s.edit(func(c *config.Snapshot) {
+		c.FailureDomains = map[string]config.FailureDomain{"fd1": {Name: "fd1"}, "fd2": {Name: "fd2"}}
+	})
+	keepUntil := func(in *intake.Intake, step time.Duration, domain string, jobs []string) {
+		for deadline := time.Now().Add(20 * time.Second); !slices.Equal(held(domain), jobs); time.Sleep(10 * time.Millisecond) {
+			must.True(t, time.Now().Before(deadline), must.Sprint("gave up waiting for ", jobs, " in ", domain))
+			s.pass(step)
+			in.Keep(ctx)
+		}
+	}
+	keepUntil(other, time.Second, "fd2", all[2:])
+	movedAt := s.clock()
+	must.Eq(t, all[:2], held("fd1"))
+	rec, err := in.Find(ctx, org, spec("waits").ID)
+	must.NoError(t, err)
+	must.EqOp(t, "fd2", rec.FailureDomain)
+
+	for _, sp := range []job.Spec{spec("stays"), pinned} {
+		_, err := in.Cancel(ctx, org, sp.ID)
+		must.NoError(t, err)
+	}
+	keepUntil(s.taker("fd1", "waits"), 15*time.Second, "fd1", all[2:])
+	must.GreaterEq(t, 10*time.Minute, s.clock().Sub(movedAt))
+}
