--- a/auth/auth.go
+++ b/auth/auth.go
@@ -150,11 +150,11 @@
 
 // RequireOperator returns a typed error unless the sender is an operator.
 func RequireOperator(ctx context.Context) error {
-	id, ok := FromContext(ctx)
-	switch {
-	case !ok:
-		return errUnauthenticated()
-	case !id.Operator:
+	id, err := RequireIdentity(ctx)
+	if err != nil {
+		return err
+	}
+	if !id.Operator {
 		return apierr.New(apierr.Forbidden, "only operators may do this", "use an operator's token")
 	}
 	return nil
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -224,9 +224,6 @@
 // Platform returns the URL of the platform's stand-in.
 func (d *Deployment) Platform() string { return d.platform }
 
-// PlatformCalls returns how often each kind of platform call was made.
-func (d *Deployment) PlatformCalls() map[string]int { return d.store.Calls() }
-
 // Close drains the entry hosts and ends the stand-ins.
 func (d *Deployment) Close() error {
 	d.cancel()
--- a/intake/http.go
+++ b/intake/http.go
@@ -36,9 +36,9 @@
 
 func handle(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		who, ok := auth.FromContext(r.Context())
-		if !ok {
-			httpjson.WriteError(w, apierr.New(apierr.Unauthenticated, "no token", "send Authorization: Bearer TOKEN"))
+		who, err := auth.RequireIdentity(r.Context())
+		if err != nil {
+			httpjson.WriteError(w, err)
 			return
 		}
 		answer, err := h(r, who)
--- a/placement/topology/capacity.go
+++ b/placement/topology/capacity.go
@@ -69,9 +69,6 @@
 	return n
 }
 
-// RackFree returns the free accelerators of a rack.
-func (k *Capacity) RackFree(r int) int { return k.rackFree[r] }
-
 // TotalFree returns the free accelerators of all workers.
 func (k *Capacity) TotalFree() int { return k.total }
 
--- a/routing/access.go
+++ b/routing/access.go
@@ -18,9 +18,9 @@
 // authorise returns the sender and the service that it calls when it may. The
 // error of kind Retired comes with the service's last document.
 func (r *Router) authorise(req *http.Request) (auth.Identity, config.Service, *apierr.Error) {
-	id, ok := auth.FromContext(req.Context())
-	if !ok {
-		return id, config.Service{}, apierr.New(apierr.Unauthenticated, "no valid token", "send Authorization: Bearer TOKEN")
+	id, err := auth.RequireIdentity(req.Context())
+	if err != nil {
+		return id, config.Service{}, apierr.From(err)
 	}
 	snap, _ := r.opts.Config.Current()
 	name := req.PathValue("service")
