Use no peer's answer that arrives after its call's deadline

The serving side's context ends with the caller's deadline, its handler then answers, perhaps with an empty reply, and the caller took that answer when it came before the caller's own timer had fired. Ruled out: the test; the same answer could have reached claims or renewals. Change: an answer is used only before the deadline, by the clock and not by the timer.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -8,6 +8,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel"
@@ -75,10 +76,14 @@
 	call := l.client.Go(method, envelope{ctx: ctx, args: args}, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		if call.Error == nil {
+		err := p.settle(address, l, call.Error)
+		if err == nil && late(ctx) {
+			return errors.Wrapf(context.DeadlineExceeded, "calling %s of peer %s", method, address)
+		}
+		if err == nil {
 			reflect.ValueOf(reply).Elem().Set(answer.Elem())
 		}
-		return p.settle(address, l, call.Error)
+		return err
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			p.retire(address, l)
@@ -87,6 +92,13 @@
 	}
 }
 
+// late reports whether the call's deadline has passed, also when its timer has
+// not fired yet. The serving side gave up by then, so its answer may be empty.
+func late(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // settle turns the error of a finished call into ours. Anything but the
 // service's own error means that the connection broke.
 func (p *Pool) settle(address string, l *link, err error) error {
