--- a/config/document.go
+++ b/config/document.go
@@ -18,7 +18,7 @@
 	KindFailureDomain Kind = "failure-domain"
 )
 
-// Organisation is a customer with guarantees. It holds only SHA-256 hashes of
+// Organisation holds guarantees and has teams. It keeps only SHA-256 hashes of
 // its callers' tokens, in lower-case hexadecimal.
 type Organisation struct {
 	Name        string      `json:"name"`
