--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,238 @@
+// Package dev boots a whole deployment in one process on loopback: entry hosts
+// of two failure domains, and stand-ins for the platform, workers and
+// upstreams. It is the embedded default for trying things out.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamentray/cyclamentray/auth"
+	"github.com/cyclamentray/cyclamentray/entryhost"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/settings"
+	"github.com/cyclamentray/cyclamentray/standin/kv"
+	"github.com/cyclamentray/cyclamentray/standin/upstream"
+	"github.com/cyclamentray/cyclamentray/standin/worker"
+	"github.com/cyclamentray/cyclamentray/workerapi"
+)
+
+// OperatorToken is the operator's token of a dev deployment.
+const OperatorToken = "dev-operator"
+
+// CallerToken returns the token of an organisation of the shipped documents.
+func CallerToken(organisation string) string { return "dev-" + organisation }
+
+// Size says what a dev deployment consists of, per failure domain.
+type Size struct {
+	EntryHosts     int
+	Racks          int
+	WorkersPerRack int
+	Accelerators   int // of each worker
+	Upstreams      int // of each service
+	TaskRun        time.Duration
+	RequestWork    time.Duration
+}
+
+// DefaultSize is large enough for the shipped examples.
+func DefaultSize() Size {
+	return Size{
+		EntryHosts: 2, Racks: 2, WorkersPerRack: 3, Accelerators: 8, Upstreams: 2,
+		TaskRun: 1500 * time.Millisecond, RequestWork: 5 * time.Millisecond,
+	}
+}
+
+// Options configure a Deployment.
+type Options struct {
+	FailureDomains []string
+	Services       []string // services for which upstreams run
+	Size           Size
+	Logs           io.Writer // of the entry hosts
+	LogLevel       log.Level
+}
+
+// Deployment is a running set of entry hosts and stand-ins. Close ends it.
+type Deployment struct {
+	opts      Options
+	store     *kv.Server
+	platform  string // base URL
+	hosts     []platform.Host
+	entries   []*entryhost.Host
+	upstreams []*upstream.Upstream
+	servers   []*http.Server
+	group     errgroup.Group
+	cancel    context.CancelFunc
+}
+
+// Start boots a deployment. The caller closes it.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	d := &Deployment{opts: o, store: kv.New()}
+	ctx, d.cancel = context.WithCancel(ctx)
+	if err := d.start(ctx); err != nil {
+		_ = d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	address, err := d.serve(d.store)
+	if err != nil {
+		return err
+	}
+	d.platform = "http://" + address
+	for _, fd := range d.opts.FailureDomains {
+		if err := d.startWorkers(fd); err != nil {
+			return err
+		}
+		if err := d.startUpstreams(fd); err != nil {
+			return err
+		}
+		if err := d.buildEntries(fd); err != nil {
+			return err
+		}
+	}
+	d.store.SetHosts(d.hosts)
+	for _, e := range d.entries {
+		d.group.Go(func() error { return e.Run(ctx) })
+	}
+	return nil
+}
+
+// serve answers HTTP on a fresh loopback port and returns its IP:port.
+func (d *Deployment) serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listening on loopback")
+	}
+	server := &http.Server{Handler: h}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (d *Deployment) startWorkers(fd string) error {
+	for r := range d.opts.Size.Racks {
+		for w := range d.opts.Size.WorkersPerRack {
+			host := platform.Host{
+				Name:          fmt.Sprintf("%s-w%d%d", fd, r, w),
+				Kind:          platform.Worker,
+				FailureDomain: fd,
+				Rack:          fmt.Sprintf("%s-r%d", fd, r),
+				Accelerators:  d.opts.Size.Accelerators,
+			}
+			server := worker.New(worker.Options{Name: host.Name, Accelerators: host.Accelerators, RunTime: d.runTime})
+			address, err := d.serve(server)
+			if err != nil {
+				return err
+			}
+			host.Address = address
+			d.hosts = append(d.hosts, host)
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) runTime(workerapi.Gang, int) time.Duration { return d.opts.Size.TaskRun }
+
+func (d *Deployment) startUpstreams(fd string) error {
+	for _, service := range d.opts.Services {
+		for u := range d.opts.Size.Upstreams {
+			host := platform.Host{
+				Name:          fmt.Sprintf("%s-%s-u%d", fd, service, u),
+				Kind:          platform.Upstream,
+				FailureDomain: fd,
+				Service:       service,
+				Slots:         8,
+				Connections:   60,
+			}
+			server := upstream.New(upstream.Options{Name: host.Name, Slots: host.Slots, Work: d.opts.Size.RequestWork})
+			address, err := d.serve(server)
+			if err != nil {
+				return err
+			}
+			host.Address = address
+			d.upstreams = append(d.upstreams, server)
+			d.hosts = append(d.hosts, host)
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) buildEntries(fd string) error {
+	for e := range d.opts.Size.EntryHosts {
+		s, err := d.settings(fmt.Sprintf("%s-e%d", fd, e), fd)
+		if err != nil {
+			return err
+		}
+		logger := log.NewWithOptions(d.opts.Logs, log.Options{Level: d.opts.LogLevel}).With("host", s.Host.Name)
+		host, err := entryhost.New(entryhost.Options{Settings: s, Logger: logger})
+		if err != nil {
+			return err
+		}
+		d.entries = append(d.entries, host)
+		d.hosts = append(d.hosts, platform.Host{
+			Name:          s.Host.Name,
+			Kind:          platform.EntryHost,
+			FailureDomain: fd,
+			Address:       host.Address(),
+			PeerAddress:   host.PeerAddress(),
+		})
+	}
+	return nil
+}
+
+func (d *Deployment) settings(name, fd string) (*settings.Settings, error) {
+	hash := auth.HashToken(OperatorToken)
+	text := fmt.Sprintf(`{
+		"host": {"name": %q, "failureDomain": %q, "region": "region-1"},
+		"listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0"},
+		"advertise": {"http": "127.0.0.1:1", "peer": "127.0.0.1:1"}, // replaced by the listeners' own
+		"platform": {"urls": [%q]},
+		"operatorTokenHashes": [%q],
+		"timing": {"drainWaitSeconds": 0}
+	}`, name, fd, d.platform, hash)
+	return settings.Parse("dev", []byte(text))
+}
+
+// Addresses returns the URLs of the entry hosts.
+func (d *Deployment) Addresses() []string {
+	urls := make([]string, 0, len(d.entries))
+	for _, e := range d.entries {
+		urls = append(urls, "http://"+e.Address())
+	}
+	return urls
+}
+
+// Platform returns the URL of the platform's stand-in.
+func (d *Deployment) Platform() string { return d.platform }
+
+// PlatformCalls returns how often each kind of platform call was made.
+func (d *Deployment) PlatformCalls() map[string]int { return d.store.Calls() }
+
+// Close drains the entry hosts and ends the stand-ins.
+func (d *Deployment) Close() error {
+	d.cancel()
+	err := d.group.Wait()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	return err
+}
+
+// Executions returns how often upstreams executed requests under a key.
+func (d *Deployment) Executions(key string) int {
+	total := 0
+	for _, u := range d.upstreams {
+		total += u.Executions()[key]
+	}
+	return total
+}
--- /dev/null
+++ b/dev/scenario.go
@@ -0,0 +1,278 @@
+package dev
+
+import (
+	"context"
+	_ "embed" // for the documents
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/api"
+	"github.com/cyclamentray/cyclamentray/client"
+	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/job"
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	stepTimeout  = 40 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+//go:embed documents/documents.hujson
+var documents []byte
+
+// FailureDomains are those of the dev documents.
+func FailureDomains() []string { return []string{"fd-a", "fd-b"} }
+
+// Organisations are those of the dev documents.
+func Organisations() []string { return []string{"juice-bottlers", "depot-norte"} }
+
+// Services are those of the dev documents that take requests.
+func Services() []string { return []string{"filings", "bookings"} }
+
+// Apply puts the dev documents in force and waits until every entry host has them.
+func (d *Deployment) Apply(ctx context.Context) (uint64, error) {
+	req, err := applyRequest()
+	if err != nil {
+		return 0, err
+	}
+	operator := client.New(d.Addresses()[0], OperatorToken)
+	reply, err := operator.Apply(ctx, req)
+	if err != nil {
+		return 0, err
+	}
+	return reply.Revision, d.waitRevision(ctx, reply.Revision)
+}
+
+func applyRequest() (api.ApplyRequest, error) {
+	docs, err := config.ParseDocuments("documents.hujson", documents)
+	if err != nil {
+		return api.ApplyRequest{}, err
+	}
+	var req api.ApplyRequest
+	for _, doc := range docs {
+		raw, err := json.Marshal(doc)
+		if err != nil {
+			return api.ApplyRequest{}, err
+		}
+		req.Documents = append(req.Documents, raw)
+	}
+	return req, nil
+}
+
+// waitRevision waits until every entry host has at least the revision in force.
+func (d *Deployment) waitRevision(ctx context.Context, revision uint64) error {
+	return waitUntil(ctx, readyTimeout, "every entry host to have the revision", func() bool {
+		for _, e := range d.entries {
+			if e.Ready() != nil || e.Revision() < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func waitUntil(ctx context.Context, limit time.Duration, what string, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("gave up after %s waiting for %s", limit, what)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// scenario runs real work against a deployment and reports each step.
+type scenario struct {
+	d        *Deployment
+	out      io.Writer
+	operator *client.Client
+	juice    *client.Client
+	depot    *client.Client
+}
+
+// Scenario applies the documents, runs requests and gangs of both first users,
+// takes a failure domain out and back, retires a service, and writes a line
+// about each step to out.
+func (d *Deployment) Scenario(ctx context.Context, out io.Writer) error {
+	urls := d.Addresses()
+	s := &scenario{
+		d:        d,
+		out:      out,
+		operator: client.New(urls[0], OperatorToken),
+		juice:    client.New(urls[0], CallerToken("juice-bottlers")),
+		depot:    client.New(urls[len(urls)-1], CallerToken("depot-norte")),
+	}
+	for _, step := range []func(context.Context) error{
+		s.apply, s.request, s.file, s.reconcile, s.forecast, s.refuse, s.takeOut, s.bringIn, s.retire,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scenario) say(format string, args ...any) { fmt.Fprintf(s.out, format+"\n", args...) }
+
+func (s *scenario) apply(ctx context.Context) error {
+	revision, err := s.d.Apply(ctx)
+	if err != nil {
+		return errors.Wrap(err, "applying the documents")
+	}
+	s.say("documents: in force on %d entry hosts at revision %d", len(s.d.entries), revision)
+	return nil
+}
+
+func (s *scenario) request(ctx context.Context) error {
+	answer, err := s.depot.Request(ctx, http.MethodGet, "bookings", "kit/grabbers", "", nil)
+	if err != nil {
+		return errors.Wrap(err, "requesting the kit list")
+	}
+	s.say("request: GET kit/grabbers answered %d, outcome %s", answer.Status, answer.Outcome)
+	return nil
+}
+
+// file sends one filing to every entry host under one idempotency key.
+func (s *scenario) file(ctx context.Context) error {
+	for _, url := range s.d.Addresses() {
+		caller := client.New(url, CallerToken("juice-bottlers"))
+		answer, err := caller.Request(ctx, http.MethodPost, "filings", "returns/2026-11", "return-2026-11", []byte(`{"litres": 1200}`))
+		if err != nil {
+			return errors.Wrap(err, "filing the return")
+		}
+		s.say("filing: POST returns/2026-11 answered %d, outcome %s", answer.Status, answer.Outcome)
+	}
+	s.say("filing: executed %d times", s.d.Executions("return-2026-11"))
+	return nil
+}
+
+func (s *scenario) reconcile(ctx context.Context) error {
+	spec := job.Spec{
+		ID:          job.ID{Organisation: "juice-bottlers", Service: "filings", Name: "november"},
+		Template:    "reconcile",
+		Shape:       job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
+		DeclaredRun: 2 * time.Second,
+		Checkpoint:  true,
+	}
+	return s.runJob(ctx, s.juice, spec)
+}
+
+func (s *scenario) forecast(ctx context.Context) error {
+	spec := job.Spec{
+		ID:          job.ID{Organisation: "depot-norte", Service: "bookings", Name: "spring"},
+		Template:    "forecast",
+		Shape:       job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
+		DeclaredRun: 2 * time.Second,
+		Checkpoint:  true,
+	}
+	return s.runJob(ctx, s.depot, spec)
+}
+
+func (s *scenario) runJob(ctx context.Context, caller *client.Client, spec job.Spec) error {
+	if _, err := caller.Submit(ctx, spec); err != nil {
+		return errors.Wrapf(err, "submitting %s", spec.ID)
+	}
+	rec, err := s.await(ctx, caller, spec.ID, job.Running, job.Finished)
+	if err != nil {
+		return err
+	}
+	s.say("job: %s %d x %d accelerators on %d workers of one rack in %s",
+		spec.ID, spec.Shape.Tasks, spec.Shape.AcceleratorsPerTask, len(rec.Workers), rec.Spec.FailureDomain)
+	rec, err = s.await(ctx, caller, spec.ID, job.Finished)
+	if err != nil {
+		return err
+	}
+	s.say("job: %s is %s", spec.ID, rec.State)
+	return nil
+}
+
+// await polls a job until it is in one of the states.
+func (s *scenario) await(ctx context.Context, caller *client.Client, id job.ID, states ...job.State) (job.Record, error) {
+	var rec job.Record
+	err := waitUntil(ctx, stepTimeout, fmt.Sprintf("%s to be %v", id, states), func() bool {
+		got, err := caller.Status(ctx, id)
+		if err != nil {
+			return false
+		}
+		rec = got
+		for _, state := range states {
+			if rec.State == state {
+				return true
+			}
+		}
+		return false
+	})
+	return rec, errors.Wrapf(err, "it is %s (%s)", rec.State, rec.Reason)
+}
+
+func (s *scenario) refuse(ctx context.Context) error {
+	spec := job.Spec{
+		ID:       job.ID{Organisation: "juice-bottlers", Service: "filings", Name: "too-large"},
+		Template: "reconcile",
+		Shape:    job.Shape{Tasks: 64, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
+	}
+	_, err := s.juice.Submit(ctx, spec)
+	if err == nil {
+		return errors.New("a job larger than its template was taken")
+	}
+	s.say("refusal: %v", err)
+	return nil
+}
+
+func (s *scenario) takeOut(ctx context.Context) error {
+	reply, err := s.operator.SetFailureDomain(ctx, "fd-a", true)
+	if err != nil {
+		return errors.Wrap(err, "taking fd-a out")
+	}
+	if err := s.d.waitRevision(ctx, reply.Revision); err != nil {
+		return err
+	}
+	s.say("failure domain: fd-a is out on every entry host at revision %d", reply.Revision)
+	spec := job.Spec{
+		ID:       job.ID{Organisation: "juice-bottlers", Service: "filings", Name: "december"},
+		Template: "reconcile",
+		Shape:    job.Shape{Tasks: 1, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
+	}
+	return s.runJob(ctx, s.juice, spec)
+}
+
+func (s *scenario) bringIn(ctx context.Context) error {
+	reply, err := s.operator.SetFailureDomain(ctx, "fd-a", false)
+	if err != nil {
+		return errors.Wrap(err, "bringing fd-a back")
+	}
+	s.say("failure domain: fd-a is back at revision %d", reply.Revision)
+	return s.d.waitRevision(ctx, reply.Revision)
+}
+
+func (s *scenario) retire(ctx context.Context) error {
+	reply, err := s.operator.Retire(ctx, "bookings")
+	if err != nil {
+		return errors.Wrap(err, "retiring bookings")
+	}
+	if err := s.d.waitRevision(ctx, reply.Revision); err != nil {
+		return err
+	}
+	spec := job.Spec{
+		ID:       job.ID{Organisation: "depot-norte", Service: "bookings", Name: "summer"},
+		Template: "forecast",
+		Shape:    job.Shape{Tasks: 1, AcceleratorsPerTask: 8, Adjacency: job.SameRack},
+	}
+	_, err = s.depot.Submit(ctx, spec)
+	if err == nil {
+		return errors.New("a job of a retired service was taken")
+	}
+	s.say("retirement: bookings is retired at revision %d; its next job: %v", reply.Revision, err)
+	return nil
+}
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -168,3 +168,9 @@
 func newIncarnation(now time.Time) string {
 	return strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 }
+
+// Revision returns the configuration revision in force on this host.
+func (h *Host) Revision() uint64 {
+	snap, _ := h.slices.config.Current()
+	return snap.Revision
+}
--- a/entryhost/handler.go
+++ b/entryhost/handler.go
@@ -22,6 +22,7 @@
 	mux.HandleFunc("GET "+pathMetrics, h.serveMetrics)
 	h.registerOperators(mux)
 	h.slices.router.Register(mux)
+	h.slices.intake.Register(mux)
 	authenticated := h.slices.auth.Middleware(mux)
 	return telemetry.Middleware(h.opts.Settings.Host.Name, h.opts.Metrics, h.opts.Now, authenticated)
 }
@@ -30,18 +31,28 @@
 	httpjson.Write(w, http.StatusOK, map[string]bool{"live": true})
 }
 
-// serveReady tells the balancer whether to send work here: the host must know
-// a configuration and must not be draining.
+// serveReady tells the balancer whether to send work here.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := h.Ready(); err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, map[string]bool{"ready": true})
+}
+
+// Ready returns nil when the host can take work: it is not draining, and knows
+// a configuration and other hosts. The error is an *apierr.Error.
+func (h *Host) Ready() error {
 	snap, _ := h.slices.config.Current()
 	switch {
 	case !h.ready.Load():
-		httpjson.WriteError(w, apierr.New(apierr.Unavailable, "the host is draining", "use another entry host"))
+		return apierr.New(apierr.Unavailable, "the host is draining", "use another entry host")
 	case snap.Revision == 0:
-		httpjson.WriteError(w, apierr.New(apierr.Unavailable, "the host has no configuration yet", "wait until it reaches the platform or a peer"))
-	default:
-		httpjson.Write(w, http.StatusOK, map[string]bool{"ready": true})
+		return apierr.New(apierr.Unavailable, "the host has no configuration yet", "wait until it reaches the platform or a peer")
+	case len(h.slices.membership.View().Hosts) == 0:
+		return apierr.New(apierr.Unavailable, "the host knows no other hosts yet", "wait until it reaches the platform or a peer")
 	}
+	return nil
 }
 
 func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -8,6 +8,9 @@
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/election"
+	"github.com/cyclamentray/cyclamentray/gang"
+	"github.com/cyclamentray/cyclamentray/intake"
+	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
@@ -25,6 +28,9 @@
 	election   *election.Election
 	auth       *auth.Authenticator
 	router     *routing.Router
+	books      *ledger.Books
+	scheduler  *gang.Scheduler
+	intake     *intake.Intake
 }
 
 func newSlices(h *Host) (*slices, error) {
@@ -42,6 +48,7 @@
 	s.buildElection(h)
 	s.buildAuth(h)
 	s.buildRouter(h)
+	s.buildJobs(h)
 	return s, s.registerPeers()
 }
 
@@ -128,10 +135,59 @@
 	})
 }
 
+func (s *slices) buildJobs(h *Host) {
+	s.books = ledger.New(ledger.Options{
+		Store:   s.platform,
+		Gap:     h.opts.Settings.Timing.LedgerBatch(),
+		Now:     h.opts.Now,
+		Logger:  h.opts.Logger.WithPrefix("ledger"),
+		Metrics: h.opts.Metrics,
+	})
+	failureDomain := h.opts.Settings.Host.FailureDomain
+	s.scheduler = gang.New(gang.Options{
+		FailureDomain: failureDomain,
+		Ledger:        s.books.Jobs(failureDomain),
+		Config:        s.config,
+		Membership:    s.membership,
+		Election:      s.election,
+		Peers:         s.peers,
+		Now:           h.opts.Now,
+		Logger:        h.opts.Logger.WithPrefix("gang"),
+		Metrics:       h.opts.Metrics,
+	})
+	s.intake = intake.New(intake.Options{
+		FailureDomain: failureDomain,
+		Books:         s.books,
+		Config:        s.config,
+		Membership:    s.membership,
+		Election:      s.election,
+		Hold:          s.scheduler.Hold,
+		Serving:       s.serving,
+		Peers:         s.peers,
+		Now:           h.opts.Now,
+		Logger:        h.opts.Logger.WithPrefix("intake"),
+		Metrics:       h.opts.Metrics,
+	})
+}
+
+// serving reports whether some entry host is known to schedule a failure domain.
+func (s *slices) serving(failureDomain string) bool {
+	view := s.membership.View()
+	if view.Self.FailureDomain == failureDomain && s.schedules() {
+		return true
+	}
+	statuses := s.membership.Statuses()
+	schedulers := view.Select(func(h platform.Host) bool {
+		return h.Kind == platform.EntryHost && h.FailureDomain == failureDomain && statuses[h.Name].Term != 0
+	})
+	return len(schedulers) > 0
+}
+
 func (s *slices) registerPeers() error {
 	for _, register := range []func(*peer.Server) error{
 		s.membership.RegisterPeer,
 		s.config.RegisterPeer,
+		s.scheduler.RegisterPeer,
 	} {
 		if err := register(s.peerServer); err != nil {
 			return err
@@ -147,7 +203,10 @@
 		s.config.Run,
 		s.election.Run,
 		s.router.Run,
+		s.scheduler.Run,
+		s.intake.Run,
 	} {
 		group.Go(func() error { return run(ctx) })
 	}
+	group.Go(func() error { return s.books.Run(ctx, s.membership.View().Self.FailureDomain) })
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -116,6 +116,8 @@
 func addCommands(parser *flags.Parser, a *app) error {
 	commands := append(jobCommands(a), documentCommands(a)...)
 	commands = append(commands, requestCommands(a)...)
+	commands = append(commands, command{"dev", "Run a whole deployment on loopback",
+		"Boots entry hosts of two failure domains and stand-ins for the platform, workers and upstreams in one process.", &devCommand{app: a}})
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
