--- a/dev/dev.go
+++ b/dev/dev.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,9 +29,6 @@
 // OperatorToken is the operator's token of a dev deployment.
 const OperatorToken = "dev-operator"
 
-// CallerToken returns the token of an organisation of the shipped documents.
-func CallerToken(organisation string) string { return "dev-" + organisation }
-
 // Size says what a dev deployment consists of, per failure domain.
 type Size struct {
 	EntryHosts     int
@@ -45,7 +43,7 @@
 // DefaultSize is large enough for the shipped examples.
 func DefaultSize() Size {
 	return Size{
-		EntryHosts: 2, Racks: 2, WorkersPerRack: 3, Accelerators: 8, Upstreams: 2,
+		EntryHosts: 2, Racks: 4, WorkersPerRack: 6, Accelerators: 8, Upstreams: 2,
 		TaskRun: 1500 * time.Millisecond, RequestWork: 5 * time.Millisecond,
 	}
 }
@@ -141,7 +139,14 @@
 	return nil
 }
 
-func (d *Deployment) runTime(workerapi.Gang, int) time.Duration { return d.opts.Size.TaskRun }
+// runTime returns how long a task runs; 0: until it is stopped.
+func (d *Deployment) runTime(g workerapi.Gang, _ int) time.Duration {
+	name := g.Job[strings.LastIndex(g.Job, "/")+1:]
+	if strings.HasPrefix(name, longPrefix) {
+		return 0
+	}
+	return d.opts.Size.TaskRun
+}
 
 func (d *Deployment) startUpstreams(fd string) error {
 	for _, service := range d.opts.Services {
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -106,7 +106,8 @@
 }
 
 // Run serves until ctx ends, then drains: it reports not ready, hands over the
-// term, waits for the balancer, and finishes every request in flight.
+// term, and serves on until the balancer has seen it and every request in
+// flight is answered.
 func (h *Host) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -158,7 +159,6 @@
 	if err := h.slices.election.Resign(ctx); err != nil {
 		h.log.Warn("term not handed over; it lapses by itself", "err", err)
 	}
-	waitFor(ctx, timing.DrainWait())
 	if err := h.slices.router.Drain(ctx); err != nil {
 		h.log.Error("requests were still in flight at the limit", "err", err)
 	}
@@ -168,15 +168,6 @@
 	h.log.Info("drained")
 }
 
-func waitFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (h *Host) close() {
 	_ = h.server.Close()
 	_ = h.slices.peerServer.Close()
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -163,6 +163,7 @@
 		Membership: s.membership,
 		Config:     s.config,
 		Claims:     s.claims,
+		DrainDelay: h.opts.Settings.Timing.DrainWait(),
 	})
 }
 
@@ -182,6 +183,7 @@
 		Membership:    s.membership,
 		Election:      s.election,
 		Peers:         s.peers,
+		Notes:         s.books.Notes(),
 		Now:           h.opts.Now,
 		Logger:        h.opts.Logger.WithPrefix("gang"),
 		Metrics:       h.opts.Metrics,
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 
 	"github.com/charmbracelet/log"
 
@@ -48,8 +50,9 @@
 		fmt.Fprintln(c.app.out, "entry host:", url)
 	}
 	fmt.Fprintln(c.app.out, "operator's token:", dev.OperatorToken)
-	for _, organisation := range dev.Organisations() {
-		fmt.Fprintf(c.app.out, "token of %s: %s\n", organisation, dev.CallerToken(organisation))
+	tokens := dev.Tokens()
+	for _, organisation := range slices.Sorted(maps.Keys(tokens)) {
+		fmt.Fprintf(c.app.out, "token of %s: %s\n", organisation, tokens[organisation])
 	}
 	fmt.Fprintln(c.app.out, "stop with Ctrl-C")
 	<-c.app.ctx.Done()
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -20,7 +20,7 @@
 	Name         string
 	Accelerators int
 	Now          func() time.Time // nil: time.Now
-	// RunTime tells how long a task runs; nil: until stopped.
+	// RunTime tells how long a task runs; nil or an answer of 0: until stopped.
 	RunTime func(gang workerapi.Gang, index int) time.Duration
 	// Fail tells whether a task fails as soon as it starts; nil: none does.
 	Fail func(gang workerapi.Gang, index int) bool
@@ -212,7 +212,7 @@
 	t.GangTasks = r.Size
 	t.expires = now.Add(r.Lease)
 	if s.o.RunTime != nil {
-		t.finish = now.Add(s.o.RunTime(r.Gang, t.Index))
+		t.finish = finishOf(now, s.o.RunTime(r.Gang, t.Index))
 	}
 	if s.o.Fail != nil && s.o.Fail(r.Gang, t.Index) {
 		t.end(workerapi.TaskFailed, "the task failed at its start", now)
@@ -317,3 +317,11 @@
 	}
 	return workerapi.Reply{Code: workerapi.OK}
 }
+
+// finishOf returns when a task that starts now ends by itself; zero: never.
+func finishOf(now time.Time, run time.Duration) time.Time {
+	if run == 0 {
+		return time.Time{}
+	}
+	return now.Add(run)
+}
