--- /dev/null
+++ b/batch/scheduler/decide.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+const (
+	// gangSettle is how long the other members of a gang get to end by
+	// themselves after one did: a report's way, and a stop at the runner.
+	gangSettle = 600 * time.Millisecond
+
+	// stalledUrgent and stalled are how long a run may show no progress before
+	// it is moved. Runners report once a second, and a percent of the longest
+	// work on the slowest runner takes about half a second.
+	stalledUrgent = 1600 * time.Millisecond
+	stalled       = 3500 * time.Millisecond
+
+	// remotePatience bounds how long a task waits for a place near its data.
+	remotePatienceMin = time.Second
+	remotePatienceMax = 6 * time.Second
+
+	// nominationLife is how long freed capacity is kept for the unit that had
+	// others stopped: a stop, its report and a margin.
+	nominationLife = 1500 * time.Millisecond
+)
+
+// Decide expires what has lapsed, moves runs that make no progress and places
+// what waits. wall is the time of day that occurrences are due by.
+func (c *Core) Decide(now steady.Time, wall time.Time) {
+	c.expire(now)
+	for _, j := range c.active {
+		for _, u := range j.units {
+			c.tend(u, now)
+		}
+	}
+	failed := make(map[shape]bool)
+	for _, u := range c.queue(wall) {
+		s := u.shape()
+		if failed[s] {
+			continue
+		}
+		if !c.schedule(u, now) {
+			failed[s] = true
+		}
+	}
+}
+
+// shape is what decides whether a unit fits: units of one shape fail alike.
+type shape struct {
+	service, label, dataRack string
+	request                  batch.Resources
+	tasks, perRunner         int
+	sameRack                 bool
+	priority                 int
+	step                     *batch.Step // set where runs of the step limit each other
+}
+
+func (u *unit) shape() shape {
+	s := u.spec()
+	out := shape{
+		service: u.job.spec.Service, label: s.Label, dataRack: s.DataRack, request: s.Request,
+		tasks: u.tasks, perRunner: s.PerRunner, sameRack: s.SameRack, priority: u.job.spec.Priority,
+	}
+	if s.PerRunner > 0 || len(u.avoid) > 0 {
+		out.step = s
+	}
+	return out
+}
+
+// tend looks after a unit that runs.
+func (c *Core) tend(u *unit, now steady.Time) {
+	if len(u.runs) == 0 {
+		return
+	}
+	if !u.ending.IsZero() && now.Sub(u.ending) > gangSettle {
+		c.stopUnit(u, now, "another member ended")
+		return
+	}
+	if u.leaving() {
+		c.stopUnit(u, now, "runner is leaving")
+		return
+	}
+	if u.stalled(now) {
+		u.blame(now)
+		c.stopUnit(u, now, "no progress")
+	}
+}
+
+// leaving reports whether a run of the unit can't end before its runner leaves.
+func (u *unit) leaving() bool {
+	return slices.ContainsFunc(u.runs, func(r *run) bool {
+		return r.phase == running && r.runner.Draining && r.remaining() > r.runner.DrainRemaining
+	})
+}
+
+// remaining estimates how much longer a run takes.
+func (r *run) remaining() time.Duration {
+	elapsed := r.advanced.Sub(r.started)
+	if r.percent <= 0 || elapsed <= 0 {
+		return r.unit.spec().Estimate
+	}
+	return elapsed * time.Duration(100-r.percent) / time.Duration(r.percent)
+}
+
+func (u *unit) stalled(now steady.Time) bool {
+	limit := stalled
+	if u.job.spec.Priority == 0 {
+		limit = stalledUrgent
+	}
+	for _, r := range u.runs {
+		moved := r.phase != running || r.percent >= 100 || now.Sub(r.advanced) < limit
+		if moved || now.Sub(r.runner.contact) > freshContact {
+			return false
+		}
+	}
+	return !u.spec().LongRunning
+}
+
+func (u *unit) blame(now steady.Time) {
+	if u.avoid == nil {
+		u.avoid = make(map[string]int)
+	}
+	for _, r := range u.runs {
+		u.avoid[r.runner.ID]++
+		if u.tasks == 1 {
+			r.runner.suspect(now)
+		}
+	}
+}
+
+// queue returns the units whose turn has come, in the order they are placed.
+func (c *Core) queue(wall time.Time) []*unit {
+	var out []*unit
+	for _, j := range c.active {
+		for _, u := range j.units {
+			if u.waiting() && u.eligible(wall, c.opts.Early) {
+				out = append(out, u)
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *unit) int {
+		return cmp.Or(
+			cmp.Compare(a.job.spec.Priority, b.job.spec.Priority),
+			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
+			cmp.Compare(a.occurrence, b.occurrence),
+		)
+	})
+	return out
+}
+
+// schedule places a unit, or stops others to make room for it.
+func (c *Core) schedule(u *unit, now steady.Time) bool {
+	near := c.place(u, now, false)
+	if near != nil {
+		c.assign(u, near, now)
+		return true
+	}
+	if u.job.spec.Priority == 0 && c.preempt(u, now) {
+		return false
+	}
+	if now.Sub(u.since) < u.remotePatience() {
+		return false
+	}
+	far := c.place(u, now, true)
+	if far == nil {
+		return false
+	}
+	c.assign(u, far, now)
+	return true
+}
+
+func (u *unit) remotePatience() time.Duration {
+	if u.job.spec.Priority == 0 {
+		return 0
+	}
+	return min(max(u.spec().Estimate, remotePatienceMin), remotePatienceMax)
+}
+
+// assign plans a run of each task of the unit.
+func (c *Core) assign(u *unit, chosen []*runner, now steady.Time) {
+	j := u.job
+	u.attempt++
+	u.ending = 0
+	if j.state == batch.Queued {
+		j.state = batch.Running
+	}
+	c.change(j)
+	for i, to := range chosen {
+		to.nominated = slices.DeleteFunc(to.nominated, func(n nomination) bool { return n.unit == u })
+		r := &run{unit: u, index: u.first + i, runner: to, attempt: u.attempt, phase: planned, needs: j.version, changed: now}
+		c.attach(r)
+		c.opts.Observe(Decision{
+			What: "place", Job: j.spec.ID, Task: r.task(), Attempt: r.attempt, Runner: to.ID, Waited: now.Sub(u.since),
+		})
+	}
+}
--- a/claims/bound.go
+++ b/claims/bound.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const maxBoundKeys = 100_000
@@ -74,8 +74,8 @@
 // host has its name.
 func (s *Service) callBound(ctx context.Context, incarnation, method string, args, reply any) (found bool, err error) {
 	name := incarnation[:strings.LastIndex(incarnation, ".")]
-	hosts := s.opts.Membership.View().Select(func(h platform.Host) bool {
-		return h.Kind == platform.EntryHost && h.Name == name
+	hosts := s.opts.Membership.View().Select(func(h kvstore.Host) bool {
+		return h.Kind == kvstore.EntryHost && h.Name == name
 	})
 	if len(hosts) == 0 {
 		return false, nil
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -17,7 +17,7 @@
 	"github.com/cyclamentray/cyclamentray/claims"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
@@ -52,12 +52,12 @@
 	})
 	c := &cluster{store: store}
 	listeners := make([]net.Listener, n)
-	var list []platform.Host
+	var list []kvstore.Host
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
 		listeners[i] = l
-		list = append(list, platform.Host{Name: fmt.Sprintf("e%d", i), Kind: platform.EntryHost, PeerAddress: l.Addr().String()})
+		list = append(list, kvstore.Host{Name: fmt.Sprintf("e%d", i), Kind: kvstore.EntryHost, PeerAddress: l.Addr().String()})
 	}
 	for i := range n {
 		c.hosts = append(c.hosts, startHost(t, server.Listener.Addr().String(), listeners[i], list, i, change))
@@ -65,12 +65,12 @@
 	return c
 }
 
-func startHost(t *testing.T, store string, l net.Listener, list []platform.Host, i int, change []func(*claims.Options)) *host {
+func startHost(t *testing.T, store string, l net.Listener, list []kvstore.Host, i int, change []func(*claims.Options)) *host {
 	proxy, err := faultproxy.New(store)
 	must.NoError(t, err)
 	pool := peer.NewPool(peer.Options{Timeout: 500 * time.Millisecond})
 	o := claims.Options{
-		Store:          platform.NewClient("http://" + proxy.Addr()),
+		Store:          kvstore.NewClient("http://" + proxy.Addr()),
 		Peers:          pool,
 		Membership:     staticView{&membership.View{Self: list[i], Hosts: list}},
 		CommitInterval: 5 * time.Millisecond,
--- a/claims/journal.go
+++ b/claims/journal.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamentray/cyclamentray/internal/pause"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -65,7 +65,7 @@
 			return nil, err
 		}
 		err = j.fence(ctx, segments)
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, kvstore.ErrConflict) {
 			continue
 		}
 		if err != nil {
@@ -79,7 +79,7 @@
 // load reads the ring in the order in which its segments are written, up to
 // the first one that was never written: none after it was, either.
 func (j *journal) load(ctx context.Context) ([]segment, error) {
-	ctx = platform.Urgent(ctx)
+	ctx = kvstore.Urgent(ctx)
 	segments := make([]segment, j.opts.Segments)
 	clear(j.versions)
 	for first := 1; first <= len(segments); first += loadParallel {
@@ -123,7 +123,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e, err := j.opts.Store.Get(ctx, j.key(slot))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -212,7 +212,7 @@
 			j.troubled(nil)
 			return nil
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, kvstore.ErrConflict) {
 			return errFenced
 		}
 		j.troubled(err)
@@ -227,7 +227,7 @@
 // an error other than ErrConflict leaves open whether the write took effect, and
 // the same segment must be settled again before any other.
 func (j *journal) settle(ctx context.Context, slot int, s segment) error {
-	ctx, cancel := context.WithTimeout(platform.Urgent(ctx), callTimeout)
+	ctx, cancel := context.WithTimeout(kvstore.Urgent(ctx), callTimeout)
 	defer cancel()
 	value := s.encode()
 	e, err := j.opts.Store.CompareAndSwap(ctx, j.key(slot), value, j.versions[slot])
@@ -236,18 +236,18 @@
 		return nil
 	}
 	now, readErr := j.opts.Store.Get(ctx, j.key(slot))
-	if errors.Is(readErr, platform.ErrNotFound) && j.versions[slot] == 0 {
+	if errors.Is(readErr, kvstore.ErrNotFound) && j.versions[slot] == 0 {
 		return err
 	}
 	if readErr != nil {
-		return errors.Mark(readErr, platform.ErrUnavailable)
+		return errors.Mark(readErr, kvstore.ErrUnavailable)
 	}
 	if bytes.Equal(now.Value, value) {
 		j.versions[slot] = now.Version
 		return nil
 	}
 	if now.Version != j.versions[slot] {
-		return platform.ErrConflict
+		return kvstore.ErrConflict
 	}
-	return errors.Mark(err, platform.ErrUnavailable)
+	return errors.Mark(err, kvstore.ErrUnavailable)
 }
--- a/claims/journal_test.go
+++ b/claims/journal_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -27,7 +27,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			server := httptest.NewServer(kv.New())
 			defer server.Close()
-			o := Options{Store: platform.NewClient(server.URL), Segments: 4, EventsPerSegment: perSegment}.withDefaults()
+			o := Options{Store: kvstore.NewClient(server.URL), Segments: 4, EventsPerSegment: perSegment}.withDefaults()
 			ctx := t.Context()
 			ignore := func(error) {}
 			earlier, later := newJournal(&o, 0, 1, ignore), newJournal(&o, 0, 2, ignore)
--- a/claims/lease.go
+++ b/claims/lease.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamentray/cyclamentray/internal/pause"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 func headKey(shard int) string { return fmt.Sprintf("claims/%d/owner", shard) }
@@ -18,15 +18,15 @@
 // only decides who takes a shard over; what a late owner writes is refused by
 // the journal, not by the lease. It is safe for concurrent use.
 type leaseKeeper struct {
-	store platform.Store
+	store kvstore.Store
 	ttl   time.Duration
 
 	mu    sync.Mutex
-	lease platform.Lease // empty ID: none
+	lease kvstore.Lease // empty ID: none
 }
 
 // get returns the lease, and asks for one when there is none.
-func (k *leaseKeeper) get(ctx context.Context) (platform.Lease, error) {
+func (k *leaseKeeper) get(ctx context.Context) (kvstore.Lease, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.lease.ID != "" {
@@ -40,11 +40,11 @@
 }
 
 // lost forgets a lease that has lapsed.
-func (k *leaseKeeper) lost(lease platform.Lease) {
+func (k *leaseKeeper) lost(lease kvstore.Lease) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.lease.ID == lease.ID {
-		k.lease = platform.Lease{}
+		k.lease = kvstore.Lease{}
 	}
 }
 
@@ -57,10 +57,10 @@
 		if lease.ID == "" {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(platform.Urgent(ctx), interval)
+		callCtx, cancel := context.WithTimeout(kvstore.Urgent(ctx), interval)
 		err := k.store.Renew(callCtx, lease)
 		cancel()
-		if errors.Is(err, platform.ErrLeaseLost) {
+		if errors.Is(err, kvstore.ErrLeaseLost) {
 			k.lost(lease)
 		}
 	}
@@ -76,7 +76,7 @@
 func (k *leaseKeeper) revoke(ctx context.Context) {
 	k.mu.Lock()
 	lease := k.lease
-	k.lease = platform.Lease{}
+	k.lease = kvstore.Lease{}
 	k.mu.Unlock()
 	if lease.ID != "" {
 		_ = k.store.Revoke(ctx, lease)
--- a/claims/service.go
+++ b/claims/service.go
@@ -19,7 +19,7 @@
 	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // The defaults of Options.
@@ -49,7 +49,7 @@
 	Now              func() time.Time // nil: time.Now
 	Logger           *log.Logger      // nil: nothing is logged
 	Metrics          *metrics.Set     // nil: none are kept
-	Store            platform.Store
+	Store            kvstore.Store
 	Peers            peer.Caller
 	Membership       membership.Source
 	Shards           int
@@ -277,22 +277,22 @@
 	}
 }
 
-func (s *Service) read(ctx context.Context, key string, seen uint64, first bool) (platform.Entry, error) {
+func (s *Service) read(ctx context.Context, key string, seen uint64, first bool) (kvstore.Entry, error) {
 	if !first {
 		ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 		defer cancel()
 		return s.opts.Store.Watch(ctx, key, seen)
 	}
-	ctx, cancel := context.WithTimeout(platform.Urgent(ctx), callTimeout)
+	ctx, cancel := context.WithTimeout(kvstore.Urgent(ctx), callTimeout)
 	defer cancel()
 	e, err := s.opts.Store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{Key: key}, nil
+	if errors.Is(err, kvstore.ErrNotFound) {
+		return kvstore.Entry{Key: key}, nil
 	}
 	return e, err
 }
 
-func (s *Service) learn(index int, head platform.Entry) {
+func (s *Service) learn(index int, head kvstore.Entry) {
 	var o owner
 	if len(head.Value) > 0 {
 		if err := json.Unmarshal(head.Value, &o); err != nil {
@@ -318,7 +318,7 @@
 	if err != nil {
 		return 0, false
 	}
-	callCtx, cancel := context.WithTimeout(platform.Urgent(ctx), callTimeout)
+	callCtx, cancel := context.WithTimeout(kvstore.Urgent(ctx), callTimeout)
 	defer cancel()
 	lease, err := s.lease.get(callCtx)
 	if err != nil {
@@ -327,7 +327,7 @@
 	}
 	e, err := s.opts.Store.Acquire(callCtx, headKey(index), value, lease)
 	if err != nil {
-		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrLeaseLost) {
+		if errors.Is(err, kvstore.ErrConflict) || errors.Is(err, kvstore.ErrLeaseLost) {
 			s.lease.lost(lease)
 		}
 		pause.For(ctx, firstBackoff)
--- a/config/distribute.go
+++ b/config/distribute.go
@@ -12,7 +12,7 @@
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -35,7 +35,7 @@
 
 // Options configures a Distributor.
 type Options struct {
-	Store   platform.Store
+	Store   kvstore.Store
 	Peers   peer.Caller
 	Members membership.Source
 	Seeds   []string    // peer addresses to ask before members are known
@@ -202,7 +202,7 @@
 		d.reads--
 		d.mu.Unlock()
 	}()
-	callCtx, cancel := context.WithTimeout(platform.Urgent(ctx), readTimeout)
+	callCtx, cancel := context.WithTimeout(kvstore.Urgent(ctx), readTimeout)
 	defer cancel()
 	sent := d.opts.Now()
 	h, _, err := d.archive.head(callCtx)
--- a/config/distribute_test.go
+++ b/config/distribute_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/config"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -104,14 +104,14 @@
 
 // lossyStore misses every content key but the ones it let through.
 type lossyStore struct {
-	platform.Store
+	kvstore.Store
 	left atomic.Int32
 }
 
-func (s *lossyStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *lossyStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if key != "cyclamentray/config/manifest" {
 		if s.left.Add(-1) < 0 {
-			return platform.Entry{}, platform.ErrNotFound
+			return kvstore.Entry{}, kvstore.ErrNotFound
 		}
 	}
 	return s.Store.Get(ctx, key)
--- a/config/edit.go
+++ b/config/edit.go
@@ -14,7 +14,7 @@
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // EditorOptions configures an Editor.
 type EditorOptions struct {
-	Store       platform.Store
+	Store       kvstore.Store
 	Distributor *Distributor // learns accepted edits at once
 	Now         func() time.Time
 	Logger      *log.Logger
@@ -90,10 +90,10 @@
 // it never goes on top of another. Its calls are urgent: operators wait for it,
 // and a failure domain may have to be out at once.
 func (e *Editor) run(ctx context.Context, expected *uint64, change edit) (uint64, error) {
-	ctx = platform.Urgent(ctx)
+	ctx = kvstore.Urgent(ctx)
 	for try := range maxEditTries {
 		revision, err := e.try(ctx, expected, change)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kvstore.ErrConflict) {
 			e.count(err)
 			return revision, typed(err)
 		}
@@ -149,7 +149,7 @@
 	h := head{Revision: next.manifest.Revision, Manifest: next.hash, Edits: edits}
 	sent := e.opts.Now()
 	err := e.archive.swap(ctx, h, version)
-	if errors.Is(err, platform.ErrAmbiguous) {
+	if errors.Is(err, kvstore.ErrAmbiguous) {
 		err = e.settle(ctx, h, nonce, version)
 	}
 	if err != nil {
@@ -174,7 +174,7 @@
 		case now.accepted(nonce):
 			return nil
 		case at != version && now.Revision < h.Revision+recentEdits:
-			return platform.ErrConflict
+			return kvstore.ErrConflict
 		case at != version: // too many edits since for the head to tell
 			return errUnsettled
 		default:
@@ -210,7 +210,7 @@
 	switch {
 	case err == nil || errors.As(err, &known):
 		return orNil(known)
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, kvstore.ErrAmbiguous):
 		return apierr.New(apierr.OutcomeUnknown, "the platform's answer was lost", "read the configuration before applying the edit again")
 	}
 	return apierr.New(apierr.Unavailable, "the platform was not reached, and nothing was changed: "+err.Error(), "apply the edit again when the platform answers")
--- a/config/edit_test.go
+++ b/config/edit_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/config"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -25,12 +25,12 @@
 	return config.Document{Kind: config.KindService, Service: &config.Service{Name: name, Organisation: org, Team: "a"}}
 }
 
-func newStore(t *testing.T) (*kv.Server, platform.Store) {
+func newStore(t *testing.T) (*kv.Server, kvstore.Store) {
 	t.Helper()
 	stand := kv.New()
 	server := httptest.NewServer(stand)
 	t.Cleanup(server.Close)
-	return stand, platform.NewClient(server.URL)
+	return stand, kvstore.NewClient(server.URL)
 }
 
 func TestSecondOperatorUnderOneRevisionGetsConflict(t *testing.T) {
@@ -84,7 +84,7 @@
 
 // lateDeleter runs a hook before its first deletion.
 type lateDeleter struct {
-	*platform.Client
+	*kvstore.Client
 	before func()
 }
 
@@ -100,7 +100,7 @@
 	ctx := context.Background()
 	server := httptest.NewServer(kv.New())
 	defer server.Close()
-	store := platform.NewClient(server.URL)
+	store := kvstore.NewClient(server.URL)
 	other := config.NewEditor(config.EditorOptions{Store: store})
 	_, err := other.Apply(ctx, []config.Document{failureDomain("n1")}, 0)
 	must.NoError(t, err)
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -16,7 +16,7 @@
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -37,8 +37,8 @@
 type member struct {
 	*config.Distributor
 	fleet  *fleet
-	self   platform.Host
-	guard  *platform.Guard
+	self   kvstore.Host
+	guard  *kvstore.Guard
 	server *peer.Server
 	pool   *peer.Pool
 	stop   context.CancelFunc
@@ -80,8 +80,8 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(f.t, err)
 	m := &member{fleet: f, server: peer.NewServer(peer.Options{}), pool: peer.NewPool(peer.Options{}), stop: func() {}}
-	m.self = platform.Host{Name: name, Kind: platform.EntryHost, FailureDomain: fd, PeerAddress: l.Addr().String()}
-	m.guard = platform.New(platform.Options{Base: f.url})
+	m.self = kvstore.Host{Name: name, Kind: kvstore.EntryHost, FailureDomain: fd, PeerAddress: l.Addr().String()}
+	m.guard = kvstore.New(kvstore.Options{Base: f.url})
 	m.Distributor = config.NewDistributor(config.Options{Store: m.guard, Peers: m.pool, Members: m,
 		Direct: func() bool { return f.schedulers }, Metrics: metrics.NewSet()})
 	must.NoError(f.t, m.RegisterPeer(m.server))
--- a/config/linear_test.go
+++ b/config/linear_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/config"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -165,9 +165,9 @@
 	server := httptest.NewServer(stand)
 	defer server.Close()
 	newEditor := func(client int) *config.Editor {
-		var store platform.Store = platform.NewClient(server.URL) // leaves lost answers to the editor
+		var store kvstore.Store = kvstore.NewClient(server.URL) // leaves lost answers to the editor
 		if client%2 == 0 {
-			store = platform.New(platform.Options{Base: server.URL, Rate: 1000, Burst: 1000})
+			store = kvstore.New(kvstore.Options{Base: server.URL, Rate: 1000, Burst: 1000})
 		}
 		d := config.NewDistributor(config.Options{Store: store})
 		return config.NewEditor(config.EditorOptions{Store: store, Distributor: d})
--- a/config/store.go
+++ b/config/store.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -40,13 +40,13 @@
 }
 
 // archive reads and writes configuration in the platform's store.
-type archive struct{ store platform.Store }
+type archive struct{ store kvstore.Store }
 
 // head reads the newest head and its entry's version; both are zero before the
 // first edit.
 func (a archive) head(ctx context.Context) (head, uint64, error) {
 	entry, err := a.store.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return head{}, 0, nil
 	}
 	if err != nil {
@@ -84,10 +84,10 @@
 func (a archive) put(ctx context.Context, reference string, content []byte) error {
 	key := contentPrefix + reference
 	_, err := a.store.CompareAndSwap(ctx, key, content, 0)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, kvstore.ErrConflict) {
 		return nil
 	}
-	if errors.Is(err, platform.ErrAmbiguous) {
+	if errors.Is(err, kvstore.ErrAmbiguous) {
 		entry, readErr := a.store.Get(ctx, key)
 		if readErr == nil && bytes.Equal(entry.Value, content) {
 			return nil
@@ -166,7 +166,7 @@
 // finds content missing, takes nothing, and reads the head again. A store that
 // cannot delete keeps it all.
 func (a archive) clean(ctx context.Context, next, base *edition) {
-	store, ok := a.store.(platform.Deleter)
+	store, ok := a.store.(kvstore.Deleter)
 	if !ok {
 		return
 	}
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -18,7 +18,7 @@
 
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/entryhost"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/settings"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/upstream"
@@ -62,7 +62,7 @@
 	opts      Options
 	store     *kv.Server
 	platform  string // base URL
-	hosts     []platform.Host
+	hosts     []kvstore.Host
 	entries   []*entryhost.Host
 	upstreams []*upstream.Upstream
 	servers   []*http.Server
@@ -120,9 +120,9 @@
 func (d *Deployment) startWorkers(fd string) error {
 	for r := range d.opts.Size.Racks {
 		for w := range d.opts.Size.WorkersPerRack {
-			host := platform.Host{
+			host := kvstore.Host{
 				Name:          fmt.Sprintf("%s-w%d%d", fd, r, w),
-				Kind:          platform.Worker,
+				Kind:          kvstore.Worker,
 				FailureDomain: fd,
 				Rack:          fmt.Sprintf("%s-r%d", fd, r),
 				Accelerators:  d.opts.Size.Accelerators,
@@ -151,9 +151,9 @@
 func (d *Deployment) startUpstreams(fd string) error {
 	for _, service := range d.opts.Services {
 		for u := range d.opts.Size.Upstreams {
-			host := platform.Host{
+			host := kvstore.Host{
 				Name:          fmt.Sprintf("%s-%s-u%d", fd, service, u),
-				Kind:          platform.Upstream,
+				Kind:          kvstore.Upstream,
 				FailureDomain: fd,
 				Service:       service,
 				Slots:         8,
--- a/election/election.go
+++ b/election/election.go
@@ -14,7 +14,7 @@
 
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // Holder tells whether this host is its failure domain's scheduler.
@@ -40,7 +40,7 @@
 
 // Options configures an Election.
 type Options struct {
-	Store         platform.Store
+	Store         kvstore.Store
 	Host          string // name of this host
 	FailureDomain string
 	TTL           time.Duration // 0: DefaultTTL
@@ -148,7 +148,7 @@
 	return errors.Wrap(e.opts.Store.Revoke(ctx, lease), "freeing the scheduler's lease")
 }
 
-func (e *Election) revoke(ctx context.Context, lease platform.Lease) {
+func (e *Election) revoke(ctx context.Context, lease kvstore.Lease) {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	if err := e.opts.Store.Revoke(ctx, lease); err != nil {
@@ -157,9 +157,9 @@
 }
 
 // campaign waits until the key is free and tries to take it once.
-func (e *Election) campaign(ctx context.Context) (platform.Lease, bool) {
+func (e *Election) campaign(ctx context.Context) (kvstore.Lease, bool) {
 	if !e.waitFree(ctx) {
-		return platform.Lease{}, false
+		return kvstore.Lease{}, false
 	}
 	pause.For(ctx, time.Duration(e.opts.Random.Int64N(int64(candidateJitter))))
 	sent := e.opts.Now()
@@ -167,13 +167,13 @@
 	defer cancel()
 	lease, err := e.opts.Store.Grant(callCtx, e.opts.TTL)
 	if err != nil {
-		return platform.Lease{}, false
+		return kvstore.Lease{}, false
 	}
 	entry, err := e.opts.Store.Acquire(callCtx, Key(e.opts.FailureDomain), []byte(e.opts.Host), lease)
 	if err != nil {
 		// After an unknown outcome the lease may hold the key: free it either way.
 		e.revoke(context.WithoutCancel(ctx), lease)
-		return platform.Lease{}, false
+		return kvstore.Lease{}, false
 	}
 	e.setScheduler(e.opts.Host)
 	e.step(newTenure(lease, entry.Version, sent), "term begun")
@@ -182,10 +182,10 @@
 
 // waitFree returns true once the key is seen to be free.
 func (e *Election) waitFree(ctx context.Context) bool {
-	var seen platform.Entry
+	var seen kvstore.Entry
 	key := Key(e.opts.FailureDomain)
 	for first := true; ctx.Err() == nil; first = false {
-		var entry platform.Entry
+		var entry kvstore.Entry
 		var err error
 		if first {
 			entry, err = e.get(ctx, key)
@@ -206,12 +206,12 @@
 	return false
 }
 
-func (e *Election) get(ctx context.Context, key string) (platform.Entry, error) {
+func (e *Election) get(ctx context.Context, key string) (kvstore.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.opts.TTL)
 	defer cancel()
 	entry, err := e.opts.Store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{Key: key}, nil
+	if errors.Is(err, kvstore.ErrNotFound) {
+		return kvstore.Entry{Key: key}, nil
 	}
 	return entry, err
 }
@@ -219,7 +219,7 @@
 // watch waits for a change for little more than one TTL: a watch whose
 // connection went silent must not delay a takeover for longer. After such a
 // one the key is read plainly.
-func (e *Election) watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+func (e *Election) watch(ctx context.Context, key string, after uint64) (kvstore.Entry, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, e.opts.TTL*3/2)
 	defer cancel()
 	entry, err := e.opts.Store.Watch(watchCtx, key, after)
@@ -233,7 +233,7 @@
 // ctx ends. It never renews beyond that: a host whose renewals arrive but whose
 // answers do not would keep the lease from everyone and act under it itself
 // no more.
-func (e *Election) hold(ctx context.Context, lease platform.Lease) {
+func (e *Election) hold(ctx context.Context, lease kvstore.Lease) {
 	for ctx.Err() == nil {
 		pause.For(ctx, e.opts.TTL/renewalsPerTTL)
 		sent := e.opts.Now()
@@ -247,7 +247,7 @@
 		switch {
 		case err == nil:
 			e.renewed(sent)
-		case errors.Is(err, platform.ErrLeaseLost):
+		case errors.Is(err, kvstore.ErrLeaseLost):
 			e.opts.Logger.Warn("lease lost")
 			return
 		default:
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -13,7 +13,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/cyclamentray/cyclamentray/election"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -21,7 +21,7 @@
 
 // gate stands between one host and the platform.
 type gate struct {
-	platform.Store
+	kvstore.Store
 	cut    atomic.Bool  // calls fail at once
 	frozen sync.RWMutex // held for writing: calls wait, as in a paused process
 }
@@ -30,19 +30,19 @@
 	g.frozen.RLock()
 	defer g.frozen.RUnlock()
 	if g.cut.Load() {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return nil
 }
 
-func (g *gate) Grant(ctx context.Context, d time.Duration) (platform.Lease, error) {
+func (g *gate) Grant(ctx context.Context, d time.Duration) (kvstore.Lease, error) {
 	if err := g.pass(); err != nil {
-		return platform.Lease{}, err
+		return kvstore.Lease{}, err
 	}
 	return g.Store.Grant(ctx, d)
 }
 
-func (g *gate) Renew(ctx context.Context, l platform.Lease) error {
+func (g *gate) Renew(ctx context.Context, l kvstore.Lease) error {
 	err := g.Store.Renew(ctx, l)
 	if cut := g.pass(); cut != nil { // the answer is late or lost, the renewal is not
 		return cut
@@ -50,14 +50,14 @@
 	return err
 }
 
-func (g *gate) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (g *gate) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if err := g.pass(); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	return g.Store.Get(ctx, key)
 }
 
-func (g *gate) Revoke(ctx context.Context, l platform.Lease) error {
+func (g *gate) Revoke(ctx context.Context, l kvstore.Lease) error {
 	if err := g.pass(); err != nil {
 		return err
 	}
@@ -83,7 +83,7 @@
 	var running sync.WaitGroup
 	for i := range size {
 		ctx, stop := context.WithCancel(context.Background())
-		g := &gate{Store: platform.New(platform.Options{Base: server.URL, Rate: 1000, Burst: 1000})}
+		g := &gate{Store: kvstore.New(kvstore.Options{Base: server.URL, Rate: 1000, Burst: 1000})}
 		e := election.New(election.Options{Store: g, Host: string(rune('a' + i)), FailureDomain: "n1", TTL: ttl})
 		f.hosts = append(f.hosts, &host{Election: e, gate: g, stop: stop})
 		running.Go(func() { must.NoError(t, e.Run(ctx)) })
--- a/election/tenure.go
+++ b/election/tenure.go
@@ -3,19 +3,19 @@
 import (
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // tenure is one term of this host. Its zero value holds nothing.
 type tenure struct {
-	lease platform.Lease
+	lease kvstore.Lease
 	term  uint64
 	until time.Time // local monotonic time at which the host must have stopped acting
 }
 
 // newTenure starts a term whose lease was asked for at sent. The store starts
 // counting later than that, so the lease outlives until.
-func newTenure(lease platform.Lease, term uint64, sent time.Time) tenure {
+func newTenure(lease kvstore.Lease, term uint64, sent time.Time) tenure {
 	return tenure{lease: lease, term: term}.renewed(sent)
 }
 
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -20,7 +20,7 @@
 
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/settings"
 )
 
@@ -85,7 +85,7 @@
 func (h *Host) PeerAddress() string { return h.opts.Peer.Addr().String() }
 
 // Self returns this host's line of the host list.
-func (h *Host) Self() platform.Host { return h.opts.Settings.Self() }
+func (h *Host) Self() kvstore.Host { return h.opts.Settings.Self() }
 
 func (h *Host) listen() error {
 	var err error
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -14,14 +14,14 @@
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/routing"
 )
 
 // slices are the parts of one entry host, in the order in which they are built.
 type slices struct {
-	guard      *platform.Guard   // this host's own calls to the platform
-	platform   *platform.Carrier // the same, or through peers while it is cut off
+	guard      *kvstore.Guard   // this host's own calls to the platform
+	platform   *kvstore.Carrier // the same, or through peers while it is cut off
 	peers      *peer.Pool
 	peerServer *peer.Server
 	membership *membership.Membership
@@ -59,14 +59,14 @@
 }
 
 func (s *slices) buildPlatform(h *Host) {
-	s.guard = platform.New(platform.Options{
+	s.guard = kvstore.New(kvstore.Options{
 		Base:    h.opts.Settings.Platform.URLs[0],
 		Others:  h.opts.Settings.Platform.URLs[1:],
 		Now:     h.opts.Now,
 		Logger:  h.opts.Logger.WithPrefix("platform"),
 		Metrics: h.opts.Metrics,
 	})
-	s.platform = platform.NewCarrier(s.guard, s.peers, func() []string { return s.membership.Carriers() })
+	s.platform = kvstore.NewCarrier(s.guard, s.peers, func() []string { return s.membership.Carriers() })
 }
 
 func (s *slices) buildMembership(h *Host) {
@@ -212,7 +212,7 @@
 }
 
 // schedulerOf returns the entry host that is known to hold a failure domain's term.
-func (s *slices) schedulerOf(failureDomain string) (platform.Host, bool) {
+func (s *slices) schedulerOf(failureDomain string) (kvstore.Host, bool) {
 	view := s.membership.View()
 	if view.Self.FailureDomain == failureDomain && s.schedules() {
 		return view.Self, true
@@ -223,7 +223,7 @@
 			return p, true
 		}
 	}
-	return platform.Host{}, false
+	return kvstore.Host{}, false
 }
 
 func (s *slices) registerPeers() error {
--- a/entryhost/tls_test.go
+++ b/entryhost/tls_test.go
@@ -27,7 +27,7 @@
 	"github.com/cyclamentray/cyclamentray/api"
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/entryhost"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/settings"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
@@ -113,10 +113,10 @@
 		"good-2":   encrypted(t, "good-2", kvServer.URL, ours.files(t, ours)),
 		"stranger": encrypted(t, "stranger", kvServer.URL, theirs.files(t, ours)),
 	}
-	var list []platform.Host
+	var list []kvstore.Host
 	var group errgroup.Group
 	for name, h := range hosts {
-		list = append(list, platform.Host{Name: name, Kind: platform.EntryHost, FailureDomain: "fd-a", Address: h.Address(), PeerAddress: h.PeerAddress()})
+		list = append(list, kvstore.Host{Name: name, Kind: kvstore.EntryHost, FailureDomain: "fd-a", Address: h.Address(), PeerAddress: h.PeerAddress()})
 		group.Go(func() error { return h.Run(t.Context()) })
 	}
 	store.SetHosts(list)
--- a/entryhost/top.go
+++ b/entryhost/top.go
@@ -11,7 +11,7 @@
 	"github.com/cyclamentray/cyclamentray/gang"
 	"github.com/cyclamentray/cyclamentray/internal/httpjson"
 	"github.com/cyclamentray/cyclamentray/placement"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // showTop answers from heartbeats and from the schedulers, without the
@@ -34,8 +34,8 @@
 		Draining:      !h.ready.Load(),
 	}}
 	view := h.slices.membership.View()
-	others := view.Select(func(p platform.Host) bool {
-		return p.Kind == platform.EntryHost && p.Name != view.Self.Name
+	others := view.Select(func(p kvstore.Host) bool {
+		return p.Kind == kvstore.EntryHost && p.Name != view.Self.Name
 	})
 	for _, p := range others {
 		statuses = append(statuses, h.peerStatus(p))
@@ -43,7 +43,7 @@
 	return statuses
 }
 
-func (h *Host) peerStatus(p platform.Host) api.HostStatus {
+func (h *Host) peerStatus(p kvstore.Host) api.HostStatus {
 	line := api.HostStatus{Name: p.Name, FailureDomain: p.FailureDomain, Draining: p.Leaving}
 	status, heard := h.slices.membership.Statuses()[p.Name]
 	if !heard {
@@ -91,7 +91,7 @@
 }
 
 // usable returns a worker's accelerators, none of them when it is leaving.
-func usable(w platform.Host) int {
+func usable(w kvstore.Host) int {
 	if w.Leaving {
 		return 0
 	}
--- a/gang/bench_test.go
+++ b/gang/bench_test.go
@@ -20,7 +20,7 @@
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/placement"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/telemetry"
@@ -83,10 +83,10 @@
 	d.calls = &HTTPWorkers{client: &http.Client{Transport: telemetry.Transport(transport, "worker")}, timeout: workerTimeout}
 	store := httptest.NewServer(kv.New())
 	b.Cleanup(store.Close)
-	ledgers := ledger.New(ledger.Options{Store: platform.NewClient(store.URL), Gap: time.Millisecond})
+	ledgers := ledger.New(ledger.Options{Store: kvstore.NewClient(store.URL), Gap: time.Millisecond})
 	d.jobs = ledgers.Jobs("fd1")
 	for i := range benchHosts {
-		d.view.Hosts = append(d.view.Hosts, platform.Host{Name: fmt.Sprint("entry", i), Kind: platform.EntryHost, FailureDomain: "fd1"})
+		d.view.Hosts = append(d.view.Hosts, kvstore.Host{Name: fmt.Sprint("entry", i), Kind: kvstore.EntryHost, FailureDomain: "fd1"})
 	}
 	workers := d.startWorkers(b)
 	d.startGangs(b, workers, gangTasks)
@@ -102,7 +102,7 @@
 		s := httptest.NewServer(w)
 		b.Cleanup(s.Close)
 		workers = append(workers, w)
-		d.view.Hosts = append(d.view.Hosts, platform.Host{Name: fmt.Sprintf("worker-%03d", i), Kind: platform.Worker,
+		d.view.Hosts = append(d.view.Hosts, kvstore.Host{Name: fmt.Sprintf("worker-%03d", i), Kind: kvstore.Worker,
 			FailureDomain: "fd1", Rack: fmt.Sprint("rack", i/benchRack), Accelerators: 10, Address: strings.TrimPrefix(s.URL, "http://")})
 	}
 	return workers
--- a/gang/failures_test.go
+++ b/gang/failures_test.go
@@ -15,7 +15,7 @@
 	"github.com/cyclamentray/cyclamentray/gang"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/placement"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
@@ -56,13 +56,13 @@
 
 // mortal is a store that takes no more writes once its host is dead.
 type mortal struct {
-	platform.Store
+	kvstore.Store
 	dead *atomic.Bool
 }
 
-func (m mortal) CompareAndSwap(ctx context.Context, key string, value []byte, version uint64) (platform.Entry, error) {
+func (m mortal) CompareAndSwap(ctx context.Context, key string, value []byte, version uint64) (kvstore.Entry, error) {
 	if m.dead.Load() {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvstore.Entry{}, kvstore.ErrUnavailable
 	}
 	return m.Store.CompareAndSwap(ctx, key, value, version)
 }
--- a/gang/leaving_test.go
+++ b/gang/leaving_test.go
@@ -13,7 +13,7 @@
 	"github.com/cyclamentray/cyclamentray/intake"
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // TestGangLeavesAFailureDomainThatIsOut takes out the failure domain of a
@@ -22,7 +22,7 @@
 	t.Parallel()
 	c := newCluster(t, 4, nil)
 	for i := range c.view.view.Hosts {
-		if h := &c.view.view.Hosts[i]; h.Kind == platform.Worker && h.Name >= "w2" {
+		if h := &c.view.view.Hosts[i]; h.Kind == kvstore.Worker && h.Name >= "w2" {
 			h.FailureDomain = "fd2"
 		}
 	}
--- a/gang/outage_test.go
+++ b/gang/outage_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/membership"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
@@ -105,7 +105,7 @@
 func TestHostBootedInAnOutageRenewsWholeGangs(t *testing.T) {
 	t.Parallel()
 	now := time.Unix(1_000_000, 0)
-	view := &fixedView{membership.View{Self: platform.Host{Name: "entry", Kind: platform.EntryHost, FailureDomain: "fd1"}}}
+	view := &fixedView{membership.View{Self: kvstore.Host{Name: "entry", Kind: kvstore.EntryHost, FailureDomain: "fd1"}}}
 	whole, part := workerapi.Gang{Job: "o/s/whole", Generation: 1}, workerapi.Gang{Job: "o/s/part", Generation: 1}
 	var workers []*worker.Server
 	for i := range 2 {
@@ -113,7 +113,7 @@
 		s := httptest.NewServer(w)
 		t.Cleanup(s.Close)
 		workers = append(workers, w)
-		view.view.Hosts = append(view.view.Hosts, platform.Host{Name: string(rune('0' + i)), Kind: platform.Worker,
+		view.view.Hosts = append(view.view.Hosts, kvstore.Host{Name: string(rune('0' + i)), Kind: kvstore.Worker,
 			FailureDomain: "fd1", Rack: "r", Address: strings.TrimPrefix(s.URL, "http://")})
 		for _, g := range []workerapi.Gang{whole, part}[:2-i] {
 			w.Reserve(workerapi.ReserveRequest{Gang: g, Tasks: []int{i}, AcceleratorsPerTask: 1, Hold: Hold})
--- a/gang/peers.go
+++ b/gang/peers.go
@@ -5,7 +5,7 @@
 
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
@@ -36,7 +36,7 @@
 	view := r.o.Membership.View()
 	all := true
 	for _, h := range view.Hosts {
-		if h.Kind != platform.EntryHost || h.FailureDomain != r.o.FailureDomain || h.Name == view.Self.Name {
+		if h.Kind != kvstore.EntryHost || h.FailureDomain != r.o.FailureDomain || h.Name == view.Self.Name {
 			continue
 		}
 		all = all && r.askRelease(ctx, h.PeerAddress, g)
--- a/gang/renewer.go
+++ b/gang/renewer.go
@@ -9,7 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
@@ -104,7 +104,7 @@
 
 func workerAddress(o Options, worker string) (string, bool) {
 	for _, h := range o.Membership.View().Hosts {
-		if h.Name == worker && h.Kind == platform.Worker {
+		if h.Name == worker && h.Kind == kvstore.Worker {
 			return h.Address, true
 		}
 	}
--- a/gang/scheduler_test.go
+++ b/gang/scheduler_test.go
@@ -19,7 +19,7 @@
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/membership"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/workerapi"
@@ -82,7 +82,7 @@
 type cluster struct {
 	t       *testing.T
 	store   *kv.Server
-	client  platform.Store
+	client  kvstore.Store
 	config  *fakeConfig
 	view    *fakeView
 	workers []*worker.Server
@@ -105,9 +105,9 @@
 	c := &cluster{t: t, store: kv.New(), config: &fakeConfig{snap: testSnapshot(), changed: make(chan struct{})}}
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.Close)
-	c.client = platform.NewClient(server.URL)
-	c.view = &fakeView{membership.View{Self: platform.Host{Name: "entry1", Kind: platform.EntryHost, FailureDomain: "fd1"}}}
-	c.view.view.Hosts = []platform.Host{c.view.view.Self}
+	c.client = kvstore.NewClient(server.URL)
+	c.view = &fakeView{membership.View{Self: kvstore.Host{Name: "entry1", Kind: kvstore.EntryHost, FailureDomain: "fd1"}}}
+	c.view.view.Hosts = []kvstore.Host{c.view.view.Self}
 	for i := range n {
 		o := worker.Options{}
 		if options != nil {
@@ -118,7 +118,7 @@
 		s := httptest.NewServer(w)
 		t.Cleanup(s.Close)
 		c.workers = append(c.workers, w)
-		c.view.view.Hosts = append(c.view.view.Hosts, platform.Host{Name: o.Name, Kind: platform.Worker,
+		c.view.view.Hosts = append(c.view.view.Hosts, kvstore.Host{Name: o.Name, Kind: kvstore.Worker,
 			FailureDomain: "fd1", Rack: "rack1", Accelerators: 8, Address: strings.TrimPrefix(s.URL, "http://")})
 	}
 	return c
--- a/intake/forward.go
+++ b/intake/forward.go
@@ -10,7 +10,7 @@
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
@@ -98,9 +98,9 @@
 // writer returns the entry host of this failure domain that writes for the
 // others: its scheduler, which writes to the same ledger anyway, or else one
 // that all choose alike. found is false when that is this host.
-func (in *Intake) writer() (h platform.Host, found bool) {
+func (in *Intake) writer() (h kvstore.Host, found bool) {
 	if in.o.Peers == nil {
-		return platform.Host{}, false
+		return kvstore.Host{}, false
 	}
 	view := in.o.Membership.View()
 	scheduler := ""
@@ -109,7 +109,7 @@
 	}
 	best, top := view.Self, xxhash.Sum64String(view.Self.Name)
 	if view.Self.Name == scheduler {
-		return platform.Host{}, false
+		return kvstore.Host{}, false
 	}
 	for _, n := range view.Neighbours() {
 		if n.Leaving {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -23,7 +23,7 @@
 	"github.com/cyclamentray/cyclamentray/job"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -32,7 +32,7 @@
 // site is a store, a configuration and a host list, shared by entry hosts.
 type site struct {
 	kv    *kv.Server
-	store platform.Store
+	store kvstore.Store
 	mu    sync.Mutex
 	snap  config.Snapshot
 	view  membership.View
@@ -43,7 +43,7 @@
 	s := &site{kv: kv.New(), now: time.Unix(1_000_000, 0)}
 	server := httptest.NewServer(s.kv)
 	t.Cleanup(server.Close)
-	s.store = platform.NewClient(server.URL)
+	s.store = kvstore.NewClient(server.URL)
 	s.snap = config.Snapshot{
 		Revision:      7,
 		Organisations: map[string]config.Organisation{"org": {Name: "org"}},
@@ -54,7 +54,7 @@
 	}
 	for _, fd := range []string{"fd1", "fd2"} {
 		for i := range 2 {
-			s.view.Hosts = append(s.view.Hosts, platform.Host{Name: fmt.Sprint(fd, i), Kind: platform.Worker,
+			s.view.Hosts = append(s.view.Hosts, kvstore.Host{Name: fmt.Sprint(fd, i), Kind: kvstore.Worker,
 				FailureDomain: fd, Rack: "r", Accelerators: 8})
 		}
 	}
@@ -103,7 +103,7 @@
 
 // entryHosts returns intakes of one failure domain that reach each other.
 func (s *site) entryHosts(t testing.TB, n int) ([]*intake.Intake, []*peer.Server) {
-	var hosts []platform.Host
+	var hosts []kvstore.Host
 	var servers []*peer.Server
 	for i := range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -112,7 +112,7 @@
 		t.Cleanup(func() { _ = server.Close() })
 		go func() { _ = server.Serve(listener) }()
 		servers = append(servers, server)
-		hosts = append(hosts, platform.Host{Name: fmt.Sprint("entry", i), Kind: platform.EntryHost,
+		hosts = append(hosts, kvstore.Host{Name: fmt.Sprint("entry", i), Kind: kvstore.EntryHost,
 			FailureDomain: "fd1", PeerAddress: listener.Addr().String()})
 	}
 	var ins []*intake.Intake
--- a/intake/keep.go
+++ b/intake/keep.go
@@ -13,7 +13,7 @@
 	"github.com/cyclamentray/cyclamentray/election"
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	e, err := in.o.Ledgers.Store().Get(ctx, election.Key(domain))
-	return errors.Is(err, platform.ErrNotFound) || (err == nil && e.Lease == "")
+	return errors.Is(err, kvstore.ErrNotFound) || (err == nil && e.Lease == "")
 }
 
 // closed lists failure domains that have started nothing for long enough.
--- a/intake/ledger/codec.go
+++ b/intake/ledger/codec.go
@@ -8,14 +8,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // keptNonces is how many writes back a lost answer can still be recognised.
 const keptNonces = 16
 
 // maxPlainBytes bounds an unpacked shard.
-const maxPlainBytes = 16 * platform.MaxValueBytes
+const maxPlainBytes = 16 * kvstore.MaxValueBytes
 
 // page is one shard's value: entries by key, and the newest writes' nonces.
 type page[V any] struct {
--- a/intake/ledger/ledger.go
+++ b/intake/ledger/ledger.go
@@ -16,7 +16,7 @@
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -58,7 +58,7 @@
 
 // Options configures a Ledgers.
 type Options struct {
-	Store   platform.Store
+	Store   kvstore.Store
 	Shards  int           // 0: DefaultShards; the same on every host
 	Gap     time.Duration // 0: DefaultGap
 	Now     func() time.Time
@@ -95,7 +95,7 @@
 func (b *Ledgers) Index() *Index { return b.index }
 
 // Store returns the store that holds the ledgers.
-func (b *Ledgers) Store() platform.Store { return b.o.Store }
+func (b *Ledgers) Store() kvstore.Store { return b.o.Store }
 
 // Notes returns what schedulers learned.
 func (b *Ledgers) Notes() *Notes { return b.notes }
--- a/intake/ledger/ledger_test.go
+++ b/intake/ledger/ledger_test.go
@@ -12,31 +12,31 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
 // flaky makes writes take effect and lose their answer, or not reach the store.
 type flaky struct {
-	platform.Store
+	kvstore.Store
 	mu     sync.Mutex
 	lose   int // answers of writes to lose after their effect
 	refuse int // writes that do not reach the store
 	writes int
 }
 
-func (f *flaky) CompareAndSwap(ctx context.Context, key string, value []byte, version uint64) (platform.Entry, error) {
+func (f *flaky) CompareAndSwap(ctx context.Context, key string, value []byte, version uint64) (kvstore.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.writes++
 	if f.refuse > 0 {
 		f.refuse--
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvstore.Entry{}, kvstore.ErrUnavailable
 	}
 	e, err := f.Store.CompareAndSwap(ctx, key, value, version)
 	if f.lose > 0 {
 		f.lose--
-		return platform.Entry{}, platform.ErrAmbiguous
+		return kvstore.Entry{}, kvstore.ErrAmbiguous
 	}
 	return e, err
 }
@@ -44,10 +44,10 @@
 func newStore(t *testing.T) *flaky {
 	server := httptest.NewServer(kv.New())
 	t.Cleanup(server.Close)
-	return &flaky{Store: platform.NewClient(server.URL)}
+	return &flaky{Store: kvstore.NewClient(server.URL)}
 }
 
-func newTable(store platform.Store) *ledger.Table[int] {
+func newTable(store kvstore.Store) *ledger.Table[int] {
 	return ledger.NewTable[int](ledger.TableOptions{Store: store, Prefix: "t", Shards: 2, Gap: 5 * time.Millisecond})
 }
 
@@ -93,7 +93,7 @@
 	store := newStore(t)
 	store.refuse = 1_000
 	_, err := newTable(store).Update(context.Background(), "a", increment)
-	must.True(t, errors.Is(err, platform.ErrUnavailable))
+	must.True(t, errors.Is(err, kvstore.ErrUnavailable))
 	_, found, err := newTable(store).Read(context.Background(), "a")
 	must.NoError(t, err)
 	must.False(t, found)
--- a/intake/ledger/shard.go
+++ b/intake/ledger/shard.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamentray/cyclamentray/internal/pause"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -61,7 +61,7 @@
 }
 
 // adopt takes over an entry read from the store, unless a newer one is known.
-func (s *shard[V]) adopt(e platform.Entry, asked time.Time) (page[V], error) {
+func (s *shard[V]) adopt(e kvstore.Entry, asked time.Time) (page[V], error) {
 	s.mu.Lock()
 	if s.known && e.Version == s.version {
 		defer s.mu.Unlock()
@@ -106,8 +106,8 @@
 	asked := s.t.o.Now()
 	s.t.reads.Inc()
 	e, err := s.t.o.Store.Get(ctx, s.key)
-	if errors.Is(err, platform.ErrNotFound) {
-		e, err = platform.Entry{Key: s.key}, nil
+	if errors.Is(err, kvstore.ErrNotFound) {
+		e, err = kvstore.Entry{Key: s.key}, nil
 	}
 	if err != nil {
 		return page[V]{}, err
@@ -133,7 +133,7 @@
 	case <-call.done:
 		return call.page, call.err
 	case <-ctx.Done():
-		return page[V]{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		return page[V]{}, errors.Mark(ctx.Err(), kvstore.ErrUnavailable)
 	}
 }
 
@@ -199,7 +199,7 @@
 		return r.value, r.err
 	case <-ctx.Done():
 		var zero V
-		return zero, errors.Mark(ctx.Err(), platform.ErrAmbiguous)
+		return zero, errors.Mark(ctx.Err(), kvstore.ErrAmbiguous)
 	}
 }
 
@@ -249,12 +249,12 @@
 			deliver(group, a.results)
 			return
 		}
-		if errors.Is(err, platform.ErrAmbiguous) {
+		if errors.Is(err, kvstore.ErrAmbiguous) {
 			tried = append(tried, a)
 		}
 	}
 	if len(tried) > 0 {
-		err = errors.Mark(err, platform.ErrAmbiguous)
+		err = errors.Mark(err, kvstore.ErrAmbiguous)
 	}
 	s.t.o.Logger.Warn("ledger write failed", "shard", s.key, "updates", len(group), "err", err.Error())
 	for _, u := range group {
@@ -301,7 +301,7 @@
 	asked := s.t.o.Now()
 	s.t.writes.Inc()
 	e, err := s.t.o.Store.CompareAndSwap(ctx, s.key, value, version)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		s.t.clashes.Inc()
 	}
 	if err != nil {
@@ -319,7 +319,7 @@
 	}
 	results, changed := apply(group, fresh.with("").Entries)
 	if changed {
-		return nil, errors.Mark(errors.New("the shard changed meanwhile"), platform.ErrConflict)
+		return nil, errors.Mark(errors.New("the shard changed meanwhile"), kvstore.ErrConflict)
 	}
 	return results, nil
 }
--- a/intake/ledger/table.go
+++ b/intake/ledger/table.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 // TableOptions configures a table.
 type TableOptions struct {
-	Store   platform.Store
+	Store   kvstore.Store
 	Prefix  string        // of the shards' keys, such as "jobs/ledger/fd1"
 	Shards  int           // 0: DefaultShards; the same on every host
 	Gap     time.Duration // 0: DefaultGap
@@ -84,8 +84,8 @@
 type Change[V any] func(old V, found bool) (next V, keep bool, err error)
 
 // Update applies a change to one entry and returns its value once written.
-// A nil error means that the change is in the store. platform.ErrUnavailable
-// means that it is not, platform.ErrAmbiguous that it may be.
+// A nil error means that the change is in the store. kvstore.ErrUnavailable
+// means that it is not, kvstore.ErrAmbiguous that it may be.
 func (t *Table[V]) Update(ctx context.Context, key string, change Change[V]) (V, error) {
 	return t.shardOf(key).update(ctx, key, change)
 }
--- a/intake/linear_test.go
+++ b/intake/linear_test.go
@@ -19,7 +19,7 @@
 	"github.com/cyclamentray/cyclamentray/intake"
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
@@ -189,9 +189,9 @@
 	faults.Go(func() { s.kv.Disturb(rand.New(rand.NewPCG(seed, 0)), storeFaults, 80*time.Millisecond, stop) })
 	var all []*caller
 	for client := range callers {
-		var store platform.Store = platform.NewClient(server.URL) // leaves lost answers to the ledger
+		var store kvstore.Store = kvstore.NewClient(server.URL) // leaves lost answers to the ledger
 		if client == 0 {
-			store = platform.New(platform.Options{Base: server.URL, Rate: 1000, Burst: 1000})
+			store = kvstore.New(kvstore.Options{Base: server.URL, Rate: 1000, Burst: 1000})
 		}
 		ledgers := ledger.New(ledger.Options{Store: store, Gap: 10 * time.Millisecond, Logger: quiet})
 		in := intake.New(intake.Options{FailureDomain: "fd1", Ledgers: ledgers, Config: s, Membership: s, Election: s, Now: s.clock, Logger: quiet})
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -10,7 +10,7 @@
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
@@ -215,7 +215,7 @@
 		return nil
 	case errors.As(err, &typed):
 		return err
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, kvstore.ErrAmbiguous):
 		return apierr.New(apierr.OutcomeUnknown,
 			"the platform did not confirm the write", "send the same call again; it takes effect once at most")
 	default:
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -25,7 +25,7 @@
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/client"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/upstream"
@@ -121,7 +121,7 @@
 // one proxy, and everything that other entry hosts say to it another.
 type entry struct {
 	*process
-	host   platform.Host
+	host   kvstore.Host
 	listen string            // peer listener, behind inbound
 	link   *faultproxy.Proxy // to the platform
 	peers  *faultproxy.Proxy // from other entry hosts
@@ -152,7 +152,7 @@
 	t         *testing.T
 	store     *kv.Server
 	platform  string // IP:port of the platform's stand-in
-	hosts     []platform.Host
+	hosts     []kvstore.Host
 	entries   []*entry
 	workers   []*worker.Server
 	upstreams []*upstream.Upstream
@@ -206,8 +206,8 @@
 			Before:       s.beforeWorkerCall,
 		})
 		c.workers = append(c.workers, w)
-		c.hosts = append(c.hosts, platform.Host{
-			Name: name, Kind: platform.Worker, FailureDomain: fd, Rack: fd + "-rack", Address: c.serve(w), Accelerators: 8,
+		c.hosts = append(c.hosts, kvstore.Host{
+			Name: name, Kind: kvstore.Worker, FailureDomain: fd, Rack: fd + "-rack", Address: c.serve(w), Accelerators: 8,
 		})
 	}
 }
@@ -217,8 +217,8 @@
 		name := fmt.Sprintf("%s-u%d", fd, i)
 		u := upstream.New(upstream.Options{Name: name, Work: s.work})
 		c.upstreams = append(c.upstreams, u)
-		c.hosts = append(c.hosts, platform.Host{
-			Name: name, Kind: platform.Upstream, FailureDomain: fd, Service: "billing", Address: c.serve(u), Slots: 8, Connections: 60,
+		c.hosts = append(c.hosts, kvstore.Host{
+			Name: name, Kind: kvstore.Upstream, FailureDomain: fd, Service: "billing", Address: c.serve(u), Slots: 8, Connections: 60,
 		})
 	}
 }
@@ -226,8 +226,8 @@
 func (c *cluster) addEntry(name, fd string) {
 	e := &entry{listen: freeAddress(c.t), link: c.proxy(c.platform)}
 	e.peers = c.proxy(e.listen)
-	e.host = platform.Host{
-		Name: name, Kind: platform.EntryHost, FailureDomain: fd, Address: freeAddress(c.t), PeerAddress: e.peers.Addr(),
+	e.host = kvstore.Host{
+		Name: name, Kind: kvstore.EntryHost, FailureDomain: fd, Address: freeAddress(c.t), PeerAddress: e.peers.Addr(),
 	}
 	c.entries = append(c.entries, e)
 	c.hosts = append(c.hosts, e.host)
--- a/integration/wholepath_test.go
+++ b/integration/wholepath_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 var gangShape = job.Shape{Tasks: 2, AcceleratorsPerTask: 8, Adjacency: job.SameRack}
@@ -31,10 +31,10 @@
 func TestWholePathAsSeparateProcesses(t *testing.T) {
 	store := startStandin(t, "kv")
 	c := &cluster{t: t, platform: store}
-	c.hosts = []platform.Host{
-		{Name: "w0", Kind: platform.Worker, FailureDomain: "fd-a", Rack: "r0", Accelerators: 8, Address: startStandin(t, "--name", "w0", "worker")},
-		{Name: "w1", Kind: platform.Worker, FailureDomain: "fd-a", Rack: "r0", Accelerators: 8, Address: startStandin(t, "--name", "w1", "worker")},
-		{Name: "u0", Kind: platform.Upstream, FailureDomain: "fd-a", Service: "billing", Slots: 8, Connections: 60, Address: startStandin(t, "--name", "u0", "upstream")},
+	c.hosts = []kvstore.Host{
+		{Name: "w0", Kind: kvstore.Worker, FailureDomain: "fd-a", Rack: "r0", Accelerators: 8, Address: startStandin(t, "--name", "w0", "worker")},
+		{Name: "w1", Kind: kvstore.Worker, FailureDomain: "fd-a", Rack: "r0", Accelerators: 8, Address: startStandin(t, "--name", "w1", "worker")},
+		{Name: "u0", Kind: kvstore.Upstream, FailureDomain: "fd-a", Service: "billing", Slots: 8, Connections: 60, Address: startStandin(t, "--name", "u0", "upstream")},
 	}
 	c.addEntry("e0", "fd-a")
 	putHosts(t, store, c.hosts)
@@ -88,7 +88,7 @@
 	must.NoError(t, os.WriteFile(file, fmt.Appendf(nil, format, args...), 0o600))
 }
 
-func putHosts(t *testing.T, store string, hosts []platform.Host) {
+func putHosts(t *testing.T, store string, hosts []kvstore.Host) {
 	t.Helper()
 	body, err := json.Marshal(hosts)
 	must.NoError(t, err)
--- a/internal/cost/deployment_test.go
+++ b/internal/cost/deployment_test.go
@@ -23,7 +23,7 @@
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/client"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/workerapi"
@@ -52,7 +52,7 @@
 	size    size
 	store   *kv.Server
 	url     string
-	hosts   []platform.Host
+	hosts   []kvstore.Host
 	workers []*worker.Server
 	pids    map[string]int
 }
@@ -66,8 +66,8 @@
 	}
 	for i := range s.entryHosts {
 		fd := fmt.Sprintf("n%d", i%failureDomains)
-		d.hosts = append(d.hosts, platform.Host{
-			Name: fmt.Sprintf("%s-e%d", fd, i/failureDomains), Kind: platform.EntryHost, FailureDomain: fd,
+		d.hosts = append(d.hosts, kvstore.Host{
+			Name: fmt.Sprintf("%s-e%d", fd, i/failureDomains), Kind: kvstore.EntryHost, FailureDomain: fd,
 			Address: freeAddress(b), PeerAddress: freeAddress(b),
 		})
 	}
@@ -96,8 +96,8 @@
 	accelerators := d.size.tasks/d.size.workers + 4
 	w := worker.New(worker.Options{Name: fmt.Sprintf("%s-w%d", fd, i), Accelerators: accelerators})
 	d.workers = append(d.workers, w)
-	d.hosts = append(d.hosts, platform.Host{
-		Name: fmt.Sprintf("%s-w%d", fd, i), Kind: platform.Worker, FailureDomain: fd, Accelerators: accelerators,
+	d.hosts = append(d.hosts, kvstore.Host{
+		Name: fmt.Sprintf("%s-w%d", fd, i), Kind: kvstore.Worker, FailureDomain: fd, Accelerators: accelerators,
 		Rack: fmt.Sprintf("%s-r%d", fd, i/failureDomains/rackWorkers), Address: d.serve(w),
 	})
 }
@@ -121,7 +121,7 @@
 	return ""
 }
 
-func (d *deployment) startHost(program string, h platform.Host) {
+func (d *deployment) startHost(program string, h kvstore.Host) {
 	file := filepath.Join(d.b.TempDir(), h.Name+".hujson")
 	text := fmt.Sprintf(`{
 		"host": {"name": %q, "failureDomain": %q, "region": "region"},
@@ -183,7 +183,7 @@
 		t, t%4, t, gangTasks, runSeconds)
 }
 
-func (d *deployment) entries() []platform.Host { return d.hosts[d.size.workers:] }
+func (d *deployment) entries() []kvstore.Host { return d.hosts[d.size.workers:] }
 
 func (d *deployment) apply(docs ...string) error {
 	var raw []json.RawMessage
--- a/platform/client_test.go
+++ b/kvstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -8,22 +8,22 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
 func TestClientSwapsOnlyTheExpectedVersion(t *testing.T) {
 	server := httptest.NewServer(kv.New())
 	defer server.Close()
-	c := platform.NewClient(server.URL)
+	c := kvstore.NewClient(server.URL)
 	ctx := context.Background()
 
 	_, err := c.Get(ctx, "a")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
 	first, err := c.CompareAndSwap(ctx, "a", []byte("1"), 0)
 	must.NoError(t, err)
 	_, err = c.CompareAndSwap(ctx, "a", []byte("2"), 0)
-	must.ErrorIs(t, err, platform.ErrConflict)
+	must.ErrorIs(t, err, kvstore.ErrConflict)
 	second, err := c.CompareAndSwap(ctx, "a", []byte("2"), first.Version)
 	must.NoError(t, err)
 	must.Greater(t, first.Version, second.Version)
@@ -35,7 +35,7 @@
 func TestClientLeaseFencesHolders(t *testing.T) {
 	server := httptest.NewServer(kv.New())
 	defer server.Close()
-	c := platform.NewClient(server.URL)
+	c := kvstore.NewClient(server.URL)
 	ctx := context.Background()
 
 	one, err := c.Grant(ctx, time.Minute)
@@ -45,9 +45,9 @@
 	first, err := c.Acquire(ctx, "term", nil, one)
 	must.NoError(t, err)
 	_, err = c.Acquire(ctx, "term", nil, two)
-	must.ErrorIs(t, err, platform.ErrHeld)
+	must.ErrorIs(t, err, kvstore.ErrHeld)
 	must.NoError(t, c.Revoke(ctx, one))
-	must.ErrorIs(t, c.Renew(ctx, one), platform.ErrLeaseLost)
+	must.ErrorIs(t, c.Renew(ctx, one), kvstore.ErrLeaseLost)
 	second, err := c.Acquire(ctx, "term", nil, two)
 	must.NoError(t, err)
 	must.Greater(t, first.Version, second.Version)
@@ -58,9 +58,9 @@
 	defer server.Close()
 	gone := httptest.NewServer(kv.New())
 	gone.Close()
-	c := platform.NewClient(gone.URL, server.URL)
+	c := kvstore.NewClient(gone.URL, server.URL)
 	_, err := c.Get(context.Background(), "a")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, kvstore.ErrUnavailable)
 	_, err = c.Get(context.Background(), "a")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
 }
--- /dev/null
+++ b/kvstore/follow.go
@@ -0,0 +1,91 @@
+package kvstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+)
+
+// Follower keeps a copy of a prefix current.
+type Follower struct {
+	Store  Keyspace
+	Prefix string
+	// Wait is how long one watch waits. It is short, so that a connection that
+	// has gone silent is noticed and replaced.
+	Wait time.Duration
+	// Pause lies between two watches, so that a busy prefix is read in batches.
+	Pause time.Duration
+	// Reset takes the whole prefix; Apply takes later changes in order.
+	Reset func(items []Item)
+	Apply func(events []Event)
+	// Lost and Regained tell that the copy is no longer, or again, current.
+	Lost     func(err error)
+	Regained func()
+}
+
+const (
+	followGrace   = 700 * time.Millisecond // beyond the wait, for a slow answer
+	followTimeout = 2 * time.Second        // one whole list
+	followRetry   = 60 * time.Millisecond  // first pause after a failure; doubles up to followMax
+	followMax     = 400 * time.Millisecond // a change must be seen well within two seconds of the store's return
+)
+
+// Run follows the prefix until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var after uint64
+	lost := true
+	retry := followRetry
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, after)
+		switch {
+		case err == nil:
+			f.report(&lost, nil)
+			after, retry = next, followRetry
+			pause.For(ctx, f.Pause)
+		case errors.Is(err, ErrCompacted):
+			after = 0
+		case ctx.Err() == nil:
+			f.report(&lost, err)
+			pause.For(ctx, retry)
+			retry = min(2*retry, followMax)
+		}
+	}
+}
+
+func (f *Follower) report(lost *bool, err error) {
+	was := *lost
+	*lost = err != nil
+	if *lost && !was && f.Lost != nil {
+		f.Lost(err)
+	}
+	if !*lost && was && f.Regained != nil {
+		f.Regained()
+	}
+}
+
+// step lists the prefix when there is no copy to continue from, and watches it otherwise.
+func (f *Follower) step(ctx context.Context, after uint64) (uint64, error) {
+	if after == 0 {
+		ctx, cancel := context.WithTimeout(ctx, followTimeout)
+		defer cancel()
+		items, asOf, err := f.Store.List(ctx, f.Prefix)
+		if err != nil {
+			return 0, err
+		}
+		f.Reset(items)
+		return asOf, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+followGrace)
+	defer cancel()
+	events, asOf, err := f.Store.Watch(ctx, f.Prefix, after, f.Wait)
+	if err != nil {
+		return 0, err
+	}
+	if len(events) > 0 {
+		f.Apply(events)
+	}
+	return max(after, asOf), nil
+}
--- a/platform/guard_test.go
+++ b/kvstore/guard_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -11,21 +11,21 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
-func newGuard(t *testing.T, opts platform.Options) (*kv.Server, *platform.Guard) {
+func newGuard(t *testing.T, opts kvstore.Options) (*kv.Server, *kvstore.Guard) {
 	t.Helper()
 	stand := kv.New()
 	server := httptest.NewServer(stand)
 	t.Cleanup(server.Close)
 	opts.Base = server.URL
-	return stand, platform.New(opts)
+	return stand, kvstore.New(opts)
 }
 
 func TestLostAnswerOfAWriteIsSettledByReadingBack(t *testing.T) {
-	stand, g := newGuard(t, platform.Options{})
+	stand, g := newGuard(t, kvstore.Options{})
 	ctx := context.Background()
 	lease, err := g.Grant(ctx, time.Minute)
 	must.NoError(t, err)
@@ -43,7 +43,7 @@
 }
 
 func TestSwapThatLandsLateIsAppliedOnce(t *testing.T) {
-	stand, g := newGuard(t, platform.Options{})
+	stand, g := newGuard(t, kvstore.Options{})
 	ctx := context.Background()
 	stand.SetFaults(kv.Faults{Delay: 1500 * time.Millisecond})
 	time.AfterFunc(500*time.Millisecond, func() { stand.SetFaults(kv.Faults{}) })
@@ -60,7 +60,7 @@
 }
 
 func TestPlatformThatIsDownGetsFewCallsAndNoStampede(t *testing.T) {
-	stand, g := newGuard(t, platform.Options{Rate: 1e6, Burst: 1e6})
+	stand, g := newGuard(t, kvstore.Options{Rate: 1e6, Burst: 1e6})
 	ctx := context.Background()
 	stand.SetFaults(kv.Faults{Down: true})
 	deadline := time.Now().Add(2 * time.Second)
@@ -69,7 +69,7 @@
 		callers.Go(func() {
 			for time.Now().Before(deadline) {
 				_, err := g.Get(ctx, "a")
-				must.ErrorIs(t, err, platform.ErrUnavailable)
+				must.ErrorIs(t, err, kvstore.ErrUnavailable)
 				time.Sleep(time.Millisecond)
 			}
 		})
@@ -79,18 +79,18 @@
 	must.Less(t, 40, stand.Calls()["refused"]) // the first round, then one for each back-off
 	stand.SetFaults(kv.Faults{})
 	must.Wait(t, waitFor(10*time.Second, func() bool {
-		_, err := g.Get(platform.Urgent(ctx), "a")
-		return err == platform.ErrNotFound && !g.Down()
+		_, err := g.Get(kvstore.Urgent(ctx), "a")
+		return err == kvstore.ErrNotFound && !g.Down()
 	}))
 }
 
 func TestFrozenPlatformIsFeltWithinASecond(t *testing.T) {
-	stand, g := newGuard(t, platform.Options{})
+	stand, g := newGuard(t, kvstore.Options{})
 	stand.SetFaults(kv.Faults{Delay: 4 * time.Second})
 	returned := make(chan struct{})
 	go func() {
 		defer close(returned)
-		_, _ = g.Get(platform.Urgent(context.Background()), "a")
+		_, _ = g.Get(kvstore.Urgent(context.Background()), "a")
 	}()
 	must.Wait(t, waitFor(5*time.Second, g.Down))
 	select {
@@ -100,24 +100,24 @@
 	}
 	began := time.Now()
 	_, err := g.Get(context.Background(), "a")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, kvstore.ErrUnavailable)
 	must.Less(t, 500*time.Millisecond, time.Since(began)) // held back, not waiting
 }
 
 func TestUrgentCallsPassAnExhaustedBudget(t *testing.T) {
-	_, g := newGuard(t, platform.Options{Rate: 0.001, Burst: 1})
+	_, g := newGuard(t, kvstore.Options{Rate: 0.001, Burst: 1})
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	_, err := g.Get(ctx, "a")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
 	_, err = g.Get(ctx, "a")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
-	_, err = g.Get(platform.Urgent(ctx), "a")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, kvstore.ErrUnavailable)
+	_, err = g.Get(kvstore.Urgent(ctx), "a")
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
 }
 
 func TestHostThatIsCutOffFromThePlatformGoesThroughAPeer(t *testing.T) {
-	_, reaching := newGuard(t, platform.Options{})
+	_, reaching := newGuard(t, kvstore.Options{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	s := peer.NewServer(peer.Options{})
@@ -130,8 +130,8 @@
 	must.NoError(t, err)
 	must.NoError(t, dead.Close())
 
-	cut := platform.New(platform.Options{Base: "http://" + dead.Addr().String()})
-	c := platform.NewCarrier(cut, pool, func() []string { return []string{dead.Addr().String(), l.Addr().String()} })
+	cut := kvstore.New(kvstore.Options{Base: "http://" + dead.Addr().String()})
+	c := kvstore.NewCarrier(cut, pool, func() []string { return []string{dead.Addr().String(), l.Addr().String()} })
 	ctx := context.Background()
 	lease, err := c.Grant(ctx, time.Minute)
 	must.NoError(t, err)
@@ -139,25 +139,25 @@
 	must.NoError(t, err)
 	must.NoError(t, c.Renew(ctx, lease))
 	_, err = c.CompareAndSwap(ctx, "term", nil, held.Version-1)
-	must.ErrorIs(t, err, platform.ErrConflict)
+	must.ErrorIs(t, err, kvstore.ErrConflict)
 	got, err := reaching.Get(ctx, "term")
 	must.NoError(t, err)
 	must.Eq(t, held.Version, got.Version)
-	_, err = c.Get(platform.Urgent(ctx), "none")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	_, err = c.Get(kvstore.Urgent(ctx), "none")
+	must.ErrorIs(t, err, kvstore.ErrNotFound)
 }
 
 func TestWatchThatItsCallerEndsSaysNothingAboutThePlatform(t *testing.T) {
-	_, g := newGuard(t, platform.Options{})
+	_, g := newGuard(t, kvstore.Options{})
 	ctx, cancel := context.WithCancel(context.Background()) // a deadline would end it in time
 	time.AfterFunc(1200*time.Millisecond, cancel)
 	_, err := g.Watch(ctx, "a", 0)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, kvstore.ErrUnavailable)
 	must.False(t, g.Down())
 }
 
 func TestWatchBringsChangesAndTheSameEntryOtherwise(t *testing.T) {
-	stand, g := newGuard(t, platform.Options{})
+	stand, g := newGuard(t, kvstore.Options{})
 	ctx := context.Background()
 	first, err := g.CompareAndSwap(ctx, "a", []byte("1"), 0)
 	must.NoError(t, err)
--- a/platform/health.go
+++ b/kvstore/health.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import "time"
 
--- /dev/null
+++ b/kvstore/keyspace.go
@@ -0,0 +1,93 @@
+package kvstore
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxTxnEntries is how many conditions, puts and deletes one transaction takes together.
+const MaxTxnEntries = 32
+
+// ErrCompacted means that the store no longer has the history that a watch
+// asked for; list the prefix again.
+var ErrCompacted = errors.New("kvstore: the history asked for is gone; list the prefix again")
+
+// Item is a key's value as it was last written.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64 // of its last change
+	Lease    uint64 // 0: none
+}
+
+// Event is a change of a key.
+type Event struct {
+	Item
+	Deleted bool
+}
+
+// Condition demands that a key's last change is at a revision; 0: that the key
+// does not exist.
+type Condition struct {
+	Key      string
+	Revision uint64
+}
+
+// Put writes one key.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease uint64 // 0: none
+}
+
+// Txn is a change that happens whole or not at all.
+type Txn struct {
+	If      []Condition
+	Puts    []Put
+	Deletes []string
+}
+
+// ConflictError means that a condition did not hold and nothing was written.
+type ConflictError struct {
+	Items []Item // the keys of the conditions as they are; a missing key has revision 0
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("kvstore: a condition on %d keys does not hold; read them again", len(e.Items))
+}
+
+// Is makes errors.Is(err, ErrConflict) hold.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// LeaseGrant is a lease on keys.
+type LeaseGrant struct {
+	ID  uint64
+	TTL time.Duration
+}
+
+// Keyspace is a store of keys with transactions, prefixes and leases.
+// Implementations are safe for concurrent use; every method honours ctx.
+// Errors are ErrUnavailable (nothing was done), ErrAmbiguous (it may have been
+// done, or may be done later), and those named at each method.
+type Keyspace interface {
+	// Get reads one key; ErrNotFound when it does not exist.
+	Get(ctx context.Context, key string) (Item, error)
+	// List reads every key under prefix. asOf is a revision from which a watch
+	// misses nothing.
+	List(ctx context.Context, prefix string) (items []Item, asOf uint64, err error)
+	// Watch waits up to wait for changes under prefix later than after.
+	// It returns ErrCompacted when that history is gone.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Event, asOf uint64, err error)
+	// Commit applies a transaction and returns its revision, a *ConflictError,
+	// or ErrLeaseLost when a put names a lease that has ended.
+	Commit(ctx context.Context, txn Txn) (revision uint64, err error)
+	// Grant creates a lease.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseGrant, error)
+	// Renew extends a lease; ErrLeaseLost once it has ended.
+	Renew(ctx context.Context, id uint64) error
+	// Revoke ends a lease and removes its keys.
+	Revoke(ctx context.Context, id uint64) error
+}
--- a/platform/platform.go
+++ b/kvstore/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's services: a small key-value
+// Package kvstore is the client of the platform's services: a small key-value
 // store with compare-and-swap, leases and watches, and a lagging host list.
-package platform
+package kvstore
 
 import (
 	"context"
--- a/platform/wait_test.go
+++ b/kvstore/wait_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"time"
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -12,7 +12,7 @@
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // Beat is a heartbeat, and the answer to one.
 type Beat struct {
-	Host        platform.Host
+	Host        kvstore.Host
 	Incarnation string
 	Draining    bool
 	Status      Status
@@ -46,9 +46,9 @@
 
 // Options configures a Membership.
 type Options struct {
-	Self        platform.Host
+	Self        kvstore.Host
 	Incarnation string // changes when the process restarts
-	Lister      platform.HostLister
+	Lister      kvstore.HostLister
 	Peers       peer.Caller
 	Seeds       []string      // peer addresses to ask while no list was read
 	Status      func() Status // nil: empty
@@ -217,7 +217,7 @@
 // readLists reads the list again and again. A list that can be watched is sent
 // only when it changed, which matters at a thousand hosts.
 func (m *Membership) readLists(ctx context.Context) {
-	watcher, watches := m.opts.Lister.(platform.HostWatcher)
+	watcher, watches := m.opts.Lister.(kvstore.HostWatcher)
 	var index uint64
 	for ctx.Err() == nil {
 		var err error
@@ -234,7 +234,7 @@
 
 // watchList waits for a change of the list. An unchanged list counts as read
 // once more.
-func (m *Membership) watchList(ctx context.Context, watcher platform.HostWatcher, index uint64) (uint64, error) {
+func (m *Membership) watchList(ctx context.Context, watcher kvstore.HostWatcher, index uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listWatchTimeout)
 	defer cancel()
 	hosts, next, err := watcher.WatchHosts(ctx, index)
@@ -249,10 +249,10 @@
 	return next, nil
 }
 
-func (m *Membership) readList(ctx context.Context, watcher platform.HostWatcher) (index uint64, err error) {
+func (m *Membership) readList(ctx context.Context, watcher kvstore.HostWatcher) (index uint64, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	var hosts []platform.Host
+	var hosts []kvstore.Host
 	if watcher != nil {
 		hosts, index, err = watcher.WatchHosts(callCtx, 0)
 	} else {
@@ -281,7 +281,7 @@
 func (m *Membership) askSeeds(ctx context.Context) {
 	for _, address := range m.opts.Seeds {
 		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-		var hosts []platform.Host
+		var hosts []kvstore.Host
 		err := m.opts.Peers.Call(callCtx, address, "Membership.Hosts", m.self(), &hosts)
 		cancel()
 		if err == nil && len(hosts) > 1 {
@@ -291,7 +291,7 @@
 	}
 }
 
-func (m *Membership) applyList(hosts []platform.Host) {
+func (m *Membership) applyList(hosts []kvstore.Host) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
@@ -330,7 +330,7 @@
 }
 
 // Hosts tells a booting peer which hosts there are.
-func (s *service) Hosts(b Beat, reply *[]platform.Host) error {
+func (s *service) Hosts(b Beat, reply *[]kvstore.Host) error {
 	s.m.heard(b)
 	*reply = s.m.View().Hosts
 	return nil
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -14,25 +14,25 @@
 
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // lister is a host list that can be away.
 type lister struct {
 	down  atomic.Bool
-	hosts atomic.Pointer[[]platform.Host]
+	hosts atomic.Pointer[[]kvstore.Host]
 }
 
-func (l *lister) Hosts(context.Context) ([]platform.Host, error) {
+func (l *lister) Hosts(context.Context) ([]kvstore.Host, error) {
 	if l.down.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, kvstore.ErrUnavailable
 	}
 	return *l.hosts.Load(), nil
 }
 
 type node struct {
 	*membership.Membership
-	self   platform.Host
+	self   kvstore.Host
 	server *peer.Server
 	end    func()
 }
@@ -42,7 +42,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	n := &node{server: peer.NewServer(peer.Options{})}
-	n.self = platform.Host{Name: name, Kind: platform.EntryHost, FailureDomain: "n1", PeerAddress: listener.Addr().String()}
+	n.self = kvstore.Host{Name: name, Kind: kvstore.EntryHost, FailureDomain: "n1", PeerAddress: listener.Addr().String()}
 	pool := peer.NewPool(peer.Options{})
 	n.Membership = membership.New(membership.Options{Self: n.self, Incarnation: name, Lister: l, Peers: pool, Seeds: seeds})
 	must.NoError(t, n.RegisterPeer(n.server))
@@ -70,10 +70,10 @@
 func TestHostThatBootsDuringAnOutageLearnsOfItsPeersAndTheyOfIt(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	l := &lister{}
-	l.hosts.Store(&[]platform.Host{})
+	l.hosts.Store(&[]kvstore.Host{})
 	a := start(t, "a", l)
 	defer a.end()
-	l.hosts.Store(&[]platform.Host{a.self, {Name: "w1", Kind: platform.Worker, FailureDomain: "n1"}})
+	l.hosts.Store(&[]kvstore.Host{a.self, {Name: "w1", Kind: kvstore.Worker, FailureDomain: "n1"}})
 	b := start(t, "b", l, a.self.PeerAddress)
 	defer b.end()
 	eventually(t, func() bool { return len(a.View().Hosts) == 3 }) // b, although the list lacks it
--- a/membership/table.go
+++ b/membership/table.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -29,7 +29,7 @@
 
 // record is what is known of one host. Times are zero when it never happened.
 type record struct {
-	host        platform.Host
+	host        kvstore.Host
 	incarnation string
 	draining    bool      // the host itself said that it leaves
 	heard       time.Time // last answer or message from it
@@ -43,17 +43,17 @@
 
 // table is the state of membership. It is not safe for concurrent use.
 type table struct {
-	self    platform.Host
+	self    kvstore.Host
 	records map[string]*record
 }
 
-func newTable(self platform.Host) *table {
+func newTable(self kvstore.Host) *table {
 	return &table{self: self, records: make(map[string]*record)}
 }
 
 // applyList takes in a successful read of the list. Hosts that it lacks are
 // only marked; gone decides later.
-func (t *table) applyList(now time.Time, hosts []platform.Host) {
+func (t *table) applyList(now time.Time, hosts []kvstore.Host) {
 	listed := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		listed[h.Name] = true
@@ -82,7 +82,7 @@
 	t.forget(now)
 }
 
-func (t *table) put(now time.Time, h platform.Host) *record {
+func (t *table) put(now time.Time, h kvstore.Host) *record {
 	r := t.records[h.Name]
 	if r == nil {
 		r = &record{added: now}
@@ -122,10 +122,10 @@
 // due returns the entry hosts to send a heartbeat to, ordered by name, and
 // marks them as tried. A host that was heard within its interval needs none,
 // so of each pair only one side sends.
-func (t *table) due(now time.Time) []platform.Host {
-	var out []platform.Host
+func (t *table) due(now time.Time) []kvstore.Host {
+	var out []kvstore.Host
 	for _, r := range t.records {
-		if r.host.Kind != platform.EntryHost || r.host.Name == t.self.Name {
+		if r.host.Kind != kvstore.EntryHost || r.host.Name == t.self.Name {
 			continue
 		}
 		interval := farInterval
@@ -141,8 +141,8 @@
 	return out
 }
 
-func sortHosts(hosts []platform.Host) {
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
+func sortHosts(hosts []kvstore.Host) {
+	slices.SortFunc(hosts, func(a, b kvstore.Host) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // forget drops records that have been gone for long.
@@ -168,8 +168,8 @@
 
 // silent reports whether an entry host does not answer heartbeats. One that was
 // never heard counts from when it became known.
-func (r *record) silent(now time.Time, self platform.Host) bool {
-	if r.host.Kind != platform.EntryHost || r.host.Name == self.Name {
+func (r *record) silent(now time.Time, self kvstore.Host) bool {
+	if r.host.Kind != kvstore.EntryHost || r.host.Name == self.Name {
 		return false
 	}
 	last := r.heard
@@ -184,12 +184,12 @@
 }
 
 type group struct {
-	kind          platform.HostKind // empty: every kind
+	kind          kvstore.HostKind // empty: every kind
 	failureDomain string
 }
 
 // groups returns the groups that a host counts in.
-func groups(h platform.Host) []group {
+func groups(h kvstore.Host) []group {
 	return []group{{h.Kind, h.FailureDomain}, {"", h.FailureDomain}}
 }
 
@@ -223,7 +223,7 @@
 	return false
 }
 
-func inMass(h platform.Host, mass map[group]bool) bool {
+func inMass(h kvstore.Host, mass map[group]bool) bool {
 	for _, g := range groups(h) {
 		if mass[g] {
 			return true
@@ -234,7 +234,7 @@
 
 // view publishes what is known at now.
 func (t *table) view(now time.Time) *View {
-	v := &View{Self: t.self, Silent: map[string]bool{}, Hosts: make([]platform.Host, 0, len(t.records))}
+	v := &View{Self: t.self, Silent: map[string]bool{}, Hosts: make([]kvstore.Host, 0, len(t.records))}
 	mass := t.massAbsent()
 	for _, name := range slices.Sorted(maps.Keys(t.records)) {
 		r := t.records[name]
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -10,44 +10,44 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 var t0 = time.Unix(1_000_000, 0)
 
-func entry(name, fd string) platform.Host {
-	return platform.Host{Name: name, Kind: platform.EntryHost, FailureDomain: fd, PeerAddress: name}
+func entry(name, fd string) kvstore.Host {
+	return kvstore.Host{Name: name, Kind: kvstore.EntryHost, FailureDomain: fd, PeerAddress: name}
 }
 
 // twoRegions lists 2 regions of 2 failure domains with 2 entry hosts and 10
 // workers each; the region is the first letter of the failure domain.
-func twoRegions() []platform.Host {
-	var hosts []platform.Host
+func twoRegions() []kvstore.Host {
+	var hosts []kvstore.Host
 	for _, fd := range []string{"n1", "n2", "s1", "s2"} {
 		hosts = append(hosts, entry(fd+"-a", fd), entry(fd+"-b", fd))
 		for i := range 10 {
-			hosts = append(hosts, platform.Host{Name: fmt.Sprintf("%s-w%d", fd, i), Kind: platform.Worker, FailureDomain: fd})
+			hosts = append(hosts, kvstore.Host{Name: fmt.Sprintf("%s-w%d", fd, i), Kind: kvstore.Worker, FailureDomain: fd})
 		}
 	}
 	return hosts
 }
 
-func beat(h platform.Host) Beat { return Beat{Host: h, Incarnation: "1"} }
+func beat(h kvstore.Host) Beat { return Beat{Host: h, Incarnation: "1"} }
 
 // listed returns a table that has read the whole list and heard every peer at t0.
 func listed() *table {
 	t := newTable(entry("n1-a", "n1"))
 	t.applyList(t0, twoRegions())
 	for _, h := range twoRegions() {
-		if h.Kind == platform.EntryHost {
+		if h.Kind == kvstore.EntryHost {
 			t.applyBeat(t0, beat(h))
 		}
 	}
 	return t
 }
 
-func without(hosts []platform.Host, drop func(platform.Host) bool) []platform.Host {
-	var out []platform.Host
+func without(hosts []kvstore.Host, drop func(kvstore.Host) bool) []kvstore.Host {
+	var out []kvstore.Host
 	for _, h := range hosts {
 		if !drop(h) {
 			out = append(out, h)
@@ -57,12 +57,12 @@
 }
 
 func TestListThatLacksHosts(t *testing.T) {
-	one := func(h platform.Host) bool { return h.Name == "n1-w3" }
-	all := func(platform.Host) bool { return true }
-	domain := func(h platform.Host) bool { return h.FailureDomain == "n1" }
+	one := func(h kvstore.Host) bool { return h.Name == "n1-w3" }
+	all := func(kvstore.Host) bool { return true }
+	domain := func(h kvstore.Host) bool { return h.FailureDomain == "n1" }
 	cases := []struct {
 		name  string
-		drop  func(platform.Host) bool
+		drop  func(kvstore.Host) bool
 		reads []time.Duration // after t0
 		gone  int
 	}{
@@ -97,7 +97,7 @@
 					tab.applyBeat(now, beat(entry(n, n[:2])))
 				}
 				if platformHere { // which sees only its own region
-					tab.applyList(now, without(twoRegions(), func(h platform.Host) bool { return h.FailureDomain[0] == 's' }))
+					tab.applyList(now, without(twoRegions(), func(h kvstore.Host) bool { return h.FailureDomain[0] == 's' }))
 				}
 				v := tab.view(now)
 				must.Len(t, 48, v.Hosts)
@@ -155,7 +155,7 @@
 				continue
 			case 1:
 				dropped := rapid.SliceOfN(rapid.SampledFrom(twoRegions()[:4]), 0, 2).Draw(t, "dropped")
-				lastList = without(twoRegions(), func(h platform.Host) bool { return slices.Contains(dropped, h) })
+				lastList = without(twoRegions(), func(h kvstore.Host) bool { return slices.Contains(dropped, h) })
 				absent := map[string]bool{}
 				for name, r := range tab.records {
 					absent[name] = r.absentReads > 0
--- a/membership/view.go
+++ b/membership/view.go
@@ -6,30 +6,30 @@
 	"slices"
 	"strings"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // View is the membership at one moment. It is immutable once published.
 type View struct {
-	Self   platform.Host
-	Hosts  []platform.Host // ordered by name; hosts known to be gone are left out
+	Self   kvstore.Host
+	Hosts  []kvstore.Host // ordered by name; hosts known to be gone are left out
 	Silent map[string]bool // entry hosts that do not answer heartbeats now
 }
 
 // Find returns the host of a name.
-func (v *View) Find(name string) (platform.Host, bool) {
-	i, found := slices.BinarySearchFunc(v.Hosts, name, func(h platform.Host, name string) int {
+func (v *View) Find(name string) (kvstore.Host, bool) {
+	i, found := slices.BinarySearchFunc(v.Hosts, name, func(h kvstore.Host, name string) int {
 		return strings.Compare(h.Name, name)
 	})
 	if !found {
-		return platform.Host{}, false
+		return kvstore.Host{}, false
 	}
 	return v.Hosts[i], true
 }
 
 // Select returns the hosts for which keep is true, ordered by name.
-func (v *View) Select(keep func(platform.Host) bool) []platform.Host {
-	var out []platform.Host
+func (v *View) Select(keep func(kvstore.Host) bool) []kvstore.Host {
+	var out []kvstore.Host
 	for _, h := range v.Hosts {
 		if keep(h) {
 			out = append(out, h)
@@ -39,29 +39,29 @@
 }
 
 // Workers returns the workers of a failure domain, leaving ones included.
-func (v *View) Workers(failureDomain string) []platform.Host {
-	return v.Select(func(h platform.Host) bool {
-		return h.Kind == platform.Worker && h.FailureDomain == failureDomain
+func (v *View) Workers(failureDomain string) []kvstore.Host {
+	return v.Select(func(h kvstore.Host) bool {
+		return h.Kind == kvstore.Worker && h.FailureDomain == failureDomain
 	})
 }
 
 // Upstreams returns the upstreams of a service, leaving ones included.
-func (v *View) Upstreams(service string) []platform.Host {
-	return v.Select(func(h platform.Host) bool {
-		return h.Kind == platform.Upstream && h.Service == service
+func (v *View) Upstreams(service string) []kvstore.Host {
+	return v.Select(func(h kvstore.Host) bool {
+		return h.Kind == kvstore.Upstream && h.Service == service
 	})
 }
 
 // Peers returns the other entry hosts that are not silent.
-func (v *View) Peers() []platform.Host {
-	return v.Select(func(h platform.Host) bool {
-		return h.Kind == platform.EntryHost && h.Name != v.Self.Name && !v.Silent[h.Name]
+func (v *View) Peers() []kvstore.Host {
+	return v.Select(func(h kvstore.Host) bool {
+		return h.Kind == kvstore.EntryHost && h.Name != v.Self.Name && !v.Silent[h.Name]
 	})
 }
 
 // Neighbours returns the peers of this host's failure domain.
-func (v *View) Neighbours() []platform.Host {
-	var out []platform.Host
+func (v *View) Neighbours() []kvstore.Host {
+	var out []kvstore.Host
 	for _, h := range v.Peers() {
 		if h.FailureDomain == v.Self.FailureDomain {
 			out = append(out, h)
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,7 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -26,6 +28,11 @@
 
 var errUnframed = errors.New("routing: the answer has no length, so a cut could not be told from its end; have the upstream send Content-Length or chunks")
 
+var errCrossed = errors.New("routing: the answer names another request; the connection was closed")
+
+// requestNumber makes the names of requests unique on every connection of this process.
+var requestNumber atomic.Uint64
+
 // answer is an upstream's answer. When rest is nil, body is the whole of it.
 type answer struct {
 	status  int
@@ -48,6 +55,7 @@
 	pool   *pool
 	conn   *conn
 	sent   bool // a byte of the request may have reached the upstream
+	echoed bool // the answer named the request, so it can't be another's
 	answer *answer
 	err    error
 }
@@ -91,14 +99,32 @@
 	if err := x.connect(ctx, req.URL.Host, age, connections, limit); err != nil {
 		return err
 	}
+	id := strconv.FormatUint(requestNumber.Add(1), 36)
+	req.Header.Set(HeaderRequest, id)
 	resp, err := x.conn.roundTrip(req, limit)
 	x.sent = x.conn.sent
 	if err != nil {
 		return err
 	}
+	if err := x.checkEcho(resp, id); err != nil {
+		return err
+	}
 	return x.read(resp)
 }
 
+// checkEcho compares the request that the answer names with the one just sent.
+// An upstream that names none gets a fresh connection for each request: on a
+// reused one, a late second answer to an earlier request looks like this one's.
+func (x *exchange) checkEcho(resp *http.Response, id string) error {
+	named := resp.Header.Get(HeaderRequest)
+	resp.Header.Del(HeaderRequest)
+	x.echoed = named == id
+	if named != "" && !x.echoed {
+		return errCrossed
+	}
+	return nil
+}
+
 func (x *exchange) connect(ctx context.Context, address string, age time.Duration, connections int, limit time.Time) error {
 	x.conn = x.pool.take(time.Now(), age)
 	if x.conn != nil {
@@ -142,7 +168,7 @@
 		return
 	}
 	x.conn = nil
-	if !whole || x.err != nil || c.broken || x.answer.closing || c.reader.Buffered() > 0 {
+	if !whole || !x.echoed || x.err != nil || c.broken || x.answer.closing || c.reader.Buffered() > 0 {
 		x.pool.discard(c)
 		return
 	}
@@ -169,7 +195,7 @@
 }
 
 // probe tells whether an upstream answers HTTP at all, on a fresh connection.
-func (r *Router) probe(ctx context.Context, host platform.Host) (alive, closing bool) {
+func (r *Router) probe(ctx context.Context, host kvstore.Host) (alive, closing bool) {
 	limit := time.Now().Add(dialTimeout)
 	c, err := dial(ctx, host.Address)
 	if err != nil {
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -18,7 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/claims"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/routing"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 	"github.com/cyclamentray/cyclamentray/standin/upstream"
@@ -150,7 +150,7 @@
 		pause   = 20 * time.Millisecond // of a caller that was refused
 	)
 	var ups []*upstream.Upstream
-	var hosts []platform.Host
+	var hosts []kvstore.Host
 	capacity := 0.0
 	for i := range 10 {
 		name, speed := fmt.Sprint("u", i), math.Pow(10, float64(i)/9)
@@ -159,7 +159,7 @@
 		b.Cleanup(server.Close)
 		ups = append(ups, u)
 		capacity += slots * speed / base.Seconds()
-		hosts = append(hosts, platform.Host{Name: name, Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: server.Listener.Addr().String(), Slots: slots, Connections: 60})
+		hosts = append(hosts, kvstore.Host{Name: name, Kind: kvstore.Upstream, FailureDomain: "a", Service: "loans", Address: server.Listener.Addr().String(), Slots: slots, Connections: 60})
 	}
 	entries := startKeyed(b, kv.New(), 3, claims.DefaultCommitInterval, hosts...)
 	organisations := []string{"acme", "north", "south", "west"}
--- a/routing/core.go
+++ b/routing/core.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -21,10 +21,10 @@
 
 // Fleet is what membership and configuration say about one service.
 type Fleet struct {
-	Self       platform.Host   // this entry host
-	EntryHosts []platform.Host // the known entry hosts, this one included
+	Self       kvstore.Host   // this entry host
+	EntryHosts []kvstore.Host // the known entry hosts, this one included
 	Silent     map[string]bool // entry hosts that are not heard at present
-	Upstreams  []platform.Host // the service's upstreams
+	Upstreams  []kvstore.Host // the service's upstreams
 	Out        map[string]bool // failure domains taken out
 }
 
@@ -51,7 +51,7 @@
 // Dispatch sends a ticket to an upstream.
 type Dispatch struct {
 	Ticket   uint64
-	Upstream platform.Host
+	Upstream kvstore.Host
 	Patience time.Duration // an idempotent attempt is given up after this
 }
 
@@ -122,7 +122,7 @@
 // sharers returns the names of the entry hosts that share an upstream. One that
 // is silent is left out, unless it stands in the upstream's failure domain: cut
 // off from here, it may well be using the upstream.
-func (f Fleet) sharers(upstream platform.Host) []string {
+func (f Fleet) sharers(upstream kvstore.Host) []string {
 	var names []string
 	for _, h := range f.EntryHosts {
 		if !f.Silent[h.Name] || h.FailureDomain == upstream.FailureDomain {
@@ -134,7 +134,7 @@
 
 // slotShare bounds the slots also by the connections, of which each request
 // in flight uses one.
-func slotShare(host platform.Host, f Fleet) int {
+func slotShare(host kvstore.Host, f Fleet) int {
 	names := f.sharers(host)
 	share := Share(host.Slots, host.Name, f.Self.Name, names)
 	if host.Connections > 0 {
@@ -248,8 +248,8 @@
 
 // Probes returns the upstreams whose connection the driver is to probe; each
 // must be followed by Probed.
-func (c *Core) Probes(now time.Time) []platform.Host {
-	var out []platform.Host
+func (c *Core) Probes(now time.Time) []kvstore.Host {
+	var out []kvstore.Host
 	for _, r := range c.fleet.runners {
 		if r.wantsProbe(now) {
 			r.probing = true
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -61,13 +61,13 @@
 	return n
 }
 
-func fleetOf(hosts ...platform.Host) Fleet {
-	self := platform.Host{Name: "e1", FailureDomain: "a"}
-	return Fleet{Self: self, EntryHosts: []platform.Host{self}, Upstreams: hosts, Out: map[string]bool{}}
+func fleetOf(hosts ...kvstore.Host) Fleet {
+	self := kvstore.Host{Name: "e1", FailureDomain: "a"}
+	return Fleet{Self: self, EntryHosts: []kvstore.Host{self}, Upstreams: hosts, Out: map[string]bool{}}
 }
 
-func up(name, domain string, slots int) platform.Host {
-	return platform.Host{Name: name, FailureDomain: domain, Slots: slots, Address: name}
+func up(name, domain string, slots int) kvstore.Host {
+	return kvstore.Host{Name: name, FailureDomain: domain, Slots: slots, Address: name}
 }
 
 func TestSharesAddUpToTheLimit(t *testing.T) {
@@ -110,7 +110,7 @@
 func TestShareGrowsLate(t *testing.T) {
 	f := fleetOf(up("u", "a", 8))
 	one := f.EntryHosts
-	f.EntryHosts = append(one, platform.Host{Name: "e2", FailureDomain: "a"})
+	f.EntryHosts = append(one, kvstore.Host{Name: "e2", FailureDomain: "a"})
 	c := newTestCore(f)
 	for range 8 {
 		c.submit("x", time.Minute)
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -19,7 +19,7 @@
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/membership"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/routing"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/upstream"
@@ -49,7 +49,7 @@
 
 func (s *shared) Changed() <-chan struct{} { return s.changed }
 
-func (s *shared) setHosts(hosts ...platform.Host) {
+func (s *shared) setHosts(hosts ...kvstore.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view = &membership.View{Self: s.view.Self, Hosts: hosts}
@@ -71,12 +71,12 @@
 	url    string
 }
 
-func newShared(timeout time.Duration, hosts ...platform.Host) *shared {
+func newShared(timeout time.Duration, hosts ...kvstore.Host) *shared {
 	service := config.Service{Name: "loans", Organisation: "acme", Requests: &config.Requests{
 		TimeoutMillis: int(timeout.Milliseconds()), ShareWith: []string{"north", "south", "west"},
 	}}
 	return &shared{
-		view:    &membership.View{Self: platform.Host{Name: "e1", Kind: platform.EntryHost, FailureDomain: "a"}, Hosts: hosts},
+		view:    &membership.View{Self: kvstore.Host{Name: "e1", Kind: kvstore.EntryHost, FailureDomain: "a"}, Hosts: hosts},
 		snap:    &config.Snapshot{Revision: 1, Services: map[string]config.Service{"loans": service}},
 		changed: make(chan struct{}),
 	}
@@ -132,7 +132,7 @@
 }
 
 // runnerHost starts an upstream behind a fault proxy.
-func runnerHost(t testing.TB, o upstream.Options) (platform.Host, *upstream.Upstream, *faultproxy.Proxy) {
+func runnerHost(t testing.TB, o upstream.Options) (kvstore.Host, *upstream.Upstream, *faultproxy.Proxy) {
 	u := upstream.New(o)
 	server := httptest.NewServer(u)
 	proxy, err := faultproxy.New(server.Listener.Addr().String())
@@ -142,22 +142,22 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	host := platform.Host{
-		Name: o.Name, Kind: platform.Upstream, FailureDomain: "a", Service: "loans",
+	host := kvstore.Host{
+		Name: o.Name, Kind: kvstore.Upstream, FailureDomain: "a", Service: "loans",
 		Address: proxy.Addr(), Slots: 8, Connections: 60,
 	}
 	return host, u, proxy
 }
 
 // runnerHosts starts upstreams that take their connections directly.
-func runnerHosts(t testing.TB, n int) []platform.Host {
-	var hosts []platform.Host
+func runnerHosts(t testing.TB, n int) []kvstore.Host {
+	var hosts []kvstore.Host
 	for i := range n {
 		name := fmt.Sprint("u", i)
 		server := httptest.NewServer(upstream.New(upstream.Options{Name: name, Slots: 64, Work: 2 * time.Millisecond}))
 		t.Cleanup(server.Close)
-		hosts = append(hosts, platform.Host{
-			Name: name, Kind: platform.Upstream, FailureDomain: "a", Service: "loans",
+		hosts = append(hosts, kvstore.Host{
+			Name: name, Kind: kvstore.Upstream, FailureDomain: "a", Service: "loans",
 			Address: server.Listener.Addr().String(), Slots: 64,
 		})
 	}
--- a/routing/keyed_test.go
+++ b/routing/keyed_test.go
@@ -15,7 +15,7 @@
 	"github.com/cyclamentray/cyclamentray/claims"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/routing"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
@@ -32,7 +32,7 @@
 }
 
 // startKeyed starts entry hosts that share a platform and upstreams.
-func startKeyed(t testing.TB, store *kv.Server, n int, interval time.Duration, upstreams ...platform.Host) []*keyedEntry {
+func startKeyed(t testing.TB, store *kv.Server, n int, interval time.Duration, upstreams ...kvstore.Host) []*keyedEntry {
 	server := httptest.NewServer(store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -44,8 +44,8 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
 		listeners[i] = l
-		hosts = append(hosts, platform.Host{
-			Name: fmt.Sprintf("e%d", i), Kind: platform.EntryHost, FailureDomain: "a", PeerAddress: l.Addr().String(),
+		hosts = append(hosts, kvstore.Host{
+			Name: fmt.Sprintf("e%d", i), Kind: kvstore.EntryHost, FailureDomain: "a", PeerAddress: l.Addr().String(),
 		})
 	}
 	var out []*keyedEntry
@@ -56,14 +56,14 @@
 	return out
 }
 
-func startKeyedEntry(t testing.TB, store string, l net.Listener, self platform.Host, hosts []platform.Host, interval time.Duration) *keyedEntry {
+func startKeyedEntry(t testing.TB, store string, l net.Listener, self kvstore.Host, hosts []kvstore.Host, interval time.Duration) *keyedEntry {
 	proxy, err := faultproxy.New(store)
 	must.NoError(t, err)
 	s := newShared(5*time.Second, hosts...)
 	s.view = &membership.View{Self: self, Hosts: hosts}
 	pool := peer.NewPool(peer.Options{})
 	service := claims.New(claims.Options{
-		Store:      platform.NewClient("http://" + proxy.Addr()),
+		Store:      kvstore.NewClient("http://" + proxy.Addr()),
 		Peers:      pool,
 		Membership: s, LeaseTTL: 500 * time.Millisecond, CommitInterval: interval,
 	})
--- a/routing/policy_bench_test.go
+++ b/routing/policy_bench_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // The benchmark drives the decisions of seven entry hosts in virtual time
@@ -67,7 +67,7 @@
 }
 
 type simRunner struct {
-	host    platform.Host
+	host    kvstore.Host
 	speed   float64
 	busy    int
 	waiting []func() // requests beyond the slots wait here
@@ -103,7 +103,7 @@
 	s.windowFrom = start.Add(benchWarmUp)
 	for i := range benchRunners {
 		name := fmt.Sprintf("u%02d", i)
-		host := platform.Host{Name: name, Address: name, FailureDomain: fmt.Sprint("d", i%benchDomains), Slots: benchSlots, Connections: 60}
+		host := kvstore.Host{Name: name, Address: name, FailureDomain: fmt.Sprint("d", i%benchDomains), Slots: benchSlots, Connections: 60}
 		r := &simRunner{host: host, speed: math.Pow(benchSpread, float64(i)/(benchRunners-1))}
 		s.runners = append(s.runners, r)
 		s.byName[name] = r
@@ -112,7 +112,7 @@
 	s.turn = make([]int, benchEntryHosts)
 	for i := range benchEntryHosts {
 		s.turn[i] = i * benchRunners / benchEntryHosts
-		s.fleet.EntryHosts = append(s.fleet.EntryHosts, platform.Host{Name: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%benchDomains)})
+		s.fleet.EntryHosts = append(s.fleet.EntryHosts, kvstore.Host{Name: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%benchDomains)})
 	}
 	if core {
 		for i := range benchEntryHosts {
--- a/routing/router.go
+++ b/routing/router.go
@@ -18,7 +18,7 @@
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/membership"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -143,7 +143,7 @@
 	return s
 }
 
-func (r *Router) pool(host platform.Host) *pool {
+func (r *Router) pool(host kvstore.Host) *pool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pools[host.Address]
@@ -155,7 +155,7 @@
 }
 
 // connectionLimit is this host's share of an upstream's connections; 0: none is set.
-func (r *Router) connectionLimit(host platform.Host) int {
+func (r *Router) connectionLimit(host kvstore.Host) int {
 	if host.Connections == 0 {
 		return 0
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -14,7 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/config"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/routing"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/upstream"
@@ -109,7 +109,7 @@
 		}))
 		proxy, err := faultproxy.New(server.Listener.Addr().String())
 		must.NoError(t, err)
-		host := platform.Host{Name: "u1", Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: proxy.Addr(), Slots: 8}
+		host := kvstore.Host{Name: "u1", Kind: kvstore.Upstream, FailureDomain: "a", Service: "loans", Address: proxy.Addr(), Slots: 8}
 		whole := reply{status: 200, outcome: routing.Ran, body: "booked: 3 grabbers"}
 		offset := int64(0)
 		for ; ; offset++ {
@@ -139,7 +139,7 @@
 	proxy, err := faultproxy.New(server.Listener.Addr().String())
 	must.NoError(t, err)
 	defer proxy.Close()
-	host := platform.Host{Name: "u1", Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: proxy.Addr(), Slots: 8}
+	host := kvstore.Host{Name: "u1", Kind: kvstore.Upstream, FailureDomain: "a", Service: "loans", Address: proxy.Addr(), Slots: 8}
 	e := startEntry(t, newShared(testTimeout, host), nil)
 	got := e.do(t, "GET", "acme", "")
 	must.False(t, got.cut)
@@ -157,7 +157,7 @@
 		must.NoError(t, err)
 		var served atomic.Int64
 		go answerTwice(listener, &served, late)
-		host := platform.Host{Name: "u1", Kind: platform.Upstream, FailureDomain: "a", Service: "loans", Address: listener.Addr().String(), Slots: 8}
+		host := kvstore.Host{Name: "u1", Kind: kvstore.Upstream, FailureDomain: "a", Service: "loans", Address: listener.Addr().String(), Slots: 8}
 		e := startEntry(t, newShared(testTimeout, host), nil)
 		for i := range 20 {
 			must.Eq(t, fmt.Sprintf("answer %d", i+1), e.do(t, "GET", "acme", "").body)
--- a/routing/runner.go
+++ b/routing/runner.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -24,7 +24,7 @@
 
 // runner is what the core knows about one upstream.
 type runner struct {
-	host    platform.Host
+	host    kvstore.Host
 	local   bool // in this entry host's failure domain
 	out     bool // its failure domain is taken out
 	share   int  // slots that this entry host may use
--- a/routing/service.go
+++ b/routing/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/membership"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // grant is the core's decision on one ticket.
@@ -62,9 +62,9 @@
 }
 
 // entryHosts returns the known entry hosts, this one included.
-func entryHosts(view *membership.View) []platform.Host {
-	others := view.Select(func(h platform.Host) bool {
-		return h.Kind == platform.EntryHost && h.Name != view.Self.Name
+func entryHosts(view *membership.View) []kvstore.Host {
+	others := view.Select(func(h kvstore.Host) bool {
+		return h.Kind == kvstore.EntryHost && h.Name != view.Self.Name
 	})
 	return append(others, view.Self)
 }
@@ -119,7 +119,7 @@
 }
 
 // tick gives the core the time and returns the upstreams to probe.
-func (s *service) tick(now time.Time) []platform.Host {
+func (s *service) tick(now time.Time) []kvstore.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.apply(s.core.Tick(now))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,7 +12,7 @@
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/internal/schema"
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // Settings are the settings of one entry host. Names that end in Millis or
@@ -133,10 +133,10 @@
 func Describe(w io.Writer) error { return schema.Describe(w, &root) }
 
 // Self returns this host's line as the platform's host list shows it.
-func (s *Settings) Self() platform.Host {
-	return platform.Host{
+func (s *Settings) Self() kvstore.Host {
+	return kvstore.Host{
 		Name:          s.Host.Name,
-		Kind:          platform.EntryHost,
+		Kind:          kvstore.EntryHost,
 		FailureDomain: s.Host.FailureDomain,
 		Rack:          s.Host.Rack,
 		Address:       s.Advertise.HTTP,
--- a/standin/kv/hosts.go
+++ b/standin/kv/hosts.go
@@ -6,22 +6,22 @@
 	"strconv"
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // hostList is the host list and its index, which grows with every change.
 type hostList struct {
-	hosts   []platform.Host
+	hosts   []kvstore.Host
 	index   uint64
 	changed chan struct{} // closed and replaced at every change
 }
 
 // SetHosts replaces the host list, after the lag that the faults ask for.
-func (s *Server) SetHosts(hosts []platform.Host) {
+func (s *Server) SetHosts(hosts []kvstore.Host) {
 	s.mu.Lock()
 	lag := s.faults.HostLag
 	s.mu.Unlock()
-	hosts = append([]platform.Host(nil), hosts...)
+	hosts = append([]kvstore.Host(nil), hosts...)
 	if lag <= 0 {
 		s.showHosts(hosts)
 		return
@@ -29,7 +29,7 @@
 	time.AfterFunc(lag, func() { s.showHosts(hosts) })
 }
 
-func (s *Server) showHosts(hosts []platform.Host) {
+func (s *Server) showHosts(hosts []kvstore.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts.hosts = hosts
@@ -41,7 +41,7 @@
 func (s *Server) serveHosts(w http.ResponseWriter, r *http.Request) {
 	s.count("hosts")
 	if r.Method == http.MethodPut {
-		var hosts []platform.Host
+		var hosts []kvstore.Host
 		if err := json.NewDecoder(r.Body).Decode(&hosts); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
@@ -188,12 +188,12 @@
 
 func (s *Server) servePut(w http.ResponseWriter, r *http.Request, key string) {
 	s.count("put")
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, kvstore.MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > kvstore.MaxValueBytes {
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -21,6 +21,7 @@
 const (
 	headerOutcome = "Cyclamentray-Outcome"
 	headerReason  = "Cyclamentray-Reason"
+	headerRequest = "Cyclamentray-Request"
 	headerKey     = "Idempotency-Key"
 	headerWork    = "Work-Micros" // asks for this much work, in microseconds at speed 1
 )
@@ -107,6 +108,9 @@
 // ServeHTTP works on a request, or refuses it while leaving.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.arrived.Add(1)
+	if id := r.Header.Get(headerRequest); id != "" {
+		w.Header().Set(headerRequest, id)
+	}
 	if u.leaving.Load() {
 		u.refuse(w)
 		return
