--- /dev/null
+++ b/batch/dispatch/election.go
@@ -0,0 +1,181 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+	"github.com/cyclamentray/cyclamentray/kvstore"
+)
+
+const (
+	// termTTL is the lease of a term: a dead leader is replaced after it, and a
+	// leader without the store gives no starts after it.
+	termTTL = 2 * time.Second
+
+	renewEvery    = termTTL / 4
+	renewTimeout  = 900 * time.Millisecond // above the slowest store, below what is left of the lease
+	termMargin    = 200 * time.Millisecond // for the way of a call and for timers that fire late
+	acquireJitter = 120 * time.Millisecond // spreads the candidates when a term ends
+	acquireCall   = 1500 * time.Millisecond
+)
+
+// Term is one host's authority to schedule. It is safe for concurrent use.
+type Term struct {
+	Token uint64 // of the store; higher than that of every earlier term
+	lease uint64
+
+	mu      sync.Mutex
+	renewed steady.Time // when the last renewal that succeeded was sent
+	ended   bool
+	cancel  context.CancelFunc
+}
+
+// Valid reports whether starts may be sent.
+func (t *Term) Valid() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.ended && steady.Now().Before(t.renewed.Add(termTTL-termMargin))
+}
+
+// HoldLimit is the latest time to which runners' leases may be extended: a
+// later leader waits for just this long for a runner that it can't reach.
+func (t *Term) HoldLimit(lease time.Duration) steady.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.renewed.Add(termTTL + lease)
+}
+
+// End gives the term up.
+func (t *Term) End() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = true
+	t.cancel()
+}
+
+// Candidate seeks the term and leads while it has it.
+type Candidate struct {
+	Store   kvstore.Keyspace
+	Replica *ledger.Replica
+	Host    string
+	Log     *log.Logger
+	Lead    func(ctx context.Context, t *Term)
+}
+
+// Run seeks the term until ctx ends, and gives it up then.
+func (c *Candidate) Run(ctx context.Context) {
+	changed := c.Replica.Watch()
+	for ctx.Err() == nil {
+		if !c.Replica.Loaded() || c.Replica.Leader() != (ledger.Leader{}) {
+			waitFor(ctx, changed, renewEvery)
+			continue
+		}
+		if !pause.For(ctx, rand.N(acquireJitter)) || c.Replica.Leader() != (ledger.Leader{}) {
+			continue
+		}
+		term, err := c.acquire(ctx)
+		if err != nil {
+			c.Log.Debug("term not acquired", "err", err)
+			pause.For(ctx, acquireJitter)
+			continue
+		}
+		c.lead(ctx, term)
+	}
+}
+
+func waitFor(ctx context.Context, changed <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+func (c *Candidate) acquire(ctx context.Context) (*Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, acquireCall)
+	defer cancel()
+	began := steady.Now()
+	grant, err := c.Store.Grant(ctx, termTTL)
+	if err != nil {
+		return nil, err
+	}
+	value := c.Host + "/" + strconv.FormatUint(grant.ID, 10)
+	revision, err := c.Store.Commit(ctx, kvstore.Txn{
+		If:   []kvstore.Condition{{Key: ledger.LeaderKey}},
+		Puts: []kvstore.Put{{Key: ledger.LeaderKey, Value: []byte(value), Lease: grant.ID}},
+	})
+	if errors.Is(err, kvstore.ErrAmbiguous) {
+		revision, err = c.settle(ctx, value)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Term{Token: revision, lease: grant.ID, renewed: began}, nil
+}
+
+// settle reads back whether a commit without an answer took the term.
+func (c *Candidate) settle(ctx context.Context, value string) (uint64, error) {
+	item, err := c.Store.Get(ctx, ledger.LeaderKey)
+	if err != nil {
+		return 0, err
+	}
+	if string(item.Value) != value {
+		return 0, kvstore.ErrHeld
+	}
+	return item.Revision, nil
+}
+
+func (c *Candidate) lead(ctx context.Context, t *Term) {
+	leading, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.cancel = cancel
+	c.Log.Info("term acquired", "token", t.Token)
+	var renewing sync.WaitGroup
+	renewing.Go(func() { c.renew(leading, t) })
+	c.Lead(leading, t)
+	t.End()
+	renewing.Wait()
+	c.Log.Info("term ended", "token", t.Token)
+	revoke, done := context.WithTimeout(context.WithoutCancel(ctx), renewTimeout)
+	defer done()
+	if err := c.Store.Revoke(revoke, t.lease); err != nil && !errors.Is(err, kvstore.ErrLeaseLost) {
+		c.Log.Warn("term's lease not revoked; it lapses by itself", "token", t.Token, "err", err)
+	}
+}
+
+// renew extends the term until it is lost. A store that does not answer does
+// not end it: the lease may be paused there.
+func (c *Candidate) renew(ctx context.Context, t *Term) {
+	for pause.For(ctx, renewEvery) {
+		sent := steady.Now()
+		call, cancel := context.WithTimeout(ctx, renewTimeout)
+		err := c.Store.Renew(call, t.lease)
+		cancel()
+		switch {
+		case err == nil:
+			t.mu.Lock()
+			t.renewed = sent
+			t.mu.Unlock()
+		case errors.Is(err, kvstore.ErrLeaseLost):
+			c.Log.Warn("term lost: its lease has ended", "token", t.Token)
+			t.End()
+			return
+		}
+		if leader := c.Replica.Leader(); leader.Revision > t.Token {
+			c.Log.Warn("term lost: another host leads", "token", t.Token, "leader", leader.Value)
+			t.End()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/batch/dispatch/leader.go
@@ -0,0 +1,218 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/batch/scheduler"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+	"github.com/cyclamentray/cyclamentray/kvstore"
+)
+
+const (
+	// decideEvery bounds how late a decision that only time brings is taken.
+	decideEvery = 100 * time.Millisecond
+
+	// decidePause lies between two decisions, so that a burst is decided at once.
+	decidePause = 5 * time.Millisecond
+
+	loadTimeout = 3 * time.Second
+	loadRetry   = 100 * time.Millisecond
+)
+
+// Conditions is what operators and runners say, as the host follows it.
+type Conditions interface {
+	Configuration() *batch.Configuration // nil: none yet
+	Evacuated() map[string]bool
+	// FollowRunners calls the functions, from one goroutine, until ctx ends.
+	FollowRunners(ctx context.Context, listed func(batch.Runner), unlisted func(id string))
+}
+
+// Options of a Leader.
+type Options struct {
+	Store      kvstore.Keyspace
+	Replica    *ledger.Replica
+	Runners    Runners
+	Conditions Conditions
+	Log        *log.Logger
+	Now        func() time.Time // time of day, without jumps
+
+	Lease        time.Duration // of what runs on a runner
+	Stop         time.Duration
+	GangTimeout  time.Duration
+	Early        time.Duration
+	RemoteFactor float64
+}
+
+// Leader schedules during one term.
+type Leader struct {
+	Options
+	term *Term
+
+	mu        sync.Mutex // guards core, revisions, links
+	core      *scheduler.Core
+	revisions map[string]uint64 // of the progress record of each job
+	links     map[string]*link
+
+	wake       chan struct{} // something may be decided
+	toRecord   chan struct{} // a record changed
+	committed  chan struct{} // closed and replaced after each commit; guarded by mu
+	background sync.WaitGroup
+}
+
+// Lead schedules until ctx ends, which the end of the term brings about too.
+func Lead(ctx context.Context, o Options, t *Term) {
+	l := &Leader{
+		Options:   o,
+		term:      t,
+		revisions: make(map[string]uint64),
+		links:     make(map[string]*link),
+		wake:      make(chan struct{}, 1),
+		toRecord:  make(chan struct{}, 1),
+		committed: make(chan struct{}),
+	}
+	defer l.background.Wait()
+	if !l.load(ctx) {
+		return
+	}
+	l.background.Go(func() { l.Conditions.FollowRunners(ctx, func(r batch.Runner) { l.listed(ctx, r) }, l.unlisted) })
+	l.background.Go(func() { l.recordLoop(ctx) })
+	l.decideLoop(ctx)
+}
+
+// load reads what earlier terms recorded. Nothing they write comes later: each
+// of their writes demands their own term.
+func (l *Leader) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, loadTimeout)
+		items, _, err := l.Store.List(call, ledger.Prefix)
+		cancel()
+		if err == nil {
+			l.build(items)
+			return true
+		}
+		l.Log.Warn("records not read; trying again", "err", err)
+		pause.For(ctx, loadRetry)
+	}
+	return false
+}
+
+func (l *Leader) build(items []kvstore.Item) {
+	whole := ledger.NewReplica(l.Log)
+	whole.Reset(items)
+	now := steady.Now()
+	l.core = scheduler.New(scheduler.Options{
+		Stop:           l.Stop,
+		GangTimeout:    l.GangTimeout,
+		Early:          l.Early,
+		RemoteFactor:   l.RemoteFactor,
+		InheritedUntil: now.Add(slowest(l.Lease)),
+		Observe:        l.observe,
+	})
+	n := 0
+	whole.Each(func(e ledger.Entry) {
+		l.addJob(e, now)
+		n++
+	})
+	l.Log.Info("records read", "token", l.term.Token, "jobs", n)
+}
+
+// addJob gives a job to the core. The caller holds mu, or is alone.
+func (l *Leader) addJob(e ledger.Entry, now steady.Time) {
+	id := e.Job.ID
+	var recorded *batch.Progress
+	if e.Progress != nil {
+		p, err := ledger.DecodeProgress(e.Progress)
+		if err != nil {
+			l.Log.Error("progress is unreadable; the job is left alone", "job", id, "revision", e.ProgressRevision, "err", err)
+			return
+		}
+		recorded = &p
+	}
+	l.revisions[id] = e.ProgressRevision
+	l.core.AddJob(e.Job, recorded, now)
+	if e.Cancelled {
+		l.core.Cancel(id, now)
+	}
+}
+
+func (l *Leader) observe(d scheduler.Decision) {
+	l.Log.Info(d.What, "job", d.Job, "occurrence", d.Task.Occurrence, "step", d.Task.Step, "task", d.Task.Index,
+		"attempt", d.Attempt, "runner", d.Runner, "reason", d.Reason, "waited", d.Waited, "token", l.term.Token)
+}
+
+// decideLoop takes in what changed, decides, and sends what was decided.
+func (l *Leader) decideLoop(ctx context.Context) {
+	changed := l.Replica.Watch()
+	timer := time.NewTicker(decideEvery)
+	defer timer.Stop()
+	for {
+		l.decide(ctx)
+		pause.For(ctx, decidePause)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-l.wake:
+		case <-changed:
+			l.takeJobs()
+		}
+	}
+}
+
+// takeJobs gives the core the jobs and cancellations that it doesn't have.
+func (l *Leader) takeJobs() {
+	now := steady.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Replica.Each(func(e ledger.Entry) {
+		if _, known := l.core.State(e.Job.ID); !known {
+			l.addJob(e, now)
+		} else if e.Cancelled {
+			l.core.Cancel(e.Job.ID, now)
+		}
+	})
+}
+
+func (l *Leader) decide(ctx context.Context) {
+	l.mu.Lock()
+	l.core.Configure(l.Conditions.Configuration())
+	l.core.Evacuate(l.Conditions.Evacuated())
+	if l.term.Valid() {
+		l.core.Decide(steady.Now(), l.Now())
+	}
+	orders := l.core.TakeOrders()
+	l.mu.Unlock()
+	l.send(ctx, orders)
+	signal(l.toRecord)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// slowest returns how long a lease of d can last on the slowest runner's clock.
+func slowest(d time.Duration) time.Duration {
+	return d*103/100 + clockSlack
+}
+
+// clockSlack covers the way of a report that a runner's clock was read from.
+const clockSlack = 300 * time.Millisecond
+
+func (l *Leader) lost(reason string, err error) {
+	l.Log.Warn("term given up", "token", l.term.Token, "reason", reason, "err", err)
+	l.term.End()
+}
+
+// errForeignWrite means that a record was changed by somebody else.
+var errForeignWrite = errors.New("dispatch: a record was changed by another writer")
--- /dev/null
+++ b/batch/dispatch/link.go
@@ -0,0 +1,279 @@
+package dispatch
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/scheduler"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+const (
+	// holdWait is how long a runner may wait for an end before it reports.
+	// Progress, checkpoints and silence are seen that often.
+	holdWait = time.Second
+
+	holdGrace = 600 * time.Millisecond // beyond the wait, for a slow answer
+	holdRetry = 100 * time.Millisecond // after a hold without an answer; doubles up to holdRetryMax
+	holdMax   = 800 * time.Millisecond
+
+	// recordWait is how long a hold waits for the ends of the last report to be
+	// recorded, so that it can acknowledge them.
+	recordWait = 250 * time.Millisecond
+
+	// unrecordedPause lies between holds while ends can't be recorded: a runner
+	// with unacknowledged ends answers at once.
+	unrecordedPause = 400 * time.Millisecond
+
+	startTries   = 3
+	startTimeout = 450 * time.Millisecond // three tries end before the rest of a gang has waited too long
+	stopTimeout  = 500 * time.Millisecond
+	stopRetry    = 100 * time.Millisecond // doubles up to stopRetryMax
+	stopRetryMax = time.Second
+)
+
+// link is the connection to one runner. Its fields are guarded by the leader's mu.
+type link struct {
+	runner batch.Runner
+
+	// The runner's clock when it was last read.
+	clock   time.Duration
+	clockAt steady.Time
+}
+
+func (l *Leader) listed(ctx context.Context, r batch.Runner) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.ListRunner(r)
+	if known := l.links[r.ID]; known != nil {
+		known.runner = r
+		return
+	}
+	l.links[r.ID] = &link{runner: r}
+	l.background.Go(func() { l.holdLoop(ctx, r.ID) })
+	signal(l.wake)
+}
+
+func (l *Leader) unlisted(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.UnlistRunner(id)
+	signal(l.wake)
+}
+
+// holdLoop holds a runner until it is neither listed nor needed.
+func (l *Leader) holdLoop(ctx context.Context, id string) {
+	wait := time.Duration(0) // the first hold only reads the clock
+	retry := holdRetry
+	for ctx.Err() == nil {
+		to, order, ok := l.nextHold(id, wait)
+		if !ok {
+			return
+		}
+		if l.hold(ctx, to, order) {
+			wait, retry = l.afterReport(ctx, id, order.Deadline == 0), holdRetry
+			continue
+		}
+		wait = 0
+		pause.For(ctx, retry)
+		retry = min(2*retry, holdMax)
+	}
+}
+
+// nextHold builds the next hold; ok is false when the runner isn't needed.
+func (l *Leader) nextHold(id string, wait time.Duration) (to batch.Runner, o HoldOrder, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.links[id]
+	if !l.core.Needed(id) {
+		delete(l.links, id)
+		return batch.Runner{}, HoldOrder{}, false
+	}
+	o = HoldOrder{Token: l.term.Token, Acknowledged: l.core.Acknowledged(id), Wait: wait}
+	o.Deadline = l.deadline(k)
+	return k.runner, o, true
+}
+
+// deadline returns how far the runner's lease may be extended, on its clock,
+// and notes it. It is zero while the clock is unknown. The caller holds mu.
+func (l *Leader) deadline(k *link) time.Duration {
+	if k.clockAt.IsZero() {
+		return 0
+	}
+	now := steady.Now()
+	lease := min(l.Lease, l.term.HoldLimit(l.Lease).Sub(now))
+	if lease <= 0 {
+		return 0
+	}
+	l.core.Extend(k.runner.ID, now.Add(slowest(lease)))
+	return k.clock + now.Sub(k.clockAt) + lease
+}
+
+// hold makes one hold and takes the report in.
+func (l *Leader) hold(ctx context.Context, to batch.Runner, o HoldOrder) bool {
+	call, cancel := context.WithTimeout(ctx, o.Wait+holdGrace)
+	defer cancel()
+	asked := steady.Now()
+	report, answer, err := l.Runners.Hold(call, to, o)
+	now := steady.Now()
+	if answer == Fenced {
+		l.lost("a runner has seen a later term", nil)
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answer != Accepted {
+		if ctx.Err() == nil {
+			l.Log.Debug("hold failed", "runner", to.ID, "answer", int(answer), "err", err)
+		}
+		refused := answer == OtherIncarnation || errors.Is(err, syscall.ECONNREFUSED)
+		l.core.Unreachable(to.ID, refused, now)
+		signal(l.wake)
+		return false
+	}
+	if k := l.links[to.ID]; k != nil {
+		k.clock, k.clockAt = report.Clock, now
+	}
+	l.core.Report(to.ID, asked, report, now)
+	if len(report.Ended) > 0 || o.Deadline == 0 {
+		signal(l.wake)
+	}
+	return true
+}
+
+// afterReport waits for the report's ends to be recorded. It returns how long
+// the next hold may wait at the runner.
+func (l *Leader) afterReport(ctx context.Context, id string, first bool) time.Duration {
+	if first {
+		return 0 // extend the lease at once
+	}
+	limit := time.NewTimer(recordWait)
+	defer limit.Stop()
+	for {
+		l.mu.Lock()
+		open, committed := l.core.Unacknowledged(id), l.committed
+		l.mu.Unlock()
+		if !open {
+			return holdWait
+		}
+		select {
+		case <-committed:
+		case <-ctx.Done():
+			return 0
+		case <-limit.C:
+			pause.For(ctx, unrecordedPause)
+			return 0
+		}
+	}
+}
+
+// send sends orders, each by itself, so that a gang starts together and a
+// silent runner holds up nothing else.
+func (l *Leader) send(ctx context.Context, orders []scheduler.Order) {
+	for _, o := range orders {
+		l.background.Go(func() {
+			if o.Kind == scheduler.StartRun {
+				l.answered(o, l.start(ctx, o))
+				return
+			}
+			l.stop(ctx, o)
+		})
+	}
+}
+
+func (l *Leader) answered(o scheduler.Order, a scheduler.Answer) {
+	now := steady.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.Answered(o, a, now)
+	signal(l.wake)
+}
+
+// start sends a start until it is answered, a few times. Once a try may have
+// left without an answer, only an acceptance is clear: the runner may still
+// carry out the earlier try.
+func (l *Leader) start(ctx context.Context, o scheduler.Order) scheduler.Answer {
+	doubt := false
+	for range startTries {
+		answer, sent, err := l.startOnce(ctx, o)
+		if answer == Accepted {
+			return scheduler.Accepted
+		}
+		if err != nil {
+			l.Log.Debug("start failed", "job", o.Task.Job, "step", o.Task.Step, "task", o.Task.Index, "runner", o.Runner.ID, "err", err)
+		}
+		if answer == Unanswered {
+			doubt = doubt || sent
+			continue
+		}
+		if answer == Fenced {
+			l.lost("a runner has seen a later term", nil)
+		}
+		l.Log.Info("start refused", "job", o.Task.Job, "step", o.Task.Step, "task", o.Task.Index,
+			"attempt", o.Attempt, "runner", o.Runner.ID, "answer", int(answer), "earlier-try", doubt)
+		switch {
+		case doubt:
+			return scheduler.Unknown
+		case answer == Unhealthy || answer == OtherIncarnation:
+			return scheduler.Unhealthy
+		default:
+			return scheduler.NotDone
+		}
+	}
+	if doubt {
+		return scheduler.Unknown
+	}
+	return scheduler.Unhealthy
+}
+
+func (l *Leader) startOnce(ctx context.Context, o scheduler.Order) (answer Answer, sent bool, err error) {
+	l.mu.Lock()
+	k := l.links[o.Runner.ID]
+	var deadline time.Duration
+	if k != nil {
+		deadline = l.deadline(k)
+	}
+	l.mu.Unlock()
+	if deadline == 0 || !l.term.Valid() {
+		return Unanswered, false, errors.New("runner's clock unknown or term not valid")
+	}
+	call, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	answer, err = l.Runners.Start(call, o.Runner, StartOrder{
+		Task: o.Task, Attempt: o.Attempt, Spec: o.Spec, Checkpoint: o.Checkpoint, Token: l.term.Token, Deadline: deadline,
+	})
+	return answer, !errors.Is(err, ErrNotSent), err
+}
+
+// stop sends a stop until it is answered or the run is gone.
+func (l *Leader) stop(ctx context.Context, o scheduler.Order) {
+	retry := stopRetry
+	for ctx.Err() == nil && l.stopDue(o) {
+		call, cancel := context.WithTimeout(ctx, stopTimeout)
+		answer, err := l.Runners.Stop(call, o.Runner, StopOrder{Task: o.Task, Attempt: o.Attempt, Token: l.term.Token})
+		cancel()
+		switch answer {
+		case Unanswered, Unhealthy:
+			l.Log.Debug("stop failed; trying again", "job", o.Task.Job, "runner", o.Runner.ID, "err", err)
+			pause.For(ctx, retry)
+			retry = min(2*retry, stopRetryMax)
+		case Fenced:
+			l.lost("a runner has seen a later term", nil)
+			return
+		default:
+			l.answered(o, scheduler.Accepted)
+			return
+		}
+	}
+}
+
+func (l *Leader) stopDue(o scheduler.Order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.Needed(o.Runner.ID)
+}
--- /dev/null
+++ b/batch/dispatch/record.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/batch/scheduler"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+	"github.com/cyclamentray/cyclamentray/kvstore"
+)
+
+const (
+	// groupSize is how many records one transaction takes: each needs a
+	// condition and a put, and the term needs a condition.
+	groupSize = (kvstore.MaxTxnEntries - 1) / 2
+
+	commitTimeout  = 900 * time.Millisecond
+	commitRetry    = 50 * time.Millisecond
+	commitRetryMax = 250 * time.Millisecond
+)
+
+// recordLoop commits changed records, one group at a time. Each record has one
+// write in flight, and each write demands the revision of the one before, so a
+// write that the store carries out late changes nothing.
+func (l *Leader) recordLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.toRecord:
+		}
+		for l.recordGroup(ctx) {
+		}
+	}
+}
+
+// recordGroup commits one group. It returns false when nothing is left.
+func (l *Leader) recordGroup(ctx context.Context) bool {
+	l.mu.Lock()
+	records := l.core.TakeRecords(groupSize)
+	txn, err := l.transaction(records)
+	l.mu.Unlock()
+	if len(records) == 0 {
+		return false
+	}
+	if err != nil {
+		l.lost("a record can't be encoded", err)
+		return false
+	}
+	revision, ok := l.commit(ctx, txn)
+	if !ok {
+		return false
+	}
+	l.noteCommitted(records, txn, revision)
+	signal(l.wake)
+	return true
+}
+
+func (l *Leader) transaction(records []scheduler.Record) (kvstore.Txn, error) {
+	txn := kvstore.Txn{If: []kvstore.Condition{{Key: ledger.LeaderKey, Revision: l.term.Token}}}
+	for _, r := range records {
+		value, err := ledger.EncodeProgress(r.Progress)
+		if err != nil {
+			return txn, err
+		}
+		key := ledger.ProgressKey(r.Job)
+		txn.If = append(txn.If, kvstore.Condition{Key: key, Revision: l.revisions[r.Job]})
+		txn.Puts = append(txn.Puts, kvstore.Put{Key: key, Value: value})
+	}
+	return txn, nil
+}
+
+func (l *Leader) noteCommitted(records []scheduler.Record, txn kvstore.Txn, revision uint64) {
+	now := steady.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range records {
+		l.revisions[r.Job] = revision
+		l.core.Committed(r.Job, r.Version, now)
+	}
+	close(l.committed)
+	l.committed = make(chan struct{})
+}
+
+// commit tries until the outcome is clear or the term ends.
+func (l *Leader) commit(ctx context.Context, txn kvstore.Txn) (uint64, bool) {
+	retry := commitRetry
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, commitTimeout)
+		revision, err := l.Store.Commit(call, txn)
+		cancel()
+		var conflict *kvstore.ConflictError
+		switch {
+		case err == nil:
+			return revision, true
+		case errors.As(err, &conflict):
+			revision, err = settled(conflict, txn)
+			if err == nil {
+				return revision, true
+			}
+			l.lost("a record could not be committed", err)
+			return 0, false
+		}
+		l.Log.Debug("commit failed; trying again", "records", len(txn.Puts), "err", err)
+		pause.For(ctx, retry)
+		retry = min(2*retry, commitRetryMax)
+	}
+	return 0, false
+}
+
+// settled tells whether a refused transaction had been applied by an earlier
+// try: every key then has the value that was to be written.
+func settled(conflict *kvstore.ConflictError, txn kvstore.Txn) (uint64, error) {
+	now := make(map[string]kvstore.Item, len(conflict.Items))
+	for _, item := range conflict.Items {
+		now[item.Key] = item
+	}
+	if leader := now[ledger.LeaderKey]; leader.Revision != txn.If[0].Revision {
+		return 0, errors.Wrap(kvstore.ErrHeld, "another host leads")
+	}
+	var revision uint64
+	for _, p := range txn.Puts {
+		item := now[p.Key]
+		if !bytes.Equal(item.Value, p.Value) {
+			return 0, errors.Wrapf(errForeignWrite, "key %s at revision %d", p.Key, item.Revision)
+		}
+		revision = item.Revision
+	}
+	return revision, nil
+}
--- /dev/null
+++ b/batch/host/host.go
@@ -0,0 +1,260 @@
+// Package host runs the batch scheduler's parts on one host.
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/batch/dispatch"
+	"github.com/cyclamentray/cyclamentray/batch/intake"
+	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/peer"
+)
+
+const (
+	// listingTTL is how long a dead host stays listed as a peer.
+	listingTTL   = 8 * time.Second
+	listingRenew = listingTTL / 4
+	listingRetry = 500 * time.Millisecond
+	listingCall  = time.Second
+
+	// replicaWait is short, so that a connection that has gone silent is replaced soon.
+	replicaWait  = time.Second
+	replicaPause = 10 * time.Millisecond // batches a burst of records
+
+	// unreadyAfter is how long the store may be away, directly and through
+	// peers, before the host asks for no new connections.
+	unreadyAfter = 1500 * time.Millisecond
+
+	// drainNotice is how long a host that stops goes on taking requests: the
+	// balancer notices after two looks a second apart.
+	drainNotice = 2300 * time.Millisecond
+
+	// drainMargin is left of the time to stop for ending by itself.
+	drainMargin = 700 * time.Millisecond
+
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+// Conditions is what operators and runners say.
+type Conditions interface {
+	dispatch.Conditions
+	// FollowOperator keeps the operator's documents current until ctx ends.
+	FollowOperator(ctx context.Context)
+}
+
+// Options of a Host.
+type Options struct {
+	Name         string
+	PeerAddress  string
+	FrontAddress string
+	ReadyAddress string
+	Grace        time.Duration // from the order to stop to being killed
+
+	Store      *kvstore.Fallback
+	Direct     kvstore.Keyspace // the store without the help of peers, for theirs
+	Conditions Conditions
+	Replica    *ledger.Replica
+	Dispatch   dispatch.Options
+	Front      func(*intake.Intake) http.Handler
+	Log        *log.Logger
+}
+
+// Host is one host's process.
+type Host struct {
+	Options
+	mu       sync.Mutex
+	lostAt   steady.Time // when the store was lost; 0: it is not
+	stopping bool
+}
+
+// New returns a Host.
+func New(o Options) *Host { return &Host{Options: o} }
+
+// Run serves until ctx ends, and then drains.
+func (h *Host) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	taken := intake.New(intake.Options{
+		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
+	})
+	front := &http.Server{Handler: h.Front(taken), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
+	peers := peer.NewServer(peer.Options{Host: h.Name})
+	if err := peers.Register("Keyspace", &kvstore.KeyspaceService{Store: h.Direct}); err != nil {
+		return err
+	}
+	failed := make(chan error, 3)
+	if err := errors.CombineErrors(serve(h.FrontAddress, front.Serve, failed),
+		errors.CombineErrors(serve(h.ReadyAddress, ready.Serve, failed), serve(h.PeerAddress, peers.Serve, failed))); err != nil {
+		return err
+	}
+	h.Log.Info("started", "host", h.Name)
+	var parts sync.WaitGroup
+	parts.Go(func() { h.Conditions.FollowOperator(serving) })
+	parts.Go(func() { h.followReplica(serving) })
+	parts.Go(func() { h.keepListed(serving) })
+	leading, resign := context.WithCancel(serving)
+	defer resign()
+	parts.Go(func() { h.candidate().Run(leading) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	h.drain(front, resign)
+	stop()
+	err = errors.CombineErrors(err, errors.CombineErrors(ready.Close(), peers.Close()))
+	parts.Wait()
+	h.Log.Info("stopped", "host", h.Name)
+	return err
+}
+
+func serve(address string, run func(net.Listener) error, failed chan<- error) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", address)
+	}
+	go func() {
+		if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// drain lets another host lead, tells the balancer, serves on until it has
+// noticed, and finishes what was read.
+func (h *Host) drain(front *http.Server, resign func()) {
+	h.Log.Info("stopping", "host", h.Name, "grace", h.Grace)
+	h.mu.Lock()
+	h.stopping = true
+	h.mu.Unlock()
+	resign()
+	limit, cancel := context.WithTimeout(context.Background(), h.Grace-drainMargin)
+	defer cancel()
+	pause.For(limit, drainNotice)
+	front.SetKeepAlivesEnabled(false)
+	if err := front.Shutdown(limit); err != nil {
+		h.Log.Warn("requests cut off at the end of the grace time", "err", err)
+	}
+}
+
+func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !h.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (h *Host) ready() bool {
+	if h.Conditions.Configuration() == nil || !h.Replica.Loaded() {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.stopping && (h.lostAt.IsZero() || steady.Now().Sub(h.lostAt) < unreadyAfter)
+}
+
+func (h *Host) followReplica(ctx context.Context) {
+	f := kvstore.Follower{
+		Store:  h.Store,
+		Prefix: ledger.Prefix,
+		Wait:   replicaWait,
+		Pause:  replicaPause,
+		Reset:  h.Replica.Reset,
+		Apply:  h.Replica.Apply,
+		Lost: func(err error) {
+			h.setLost(steady.Now())
+			h.Log.Warn("store lost", "prefix", ledger.Prefix, "err", err)
+		},
+		Regained: func() {
+			h.setLost(0)
+			h.Log.Info("store regained", "prefix", ledger.Prefix)
+		},
+	}
+	f.Run(ctx)
+}
+
+func (h *Host) setLost(at steady.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lostAt = at
+}
+
+func (h *Host) candidate() *dispatch.Candidate {
+	return &dispatch.Candidate{
+		Store:   h.Store,
+		Replica: h.Replica,
+		Host:    h.Name,
+		Log:     h.Log,
+		Lead:    func(ctx context.Context, t *dispatch.Term) { dispatch.Lead(ctx, h.Dispatch, t) },
+	}
+}
+
+// keepListed keeps this host's address in the store, so that peers that can't
+// reach the store find a host that may.
+func (h *Host) keepListed(ctx context.Context) {
+	var lease uint64
+	for ctx.Err() == nil {
+		wait := listingRenew
+		if err := h.list(ctx, &lease); err != nil {
+			h.Log.Debug("host not listed", "err", err)
+			wait = listingRetry
+		}
+		pause.For(ctx, wait)
+	}
+}
+
+func (h *Host) list(ctx context.Context, lease *uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, listingCall)
+	defer cancel()
+	if *lease != 0 {
+		err := h.Store.Renew(ctx, *lease)
+		if !errors.Is(err, kvstore.ErrLeaseLost) {
+			return err
+		}
+		*lease = 0
+	}
+	grant, err := h.Store.Grant(ctx, listingTTL)
+	if err != nil {
+		return err
+	}
+	_, err = h.Store.Commit(ctx, kvstore.Txn{
+		Puts: []kvstore.Put{{Key: ledger.HostKey(h.Name), Value: []byte(h.PeerAddress), Lease: grant.ID}},
+	})
+	if err == nil {
+		*lease = grant.ID
+	}
+	return err
+}
+
+// PeerAddresses returns where the other listed hosts take calls.
+func PeerAddresses(replica *ledger.Replica, self string) func() []string {
+	return func() []string {
+		var out []string
+		for name, address := range replica.Hosts() {
+			if name != self {
+				out = append(out, address)
+			}
+		}
+		return out
+	}
+}
+
+// Anchored returns a time of day that follows the steady clock from a start, so
+// that steps of the system's clock don't show.
+func Anchored() func() time.Time {
+	start, at := time.Now().Round(0), steady.Now()
+	return func() time.Time { return start.Add(steady.Now().Sub(at)) }
+}
+
--- /dev/null
+++ b/batch/ledger/ledger.go
@@ -0,0 +1,283 @@
+// Package ledger keeps a copy of what the store holds about batch jobs: every
+// host follows it, so that any of them can answer and take over.
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/kvstore"
+)
+
+// Keys of the store that hosts write.
+const (
+	Prefix         = "batch/"
+	LeaderKey      = "batch/leader"
+	jobPrefix      = "batch/job/"
+	progressPrefix = "batch/progress/"
+	cancelPrefix   = "batch/cancel/"
+	hostPrefix     = "batch/host/"
+)
+
+// JobKey returns the key of an accepted job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// ProgressKey returns the key of what the scheduler recorded of a job.
+func ProgressKey(id string) string { return progressPrefix + id }
+
+// CancelKey returns the key that says that a job was cancelled.
+func CancelKey(id string) string { return cancelPrefix + id }
+
+// HostKey returns the key under which a host lists its address for calls
+// between hosts.
+func HostKey(name string) string { return hostPrefix + name }
+
+// EncodeProgress puts the state first, so that it can be read without the rest.
+func EncodeProgress(p batch.Progress) ([]byte, error) {
+	rest, err := json.Marshal(p.Tasks)
+	if err != nil {
+		return nil, err
+	}
+	return append([]byte(string(p.State)+"\n"), rest...), nil
+}
+
+// DecodeProgress reads a whole record.
+func DecodeProgress(value []byte) (batch.Progress, error) {
+	state, rest, found := bytes.Cut(value, []byte("\n"))
+	if !found {
+		return batch.Progress{}, errors.New("progress record without a state")
+	}
+	p := batch.Progress{State: batch.State(state)}
+	if err := json.Unmarshal(rest, &p.Tasks); err != nil {
+		return batch.Progress{}, errors.Wrap(err, "progress record")
+	}
+	return p, nil
+}
+
+func decodeState(value []byte) batch.State {
+	state, _, _ := bytes.Cut(value, []byte("\n"))
+	return batch.State(state)
+}
+
+// Entry is what is known of one job.
+type Entry struct {
+	Job              *batch.Job
+	Progress         []byte // as EncodeProgress wrote it; nil: none
+	ProgressRevision uint64
+	Cancelled        bool
+}
+
+// State returns the job's state as callers see it.
+func (e Entry) State() batch.State {
+	if e.Progress != nil {
+		if state := decodeState(e.Progress); state.Final() || !e.Cancelled {
+			return state
+		}
+	}
+	if e.Cancelled {
+		return batch.Cancelled
+	}
+	return batch.Queued
+}
+
+// Leader is the host that schedules.
+type Leader struct {
+	Value    string // names the host and its term
+	Revision uint64
+}
+
+// Replica is the copy. It is safe for concurrent use.
+type Replica struct {
+	log *log.Logger
+
+	mu      sync.Mutex
+	jobs    map[string]*Entry
+	hosts   map[string]string // address by name
+	leader  Leader
+	loaded  bool
+	watches []chan struct{}
+}
+
+// NewReplica returns an empty copy.
+func NewReplica(logger *log.Logger) *Replica {
+	return &Replica{log: logger, jobs: make(map[string]*Entry), hosts: make(map[string]string)}
+}
+
+// Watch returns a channel that gets a value after changes.
+func (r *Replica) Watch() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := make(chan struct{}, 1)
+	r.watches = append(r.watches, c)
+	return c
+}
+
+// Reset replaces the copy by a whole list of the prefix.
+func (r *Replica) Reset(items []kvstore.Item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs = make(map[string]*Entry, len(r.jobs))
+	r.hosts = make(map[string]string, len(r.hosts))
+	r.leader = Leader{}
+	for _, item := range items {
+		r.put(item)
+	}
+	r.loaded = true
+	r.signal()
+}
+
+// Apply applies changes in order.
+func (r *Replica) Apply(events []kvstore.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range events {
+		if e.Deleted {
+			r.remove(e.Item)
+			continue
+		}
+		r.put(e.Item)
+	}
+	r.signal()
+}
+
+func (r *Replica) signal() {
+	for _, c := range r.watches {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (r *Replica) put(item kvstore.Item) {
+	switch {
+	case item.Key == LeaderKey:
+		r.leader = Leader{Value: string(item.Value), Revision: item.Revision}
+	case strings.HasPrefix(item.Key, hostPrefix):
+		r.hosts[strings.TrimPrefix(item.Key, hostPrefix)] = string(item.Value)
+	case strings.HasPrefix(item.Key, jobPrefix):
+		r.putJob(item)
+	case strings.HasPrefix(item.Key, progressPrefix):
+		e := r.entry(strings.TrimPrefix(item.Key, progressPrefix))
+		if item.Revision >= e.ProgressRevision {
+			e.Progress, e.ProgressRevision = item.Value, item.Revision
+		}
+	case strings.HasPrefix(item.Key, cancelPrefix):
+		r.entry(strings.TrimPrefix(item.Key, cancelPrefix)).Cancelled = true
+	}
+}
+
+func (r *Replica) putJob(item kvstore.Item) {
+	e := r.entry(strings.TrimPrefix(item.Key, jobPrefix))
+	if e.Job != nil {
+		return // a job doesn't change
+	}
+	var job batch.Job
+	if err := json.Unmarshal(item.Value, &job); err != nil {
+		r.log.Error("accepted job is unreadable and can't run", "key", item.Key, "revision", item.Revision, "err", err)
+		return
+	}
+	e.Job = &job
+}
+
+func (r *Replica) entry(id string) *Entry {
+	e := r.jobs[id]
+	if e == nil {
+		e = &Entry{}
+		r.jobs[id] = e
+	}
+	return e
+}
+
+func (r *Replica) remove(item kvstore.Item) {
+	switch {
+	case item.Key == LeaderKey:
+		r.leader = Leader{}
+	case strings.HasPrefix(item.Key, hostPrefix):
+		delete(r.hosts, strings.TrimPrefix(item.Key, hostPrefix))
+	case strings.HasPrefix(item.Key, jobPrefix):
+		delete(r.jobs, strings.TrimPrefix(item.Key, jobPrefix))
+	}
+}
+
+// Accept adds a job that this host has just stored.
+func (r *Replica) Accept(job *batch.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entry(job.ID); e.Job == nil {
+		e.Job = job
+	}
+	r.signal()
+}
+
+// Cancel marks a job whose cancellation this host has just stored.
+func (r *Replica) Cancel(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entry(id).Cancelled = true
+	r.signal()
+}
+
+// Loaded reports whether the copy was ever whole.
+func (r *Replica) Loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
+// Leader returns the host that schedules; the zero Leader: none.
+func (r *Replica) Leader() Leader {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader
+}
+
+// Hosts returns the addresses of the listed hosts by name.
+func (r *Replica) Hosts() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]string, len(r.hosts))
+	for name, address := range r.hosts {
+		out[name] = address
+	}
+	return out
+}
+
+// Job returns what is known of a job, if it was accepted.
+func (r *Replica) Job(id string) (Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.jobs[id]
+	if e == nil || e.Job == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Each calls f for every accepted job.
+func (r *Replica) Each(f func(Entry)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.jobs {
+		if e.Job != nil {
+			f(*e)
+		}
+	}
+}
+
+// Pending counts the jobs of a queue of which nothing was started.
+func (r *Replica) Pending(queue string) int {
+	n := 0
+	r.Each(func(e Entry) {
+		if e.Job.Queue == queue && e.State() == batch.Queued {
+			n++
+		}
+	})
+	return n
+}
--- /dev/null
+++ b/cmd/cyclamentray-batchd/main.go
@@ -0,0 +1,121 @@
+// Command cyclamentray-batchd is one host of the batch scheduler on the users'
+// platform. It exits with 0 after a drain, 1 on a failure and 2 when its
+// settings are wrong.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/cyclamentray/cyclamentray/batch/dispatch"
+	"github.com/cyclamentray/cyclamentray/batch/host"
+	"github.com/cyclamentray/cyclamentray/batch/intake"
+	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/peer"
+	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/telemetry"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+
+	// memoryShare of the host's limit is the collector's target; the rest holds
+	// what the runtime doesn't count.
+	memoryShare = 0.6
+
+	// collectPercent trades a little processor time for a small heap.
+	collectPercent = 60
+
+	megabyte   = 1 << 20
+	flushLimit = 300 * time.Millisecond // for the last log lines
+)
+
+type options struct {
+	Settings string `long:"settings" description:"settings file; without it the platform's environment variable names it"`
+	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitUsage
+	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	s, err := platform.LoadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cyclamentray-batchd:", err)
+		return exitUsage
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * megabyte))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	defer func() {
+		limit, cancel := context.WithTimeout(context.Background(), flushLimit)
+		defer cancel()
+		out.Close(limit.Done())
+	}()
+	if err := newHost(s, out, o.LogLevel).Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "cyclamentray-batchd:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func newHost(s *platform.Settings, out *telemetry.AsyncWriter, level string) *host.Host {
+	logger := telemetry.NewStructuredLogger(out, level).With("host", s.Host)
+	replica := ledger.NewReplica(logger)
+	direct := platform.NewStore(s.Store)
+	store := &kvstore.Fallback{
+		Direct:    direct,
+		Peers:     peer.NewPool(peer.Options{Host: s.Host}),
+		Addresses: host.PeerAddresses(replica, s.Host),
+	}
+	conditions := platform.NewConditions(store, logger)
+	return host.New(host.Options{
+		Name:         s.Host,
+		PeerAddress:  net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort)),
+		FrontAddress: s.FrontAddress,
+		ReadyAddress: s.ReadyAddress,
+		Grace:        s.Bounds.Grace,
+		Store:        store,
+		Direct:       direct,
+		Conditions:   conditions,
+		Replica:      replica,
+		Front:        func(in *intake.Intake) http.Handler { return &platform.Front{Intake: in} },
+		Log:          logger,
+		Dispatch: dispatch.Options{
+			Store:        store,
+			Replica:      replica,
+			Runners:      platform.NewRunners(),
+			Conditions:   conditions,
+			Log:          logger,
+			Now:          host.Anchored(),
+			Lease:        s.Bounds.RunnerLease,
+			Stop:         s.Bounds.Stop,
+			GangTimeout:  s.Bounds.GangTimeout,
+			Early:        s.Bounds.Early / 2, // the rest covers the clocks' differences
+			RemoteFactor: s.Bounds.RemoteX,
+		},
+	})
+}
--- a/kvstore/carry.go
+++ b/kvstore/carry.go
@@ -59,6 +59,7 @@
 	{"conflict", ErrConflict},
 	{"lease-lost", ErrLeaseLost},
 	{"held", ErrHeld},
+	{"compacted", ErrCompacted},
 	{"ambiguous", ErrAmbiguous},
 	{"unavailable", ErrUnavailable},
 }
