Send stops where the runner is listed now, and keep an unknown outcome unknown

Stops now look the runner up when they are sent. The later failure's kind is hidden now. Also: the store is probed while it does not answer; callers' states are apart from progress records; runners' speeds are learned from durations and progress.

--- a/batch/dispatch/election.go
+++ b/batch/dispatch/election.go
@@ -115,7 +115,7 @@
 		If:   []kvstore.Condition{{Key: ledger.LeaderKey}},
 		Puts: []kvstore.Put{{Key: ledger.LeaderKey, Value: []byte(value), Lease: grant.ID}},
 	})
-	if errors.Is(err, kvstore.ErrAmbiguous) {
+	if errors.Is(err, kvstore.ErrAmbiguous) || errors.Is(err, kvstore.ErrConflict) {
 		revision, err = c.settle(ctx, value)
 	}
 	if err != nil {
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -56,9 +56,10 @@
 	Options
 	term *Term
 
-	mu        sync.Mutex // guards core, revisions, links
+	mu        sync.Mutex // guards the core and the maps
 	core      *scheduler.Core
-	revisions map[string]uint64 // of the progress record of each job
+	revisions map[string]uint64      // of the progress record of each job
+	states    map[string]batch.State // as callers are told
 	links     map[string]*link
 
 	wake       chan struct{} // something may be decided
@@ -73,6 +74,7 @@
 		Options:   o,
 		term:      t,
 		revisions: make(map[string]uint64),
+		states:    make(map[string]batch.State),
 		links:     make(map[string]*link),
 		wake:      make(chan struct{}, 1),
 		toRecord:  make(chan struct{}, 1),
@@ -92,10 +94,10 @@
 func (l *Leader) load(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, loadTimeout)
-		items, _, err := l.Store.List(call, ledger.Prefix)
+		items, progress, err := l.readAll(call)
 		cancel()
 		if err == nil {
-			l.build(items)
+			l.build(items, progress)
 			return true
 		}
 		l.Log.Warn("records not read; trying again", "err", err)
@@ -104,7 +106,16 @@
 	return false
 }
 
-func (l *Leader) build(items []kvstore.Item) {
+func (l *Leader) readAll(ctx context.Context) (items, progress []kvstore.Item, err error) {
+	items, _, err = l.Store.List(ctx, ledger.Prefix)
+	if err != nil {
+		return nil, nil, err
+	}
+	progress, _, err = l.Store.List(ctx, ledger.ProgressPrefix)
+	return items, progress, err
+}
+
+func (l *Leader) build(items, progress []kvstore.Item) {
 	whole := ledger.NewReplica(l.Log)
 	whole.Reset(items)
 	now := steady.Now()
@@ -116,27 +127,33 @@
 		InheritedUntil: now.Add(slowest(l.Lease)),
 		Observe:        l.observe,
 	})
+	recorded := make(map[string]kvstore.Item, len(progress))
+	for _, item := range progress {
+		recorded[ledger.ProgressJob(item.Key)] = item
+	}
 	n := 0
 	whole.Each(func(e ledger.Entry) {
-		l.addJob(e, now)
+		l.addJob(e, recorded[e.Job.ID], now)
 		n++
 	})
 	l.Log.Info("records read", "token", l.term.Token, "jobs", n)
 }
 
-// addJob gives a job to the core. The caller holds mu, or is alone.
-func (l *Leader) addJob(e ledger.Entry, now steady.Time) {
+// addJob gives a job to the core with its progress record, if there is one.
+// The caller holds mu, or is alone.
+func (l *Leader) addJob(e ledger.Entry, progress kvstore.Item, now steady.Time) {
 	id := e.Job.ID
 	var recorded *batch.Progress
-	if e.Progress != nil {
-		p, err := ledger.DecodeProgress(e.Progress)
+	if progress.Revision != 0 {
+		p, err := ledger.DecodeProgress(progress.Value)
 		if err != nil {
-			l.Log.Error("progress is unreadable; the job is left alone", "job", id, "revision", e.ProgressRevision, "err", err)
+			l.Log.Error("progress is unreadable; the job is left alone", "job", id, "revision", progress.Revision, "err", err)
 			return
 		}
 		recorded = &p
 	}
-	l.revisions[id] = e.ProgressRevision
+	l.revisions[id] = progress.Revision
+	l.states[id] = e.Recorded
 	l.core.AddJob(e.Job, recorded, now)
 	if e.Cancelled {
 		l.core.Cancel(id, now)
@@ -174,7 +191,7 @@
 	defer l.mu.Unlock()
 	l.Replica.Each(func(e ledger.Entry) {
 		if _, known := l.core.State(e.Job.ID); !known {
-			l.addJob(e, now)
+			l.addJob(e, kvstore.Item{}, now)
 		} else if e.Cancelled {
 			l.core.Cancel(e.Job.ID, now)
 		}
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -254,8 +254,13 @@
 func (l *Leader) stop(ctx context.Context, o scheduler.Order) {
 	retry := stopRetry
 	for ctx.Err() == nil && l.stopDue(o) {
+		to, known := l.linked(o.Runner.ID)
+		if !known { // inherited from an earlier term; not listed yet
+			pause.For(ctx, stopRetry)
+			continue
+		}
 		call, cancel := context.WithTimeout(ctx, stopTimeout)
-		answer, err := l.Runners.Stop(call, o.Runner, StopOrder{Task: o.Task, Attempt: o.Attempt, Token: l.term.Token})
+		answer, err := l.Runners.Stop(call, to, StopOrder{Task: o.Task, Attempt: o.Attempt, Token: l.term.Token})
 		cancel()
 		switch answer {
 		case Unanswered, Unhealthy:
@@ -272,6 +277,17 @@
 	}
 }
 
+// linked returns a runner as it is listed now.
+func (l *Leader) linked(id string) (batch.Runner, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.links[id]
+	if k == nil {
+		return batch.Runner{}, false
+	}
+	return k.runner, true
+}
+
 func (l *Leader) stopDue(o scheduler.Order) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/batch/dispatch/record.go
+++ b/batch/dispatch/record.go
@@ -16,10 +16,10 @@
 
 const (
 	// groupSize is how many records one transaction takes: each needs a
-	// condition and a put, and the term needs a condition.
-	groupSize = (kvstore.MaxTxnEntries - 1) / 2
+	// condition and up to two puts, and the term needs a condition.
+	groupSize = (kvstore.MaxTxnEntries - 1) / 3
 
-	commitTimeout  = 900 * time.Millisecond
+	commitTimeout  = 1500 * time.Millisecond // four times the slowest store's answer, direct and through a peer
 	commitRetry    = 50 * time.Millisecond
 	commitRetryMax = 250 * time.Millisecond
 )
@@ -71,6 +71,9 @@
 		key := ledger.ProgressKey(r.Job)
 		txn.If = append(txn.If, kvstore.Condition{Key: key, Revision: l.revisions[r.Job]})
 		txn.Puts = append(txn.Puts, kvstore.Put{Key: key, Value: value})
+		if state := r.Progress.State; state != l.states[r.Job] {
+			txn.Puts = append(txn.Puts, kvstore.Put{Key: ledger.StateKey(r.Job), Value: []byte(state)})
+		}
 	}
 	return txn, nil
 }
@@ -81,6 +84,7 @@
 	defer l.mu.Unlock()
 	for _, r := range records {
 		l.revisions[r.Job] = revision
+		l.states[r.Job] = r.Progress.State
 		l.core.Committed(r.Job, r.Version, now)
 	}
 	close(l.committed)
@@ -125,7 +129,10 @@
 	}
 	var revision uint64
 	for _, p := range txn.Puts {
-		item := now[p.Key]
+		item, conditional := now[p.Key]
+		if !conditional {
+			continue // the state, written together with its record
+		}
 		if !bytes.Equal(item.Value, p.Value) {
 			return 0, errors.Wrapf(errForeignWrite, "key %s at revision %d", p.Key, item.Revision)
 		}
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -29,7 +29,7 @@
 
 	// replicaWait is short, so that a connection that has gone silent is replaced soon.
 	replicaWait  = time.Second
-	replicaPause = 10 * time.Millisecond // batches a burst of records
+	replicaPause = 40 * time.Millisecond // batches a burst of changes; small against the time that callers may wait for a state
 
 	// unreadyAfter is how long the store may be away, directly and through
 	// peers, before the host asks for no new connections.
@@ -170,7 +170,7 @@
 		Store:  h.Store,
 		Prefix: ledger.Prefix,
 		Wait:   replicaWait,
-		Pause:  replicaPause,
+		Pause:  h.pause,
 		Reset:  h.Replica.Reset,
 		Apply:  h.Replica.Apply,
 		Lost: func(err error) {
@@ -185,6 +185,14 @@
 	f.Run(ctx)
 }
 
+// pause lies between two watches: the leader learns of a job at once.
+func (h *Host) pause() time.Duration {
+	if h.Replica.Leader().HostName() == h.Name {
+		return 0
+	}
+	return replicaPause
+}
+
 func (h *Host) setLost(at steady.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -257,4 +265,3 @@
 	start, at := time.Now().Round(0), steady.Now()
 	return func() time.Time { return start.Add(steady.Now().Sub(at)) }
 }
-
--- a/batch/ledger/ledger.go
+++ b/batch/ledger/ledger.go
@@ -3,7 +3,6 @@
 package ledger
 
 import (
-	"bytes"
 	"encoding/json"
 	"strings"
 	"sync"
@@ -17,19 +16,30 @@
 
 // Keys of the store that hosts write.
 const (
-	Prefix         = "batch/"
-	LeaderKey      = "batch/leader"
-	jobPrefix      = "batch/job/"
-	progressPrefix = "batch/progress/"
-	cancelPrefix   = "batch/cancel/"
-	hostPrefix     = "batch/host/"
+	Prefix    = "batch/" // what every host follows
+	LeaderKey = "batch/leader"
+
+	// ProgressPrefix is of what only the next leader needs. It is apart, because
+	// it changes more often than the rest.
+	ProgressPrefix = "progress/"
+
+	jobPrefix    = "batch/job/"
+	statePrefix  = "batch/state/"
+	cancelPrefix = "batch/cancel/"
+	hostPrefix   = "batch/host/"
 )
 
 // JobKey returns the key of an accepted job.
 func JobKey(id string) string { return jobPrefix + id }
 
 // ProgressKey returns the key of what the scheduler recorded of a job.
-func ProgressKey(id string) string { return progressPrefix + id }
+func ProgressKey(id string) string { return ProgressPrefix + id }
+
+// ProgressJob returns the job that a progress key belongs to.
+func ProgressJob(key string) string { return strings.TrimPrefix(key, ProgressPrefix) }
+
+// StateKey returns the key of a job's state as callers see it.
+func StateKey(id string) string { return statePrefix + id }
 
 // CancelKey returns the key that says that a job was cancelled.
 func CancelKey(id string) string { return cancelPrefix + id }
@@ -38,52 +48,38 @@
 // between hosts.
 func HostKey(name string) string { return hostPrefix + name }
 
-// EncodeProgress puts the state first, so that it can be read without the rest.
-func EncodeProgress(p batch.Progress) ([]byte, error) {
-	rest, err := json.Marshal(p.Tasks)
-	if err != nil {
-		return nil, err
-	}
-	return append([]byte(string(p.State)+"\n"), rest...), nil
-}
+// EncodeProgress writes a progress record.
+func EncodeProgress(p batch.Progress) ([]byte, error) { return json.Marshal(p) }
 
-// DecodeProgress reads a whole record.
+// DecodeProgress reads a progress record.
 func DecodeProgress(value []byte) (batch.Progress, error) {
-	state, rest, found := bytes.Cut(value, []byte("\n"))
-	if !found {
-		return batch.Progress{}, errors.New("progress record without a state")
-	}
-	p := batch.Progress{State: batch.State(state)}
-	if err := json.Unmarshal(rest, &p.Tasks); err != nil {
-		return batch.Progress{}, errors.Wrap(err, "progress record")
+	var p batch.Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return p, errors.Wrap(err, "progress record")
 	}
 	return p, nil
 }
 
-func decodeState(value []byte) batch.State {
-	state, _, _ := bytes.Cut(value, []byte("\n"))
-	return batch.State(state)
-}
-
 // Entry is what is known of one job.
 type Entry struct {
-	Job              *batch.Job
-	Progress         []byte // as EncodeProgress wrote it; nil: none
-	ProgressRevision uint64
-	Cancelled        bool
+	Job       *batch.Job
+	Recorded  batch.State // as the leader recorded it last; empty: nothing recorded
+	revision  uint64      // of Recorded
+	Cancelled bool
 }
 
 // State returns the job's state as callers see it.
 func (e Entry) State() batch.State {
-	if e.Progress != nil {
-		if state := decodeState(e.Progress); state.Final() || !e.Cancelled {
-			return state
-		}
-	}
-	if e.Cancelled {
+	switch {
+	case e.Recorded.Final():
+		return e.Recorded
+	case e.Cancelled:
 		return batch.Cancelled
+	case e.Recorded == "":
+		return batch.Queued
+	default:
+		return e.Recorded
 	}
-	return batch.Queued
 }
 
 // Leader is the host that schedules.
@@ -92,6 +88,12 @@
 	Revision uint64
 }
 
+// HostName returns the name of the host; empty: none leads.
+func (l Leader) HostName() string {
+	name, _, _ := strings.Cut(l.Value, "/")
+	return name
+}
+
 // Replica is the copy. It is safe for concurrent use.
 type Replica struct {
 	log *log.Logger
@@ -163,10 +165,10 @@
 		r.hosts[strings.TrimPrefix(item.Key, hostPrefix)] = string(item.Value)
 	case strings.HasPrefix(item.Key, jobPrefix):
 		r.putJob(item)
-	case strings.HasPrefix(item.Key, progressPrefix):
-		e := r.entry(strings.TrimPrefix(item.Key, progressPrefix))
-		if item.Revision >= e.ProgressRevision {
-			e.Progress, e.ProgressRevision = item.Value, item.Revision
+	case strings.HasPrefix(item.Key, statePrefix):
+		e := r.entry(strings.TrimPrefix(item.Key, statePrefix))
+		if item.Revision >= e.revision {
+			e.Recorded, e.revision = batch.State(item.Value), item.Revision
 		}
 	case strings.HasPrefix(item.Key, cancelPrefix):
 		r.entry(strings.TrimPrefix(item.Key, cancelPrefix)).Cancelled = true
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -190,12 +190,25 @@
 		j.state = batch.Running
 	}
 	c.change(j)
+	u.placed = u.placed[:0]
 	for i, to := range chosen {
+		u.placed = append(u.placed, to.ID)
 		to.nominated = slices.DeleteFunc(to.nominated, func(n nomination) bool { return n.unit == u })
 		r := &run{unit: u, index: u.first + i, runner: to, attempt: u.attempt, phase: planned, needs: j.version, changed: now}
+		r.resumed, r.remote = u.checkpoint != "", u.away(chosen, to)
 		c.attach(r)
 		c.opts.Observe(Decision{
 			What: "place", Job: j.spec.ID, Task: r.task(), Attempt: r.attempt, Runner: to.ID, Waited: now.Sub(u.since),
 		})
 	}
 }
+
+// away reports whether a task on r is slowed down by its distance from its data
+// or from its gang.
+func (u *unit) away(chosen []*runner, r *runner) bool {
+	step := u.spec()
+	if step.DataRack != "" && step.DataRack != r.Rack {
+		return true
+	}
+	return step.SameRack && slices.ContainsFunc(chosen, func(o *runner) bool { return o.Rack != r.Rack })
+}
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -19,6 +19,7 @@
 	committed int             // the version that is in the store
 	queued    bool            // waits to be recorded
 	added     steady.Time
+	work      map[stepKey]*estimate // log of the seconds that a task of the step takes
 }
 
 type stepKey struct{ occurrence, step int }
@@ -40,6 +41,8 @@
 	avoid      map[string]int // failures by runner
 	preempting steady.Time    // when it last had others stopped
 	ending     steady.Time    // when a member of the present attempt ended
+	placed     []string       // runners of the present attempt
+	learned    int            // the attempt whose duration was taken in last
 }
 
 type phase int
@@ -65,6 +68,9 @@
 	started   steady.Time // when it was first known to run
 	percent   int
 	advanced  steady.Time // when percent last grew
+	resumed   bool        // began at a checkpoint
+	remote    bool        // away from its data or its gang's rack
+	learned   bool        // its duration was taken in
 }
 
 func (u *unit) spec() *batch.Step { return &u.job.spec.Steps[u.step] }
@@ -139,7 +145,7 @@
 			continue
 		}
 		if t.Runner != "" && !j.state.Final() {
-			r := &run{unit: u, index: t.Index, runner: c.runner(t.Runner), attempt: t.Attempt, phase: inherited, changed: now}
+			r := &run{unit: u, index: t.Index, runner: c.runner(t.Runner), attempt: t.Attempt, phase: inherited, changed: now, resumed: true}
 			c.attach(r)
 		}
 	}
@@ -222,8 +228,10 @@
 func (c *Core) end(j *job, state batch.State, now steady.Time) {
 	j.state = state
 	c.change(j)
-	for _, u := range j.units {
-		c.stopUnit(u, now, "job "+string(state))
+	if state != batch.Completed { // what still runs then is ending by itself
+		for _, u := range j.units {
+			c.stopUnit(u, now, "job "+string(state))
+		}
 	}
 	c.active = slices.DeleteFunc(c.active, func(o *job) bool { return o == j })
 }
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -204,7 +204,7 @@
 	c.change(j)
 	switch e.How {
 	case batch.EndDone:
-		c.speeds.learn(ended, now)
+		c.speeds.learnEnd(ended, now)
 		r.failures = 0
 		c.complete(u, now)
 	case batch.EndFailed:
@@ -234,7 +234,9 @@
 		return // it is started again
 	}
 	j.finishUnit(u)
-	c.stopUnit(u, now, "another copy is done")
+	if !u.spec().Gang { // a gang's members end together
+		c.stopUnit(u, now, "another copy is done")
+	}
 	for _, n := range j.open {
 		if n > 0 {
 			return
@@ -325,6 +327,7 @@
 	}
 	if row.Percent != r.percent {
 		r.percent, r.advanced = row.Percent, now
+		c.speeds.learnProgress(r)
 	}
 }
 
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -90,6 +90,7 @@
 		Direct:    direct,
 		Peers:     peer.NewPool(peer.Options{Host: s.Host}),
 		Addresses: host.PeerAddresses(replica, s.Host),
+		ProbeKey:  ledger.LeaderKey,
 	}
 	conditions := platform.NewConditions(store, logger)
 	return host.New(host.Options{
--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -3,23 +3,26 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cyclamentray/cyclamentray/internal/steady"
 	"github.com/cyclamentray/cyclamentray/peer"
 )
 
 const (
-	// directAgain is how long a host that can't reach the store asks its peers
-	// first before it tries by itself again.
-	directAgain = 1500 * time.Millisecond
-
 	// directShare is the part of a call's time that the direct try may take
 	// when peers could carry it.
-	directShare = 0.45
+	directShare = 0.5
+
+	// peerShare is the part of what is left that one peer may take.
+	peerShare = 0.6
+
+	// probeEvery lies between two looks whether the store answers this host
+	// again; one look takes probeTimeout at most, above the slowest store.
+	probeEvery   = 250 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
 
 	carriers = 2 // peers asked for one call
 )
@@ -31,15 +34,17 @@
 	Peers  peer.Caller
 	// Addresses returns where the peers listen, without this host.
 	Addresses func() []string
+	// ProbeKey is a key that may be read to see whether the store answers.
+	ProbeKey string
 
-	lostAt atomic.Int64 // steady time of the last direct failure; 0: none since the last success
+	mu       sync.Mutex
+	lost     bool
+	regained chan struct{}   // closed when the store answers again; set while lost
+	silent   map[string]bool // peers whose last call failed
 }
 
 var _ Keyspace = (*Fallback)(nil)
 
-// Reachable reports whether the last direct call was answered.
-func (f *Fallback) Reachable() bool { return f.lostAt.Load() == 0 }
-
 // Get implements Keyspace.
 func (f *Fallback) Get(ctx context.Context, key string) (Item, error) {
 	reply, err := f.call(ctx, KeyspaceArgs{Op: keyspaceGet, Key: key})
@@ -58,7 +63,8 @@
 	return reply.Events, reply.Revision, err
 }
 
-// Commit implements Keyspace.
+// Commit implements Keyspace. The transaction may be sent twice: a conflict may
+// come from its own first copy.
 func (f *Fallback) Commit(ctx context.Context, txn Txn) (uint64, error) {
 	reply, err := f.call(ctx, KeyspaceArgs{Op: keyspaceCommit, Txn: txn})
 	return reply.Revision, err
@@ -82,57 +88,183 @@
 	return err
 }
 
-// call tries the store itself and then peers. After a write without a clear
-// outcome no peer is asked: the caller settles it.
+// call tries the store itself and then peers, or the other way round while the
+// store is known not to answer this host.
 func (f *Fallback) call(ctx context.Context, args KeyspaceArgs) (KeyspaceReply, error) {
-	addresses := f.Addresses()
-	lost := f.lostAt.Load()
-	trustPeers := lost != 0 && steady.Now().Sub(steady.Time(lost)) < directAgain && len(addresses) > 0
+	ways := []func(context.Context, KeyspaceArgs) (KeyspaceReply, error){f.direct, f.viaPeers}
+	if f.isLost() {
+		ways[0], ways[1] = ways[1], ways[0]
+	}
+	unsure := false
 	var reply KeyspaceReply
-	err := errors.Wrap(ErrUnavailable, "asking peers first")
-	if !trustPeers {
-		reply, err = f.direct(ctx, args, len(addresses) > 0)
-		if !errors.Is(err, ErrUnavailable) {
+	var err error
+	for _, way := range ways {
+		reply, err = way(ctx, args)
+		if !failed(err) {
 			return reply, err
 		}
+		unsure = unsure || errors.Is(err, ErrAmbiguous)
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(carriers, len(addresses))] {
-		if ctx.Err() != nil {
-			break
-		}
-		reply, err = f.carried(ctx, address, args)
-		if !errors.Is(err, ErrUnavailable) {
-			return reply, err
-		}
+	return reply, settleUnsure(unsure, err)
+}
+
+// settleUnsure returns the failure of a call after a try whose outcome is
+// unknown. The later failure's kind must not show: it says that nothing was done.
+func settleUnsure(unsure bool, err error) error {
+	if !unsure || errors.Is(err, ErrAmbiguous) {
+		return err
 	}
-	return reply, err
+	return failure(ErrAmbiguous, errors.New(err.Error()))
 }
 
-func (f *Fallback) direct(ctx context.Context, args KeyspaceArgs, share bool) (KeyspaceReply, error) {
-	if deadline, ok := ctx.Deadline(); ok && share && args.Op != keyspaceWatch {
-		part := time.Duration(float64(time.Until(deadline)) * directShare)
+// failed reports whether the store gave no answer.
+func failed(err error) bool {
+	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrAmbiguous)
+}
+
+func (f *Fallback) direct(ctx context.Context, args KeyspaceArgs) (KeyspaceReply, error) {
+	if args.Op != keyspaceWatch && len(f.Addresses()) > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, part)
+		ctx, cancel = shareOf(ctx, directShare)
 		defer cancel()
 	}
 	reply, err := perform(ctx, f.Direct, args)
-	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrAmbiguous) {
-		f.lostAt.Store(int64(steady.Now()))
-	} else {
-		f.lostAt.Store(0)
+	if failed(err) && !errors.Is(ctx.Err(), context.Canceled) {
+		f.lose()
 	}
 	return reply, err
 }
 
-func (f *Fallback) carried(ctx context.Context, address string, args KeyspaceArgs) (KeyspaceReply, error) {
+// shareOf bounds ctx to a part of the time it has left.
+func shareOf(ctx context.Context, part float64) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(float64(time.Until(deadline))*part))
+}
+
+func (f *Fallback) viaPeers(ctx context.Context, args KeyspaceArgs) (KeyspaceReply, error) {
+	var reply KeyspaceReply
+	err := errors.Wrap(ErrUnavailable, "no peer is listed")
+	unsure := false
+	for _, address := range f.candidates() {
+		reply, err = f.viaPeer(ctx, address, args)
+		if !failed(err) {
+			return reply, err
+		}
+		unsure = unsure || errors.Is(err, ErrAmbiguous)
+	}
+	return reply, settleUnsure(unsure, err)
+}
+
+// candidates returns a few peers, first those whose last call was answered.
+func (f *Fallback) candidates() []string {
+	addresses := f.Addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var good, silent []string
+	for _, a := range addresses {
+		if f.silent[a] {
+			silent = append(silent, a)
+			continue
+		}
+		good = append(good, a)
+	}
+	if len(good) == 0 {
+		clear(f.silent) // give them all another chance
+	}
+	all := append(good, silent...)
+	return all[:min(carriers, len(all))]
+}
+
+// viaPeer asks one peer. A read ends early when the store answers again.
+func (f *Fallback) viaPeer(ctx context.Context, address string, args KeyspaceArgs) (KeyspaceReply, error) {
+	if args.Op != keyspaceWatch {
+		var cancel context.CancelFunc
+		ctx, cancel = shareOf(ctx, peerShare)
+		defer cancel()
+	}
+	if !args.writes() {
+		var cancel context.CancelFunc
+		ctx, cancel = f.untilRegained(ctx)
+		defer cancel()
+	}
 	var reply KeyspaceReply
 	err := f.Peers.Call(ctx, address, "Keyspace.Do", &args, &reply)
 	if err == nil {
-		return reply, carriedFailure(reply)
+		err = carriedFailure(reply)
+		f.mark(address, failed(err))
+		return reply, err
 	}
+	f.mark(address, true)
 	if args.writes() && !errors.Is(err, peer.ErrNotSent) {
 		return reply, failure(ErrAmbiguous, err)
 	}
 	return reply, failure(ErrUnavailable, err)
 }
+
+func (f *Fallback) mark(address string, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent == nil {
+		f.silent = make(map[string]bool)
+	}
+	f.silent[address] = silent
+}
+
+func (f *Fallback) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+// untilRegained returns a context that also ends when the store answers again.
+func (f *Fallback) untilRegained(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	regained := f.regained
+	f.mu.Unlock()
+	if regained == nil {
+		return ctx, cancel
+	}
+	go func() {
+		select {
+		case <-regained:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// lose notes that the store does not answer, and looks until it does.
+func (f *Fallback) lose() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.regained = make(chan struct{})
+	go f.probe()
+}
+
+func (f *Fallback) probe() {
+	for {
+		time.Sleep(probeEvery)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		_, err := f.Direct.Get(ctx, f.ProbeKey)
+		cancel()
+		if failed(err) {
+			continue
+		}
+		f.mu.Lock()
+		f.lost = false
+		close(f.regained)
+		f.regained = nil
+		f.mu.Unlock()
+		return
+	}
+}
--- a/kvstore/follow.go
+++ b/kvstore/follow.go
@@ -17,7 +17,8 @@
 	// has gone silent is noticed and replaced.
 	Wait time.Duration
 	// Pause lies between two watches, so that a busy prefix is read in batches.
-	Pause time.Duration
+	// Nil: no pause.
+	Pause func() time.Duration
 	// Reset takes the whole prefix; Apply takes later changes in order.
 	Reset func(items []Item)
 	Apply func(events []Event)
@@ -44,7 +45,9 @@
 		case err == nil:
 			f.report(&lost, nil)
 			after, retry = next, followRetry
-			pause.For(ctx, f.Pause)
+			if f.Pause != nil {
+				pause.For(ctx, f.Pause())
+			}
 		case errors.Is(err, ErrCompacted):
 			after = 0
 		case ctx.Err() == nil:
--- a/kvstore/guard_test.go
+++ b/kvstore/guard_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
