--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -162,7 +163,8 @@
 
 func (l *Leader) observe(d scheduler.Decision) {
 	l.Log.Info(d.What, "job", d.Job, "occurrence", d.Task.Occurrence, "step", d.Task.Step, "task", d.Task.Index,
-		"attempt", d.Attempt, "runner", d.Runner, "reason", d.Reason, "waited", d.Waited, "token", l.term.Token)
+		"attempt", d.Attempt, "runner", d.Runner, "reason", d.Reason, "token", l.term.Token, "waited", d.Waited.Round(time.Millisecond),
+		"factor", math.Round(d.Factor*100)/100, "work", d.Work.Round(time.Millisecond))
 }
 
 // decideLoop takes in what changed, decides, and sends what was decided.
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -36,6 +36,8 @@
 	Runner  string
 	Reason  string
 	Waited  time.Duration
+	Factor  float64       // placements: expected time relative to an average runner
+	Work    time.Duration // placements: expected on an average runner
 }
 
 // OrderKind tells what an order asks of a runner.
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -85,6 +85,10 @@
 		c.stopUnit(u, now, "runner is leaving")
 		return
 	}
+	if c.betterElsewhere(u, now) {
+		c.stopUnit(u, now, "too slow where it runs")
+		return
+	}
 	if u.stalled(now) {
 		u.blame(now)
 		c.stopUnit(u, now, "no progress")
@@ -100,11 +104,10 @@
 
 // remaining estimates how much longer a run takes.
 func (r *run) remaining() time.Duration {
-	elapsed := r.advanced.Sub(r.started)
-	if r.percent <= 0 || elapsed <= 0 {
+	if r.pace <= 0 {
 		return r.unit.spec().Estimate
 	}
-	return elapsed * time.Duration(100-r.percent) / time.Duration(r.percent)
+	return time.Duration(float64(100-r.percent) / r.pace * float64(time.Second))
 }
 
 func (u *unit) stalled(now steady.Time) bool {
@@ -190,15 +193,14 @@
 		j.state = batch.Running
 	}
 	c.change(j)
-	u.placed = u.placed[:0]
 	for i, to := range chosen {
-		u.placed = append(u.placed, to.ID)
 		to.nominated = slices.DeleteFunc(to.nominated, func(n nomination) bool { return n.unit == u })
 		r := &run{unit: u, index: u.first + i, runner: to, attempt: u.attempt, phase: planned, needs: j.version, changed: now}
 		r.resumed, r.remote = u.checkpoint != "", u.away(chosen, to)
 		c.attach(r)
 		c.opts.Observe(Decision{
 			What: "place", Job: j.spec.ID, Task: r.task(), Attempt: r.attempt, Runner: to.ID, Waited: now.Sub(u.since),
+			Factor: c.speeds.timeFactor(to.ID), Work: c.speeds.duration(u),
 		})
 	}
 }
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -41,8 +41,7 @@
 	avoid      map[string]int // failures by runner
 	preempting steady.Time    // when it last had others stopped
 	ending     steady.Time    // when a member of the present attempt ended
-	placed     []string       // runners of the present attempt
-	learned    int            // the attempt whose duration was taken in last
+	moves      int            // how often it was moved to a faster place
 }
 
 type phase int
@@ -57,20 +56,21 @@
 
 // run is one attempt of one task on one runner.
 type run struct {
-	unit      *unit
-	index     int
-	runner    *runner
-	attempt   int
-	phase     phase
-	needs     int         // version of the job's record that must be committed first
-	changed   steady.Time // when it entered its phase
-	confirmed steady.Time // when the runner answered the last order; later reports list the run or it is gone
-	started   steady.Time // when it was first known to run
-	percent   int
-	advanced  steady.Time // when percent last grew
-	resumed   bool        // began at a checkpoint
-	remote    bool        // away from its data or its gang's rack
-	learned   bool        // its duration was taken in
+	unit        *unit
+	index       int
+	runner      *runner
+	attempt     int
+	phase       phase
+	needs       int         // version of the job's record that must be committed first
+	changed     steady.Time // when it entered its phase
+	confirmed   steady.Time // when the runner answered the last order; later reports list the run or it is gone
+	started     steady.Time // when it was first known to run
+	percent     int
+	advanced    steady.Time // when percent last grew
+	resumed     bool        // began at a checkpoint
+	remote      bool        // away from its data or its gang's rack
+	pace        float64     // percent a second, lately
+	learnedPace float64     // the pace that the runner's speed was last learned from; 0: none
 }
 
 func (u *unit) spec() *batch.Step { return &u.job.spec.Steps[u.step] }
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -27,11 +27,12 @@
 
 // slot is a runner as a place for tasks of one unit.
 type slot struct {
-	runner *runner
-	cost   float64 // expected time relative to an average runner near the data
-	rank   float64 // cost, with differences that don't matter to the job left out
-	tasks  int     // how many tasks fit
-	remote bool
+	runner  *runner
+	cost    float64 // expected time relative to an average runner near the data
+	rank    float64 // cost, with differences that don't matter to the job left out
+	tasks   int     // how many tasks fit
+	remote  bool
+	explore bool // worth trying, to learn how fast it is
 }
 
 // place returns a runner for each task of the unit, or nil when it doesn't fit.
@@ -70,6 +71,7 @@
 		if s.cost <= tolerance*u.job.spec.Stretch {
 			s.rank = 1
 		}
+		s.explore = u.job.spec.Priority > 0 && c.speeds.unknown(r.ID)
 		out = append(out, s)
 	}
 	slices.SortFunc(out, compareSlots)
@@ -77,7 +79,7 @@
 }
 
 func (c *Core) cost(u *unit, r *runner, remote bool) float64 {
-	cost := c.speeds.timeFactor(r.ID)
+	cost := c.speeds.cautiousFactor(r.ID)
 	if remote {
 		cost *= c.opts.RemoteFactor
 	}
@@ -92,12 +94,23 @@
 func compareSlots(a, b slot) int {
 	return cmp.Or(
 		cmp.Compare(a.rank, b.rank),
+		compareBool(b.explore, a.explore),
 		cmp.Compare(a.runner.free().Accelerators, b.runner.free().Accelerators),
 		cmp.Compare(b.cost, a.cost),
 		cmp.Compare(a.runner.ID, b.runner.ID),
 	)
 }
 
+func compareBool(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if b {
+		return -1
+	}
+	return 1
+}
+
 // fitting returns how many tasks of the unit fit into free on r.
 func (u *unit) fitting(r *runner, free batch.Resources) int {
 	step := u.spec()
--- /dev/null
+++ b/batch/scheduler/rescue.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+const (
+	// moveCost is what moving a unit takes beside its work: a stop, its report
+	// and a start.
+	moveCost = 500 * time.Millisecond
+
+	// moveGain is how much sooner a unit must be done elsewhere to be moved.
+	moveGain = 0.75
+
+	// movesMost bounds the moves of one unit.
+	movesMost = 2
+)
+
+// due returns when the unit's work is late.
+func (c *Core) due(u *unit) steady.Time {
+	spec := u.job.spec
+	return u.since.Add(time.Duration(spec.Stretch*float64(c.speeds.duration(u))) + spec.TargetLatency)
+}
+
+// betterElsewhere reports whether a unit is going to be late where it runs and
+// would be in time elsewhere.
+func (c *Core) betterElsewhere(u *unit, now steady.Time) bool {
+	if u.done || u.moves >= movesMost || u.spec().LongRunning {
+		return false
+	}
+	here, known := u.remaining(now)
+	if !known || !now.Add(here).After(c.due(u)) {
+		return false
+	}
+	there, found := c.elsewhere(u, now)
+	if !found || now.Add(there).After(c.due(u)) || float64(there) > moveGain*float64(here) {
+		return false
+	}
+	u.moves++
+	return true
+}
+
+// remaining returns how much longer the unit takes at its present pace.
+func (u *unit) remaining(now steady.Time) (time.Duration, bool) {
+	var most time.Duration
+	for _, r := range u.runs {
+		if r.phase != running || r.percent < 100 && (r.pace <= 0 || r.percent < learnAt) {
+			return 0, false
+		}
+		if r.percent < 100 {
+			most = max(most, r.remaining()-now.Sub(r.advanced))
+		}
+	}
+	return most, len(u.runs) == u.tasks
+}
+
+// elsewhere returns how long the unit takes when it is moved now.
+func (c *Core) elsewhere(u *unit, now steady.Time) (time.Duration, bool) {
+	chosen := c.place(u, now, false)
+	if chosen == nil {
+		return 0, false
+	}
+	worst := 0.0
+	for _, r := range chosen {
+		worst = math.Max(worst, c.speeds.cautiousFactor(r.ID))
+	}
+	left := 1.0
+	if u.spec().Checkpoints && u.checkpoint != "" {
+		left -= u.saved()
+	}
+	return moveCost + time.Duration(left*worst*float64(c.speeds.duration(u))), true
+}
+
+// saved estimates the part of the work that the last checkpoint holds.
+func (u *unit) saved() float64 {
+	least := 100
+	for _, r := range u.runs {
+		least = min(least, r.percent)
+	}
+	return savedShare * float64(least) / 100
+}
+
+// savedShare is the part of what was done that a checkpoint holds on average.
+const savedShare = 0.8
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -326,6 +326,9 @@
 		r.advanced = now
 	}
 	if row.Percent != r.percent {
+		if took := now.Sub(r.advanced).Seconds(); took > 0 {
+			r.pace = float64(row.Percent-r.percent) / took
+		}
 		r.percent, r.advanced = row.Percent, now
 		c.speeds.learnProgress(r)
 	}
--- a/batch/scheduler/speeds.go
+++ b/batch/scheduler/speeds.go
@@ -33,37 +33,48 @@
 	// taskVariance is that of one task's work around its step's.
 	taskVariance = 0.2 * 0.2
 
+	// memberVariance is that of one gang member's work around the others'.
+	memberVariance = 0.05 * 0.05
+
 	// driftVariance is added a run, because runners turn slow and recover.
 	driftVariance = 0.02 * 0.02
 
-	biasVariance = 0.5 * 0.5
-	biasShare    = 0.1 // of a step's error that its queue's bias takes
+	biasShare = 0.1 // of a step's error that its queue's bias takes
 )
 
 func newSpeeds() *speeds {
 	return &speeds{factor: make(map[string]*estimate), bias: make(map[string]*estimate)}
 }
 
-// learn takes the duration of a run, or what it will be by its progress.
-func (s *speeds) learn(r *run, took time.Duration) {
-	if took <= 0 || r.learned || r.unit.spec().Gang && r.unit.learned == r.attempt {
-		return
-	}
-	r.learned = true
-	r.unit.learned = r.attempt
+// learn takes how long a run takes whole, with the variance of that reading's
+// logarithm.
+func (s *speeds) learn(r *run, whole time.Duration, reading float64) {
 	work := s.workOf(r.unit)
-	if work == nil {
+	if whole <= 0 || work == nil {
 		return
 	}
-	slowest := s.slowest(r)
-	factor := s.of(slowest)
-	measured := math.Log(took.Seconds())
-	surprise := measured - work.mean - factor.mean
-	total := work.variance + factor.variance + taskVariance
+	noise := reading + taskVariance
+	if r.unit.spec().Gang {
+		noise = reading + memberVariance
+	}
+	factor := s.of(r.runner.ID)
+	surprise := math.Log(whole.Seconds()) - work.mean - factor.mean
+	total := work.variance + factor.variance + noise
 	work.move(surprise, total)
 	factor.move(surprise, total)
 	factor.variance += driftVariance
-	s.biasOf(r).mean += biasShare * (work.mean - math.Log(r.unit.spec().Estimate.Seconds()) - s.biasOf(r).mean)
+	s.learnBias(r, work)
+}
+
+// learnBias takes how far off the declared duration was.
+func (s *speeds) learnBias(r *run, work *estimate) {
+	queue := r.unit.job.spec.Queue
+	if s.bias[queue] == nil {
+		s.bias[queue] = &estimate{}
+	}
+	bias := s.bias[queue]
+	off := work.mean - math.Log(r.unit.spec().Estimate.Seconds())
+	bias.mean += biasShare * (off - bias.mean)
 }
 
 func (e *estimate) move(surprise, total float64) {
@@ -72,21 +83,6 @@
 	e.variance *= 1 - gain
 }
 
-// slowest returns the runner that a run's duration tells of: in a gang, the
-// slowest member's.
-func (s *speeds) slowest(r *run) string {
-	if !r.unit.spec().Gang {
-		return r.runner.ID
-	}
-	slowest := r.runner.ID
-	for _, id := range r.unit.placed {
-		if s.log(id) > s.log(slowest) {
-			slowest = id
-		}
-	}
-	return slowest
-}
-
 // workOf returns the estimate of the work of one task of a unit's step.
 func (s *speeds) workOf(u *unit) *estimate {
 	key := stepKey{u.occurrence, u.step}
@@ -108,14 +104,6 @@
 	return e
 }
 
-func (s *speeds) biasOf(r *run) *estimate {
-	queue := r.unit.job.spec.Queue
-	if s.bias[queue] == nil {
-		s.bias[queue] = &estimate{variance: biasVariance}
-	}
-	return s.bias[queue]
-}
-
 func (s *speeds) of(runner string) *estimate {
 	e := s.factor[runner]
 	if e == nil {
@@ -145,21 +133,60 @@
 	return time.Duration(math.Exp(e.mean) * float64(time.Second))
 }
 
-// learnAt is the progress, in percent, from which a run's duration can be told.
-const learnAt = 35
+// certainty is how much of a factor's standard deviation is held against a
+// runner: an unknown one may be slow.
+const certainty = 0.6
+
+// cautiousFactor is timeFactor, raised by what is not known.
+func (s *speeds) cautiousFactor(runner string) float64 {
+	variance := factorVariance
+	if e := s.factor[runner]; e != nil {
+		variance = e.variance
+	}
+	return math.Exp(s.log(runner) + certainty*math.Sqrt(variance))
+}
+
+// unknown reports whether hardly anything was learned of a runner.
+func (s *speeds) unknown(runner string) bool {
+	e := s.factor[runner]
+	return e == nil || e.variance > factorVariance/3
+}
+
+const (
+	// learnAt is the progress, in percent, from which a run's duration can be
+	// told; progress is given in whole percents.
+	learnAt = 8
+
+	// changeRatio is a change of pace that means that the runner, and not the
+	// reading, is different.
+	changeRatio = 1.4
+)
 
 // learnProgress takes a running task's progress. Runs away from their data or
-// with an earlier checkpoint tell nothing.
+// from an earlier checkpoint tell nothing of the runner's usual speed.
 func (s *speeds) learnProgress(r *run) {
-	if r.percent < learnAt || r.resumed || r.remote {
+	if r.pace <= 0 || r.percent < learnAt || r.resumed || r.remote {
 		return
 	}
-	s.learn(r, r.advanced.Sub(r.started)*100/time.Duration(r.percent))
+	whole := time.Duration(100 / r.pace * float64(time.Second))
+	if r.learnedPace == 0 {
+		r.learnedPace = r.pace
+		s.learn(r, whole, square(1/float64(r.percent)))
+		return
+	}
+	if change := r.learnedPace / r.pace; change > changeRatio || change < 1/changeRatio {
+		s.of(r.runner.ID).mean += math.Log(change)
+		r.learnedPace = r.pace
+	}
 }
 
+func square(v float64) float64 { return v * v }
+
+// learnEnd takes the duration of a run that is done. A gang's members end with
+// the slowest, so they tell nothing.
 func (s *speeds) learnEnd(r *run, now steady.Time) {
-	if r.resumed || r.remote || r.started.IsZero() {
+	if r.resumed || r.remote || r.started.IsZero() || r.learnedPace != 0 || r.unit.tasks > 1 {
 		return
 	}
-	s.learn(r, now.Sub(r.started))
+	s.learn(r, now.Sub(r.started), 0)
 }
