Read runners' pace over a bounded span only

Cause: urgent gangs ran on slow runners (two thirds of what was lost): runners' factors had grown to 53, because pace was also read from members that wait at 100 percent and over spans of a few milliseconds. Change: pace over 600 ms and two percents at least, below 100; bounded changes.

--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -39,7 +39,7 @@
 		}
 	}
 	failed := make(map[shape]bool)
-	for _, u := range c.queue(wall) {
+	for _, u := range c.queue(now, wall) {
 		s := u.shape()
 		if failed[s] {
 			continue
@@ -136,8 +136,14 @@
 	}
 }
 
-// queue returns the units whose turn has come, in the order they are placed.
-func (c *Core) queue(wall time.Time) []*unit {
+// hopelessFactor is how far beyond its target time a job earns its caller
+// nothing more by being early: it then yields to those that can still be in time.
+const hopelessFactor = 3
+
+// queue returns the units whose turn has come, in the order they are placed:
+// by priority; those that can still be in time first; small ones first, because
+// that serves the most callers in time; and then by age.
+func (c *Core) queue(now steady.Time, wall time.Time) []*unit {
 	var out []*unit
 	for _, j := range c.active {
 		for _, u := range j.units {
@@ -149,6 +155,8 @@
 	slices.SortStableFunc(out, func(a, b *unit) int {
 		return cmp.Or(
 			cmp.Compare(a.job.spec.Priority, b.job.spec.Priority),
+			compareBool(c.hopeless(a, now), c.hopeless(b, now)),
+			cmp.Compare(a.job.size, b.job.size),
 			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
 			cmp.Compare(a.occurrence, b.occurrence),
 		)
@@ -214,3 +222,9 @@
 	}
 	return step.SameRack && slices.ContainsFunc(chosen, func(o *runner) bool { return o.Rack != r.Rack })
 }
+
+// hopeless reports whether the unit's work is far too late to matter.
+func (c *Core) hopeless(u *unit, now steady.Time) bool {
+	late := c.due(u).Sub(u.since)
+	return now.Sub(u.since) > hopelessFactor*late-c.speeds.duration(u)
+}
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -19,6 +19,7 @@
 	committed int             // the version that is in the store
 	queued    bool            // waits to be recorded
 	added     steady.Time
+	size      float64               // core-seconds declared, one occurrence
 	work      map[stepKey]*estimate // log of the seconds that a task of the step takes
 }
 
@@ -71,7 +72,10 @@
 	resumed     bool        // began at a checkpoint
 	remote      bool        // away from its data or its gang's rack
 	pace        float64     // percent a second, lately
-	learnedPace float64     // the pace that the runner's speed was last learned from; 0: none
+	paceError   float64     // largest relative error of pace
+	markAt      steady.Time // when pace was last read
+	markPercent int
+	learnedPace float64 // the pace that the runner's speed was last learned from; 0: none
 }
 
 func (u *unit) spec() *batch.Step { return &u.job.spec.Steps[u.step] }
@@ -105,6 +109,7 @@
 	j := &job{spec: spec, state: batch.Queued, open: make(map[stepKey]int), added: now}
 	c.jobs[spec.ID] = j
 	j.addUnits(now)
+	j.size = sizeOf(spec)
 	if recorded != nil {
 		c.restore(j, recorded, now)
 	}
@@ -113,6 +118,14 @@
 	}
 }
 
+func sizeOf(spec *batch.Job) float64 {
+	sum := 0.0
+	for _, s := range spec.Steps {
+		sum += coresOf(s.Request) * s.Estimate.Seconds() * float64(s.Tasks)
+	}
+	return sum
+}
+
 func (j *job) addUnits(now steady.Time) {
 	for k := range j.spec.Occurrences() {
 		for s, step := range j.spec.Steps {
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -254,8 +254,9 @@
 }
 
 // cores returns what one task holds, an accelerator counted as several cores.
-func (u *unit) cores() float64 {
-	request := u.spec().Request
+func (u *unit) cores() float64 { return coresOf(u.spec().Request) }
+
+func coresOf(request batch.Resources) float64 {
 	return float64(request.MilliCPU)/1000 + acceleratorCores*float64(request.Accelerators)
 }
 
--- a/batch/scheduler/rescue.go
+++ b/batch/scheduler/rescue.go
@@ -47,7 +47,7 @@
 func (u *unit) remaining(now steady.Time) (time.Duration, bool) {
 	var most time.Duration
 	for _, r := range u.runs {
-		if r.phase != running || r.percent < 100 && (r.pace <= 0 || r.percent < learnAt) {
+		if r.phase != running || r.percent < 100 && r.pace <= 0 {
 			return 0, false
 		}
 		if r.percent < 100 {
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -325,15 +325,35 @@
 		r.started = now
 		r.advanced = now
 	}
-	if row.Percent != r.percent {
-		if took := now.Sub(r.advanced).Seconds(); took > 0 {
-			r.pace = float64(row.Percent-r.percent) / took
-		}
-		r.percent, r.advanced = row.Percent, now
+	if row.Percent == r.percent {
+		return
+	}
+	r.percent, r.advanced = row.Percent, now
+	if r.readPace(now) {
 		c.speeds.learnProgress(r)
 	}
 }
 
+// paceSpan is the shortest time over which a pace is read: progress is given in
+// whole percents.
+const paceSpan = 600 * time.Millisecond
+
+// readPace measures the run's pace since the last reading. A task that is done
+// waits for its gang at a hundred percent, which tells nothing.
+func (r *run) readPace(now steady.Time) bool {
+	if r.markAt.IsZero() {
+		r.markAt = r.started
+	}
+	took := now.Sub(r.markAt)
+	if r.percent >= 100 || took < paceSpan || r.percent-r.markPercent < 2 {
+		return false
+	}
+	r.paceError = 1 / float64(r.percent-r.markPercent)
+	r.pace = float64(r.percent-r.markPercent) / took.Seconds()
+	r.markAt, r.markPercent = now, r.percent
+	return true
+}
+
 // stopForeign stops a run that no record names, such as one whose order was
 // carried out late.
 func (c *Core) stopForeign(r *runner, key runKey, now steady.Time) {
--- a/batch/scheduler/speeds.go
+++ b/batch/scheduler/speeds.go
@@ -153,31 +153,37 @@
 }
 
 const (
-	// learnAt is the progress, in percent, from which a run's duration can be
-	// told; progress is given in whole percents.
-	learnAt = 8
-
 	// changeRatio is a change of pace that means that the runner, and not the
 	// reading, is different.
 	changeRatio = 1.4
+
+	// paceErrorMost is the largest error of a reading that a change is told from.
+	paceErrorMost = 0.15
+
+	// factorMost bounds the logarithm of a runner's factor: about seven times
+	// as long, which is slower than any runner was seen to turn.
+	factorMost = 2.0
 )
 
 // learnProgress takes a running task's progress. Runs away from their data or
 // from an earlier checkpoint tell nothing of the runner's usual speed.
 func (s *speeds) learnProgress(r *run) {
-	if r.pace <= 0 || r.percent < learnAt || r.resumed || r.remote {
+	if r.resumed || r.remote {
 		return
 	}
 	whole := time.Duration(100 / r.pace * float64(time.Second))
 	if r.learnedPace == 0 {
 		r.learnedPace = r.pace
-		s.learn(r, whole, square(1/float64(r.percent)))
+		s.learn(r, whole, square(r.paceError))
 		return
 	}
-	if change := r.learnedPace / r.pace; change > changeRatio || change < 1/changeRatio {
-		s.of(r.runner.ID).mean += math.Log(change)
-		r.learnedPace = r.pace
+	change := r.learnedPace / r.pace
+	if r.paceError > paceErrorMost || change < changeRatio && change > 1/changeRatio {
+		return
 	}
+	factor := s.of(r.runner.ID)
+	factor.mean = math.Max(-factorMost, math.Min(factorMost, factor.mean+math.Log(change)))
+	r.learnedPace = r.pace
 }
 
 func square(v float64) float64 { return v * v }
