Reread the settings on SIGHUP and when the file changes without one

Change: the file is reread on the signal and every two seconds; a file that can't be used changes nothing and is logged. Bounds take effect with the next term.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -46,8 +46,6 @@
 	Now        func() time.Time // time of day, without jumps
 
 	Lease        time.Duration // of what runs on a runner
-	Stop         time.Duration
-	GangTimeout  time.Duration
 	Early        time.Duration
 	RemoteFactor float64
 }
@@ -121,8 +119,6 @@
 	whole.Reset(items)
 	now := steady.Now()
 	l.core = scheduler.New(scheduler.Options{
-		Stop:           l.Stop,
-		GangTimeout:    l.GangTimeout,
 		Early:          l.Early,
 		RemoteFactor:   l.RemoteFactor,
 		InheritedUntil: now.Add(slowest(l.Lease)),
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -65,7 +65,7 @@
 	Direct     kvstore.Keyspace // the store without the help of peers, for theirs
 	Conditions Conditions
 	Replica    *ledger.Replica
-	Dispatch   dispatch.Options
+	Dispatch   func() dispatch.Options // asked at the start of each term
 	Front      func(*intake.Intake) http.Handler
 	Log        *log.Logger
 }
@@ -205,7 +205,7 @@
 		Replica: h.Replica,
 		Host:    h.Name,
 		Log:     h.Log,
-		Lead:    func(ctx context.Context, t *dispatch.Term) { dispatch.Lead(ctx, h.Dispatch, t) },
+		Lead:    func(ctx context.Context, t *dispatch.Term) { dispatch.Lead(ctx, h.Dispatch(), t) },
 	}
 }
 
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -16,8 +16,6 @@
 
 // Options are limits of the deployment.
 type Options struct {
-	Stop         time.Duration // longest time a stop takes
-	GangTimeout  time.Duration // how long a gang's member waits for the others
 	Early        time.Duration // how early an occurrence may start
 	RemoteFactor float64       // slow-down away from a gang's rack or from data
 	// InheritedUntil is when everything that an earlier scheduler started on a
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/cyclamentray/cyclamentray/batch/dispatch"
@@ -75,15 +76,20 @@
 		defer cancel()
 		out.Close(limit.Done())
 	}()
-	if err := newHost(s, out, o.LogLevel).Run(ctx); err != nil {
+	logger := telemetry.NewStructuredLogger(out, o.LogLevel).With("host", s.Host)
+	watched := platform.Watch(o.Settings, s, logger)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go watched.Run(ctx, reload)
+	if err := newHost(watched, logger).Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "cyclamentray-batchd:", err)
 		return exitFailed
 	}
 	return 0
 }
 
-func newHost(s *platform.Settings, out *telemetry.AsyncWriter, level string) *host.Host {
-	logger := telemetry.NewStructuredLogger(out, level).With("host", s.Host)
+func newHost(watched *platform.Watched, logger *log.Logger) *host.Host {
+	s := watched.Current()
 	replica := ledger.NewReplica(logger)
 	direct := platform.NewStore(s.Store)
 	store := &kvstore.Fallback{
@@ -93,6 +99,8 @@
 		ProbeKey:  ledger.LeaderKey,
 	}
 	conditions := platform.NewConditions(store, logger)
+	runners := platform.NewRunners()
+	now := host.Anchored()
 	return host.New(host.Options{
 		Name:         s.Host,
 		PeerAddress:  net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort)),
@@ -105,18 +113,19 @@
 		Replica:      replica,
 		Front:        func(in *intake.Intake) http.Handler { return &platform.Front{Intake: in} },
 		Log:          logger,
-		Dispatch: dispatch.Options{
-			Store:        store,
-			Replica:      replica,
-			Runners:      platform.NewRunners(),
-			Conditions:   conditions,
-			Log:          logger,
-			Now:          host.Anchored(),
-			Lease:        s.Bounds.RunnerLease,
-			Stop:         s.Bounds.Stop,
-			GangTimeout:  s.Bounds.GangTimeout,
-			Early:        s.Bounds.Early / 2, // the rest covers the clocks' differences
-			RemoteFactor: s.Bounds.RemoteX,
+		Dispatch: func() dispatch.Options {
+			bounds := watched.Current().Bounds
+			return dispatch.Options{
+				Store:        store,
+				Replica:      replica,
+				Runners:      runners,
+				Conditions:   conditions,
+				Log:          logger,
+				Now:          now,
+				Lease:        bounds.RunnerLease,
+				Early:        bounds.Early / 2, // the rest covers the clocks' differences
+				RemoteFactor: bounds.RemoteX,
+			}
 		},
 	})
 }
