--- /dev/null
+++ b/batch/scheduler/random_test.go
@@ -0,0 +1,106 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+)
+
+const randomSeeds = 60
+
+// Schedulers are killed, runners crash, restart and are cut off, and orders and
+// answers get lost or late. No task runs twice, none starts before its turn or
+// after its recorded end, and everything ends once the faults are over.
+func TestNothingRunsTwiceUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(randomSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, faults{lost: 0.08})
+			w.addRunners(4, 3)
+			w.lead()
+			rng := rand.New(rand.NewPCG(seed, 2))
+			cancelled := randomDay(w, rng)
+			w.faults.lost = 0
+			if w.core == nil {
+				w.lead()
+			}
+			w.run(120 * time.Second)
+			for id := range w.jobs {
+				want := batch.Completed
+				if cancelled[id] {
+					want = batch.Cancelled
+				}
+				got := w.state(id)
+				must.True(t, got == want || cancelled[id] && got == batch.Completed, must.Sprintf("job %s is %q", id, got))
+			}
+		})
+	}
+}
+
+func randomDay(w *world, rng *rand.Rand) map[string]bool {
+	cancelled := make(map[string]bool)
+	ids := w.ids()
+	for second := range 40 {
+		if second < 25 {
+			w.submit(randomJob(rng, fmt.Sprintf("job%02d", second)), time.Duration(500+rng.IntN(4000))*time.Millisecond, false)
+		}
+		victim := ids[rng.IntN(len(ids))]
+		switch rng.IntN(14) {
+		case 0:
+			w.kill()
+			w.after(time.Duration(1+rng.IntN(4))*time.Second, w.leadIfNobody)
+		case 1:
+			w.pool.Crash(w.now, victim)
+			w.after(time.Duration(rng.IntN(3000))*time.Millisecond, func() { w.pool.Reboot(w.now, victim) })
+		case 2, 3:
+			w.cut[victim] = w.now.Add(time.Duration(1+rng.IntN(9)) * time.Second)
+		case 4:
+			id := fmt.Sprintf("job%02d", rng.IntN(second+1))
+			if w.jobs[id] != nil {
+				cancelled[id] = true
+				w.cancel(id)
+			}
+		case 5:
+			w.pool.Runner(victim).Hangs = true
+			w.after(5*time.Second, func() { w.pool.Runner(victim).Hangs = false })
+		}
+		w.run(time.Second)
+	}
+	return cancelled
+}
+
+func (w *world) leadIfNobody() {
+	if w.core == nil {
+		w.lead()
+	}
+}
+
+func randomJob(rng *rand.Rand, id string) batch.Job {
+	first := randomStep(rng)
+	steps := []batch.Step{first}
+	if rng.IntN(3) == 0 {
+		second := randomStep(rng)
+		second.After = []int{0}
+		steps = append(steps, second)
+	}
+	return batch.Job{ID: id, Organisation: "one", Queue: "q", Priority: rng.IntN(3), Steps: steps, TargetLatency: time.Second}
+}
+
+func randomStep(rng *rand.Rand) batch.Step {
+	s := batch.Step{
+		Tasks:       1 + rng.IntN(4),
+		Request:     batch.Resources{MilliCPU: 4000, MemoryMB: 8000, Accelerators: int64(1 + rng.IntN(4))},
+		Estimate:    2 * time.Second,
+		Gang:        rng.IntN(2) == 0,
+		Checkpoints: rng.IntN(2) == 0,
+	}
+	if s.Gang {
+		s.SameRack = rng.IntN(2) == 0
+	}
+	return s
+}
