Count a unit's wait from its job's acceptance, also after a takeover

Change: waits count from acceptance or due time; a later step's from its turn; while most of a service is free the patience is one second.

--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -147,7 +147,7 @@
 	var out []*unit
 	for _, j := range c.active {
 		for _, u := range j.units {
-			if u.waiting() && u.eligible(wall, c.opts.Early) {
+			if u.waiting() && u.eligible(now, wall, c.opts.Early) {
 				out = append(out, u)
 			}
 		}
@@ -174,7 +174,7 @@
 	if u.job.spec.Priority == 0 && c.preempt(u, now) {
 		return false
 	}
-	if now.Sub(u.since) < u.remotePatience() {
+	if now.Sub(u.since) < c.remotePatience(u) {
 		return false
 	}
 	far := c.place(u, now, true)
@@ -185,13 +185,28 @@
 	return true
 }
 
-func (u *unit) remotePatience() time.Duration {
+// remotePatience is how long a unit waits for a place near its data. While most
+// of the service is free, the place near it isn't taken by work that ends soon.
+func (c *Core) remotePatience(u *unit) time.Duration {
 	if u.job.spec.Priority == 0 {
 		return 0
 	}
+	if c.mostlyFree(u.job.spec.Service) {
+		return remotePatienceMin
+	}
 	return min(max(u.spec().Estimate, remotePatienceMin), remotePatienceMax)
 }
 
+func (c *Core) mostlyFree(service string) bool {
+	var used, all batch.Resources
+	for _, r := range c.runners {
+		if r.Service == service && r.listed {
+			used, all = used.Plus(r.used), all.Plus(r.Capacity)
+		}
+	}
+	return 2*used.Accelerators < all.Accelerators && 2*used.MilliCPU < all.MilliCPU
+}
+
 // assign plans a run of each task of the unit.
 func (c *Core) assign(u *unit, chosen []*runner, now steady.Time) {
 	j := u.job
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -37,8 +37,8 @@
 	failedLast int // the attempt whose failure was counted last
 	attempt    int
 	checkpoint string
-	runs       []*run // of the present attempt, not ended
-	since      steady.Time
+	runs       []*run         // of the present attempt, not ended
+	since      steady.Time    // when its turn came; 0: not yet
 	avoid      map[string]int // failures by runner
 	preempting steady.Time    // when it last had others stopped
 	ending     steady.Time    // when a member of the present attempt ended
@@ -134,7 +134,7 @@
 				size, count = step.Tasks, 1
 			}
 			for i := range count {
-				j.units = append(j.units, &unit{job: j, occurrence: k, step: s, first: i * size, tasks: size, since: now})
+				j.units = append(j.units, &unit{job: j, occurrence: k, step: s, first: i * size, tasks: size})
 			}
 			j.open[stepKey{k, s}] = count
 		}
@@ -215,11 +215,31 @@
 	return rows
 }
 
-// eligible reports whether a unit's turn has come.
-func (u *unit) eligible(wall time.Time, early time.Duration) bool {
-	if due := u.job.spec.Due(u.occurrence); !due.IsZero() && wall.Add(early).Before(due) {
+// eligible reports whether a unit's turn has come, and notes when.
+func (u *unit) eligible(now steady.Time, wall time.Time, early time.Duration) bool {
+	if !u.since.IsZero() {
+		return true
+	}
+	turn := u.job.spec.Accepted
+	if due := u.job.spec.Due(u.occurrence); !due.IsZero() {
+		turn = due
+		if wall.Add(early).Before(due) {
+			return false
+		}
+	}
+	if !u.afterDone() {
 		return false
 	}
+	u.since = now
+	if len(u.spec().After) == 0 {
+		// An earlier scheduler may have seen its turn come already.
+		u.since = now.Add(-max(0, wall.Sub(turn)))
+	}
+	return true
+}
+
+// afterDone reports whether all steps that come before are done.
+func (u *unit) afterDone() bool {
 	return !slices.ContainsFunc(u.spec().After, func(s int) bool {
 		return u.job.open[stepKey{u.occurrence, s}] > 0
 	})
