--- /dev/null
+++ b/batch/scheduler/decide_test.go
@@ -0,0 +1,189 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+)
+
+func gang(tasks int, accelerators int64, estimate time.Duration) batch.Step {
+	return batch.Step{
+		Tasks: tasks, Gang: true, Estimate: estimate,
+		Request: batch.Resources{MilliCPU: 1000 * accelerators, MemoryMB: 1000 * accelerators, Accelerators: accelerators},
+	}
+}
+
+func calmWorld(t testing.TB, racks, each int) *world {
+	w := newWorld(t, 1, faults{})
+	w.addRunners(racks, each)
+	w.lead()
+	w.run(1500 * time.Millisecond) // every runner has reported
+	return w
+}
+
+// A gang that fits no rack waits for a place near its data for a while. A new
+// scheduler goes on from the wait that its job has behind it.
+func TestWaitCountsFromAcceptanceAfterATakeover(t *testing.T) {
+	w := calmWorld(t, 2, 3)
+	step := gang(4, 8, 20*time.Second)
+	step.SameRack = true
+	filler := gang(3, 8, time.Minute)
+	filler.SameRack = true
+	w.submit(batch.Job{ID: "filler", Priority: 1, Steps: []batch.Step{filler}}, time.Minute, false)
+	w.run(200 * time.Millisecond)
+	w.submit(batch.Job{ID: "wide", Priority: 1, Steps: []batch.Step{step}}, 5*time.Second, false)
+	w.run(5 * time.Second)
+	must.Eq(t, batch.State(""), w.state("wide"))
+	w.cancel("filler")
+	w.kill()
+	w.run(3 * time.Second)
+	w.lead()
+	w.run(2 * time.Second)
+	must.Eq(t, batch.Running, w.state("wide"))
+}
+
+// An urgent gang within its organisation's guarantee starts in time although
+// others hold everything, however much work that throws away.
+func TestGuaranteeIsReclaimedInTime(t *testing.T) {
+	w := calmWorld(t, 2, 3)
+	for i := range 6 {
+		w.submit(batch.Job{ID: fmt.Sprintf("other%d", i), Organisation: "two", Priority: 1, Steps: []batch.Step{gang(1, 8, time.Minute)}}, time.Minute, false)
+	}
+	w.run(30 * time.Second)
+	w.submit(batch.Job{ID: "urgent", Organisation: "one", Stretch: 1.5, Steps: []batch.Step{gang(3, 8, time.Second)}}, time.Second, false)
+	w.run(2500 * time.Millisecond)
+	for i := range 3 {
+		task := batch.TaskID{Job: "urgent", Index: i}
+		must.Eq(t, 1, w.pool.Running(task)+w.doneCount(task), must.Sprint(task))
+	}
+}
+
+func (w *world) doneCount(task batch.TaskID) int {
+	if w.recordedDone(task) {
+		return 1
+	}
+	return 0
+}
+
+// Beyond the guarantee, long unsaved work is not thrown away for a short job.
+func TestPreemptionIsBoundedByWhatItThrowsAway(t *testing.T) {
+	w := calmWorld(t, 1, 2)
+	for i := range 2 {
+		w.submit(batch.Job{ID: fmt.Sprintf("long%d", i), Organisation: "two", Priority: 1, Steps: []batch.Step{gang(1, 8, time.Minute)}}, 40*time.Second, false)
+	}
+	w.run(15 * time.Second)
+	w.submit(batch.Job{ID: "short", Organisation: "two", Stretch: 1.5, Steps: []batch.Step{gang(1, 1, 500*time.Millisecond)}}, 500*time.Millisecond, false)
+	w.run(5 * time.Second)
+	must.Eq(t, 1, w.pool.Running(batch.TaskID{Job: "long0"}))
+	must.Eq(t, 1, w.pool.Running(batch.TaskID{Job: "long1"}))
+	must.Eq(t, batch.State(""), w.state("short"))
+	w.run(60 * time.Second)
+	must.Eq(t, batch.Completed, w.state("short"))
+}
+
+// Runners differ in speed. Members that wait for a slower one at a hundred
+// percent must not make their runners look slow: urgent work then ran on truly
+// slow ones.
+func TestUrgentWorkLearnsWhichRunnersAreFast(t *testing.T) {
+	w := calmWorld(t, 2, 6)
+	for i := range 12 { // each gang spans fast and slow runners
+		w.submit(batch.Job{ID: fmt.Sprintf("learn%02d", i), Priority: 1, Steps: []batch.Step{gang(6, 8, 2*time.Second)}}, 2*time.Second, false)
+		w.run(2 * time.Second)
+	}
+	w.run(20 * time.Second)
+	for i := range 4 {
+		id := fmt.Sprintf("urgent%d", i)
+		w.submit(batch.Job{ID: id, Stretch: 1.5, Steps: []batch.Step{gang(2, 8, 2*time.Second)}}, 2*time.Second, false)
+		w.run(2500 * time.Millisecond) // 2 s of work; the slow third of the runners needs 3.2 s
+		must.Eq(t, batch.Completed, w.state(id), must.Sprint(id))
+	}
+}
+
+// A task that makes no progress on a hanging runner is moved.
+func TestStalledWorkIsMoved(t *testing.T) {
+	w := calmWorld(t, 1, 2)
+	w.pool.Runner("r0-0").Hangs = true
+	w.pool.Runner("r0-1").Hangs = true
+	w.submit(batch.Job{ID: "stuck", Steps: []batch.Step{gang(1, 8, time.Second)}, Stretch: 1.5}, time.Second, false)
+	w.run(time.Second)
+	on := "r0-0"
+	if w.pool.Runner("r0-0").Running() == 0 {
+		on = "r0-1"
+	}
+	other := map[string]string{"r0-0": "r0-1", "r0-1": "r0-0"}[on]
+	w.pool.Runner(other).Hangs = false
+	w.run(6 * time.Second)
+	must.Eq(t, batch.Completed, w.state("stuck"))
+}
+
+// A step starts after the steps before it; a timed job at its times; a job that
+// fails for good is shown as failed after its attempts and no more are made.
+func TestOrderTimesAndAttempts(t *testing.T) {
+	w := calmWorld(t, 1, 3)
+	second := gang(2, 2, time.Second)
+	second.After = []int{0}
+	w.submit(batch.Job{ID: "steps", Priority: 1, Steps: []batch.Step{gang(2, 2, time.Second), second}}, time.Second, false)
+	w.submit(batch.Job{ID: "hopeless", Priority: 1, MaxAttempts: 2, Steps: []batch.Step{gang(2, 2, time.Second)}}, time.Second, true)
+	w.submit(batch.Job{ID: "timed", Priority: 1, Steps: []batch.Step{gang(1, 1, time.Second)}, Schedule: &batch.Schedule{
+		Occurrences: 3, First: time.Unix(0, int64(w.now)).Add(4 * time.Second), Interval: 2 * time.Second,
+	}}, time.Second, false)
+	w.run(30 * time.Second)
+	must.Eq(t, batch.Completed, w.state("steps"))
+	must.Eq(t, batch.Failed, w.state("hopeless"))
+	must.Eq(t, batch.Completed, w.state("timed"))
+	for _, row := range w.store["hopeless"].Tasks {
+		must.Eq(t, 2, row.Failures)
+	}
+}
+
+// Nothing starts on a runner that is leaving or in an evacuated failure domain,
+// without the label that a step asks for, or beyond its spread limit.
+func TestFilters(t *testing.T) {
+	w := calmWorld(t, 2, 2)
+	w.core.Evacuate(map[string]bool{"fd0": true})
+	leaving := w.pool.Runner("r1-0").Runner
+	leaving.Draining = true
+	w.core.ListRunner(leaving)
+	spread := batch.Step{Tasks: 3, PerRunner: 2, Estimate: time.Second, Request: batch.Resources{Accelerators: 1}}
+	w.submit(batch.Job{ID: "spread", Priority: 1, Steps: []batch.Step{spread}}, time.Minute, false)
+	labelled := gang(1, 1, time.Second)
+	labelled.Label = "rack0"
+	w.submit(batch.Job{ID: "labelled", Priority: 1, Steps: []batch.Step{labelled}}, time.Second, false)
+	w.run(8 * time.Second)
+	must.Eq(t, 2, w.pool.Runner("r1-1").Running())
+	must.Eq(t, 0, w.pool.Runner("r0-0").Running()+w.pool.Runner("r0-1").Running()+w.pool.Runner("r1-0").Running())
+	must.Eq(t, batch.State(""), w.state("labelled"))
+}
+
+// Without the store nothing starts: the next scheduler would not know of it.
+func TestNothingStartsUnrecorded(t *testing.T) {
+	w := calmWorld(t, 1, 2)
+	w.storeDown = true
+	w.submit(batch.Job{ID: "new", Priority: 1, Steps: []batch.Step{gang(1, 1, time.Second)}}, time.Second, false)
+	w.run(5 * time.Second)
+	must.Eq(t, 0, w.starts)
+	w.storeDown = false
+	w.run(3 * time.Second)
+	must.Eq(t, batch.Completed, w.state("new"))
+}
+
+// An end that could not be recorded stays with its runner, so the next
+// scheduler learns of it and does not run the task again.
+func TestUnrecordedEndOutlivesItsScheduler(t *testing.T) {
+	w := calmWorld(t, 1, 2)
+	w.submit(batch.Job{ID: "filing", Priority: 1, Steps: []batch.Step{gang(1, 1, time.Second)}}, time.Second, false)
+	w.run(200 * time.Millisecond)
+	w.storeDown = true
+	w.run(4 * time.Second)
+	w.kill()
+	w.storeDown = false
+	w.run(time.Second)
+	w.lead()
+	w.run(3 * time.Second)
+	must.Eq(t, batch.Completed, w.state("filing"))
+	must.Eq(t, 1, w.starts)
+}
--- /dev/null
+++ b/batch/scheduler/speeds_test.go
@@ -0,0 +1,60 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+const speedsStart = steady.Time(time.Hour)
+
+func memberOn(id string, estimate time.Duration) *run {
+	j := &job{spec: &batch.Job{Queue: "q", Steps: []batch.Step{{Tasks: 2, Gang: true, Estimate: estimate}}}}
+	return &run{unit: &unit{job: j, tasks: 2}, runner: &runner{Runner: batch.Runner{ID: id}}, started: speedsStart, phase: running}
+}
+
+func report(c *Core, r *run, percent int, after time.Duration) {
+	c.takeProgress(r, batch.RunningTask{Percent: percent}, speedsStart.Add(after))
+}
+
+// A member that has done its part waits at a hundred percent for the others.
+// Reports then, and reports close to each other, tell nothing of its runner.
+func TestPaceIsReadWhileATaskWorks(t *testing.T) {
+	c := New(Options{})
+	fast := memberOn("fast", 2*time.Second)
+	report(c, fast, 48, time.Second)
+	report(c, fast, 49, 1050*time.Millisecond)
+	report(c, fast, 96, 2*time.Second)
+	report(c, fast, 100, 6*time.Second)
+	report(c, fast, 100, 7*time.Second)
+	must.InDelta(t, 48, fast.pace, 1)
+	must.Between(t, 0.8, c.speeds.timeFactor("fast"), 1.25)
+}
+
+// Members of one gang have equal work, so their paces tell the runners apart.
+func TestMembersOfAGangTellRunnersApart(t *testing.T) {
+	c := New(Options{})
+	for range 4 {
+		slow, fast := memberOn("slow", 4*time.Second), memberOn("fast", 4*time.Second)
+		fast.unit = slow.unit
+		report(c, slow, 15, time.Second)
+		report(c, fast, 40, time.Second)
+	}
+	ratio := c.speeds.timeFactor("slow") / c.speeds.timeFactor("fast")
+	must.InDelta(t, 40.0/15, ratio, 0.4)
+}
+
+// A runner that turns slow while it works is known to be slow at once.
+func TestChangeOfPaceIsNoticed(t *testing.T) {
+	c := New(Options{})
+	r := memberOn("r", 10*time.Second)
+	report(c, r, 10, time.Second)
+	report(c, r, 20, 2*time.Second)
+	before := c.speeds.timeFactor("r")
+	report(c, r, 27, 6*time.Second)
+	must.Between(t, 4, c.speeds.timeFactor("r")/before, 8)
+}
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -43,6 +43,8 @@
 	held   map[string]steady.Time
 	faults faults
 
+	storeDown bool // records are not committed
+
 	done      map[batch.TaskID]steady.Time // when an end "done" was acknowledged
 	cancelled map[string]steady.Time
 	starts    int
@@ -208,6 +210,9 @@
 
 // commit records changes a tick later, unless the scheduler is replaced first.
 func (w *world) commit() {
+	if w.storeDown {
+		return
+	}
 	core, token := w.core, w.token
 	for _, r := range core.TakeRecords(100) {
 		w.after(worldTick, func() {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -123,6 +123,9 @@
 	return n
 }
 
+// Running returns how many runs a runner has.
+func (r *Runner) Running() int { return len(r.runs) }
+
 func (r *Runner) clock(now steady.Time) time.Duration { return now.Sub(r.bornAt) }
 
 func (r *Runner) used() batch.Resources {
