--- /dev/null
+++ b/batch/intake/intake_test.go
@@ -0,0 +1,135 @@
+package intake_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/intake"
+	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/standin/keyspace"
+)
+
+const patience = 900 * time.Millisecond
+
+func newIntake(fault func(keyspace.Call) keyspace.Outcome) (*intake.Intake, *ledger.Replica) {
+	logger := log.New(io.Discard)
+	replica := ledger.NewReplica(logger)
+	config := &batch.Configuration{
+		Queues: []batch.Queue{
+			{Name: "q", Host: "h", Prefix: "/a/", Service: "s", Priority: 1},
+			{Name: "q2", Host: "h", Prefix: "/a/b/", Service: "s", Public: true},
+		},
+		Organisations: []batch.Organisation{{Name: "one", Keys: []string{"k1", "k2"}}},
+	}
+	return intake.New(intake.Options{
+		Store: keyspace.New(keyspace.Options{Fault: fault}), Replica: replica,
+		Configuration: func() *batch.Configuration { return config }, Now: time.Now, Log: logger,
+	}), replica
+}
+
+func kindOf(err error) intake.Kind {
+	var r intake.Refusal
+	if errors.As(err, &r) {
+		return r.Kind
+	}
+	return ""
+}
+
+func oneTask() batch.Job {
+	return batch.Job{Steps: []batch.Step{{Tasks: 1, Request: batch.Resources{MilliCPU: 1}}}}
+}
+
+func TestResolve(t *testing.T) {
+	in, _ := newIntake(nil)
+	target, err := in.Resolve("h", "/a/0123", "k2")
+	must.NoError(t, err)
+	must.Eq(t, "q", target.Queue.Name)
+	must.Eq(t, "one", target.Organisation)
+	must.Eq(t, "0123", target.JobID)
+	target, err = in.Resolve("h", "/a/b/0123", "")
+	must.NoError(t, err)
+	must.Eq(t, "q2", target.Queue.Name)
+	_, err = in.Resolve("h", "/a/0123", "gone")
+	must.Eq(t, intake.Unauthorised, kindOf(err))
+	_, err = in.Resolve("other", "/a/0123", "k1")
+	must.Eq(t, intake.NotFound, kindOf(err))
+}
+
+// What a store certainly did not do is refused soon and with a time to return;
+// what it may have done is never called not accepted.
+func TestRefusalsAreTrue(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		outcome []keyspace.Outcome // of the tries, the last one for all further
+		want    intake.Kind
+		within  time.Duration
+	}{
+		{"served", []keyspace.Outcome{keyspace.Served}, "", 200 * time.Millisecond},
+		{"store away", []keyspace.Outcome{keyspace.Refused}, intake.NotAccepted, 500 * time.Millisecond},
+		{"answer lost, found again", []keyspace.Outcome{keyspace.Lost, keyspace.Served}, "", 500 * time.Millisecond},
+		{"answer lost, store away", []keyspace.Outcome{keyspace.Lost, keyspace.Refused}, intake.OutcomeUnsure, patience},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tries := 0
+			in, replica := newIntake(func(c keyspace.Call) keyspace.Outcome {
+				if !c.Write {
+					return keyspace.Served
+				}
+				tries++
+				return test.outcome[min(tries, len(test.outcome))-1]
+			})
+			target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
+			must.NoError(t, err)
+			began := time.Now()
+			err = in.Submit(context.Background(), target, oneTask(), patience)
+			must.Less(t, test.within, time.Since(began))
+			must.Eq(t, test.want, kindOf(err), must.Sprint(err))
+			_, known := replica.Job("0123456789abcdef")
+			must.Eq(t, err == nil, known)
+		})
+	}
+}
+
+func TestJobsThatCanNotBeMeant(t *testing.T) {
+	in, _ := newIntake(nil)
+	target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
+	must.NoError(t, err)
+	for name, change := range map[string]func(*batch.Job){
+		"no steps":             func(j *batch.Job) { j.Steps = nil },
+		"no tasks":             func(j *batch.Job) { j.Steps[0].Tasks = 0 },
+		"tasks without number": func(j *batch.Job) { j.Steps[0].Tasks = 1 << 30 },
+		"negative":             func(j *batch.Job) { j.Steps[0].Request.Accelerators = -1 },
+		"after itself":         func(j *batch.Job) { j.Steps[0].After = []int{0} },
+		"after nothing":        func(j *batch.Job) { j.Steps[0].After = []int{-1} },
+		"long spec":            func(j *batch.Job) { j.Spec = string(make([]byte, 4001)) },
+		"endless":              func(j *batch.Job) { j.Schedule = &batch.Schedule{Occurrences: 1 << 30} },
+	} {
+		job := oneTask()
+		change(&job)
+		must.Eq(t, intake.Malformed, kindOf(in.Submit(context.Background(), target, job, patience)), must.Sprint(name))
+	}
+}
+
+// A job that this host has not heard of yet is looked up before it is called
+// unknown.
+func TestStateOfAJobThatTheCopyLacks(t *testing.T) {
+	in, replica := newIntake(nil)
+	target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
+	must.NoError(t, err)
+	_, err = in.State(context.Background(), target, patience)
+	must.Eq(t, intake.Unknown, kindOf(err))
+	must.NoError(t, in.Submit(context.Background(), target, oneTask(), patience))
+	replica.Reset(nil)
+	state, err := in.State(context.Background(), target, patience)
+	must.NoError(t, err)
+	must.Eq(t, batch.Queued, state)
+	must.NoError(t, in.Cancel(context.Background(), target, patience))
+	must.NoError(t, in.Cancel(context.Background(), target, patience))
+}
--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -114,7 +114,7 @@
 	if !unsure || errors.Is(err, ErrAmbiguous) {
 		return err
 	}
-	return failure(ErrAmbiguous, errors.New(err.Error()))
+	return failure(ErrAmbiguous, errors.Newf("no answer to one try; the next: %v", err))
 }
 
 // failed reports whether the store gave no answer.
--- /dev/null
+++ b/telemetry/async_test.go
@@ -0,0 +1,45 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/telemetry"
+)
+
+// Nobody waits for a log whose output is blocked; what did not fit is counted,
+// and told of once the output moves again.
+func TestBlockedOutputHoldsNobodyUp(t *testing.T) {
+	read, write := io.Pipe()
+	w := telemetry.NewAsyncWriter(write)
+	const lines = 20_000
+	began := time.Now()
+	for i := range lines {
+		_, err := fmt.Fprintf(w, "line %d\n", i)
+		must.NoError(t, err)
+	}
+	must.Less(t, 5*time.Second, time.Since(began))
+	must.Positive(t, w.Dropped())
+	var out bytes.Buffer
+	done := make(chan struct{})
+	go func() {
+		_, _ = io.Copy(&out, read) // ends with the pipe
+		close(done)
+	}()
+	for limit := time.Now().Add(5 * time.Second); time.Now().Before(limit); time.Sleep(10 * time.Millisecond) {
+		if _, err := fmt.Fprintln(w, "last"); err == nil && w.Dropped() > 0 {
+			break
+		}
+	}
+	w.Close(make(chan struct{}))
+	must.NoError(t, write.Close())
+	<-done
+	must.StrContains(t, out.String(), "log lines dropped")
+	must.Less(t, lines, strings.Count(out.String(), "line "))
+}
