Keep a weak leader working, and have it yield to a much stronger host

Change: decisions take at most a third of the processor; holds wait longer where a weak host holds many runners; a host much weaker than the strongest listed one yields after 1.5 s, once in 20 s at most.

--- a/batch/dispatch/election.go
+++ b/batch/dispatch/election.go
@@ -26,6 +26,16 @@
 	termMargin    = 200 * time.Millisecond // for the way of a call and for timers that fire late
 	acquireJitter = 120 * time.Millisecond // spreads the candidates when a term ends
 	acquireCall   = 1500 * time.Millisecond
+
+	// yieldAfter is how long a host leads before it yields to a much stronger
+	// one, and yieldAgain how long until it may yield again: the stronger one may
+	// be listed and gone.
+	yieldAfter = 1500 * time.Millisecond
+	yieldAgain = 20 * time.Second
+
+	// yieldDelay is the delay before seeking the term from which a host counts
+	// as much weaker than the strongest.
+	yieldDelay = 300 * time.Millisecond
 )
 
 // Term is one host's authority to schedule. It is safe for concurrent use.
@@ -70,6 +80,8 @@
 	Log     *log.Logger
 	Lead    func(ctx context.Context, t *Term)
 	Delay   func() time.Duration // before the term is sought; nil: none
+
+	yielded steady.Time // when it last gave the term up for a stronger host
 }
 
 // Run seeks the term until ctx ends, and gives it up then.
@@ -162,11 +174,26 @@
 	}
 }
 
+// yields reports whether to give the term up for a much stronger host.
+func (c *Candidate) yields(began, now steady.Time) bool {
+	if c.delay() < yieldDelay || now.Sub(began) < yieldAfter {
+		return false
+	}
+	return c.yielded.IsZero() || now.Sub(c.yielded) > yieldAgain
+}
+
 // renew extends the term until it is lost. A store that does not answer does
 // not end it: the lease may be paused there.
 func (c *Candidate) renew(ctx context.Context, t *Term) {
+	began := steady.Now()
 	for pause.For(ctx, renewEvery) {
 		sent := steady.Now()
+		if c.yields(began, sent) {
+			c.Log.Info("term yielded to a stronger host", "token", t.Token)
+			c.yielded = sent
+			t.End()
+			return
+		}
 		call, cancel := context.WithTimeout(ctx, renewTimeout)
 		err := c.Store.Renew(call, t.lease)
 		cancel()
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -24,6 +24,9 @@
 	// decidePause lies between two decisions, so that a burst is decided at once.
 	decidePause = 5 * time.Millisecond
 
+	// decideShare keeps decisions from taking more than a third of the processor.
+	decideShare = 2
+
 	loadTimeout = 3 * time.Second
 	loadRetry   = 100 * time.Millisecond
 )
@@ -46,6 +49,7 @@
 	Now        func() time.Time // time of day, without jumps
 
 	Lease        time.Duration // of what runs on a runner
+	Cores        float64       // of processor time of this host
 	Early        time.Duration
 	RemoteFactor float64
 }
@@ -169,8 +173,9 @@
 	timer := time.NewTicker(decideEvery)
 	defer timer.Stop()
 	for {
+		began := steady.Now()
 		l.decide(ctx)
-		pause.For(ctx, decidePause)
+		pause.For(ctx, max(decidePause, decideShare*steady.Now().Sub(began)))
 		select {
 		case <-ctx.Done():
 			return
@@ -197,9 +202,11 @@
 }
 
 func (l *Leader) decide(ctx context.Context) {
+	wait := l.holdWait()
 	l.mu.Lock()
 	l.core.Configure(l.Conditions.Configuration())
 	l.core.Evacuate(l.Conditions.Evacuated())
+	l.core.Freshness(wait + holdGrace)
 	if l.term.Valid() {
 		l.core.Decide(steady.Now(), l.Now())
 	}
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -14,9 +14,15 @@
 )
 
 const (
-	// holdWait is how long a runner may wait for an end before it reports.
-	// Progress, checkpoints and silence are seen that often.
-	holdWait = time.Second
+	// holdWaitMin and holdWaitMax bound how long a runner may wait for an end
+	// before it reports. Progress, checkpoints and silence are seen that often;
+	// the platform allows two seconds.
+	holdWaitMin = time.Second
+	holdWaitMax = 2 * time.Second
+
+	// holdsPerCore is how many holds a second one core may spend on: half of
+	// what it carries, as measured on hosts of 0.144 and 0.8 cores.
+	holdsPerCore = 400
 
 	holdGrace = 600 * time.Millisecond // beyond the wait, for a slow answer
 	holdRetry = 100 * time.Millisecond // after a hold without an answer; doubles up to holdRetryMax
@@ -46,6 +52,18 @@
 	clockAt steady.Time
 }
 
+// holdWait is longer where a weak host holds many runners.
+func (l *Leader) holdWait() time.Duration {
+	l.mu.Lock()
+	n := len(l.links)
+	l.mu.Unlock()
+	if l.Cores <= 0 {
+		return holdWaitMin
+	}
+	wait := time.Duration(float64(n) / (holdsPerCore * l.Cores) * float64(time.Second))
+	return min(max(wait, holdWaitMin), holdWaitMax)
+}
+
 func (l *Leader) listed(ctx context.Context, r batch.Runner) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -159,7 +177,7 @@
 		open, committed := l.core.Unacknowledged(id), l.committed
 		l.mu.Unlock()
 		if !open {
-			return holdWait
+			return l.holdWait()
 		}
 		select {
 		case <-committed:
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -66,6 +66,7 @@
 	speeds    *speeds
 	config    *batch.Configuration
 	evacuated map[string]bool
+	fresh     time.Duration // oldest report on which a start may rest
 	dirty     []*job
 	orders    []Order
 }
@@ -84,6 +85,7 @@
 		runners:   make(map[string]*runner),
 		speeds:    newSpeeds(),
 		evacuated: make(map[string]bool),
+		fresh:     freshContact,
 	}
 }
 
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -89,7 +89,7 @@
 		c.stopUnit(u, now, "too slow where it runs")
 		return
 	}
-	if u.stalled(now) {
+	if c.stalled(u, now) {
 		u.blame(now)
 		c.stopUnit(u, now, "no progress")
 	}
@@ -110,14 +110,14 @@
 	return time.Duration(float64(100-r.percent) / r.pace * float64(time.Second))
 }
 
-func (u *unit) stalled(now steady.Time) bool {
+func (c *Core) stalled(u *unit, now steady.Time) bool {
 	limit := stalled
 	if u.job.spec.Priority == 0 {
 		limit = stalledUrgent
 	}
 	for _, r := range u.runs {
 		moved := r.phase != running || r.percent >= 100 || now.Sub(r.advanced) < limit
-		if moved || now.Sub(r.runner.contact) > freshContact {
+		if moved || now.Sub(r.runner.contact) > c.fresh {
 			return false
 		}
 	}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// freshContact is the oldest report on which a start may rest: one hold's
-	// wait and its time-out.
+	// freshContact is the oldest report on which a start may rest, unless the
+	// driver says otherwise: one hold's wait and its time-out.
 	freshContact = 1800 * time.Millisecond
 
 	// lapseMargin is added to the time by which a runner's lease has run out:
@@ -99,15 +99,18 @@
 	return r != nil && (r.listed || len(r.runs) > 0)
 }
 
-// extendWithin is how long after a runner was last heard of its lease is still
+// extendGrace is how long beyond a fresh report's age a runner's lease is still
 // extended. A hold without an answer may have been carried out, so a runner that
 // is gone for good would otherwise seem to hold its tasks for ever.
-const extendWithin = 2 * time.Second
+const extendGrace = 300 * time.Millisecond
+
+// Freshness sets the oldest report on which a start may rest.
+func (c *Core) Freshness(d time.Duration) { c.fresh = d }
 
 // MayExtend reports whether a runner's lease may be extended now.
 func (c *Core) MayExtend(id string, now steady.Time) bool {
 	r := c.runners[id]
-	return r != nil && !r.contact.IsZero() && now.Sub(r.contact) <= extendWithin
+	return r != nil && !r.contact.IsZero() && now.Sub(r.contact) <= c.fresh+extendGrace
 }
 
 // Extend notes, before it is sent, that an order may extend a runner's lease
@@ -487,7 +490,7 @@
 func (r *runner) mayStart(c *Core, now steady.Time) bool {
 	return r.listed && r.reachable && !r.Draining &&
 		!c.evacuated[r.FailureDomain] &&
-		now.Sub(r.contact) <= freshContact
+		now.Sub(r.contact) <= c.fresh
 }
 
 func (r *runner) free() batch.Resources { return r.Capacity.Minus(r.used) }
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -124,6 +124,7 @@
 				Log:          logger,
 				Now:          now,
 				Lease:        bounds.RunnerLease,
+				Cores:        s.Cores,
 				Early:        bounds.Early / 2, // the rest covers the clocks' differences
 				RemoteFactor: bounds.RemoteX,
 			}
