--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -128,6 +128,12 @@
 		ctx, cancel = shareOf(ctx, directShare)
 		defer cancel()
 	}
+	if args.Op == keyspaceWatch {
+		// The probe's connection is new: this one may be silent for good.
+		var cancel context.CancelFunc
+		ctx, cancel = f.untilRegained(ctx)
+		defer cancel()
+	}
 	reply, err := perform(ctx, f.Direct, args)
 	if failed(err) && !errors.Is(ctx.Err(), context.Canceled) {
 		f.lose()
