--- /dev/null
+++ b/batch/account/account.go
@@ -0,0 +1,166 @@
+// Package account tells a batch job's story from hosts' logs: what was decided
+// about it, by whom, from what, and what happened around it.
+package account
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logfmt/logfmt"
+)
+
+// Line is one line of a log.
+type Line struct {
+	Time   string // as written; its format sorts
+	Host   string
+	What   string // the message
+	Fields []Field
+}
+
+// Field is one key and value of a line.
+type Field struct{ Key, Value string }
+
+// Get returns a field's value, or "".
+func (l Line) Get(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Account is a job's story.
+type Account struct {
+	Job   string
+	Lines []Line // in order of time
+	Read  int    // lines read
+}
+
+// around lists the messages that may bear on any job.
+var around = map[string]bool{
+	"term acquired": true, "term ended": true, "term lost: its lease has ended": true, "term lost: another host leads": true,
+	"term given up": true, "term yielded to a stronger host": true, "records read": true, "store lost": true, "store regained": true,
+	"started": true, "stopping": true, "stopped": true, "evacuation": true, "log lines dropped: output too slow": true,
+}
+
+const (
+	maxLineBytes  = 1 << 20
+	progressLines = 200_000 // between two calls of progress
+)
+
+// Read reads logs and returns the account of a job. Lines may have a prefix
+// before their time. progress, when set, is told how many lines were read.
+func Read(job string, logs []io.Reader, progress func(lines int)) (*Account, error) {
+	a := &Account{Job: job}
+	var context []Line
+	runners := make(map[string]bool)
+	var listings []Line
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
+		for scanner.Scan() {
+			a.Read++
+			if progress != nil && a.Read%progressLines == 0 {
+				progress(a.Read)
+			}
+			text := scanner.Bytes()
+			about := bytes.Contains(text, []byte(job))
+			if !about && !mayBear(text) {
+				continue
+			}
+			line, ok := parse(text)
+			switch {
+			case !ok:
+			case about:
+				a.Lines = append(a.Lines, line)
+				runners[line.Get("runner")] = true
+			case line.What == "runner" || line.What == "runner gone":
+				listings = append(listings, line)
+			case around[line.What]:
+				context = append(context, line)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, errors.Wrapf(err, "line %d of the logs", a.Read+1)
+		}
+	}
+	a.add(context, func(Line) bool { return true })
+	a.add(listings, func(l Line) bool { return runners[l.Get("runner")] })
+	sort.SliceStable(a.Lines, func(i, j int) bool { return a.Lines[i].Time < a.Lines[j].Time })
+	return a, nil
+}
+
+// add takes lines between the first and the last about the job.
+func (a *Account) add(lines []Line, wanted func(Line) bool) {
+	if len(a.Lines) == 0 {
+		return
+	}
+	first, last := a.Lines[0].Time, a.Lines[0].Time
+	for _, l := range a.Lines {
+		first, last = min(first, l.Time), max(last, l.Time)
+	}
+	for _, l := range lines {
+		if l.Time >= first && l.Time <= last && wanted(l) {
+			a.Lines = append(a.Lines, l)
+		}
+	}
+}
+
+// mayBear reports, without decoding it, whether a line can be about no job in particular.
+func mayBear(text []byte) bool { return !bytes.Contains(text, []byte(" job=")) }
+
+func parse(text []byte) (Line, bool) {
+	start := bytes.Index(text, []byte("time="))
+	if start < 0 {
+		return Line{}, false
+	}
+	var line Line
+	decoder := logfmt.NewDecoder(bytes.NewReader(text[start:]))
+	for decoder.ScanRecord() {
+		for decoder.ScanKeyval() {
+			line.set(string(decoder.Key()), string(decoder.Value()))
+		}
+	}
+	return line, decoder.Err() == nil && line.What != ""
+}
+
+func (l *Line) set(key, value string) {
+	switch key {
+	case "time":
+		l.Time = value
+	case "host":
+		l.Host = value
+	case "msg":
+		l.What = value
+	case "level":
+	default:
+		l.Fields = append(l.Fields, Field{key, value})
+	}
+}
+
+// quiet are fields that say nothing where they have these values.
+var quiet = map[string]string{"occurrence": "0", "waited": "0s", "factor": "0", "work": "0s", "reason": ""}
+
+// String returns the account as text, a line each.
+func (a *Account) String() string {
+	if len(a.Lines) == 0 {
+		return "no line names job " + a.Job + "; give the logs of every host, from before its submission"
+	}
+	var out strings.Builder
+	for _, l := range a.Lines {
+		out.WriteString(l.Time + "  " + l.Host + "  " + l.What)
+		for _, f := range l.Fields {
+			if value, ok := quiet[f.Key]; f.Key == "job" && f.Value == a.Job || ok && value == f.Value {
+				continue
+			}
+			out.WriteString("  " + f.Key + "=" + f.Value)
+		}
+		out.WriteByte('\n')
+	}
+	return strings.TrimSuffix(out.String(), "\n")
+}
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
@@ -46,6 +48,7 @@
 	Runners    Runners
 	Conditions Conditions
 	Log        *log.Logger
+	Metrics    *metrics.Set     // nil: nothing is counted
 	Now        func() time.Time // time of day, without jumps
 
 	Lease        time.Duration // of what runs on a runner
@@ -162,11 +165,25 @@
 }
 
 func (l *Leader) observe(d scheduler.Decision) {
+	l.count(d)
 	l.Log.Info(d.What, "job", d.Job, "occurrence", d.Task.Occurrence, "step", d.Task.Step, "task", d.Task.Index,
 		"attempt", d.Attempt, "runner", d.Runner, "reason", d.Reason, "token", l.term.Token, "waited", d.Waited.Round(time.Millisecond),
 		"factor", math.Round(d.Factor*100)/100, "work", d.Work.Round(time.Millisecond))
 }
 
+func (l *Leader) count(d scheduler.Decision) {
+	if l.Metrics == nil {
+		return
+	}
+	l.Metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamentray_batch_decisions_total{what=%q}`, d.What)).Inc()
+	if d.What == "place" {
+		l.Metrics.GetOrCreateHistogram("cyclamentray_batch_wait_seconds").Update(d.Waited.Seconds())
+	}
+	if d.Preempted > 0 {
+		l.Metrics.GetOrCreateHistogram("cyclamentray_batch_reclaim_seconds").Update(d.Preempted.Seconds())
+	}
+}
+
 // decideLoop takes in what changed, decides, and sends what was decided.
 func (l *Leader) decideLoop(ctx context.Context) {
 	changed := l.Replica.Watch()
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -139,6 +140,7 @@
 	asked := steady.Now()
 	report, answer, err := l.Runners.Hold(call, to, o)
 	now := steady.Now()
+	l.countHold(answer)
 	if answer == Fenced {
 		l.lost("a runner has seen a later term", nil)
 		return false
@@ -164,6 +166,12 @@
 	return true
 }
 
+func (l *Leader) countHold(a Answer) {
+	if l.Metrics != nil {
+		l.Metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamentray_batch_holds_total{answered="%t"}`, a == Accepted)).Inc()
+	}
+}
+
 // afterReport waits for the report's ends to be recorded. It returns how long
 // the next hold may wait at the runner.
 func (l *Leader) afterReport(ctx context.Context, id string, first bool) time.Duration {
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
@@ -69,7 +70,10 @@
 	Replica    *ledger.Replica
 	Dispatch   func() dispatch.Options // asked at the start of each term
 	Front      func(*intake.Intake) http.Handler
-	Log        *log.Logger
+	Metrics    *metrics.Set
+
+	MetricsAddress string // empty: metrics are not served
+	Log            *log.Logger
 }
 
 // Host is one host's process.
@@ -89,6 +93,7 @@
 	defer stop()
 	taken := intake.New(intake.Options{
 		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
+		Metrics: h.Metrics,
 	})
 	front := &http.Server{Handler: h.Front(taken), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -101,7 +106,12 @@
 		errors.CombineErrors(serve(h.ReadyAddress, ready.Serve, failed), serve(h.PeerAddress, peers.Serve, failed))); err != nil {
 		return err
 	}
-	h.Log.Info("started", "host", h.Name)
+	observed, err := h.serveMetrics(failed)
+	if err != nil {
+		return err
+	}
+	defer observed.Close()
+	h.Log.Info("started")
 	var parts sync.WaitGroup
 	parts.Go(func() { h.Conditions.FollowOperator(serving) })
 	parts.Go(func() { h.followReplica(serving) })
@@ -109,7 +119,6 @@
 	leading, resign := context.WithCancel(serving)
 	defer resign()
 	parts.Go(func() { h.candidate().Run(leading) })
-	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -118,7 +127,7 @@
 	stop()
 	err = errors.CombineErrors(err, errors.CombineErrors(ready.Close(), peers.Close()))
 	parts.Wait()
-	h.Log.Info("stopped", "host", h.Name)
+	h.Log.Info("stopped")
 	return err
 }
 
@@ -135,10 +144,26 @@
 	return nil
 }
 
+// metricsPath is where the metrics address serves them, as text.
+const metricsPath = "/metrics"
+
+func (h *Host) serveMetrics(failed chan<- error) (*http.Server, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		h.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	if h.MetricsAddress == "" {
+		return server, nil
+	}
+	return server, serve(h.MetricsAddress, server.Serve, failed)
+}
+
 // drain lets another host lead, tells the balancer, serves on until it has
 // noticed, and finishes what was read.
 func (h *Host) drain(front *http.Server, resign func()) {
-	h.Log.Info("stopping", "host", h.Name, "grace", h.Grace)
+	h.Log.Info("stopping", "grace", h.Grace)
 	h.mu.Lock()
 	h.stopping = true
 	h.mu.Unlock()
--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
@@ -62,6 +63,7 @@
 	Configuration func() *batch.Configuration // in force; nil: none yet
 	Now           func() time.Time
 	Log           *log.Logger
+	Metrics       *metrics.Set // nil: nothing is counted
 }
 
 // Intake serves callers. It is safe for concurrent use.
@@ -118,6 +120,7 @@
 	txn := kvstore.Txn{If: []kvstore.Condition{{Key: key}}, Puts: []kvstore.Put{{Key: key, Value: value}}}
 	began := in.Now()
 	err = in.commit(ctx, txn, patience)
+	in.count("submit", err, in.Now().Sub(began))
 	in.Log.Info("submit", "job", job.ID, "organisation", job.Organisation, "queue", job.Queue,
 		"priority", job.Priority, "took", in.Now().Sub(began), "outcome", outcome(err))
 	if err == nil {
@@ -126,6 +129,20 @@
 	return err
 }
 
+// count notes how a call ended and how long it took.
+func (in *Intake) count(call string, err error, took time.Duration) {
+	if in.Metrics == nil {
+		return
+	}
+	kind := Kind("accepted")
+	var refusal Refusal
+	if errors.As(err, &refusal) {
+		kind = refusal.Kind
+	}
+	name := fmt.Sprintf(`cyclamentray_batch_call_seconds{call=%q,outcome=%q}`, call, kind)
+	in.Metrics.GetOrCreateHistogram(name).Update(took.Seconds())
+}
+
 func outcome(err error) string {
 	if err == nil {
 		return "accepted"
@@ -254,9 +271,11 @@
 	if known && entry.State().Final() {
 		return nil
 	}
+	began := in.Now()
 	key := ledger.CancelKey(target.JobID)
 	txn := kvstore.Txn{If: []kvstore.Condition{{Key: key}}, Puts: []kvstore.Put{{Key: key, Value: []byte("1")}}}
 	err := in.commit(ctx, txn, patience)
+	in.count("cancel", err, in.Now().Sub(began))
 	in.Log.Info("cancel", "job", target.JobID, "organisation", target.Organisation, "outcome", outcome(err))
 	if err == nil {
 		in.Replica.Cancel(target.JobID)
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -27,15 +27,16 @@
 
 // Decision is one thing decided, for logs and counters.
 type Decision struct {
-	What    string // such as "start", "preempt", "end"
-	Job     string
-	Task    batch.TaskID
-	Attempt int
-	Runner  string
-	Reason  string
-	Waited  time.Duration
-	Factor  float64       // placements: expected time relative to an average runner
-	Work    time.Duration // placements: expected on an average runner
+	What      string // such as "start", "preempt", "end"
+	Job       string
+	Task      batch.TaskID
+	Attempt   int
+	Runner    string
+	Reason    string
+	Waited    time.Duration
+	Preempted time.Duration // placements: since others were stopped for it; 0: none were
+	Factor    float64       // placements: expected time relative to an average runner
+	Work      time.Duration // placements: expected on an average runner
 }
 
 // OrderKind tells what an order asks of a runner.
@@ -110,7 +111,7 @@
 }
 
 // TakeRecords returns up to most records that changed since they were last
-// taken. A record that could not be committed must be given back with Retry.
+// taken..
 func (c *Core) TakeRecords(most int) []Record {
 	n := min(most, len(c.dirty))
 	out := make([]Record, 0, n)
@@ -122,13 +123,6 @@
 	return out
 }
 
-// Retry marks a job's record as changed again.
-func (c *Core) Retry(id string) {
-	if j := c.jobs[id]; j != nil {
-		c.enqueueRecord(j)
-	}
-}
-
 // Committed notes that a job's record is in the store, and gives out the
 // starts that waited for it.
 func (c *Core) Committed(id string, version int, now steady.Time) {
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -216,6 +216,11 @@
 		j.state = batch.Running
 	}
 	c.change(j)
+	var preempted time.Duration
+	if !u.preempting.IsZero() {
+		preempted = now.Sub(u.preempting)
+		u.preempting = 0
+	}
 	for i, to := range chosen {
 		to.nominated = slices.DeleteFunc(to.nominated, func(n nomination) bool { return n.unit == u })
 		r := &run{unit: u, index: u.first + i, runner: to, attempt: u.attempt, phase: planned, needs: j.version, began: now, changed: now}
@@ -223,7 +228,8 @@
 		c.attach(r)
 		c.opts.Observe(Decision{
 			What: "place", Job: j.spec.ID, Task: r.task(), Attempt: r.attempt, Runner: to.ID, Waited: now.Sub(u.since),
-			Factor: c.speeds.timeFactor(to.ID), Work: c.speeds.duration(u),
+			Preempted: preempted,
+			Factor:    c.speeds.timeFactor(to.ID), Work: c.speeds.duration(u),
 		})
 	}
 }
--- a/claims/bound.go
+++ b/claims/bound.go
@@ -4,8 +4,8 @@
 	"context"
 	"strings"
 
-	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/peer"
 )
 
 const maxBoundKeys = 100_000
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/claims"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
--- a/claims/service.go
+++ b/claims/service.go
@@ -17,9 +17,9 @@
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // The defaults of Options.
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 
@@ -44,8 +45,9 @@
 )
 
 type options struct {
-	Settings string `long:"settings" description:"settings file; without it the platform's environment variable names it"`
-	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
+	Settings    string `long:"settings" description:"settings file; without it the platform's environment variable names it"`
+	MetricsPort int    `long:"metrics-port" description:"port of the host's address that serves metrics at /metrics; 0: none"`
+	LogLevel    string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
 }
 
 func main() { os.Exit(run()) }
@@ -81,14 +83,20 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go watched.Run(ctx, reload)
-	if err := newHost(watched, logger).Run(ctx); err != nil {
+	h := newHost(watched, logger, out)
+	if o.MetricsPort > 0 {
+		h.MetricsAddress = net.JoinHostPort(s.Address, strconv.Itoa(o.MetricsPort))
+	}
+	if err := h.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "cyclamentray-batchd:", err)
 		return exitFailed
 	}
 	return 0
 }
 
-func newHost(watched *platform.Watched, logger *log.Logger) *host.Host {
+func newHost(watched *platform.Watched, logger *log.Logger, out *telemetry.AsyncWriter) *host.Host {
+	set := metrics.NewSet()
+	set.NewGauge("cyclamentray_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
 	s := watched.Current()
 	replica := ledger.NewReplica(logger)
 	direct := platform.NewStore(s.Store)
@@ -97,6 +105,7 @@
 		Peers:     peer.NewPool(peer.Options{Host: s.Host}),
 		Addresses: host.PeerAddresses(replica, s.Host),
 		ProbeKey:  ledger.LeaderKey,
+		Metrics:   set,
 	}
 	conditions := platform.NewConditions(store, logger)
 	runners := platform.NewRunners()
@@ -114,6 +123,7 @@
 		Replica:      replica,
 		Front:        func(in *intake.Intake) http.Handler { return &platform.Front{Intake: in} },
 		Log:          logger,
+		Metrics:      set,
 		Dispatch: func() dispatch.Options {
 			bounds := watched.Current().Bounds
 			return dispatch.Options{
@@ -122,6 +132,7 @@
 				Runners:      runners,
 				Conditions:   conditions,
 				Log:          logger,
+				Metrics:      set,
 				Now:          now,
 				Lease:        bounds.RunnerLease,
 				Cores:        s.Cores,
--- a/config/distribute.go
+++ b/config/distribute.go
@@ -10,9 +10,9 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 const (
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -14,9 +14,9 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/cyclamentray/cyclamentray/config"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
 )
 
--- a/entryhost/slices.go
+++ b/entryhost/slices.go
@@ -12,9 +12,9 @@
 	"github.com/cyclamentray/cyclamentray/gang"
 	"github.com/cyclamentray/cyclamentray/intake"
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/routing"
 )
 
--- a/entryhost/top.go
+++ b/entryhost/top.go
@@ -10,8 +10,8 @@
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/gang"
 	"github.com/cyclamentray/cyclamentray/internal/httpjson"
-	"github.com/cyclamentray/cyclamentray/placement"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/placement"
 )
 
 // showTop answers from heartbeats and from the schedulers, without the
--- a/gang/failures_test.go
+++ b/gang/failures_test.go
@@ -14,8 +14,8 @@
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/gang"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/placement"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/placement"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
--- a/gang/outage_test.go
+++ b/gang/outage_test.go
@@ -11,8 +11,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/intake/ledger"
-	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/standin/worker"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
--- a/gang/peers.go
+++ b/gang/peers.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/workerapi"
 )
 
--- a/intake/forward.go
+++ b/intake/forward.go
@@ -9,8 +9,8 @@
 	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/job"
-	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/telemetry"
 )
 
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -20,6 +20,7 @@
 		{"status", "Show a job, or list jobs", "Shows one job, given as ORGANISATION/SERVICE/NAME, or lists those that the caller may see.", &statusCommand{app: a}},
 		{"cancel", "Cancel a job", "Cancels a queued job, or stops a running one after a checkpoint.", &cancelCommand{app: a}},
 		{"explain", "Tell why a job waits or how it ended", "Tells why a job waits or what became of it.", &explainCommand{app: a}},
+		{"account", "Tell a batch job's story from logs", "Reads hosts' logs and prints, in order of time, what was decided about a batch job and what happened around it.", &accountCommand{app: a}},
 	}
 }
 
--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamentray/cyclamentray/peer"
@@ -34,6 +36,8 @@
 	Peers  peer.Caller
 	// Addresses returns where the peers listen, without this host.
 	Addresses func() []string
+	// Metrics, when set, counts calls by operation, way and outcome.
+	Metrics *metrics.Set
 	// ProbeKey is a key that may be read to see whether the store answers.
 	ProbeKey string
 
@@ -135,6 +139,7 @@
 		defer cancel()
 	}
 	reply, err := perform(ctx, f.Direct, args)
+	f.count(args.Op, "direct", err)
 	if failed(err) && !errors.Is(ctx.Err(), context.Canceled) {
 		f.lose()
 	}
@@ -199,6 +204,7 @@
 	}
 	var reply KeyspaceReply
 	err := f.Peers.Call(ctx, address, "Keyspace.Do", &args, &reply)
+	f.count(args.Op, "peer", err)
 	if err == nil {
 		err = carriedFailure(reply)
 		f.mark(address, failed(err))
@@ -211,6 +217,29 @@
 	return reply, failure(ErrUnavailable, err)
 }
 
+func (f *Fallback) count(op keyspaceOp, way string, err error) {
+	if f.Metrics == nil {
+		return
+	}
+	outcome := "ok"
+	if err != nil {
+		outcome = nameFailure(err)
+	}
+	if !knownFailures[outcome] {
+		outcome = "other"
+	}
+	f.Metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamentray_store_calls_total{op=%q,way=%q,outcome=%q}`, op, way, outcome)).Inc()
+}
+
+// knownFailures bounds the values of a label.
+var knownFailures = func() map[string]bool {
+	known := map[string]bool{"ok": true}
+	for _, f := range failureNames {
+		known[f.name] = true
+	}
+	return known
+}()
+
 func (f *Fallback) mark(address string, silent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,8 +11,8 @@
 
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
-	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/peer"
 )
 
 const (
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -12,9 +12,9 @@
 	"github.com/shoenig/test/wait"
 	"go.uber.org/goleak"
 
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
 // lister is a host list that can be away.
--- a/membership/view.go
+++ b/membership/view.go
@@ -12,7 +12,7 @@
 // View is the membership at one moment. It is immutable once published.
 type View struct {
 	Self   kvstore.Host
-	Hosts  []kvstore.Host // ordered by name; hosts known to be gone are left out
+	Hosts  []kvstore.Host  // ordered by name; hosts known to be gone are left out
 	Silent map[string]bool // entry hosts that do not answer heartbeats now
 }
 
--- a/routing/core.go
+++ b/routing/core.go
@@ -21,10 +21,10 @@
 
 // Fleet is what membership and configuration say about one service.
 type Fleet struct {
-	Self       kvstore.Host   // this entry host
-	EntryHosts []kvstore.Host // the known entry hosts, this one included
+	Self       kvstore.Host    // this entry host
+	EntryHosts []kvstore.Host  // the known entry hosts, this one included
 	Silent     map[string]bool // entry hosts that are not heard at present
-	Upstreams  []kvstore.Host // the service's upstreams
+	Upstreams  []kvstore.Host  // the service's upstreams
 	Out        map[string]bool // failure domains taken out
 }
 
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/cyclamentray/cyclamentray/auth"
 	"github.com/cyclamentray/cyclamentray/config"
-	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/routing"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/upstream"
--- a/routing/keyed_test.go
+++ b/routing/keyed_test.go
@@ -13,9 +13,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/claims"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/peer"
-	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/routing"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/kv"
--- a/routing/router.go
+++ b/routing/router.go
@@ -17,8 +17,8 @@
 	"github.com/cyclamentray/cyclamentray/config"
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
-	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/membership"
 )
 
 const (
--- a/routing/service.go
+++ b/routing/service.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/config"
-	"github.com/cyclamentray/cyclamentray/membership"
 	"github.com/cyclamentray/cyclamentray/kvstore"
+	"github.com/cyclamentray/cyclamentray/membership"
 )
 
 // grant is the core's decision on one ticket.
