--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -37,8 +37,15 @@
 type Conditions interface {
 	Configuration() *batch.Configuration // nil: none yet
 	Evacuated() map[string]bool
-	// FollowRunners calls the functions, from one goroutine, until ctx ends.
-	FollowRunners(ctx context.Context, listed func(batch.Runner), unlisted func(id string))
+	// FollowRunners tells of runners until ctx ends.
+	FollowRunners(ctx context.Context, to RunnerEvents)
+}
+
+// RunnerEvents takes what is said of runners. It is safe for concurrent use.
+type RunnerEvents interface {
+	Listed(r batch.Runner) // it is there, or says something new of itself
+	Unlisted(id string)    // it is silent, or its entry can't be used; it may still run tasks
+	Left(id string)        // it has ended, and so has all that ran on it
 }
 
 // Options of a Leader.
@@ -90,7 +97,7 @@
 	if !l.load(ctx) {
 		return
 	}
-	l.background.Go(func() { l.Conditions.FollowRunners(ctx, func(r batch.Runner) { l.listed(ctx, r) }, l.unlisted) })
+	l.background.Go(func() { l.Conditions.FollowRunners(ctx, runnerEvents{ctx, l}) })
 	l.background.Go(func() { l.recordLoop(ctx) })
 	l.decideLoop(ctx)
 }
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -65,26 +65,42 @@
 	return min(max(wait, holdWaitMin), holdWaitMax)
 }
 
-func (l *Leader) listed(ctx context.Context, r batch.Runner) {
+// runnerEvents passes what is said of runners on to a leader, for one term.
+type runnerEvents struct {
+	ctx context.Context
+	*Leader
+}
+
+// Listed implements RunnerEvents.
+func (l runnerEvents) Listed(r batch.Runner) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.core.ListRunner(r)
+	l.core.ListRunner(r, steady.Now())
 	if known := l.links[r.ID]; known != nil {
 		known.runner = r
 		return
 	}
 	l.links[r.ID] = &link{runner: r}
-	l.background.Go(func() { l.holdLoop(ctx, r.ID) })
+	l.background.Go(func() { l.holdLoop(l.ctx, r.ID) })
 	signal(l.wake)
 }
 
-func (l *Leader) unlisted(id string) {
+// Unlisted implements RunnerEvents.
+func (l runnerEvents) Unlisted(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.core.UnlistRunner(id)
 	signal(l.wake)
 }
 
+// Left implements RunnerEvents.
+func (l runnerEvents) Left(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.RunnerLeft(id, steady.Now())
+	signal(l.wake)
+}
+
 // holdLoop holds a runner until it is neither listed nor needed.
 func (l *Leader) holdLoop(ctx context.Context, id string) {
 	wait := time.Duration(0) // the first hold only reads the clock
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -37,6 +37,10 @@
 	// peers, before the host asks for no new connections.
 	unreadyAfter = 1500 * time.Millisecond
 
+	// refuseAfter is how long the store must have been away before callers are
+	// refused without a try: longer than a connection that was reset.
+	refuseAfter = 200 * time.Millisecond
+
 	// drainNotice is how long a host that stops goes on taking requests: the
 	// balancer notices after two looks a second apart.
 	drainNotice = 2300 * time.Millisecond
@@ -93,7 +97,7 @@
 	defer stop()
 	taken := intake.New(intake.Options{
 		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
-		Metrics: h.Metrics,
+		Metrics: h.Metrics, StoreLost: func() bool { return h.lostFor() > refuseAfter },
 	})
 	front := &http.Server{Handler: h.Front(taken), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -187,9 +191,22 @@
 	if h.Conditions.Configuration() == nil || !h.Replica.Loaded() {
 		return false
 	}
+	if h.lostFor() >= unreadyAfter {
+		return false
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.stopping && (h.lostAt.IsZero() || steady.Now().Sub(h.lostAt) < unreadyAfter)
+	return !h.stopping
+}
+
+// lostFor returns how long the store has been away; 0: it is not.
+func (h *Host) lostFor() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lostAt.IsZero() {
+		return 0
+	}
+	return steady.Now().Sub(h.lostAt)
 }
 
 func (h *Host) followReplica(ctx context.Context) {
--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -61,6 +61,7 @@
 	Store         kvstore.Keyspace
 	Replica       *ledger.Replica
 	Configuration func() *batch.Configuration // in force; nil: none yet
+	StoreLost     func() bool                 // known to answer neither this host nor its peers; nil: never
 	Now           func() time.Time
 	Log           *log.Logger
 	Metrics       *metrics.Set // nil: nothing is counted
@@ -199,6 +200,10 @@
 // commit applies a transaction that creates its first key. A key that exists
 // already is a success: an earlier try, or an earlier request.
 func (in *Intake) commit(ctx context.Context, txn kvstore.Txn, patience time.Duration) error {
+	if in.StoreLost != nil && in.StoreLost() {
+		// Nothing was sent, so the caller may try elsewhere without a doubt.
+		return Refusal{Kind: NotAccepted, Reason: "the store is away", RetryAfter: retryAfter}
+	}
 	began := in.Now()
 	limit := began.Add(patience - answerMargin)
 	ctx, cancel := context.WithDeadline(ctx, limit)
--- a/batch/intake/intake_test.go
+++ b/batch/intake/intake_test.go
@@ -133,3 +133,25 @@
 	must.NoError(t, in.Cancel(context.Background(), target, patience))
 	must.NoError(t, in.Cancel(context.Background(), target, patience))
 }
+
+// While the store is known to be away a job is refused at once, and truly so.
+func TestKnownOutageRefusesAtOnce(t *testing.T) {
+	writes := 0
+	in, _ := newIntake(func(c keyspace.Call) keyspace.Outcome {
+		if c.Write {
+			writes++
+		}
+		return keyspace.Lost
+	})
+	in.StoreLost = func() bool { return true }
+	target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
+	must.NoError(t, err)
+	began := time.Now()
+	err = in.Submit(context.Background(), target, oneTask(), patience)
+	must.Less(t, 50*time.Millisecond, time.Since(began))
+	must.Eq(t, intake.NotAccepted, kindOf(err))
+	must.Eq(t, 0, writes)
+	var refusal intake.Refusal
+	must.True(t, errors.As(err, &refusal))
+	must.Positive(t, refusal.RetryAfter)
+}
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -81,7 +81,7 @@
 		c.stopUnit(u, now, "another member ended")
 		return
 	}
-	if u.leaving() {
+	if u.leaving(now) {
 		c.stopUnit(u, now, "runner is leaving")
 		return
 	}
@@ -96,12 +96,26 @@
 }
 
 // leaving reports whether a run of the unit can't end before its runner leaves.
-func (u *unit) leaving() bool {
+func (u *unit) leaving(now steady.Time) bool {
+	if !slices.ContainsFunc(u.runs, func(r *run) bool { return r.runner.Draining }) {
+		return false
+	}
 	return slices.ContainsFunc(u.runs, func(r *run) bool {
-		return r.phase == running && r.runner.Draining && r.remaining() > r.runner.DrainRemaining
+		return r.phase == running && r.runner.Draining && now.Add(u.left(now)).After(r.runner.leaves)
 	})
 }
 
+// left estimates how much longer the unit takes, a gang as long as its slowest.
+func (u *unit) left(now steady.Time) time.Duration {
+	var most time.Duration
+	for _, r := range u.runs {
+		if r.percent < 100 {
+			most = max(most, r.remaining()-now.Sub(r.advanced))
+		}
+	}
+	return most
+}
+
 // remaining estimates how much longer a run takes.
 func (r *run) remaining() time.Duration {
 	if r.pace <= 0 {
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -47,6 +47,7 @@
 	ends      []pendingEnd
 	failures  int // in a row
 	suspended steady.Time
+	leaves    steady.Time // when it may end, while it is draining
 	nominated []nomination
 }
 
@@ -73,7 +74,7 @@
 }
 
 // ListRunner takes what a runner last said of itself.
-func (c *Core) ListRunner(told batch.Runner) {
+func (c *Core) ListRunner(told batch.Runner, now steady.Time) {
 	r := c.runner(told.ID)
 	if r.Born != 0 && told.Born != 0 && r.Born > told.Born {
 		return // an entry of an earlier incarnation
@@ -83,6 +84,9 @@
 	if born != 0 {
 		r.Born = born // only a report tells that the earlier incarnation is gone
 	}
+	if told.Draining {
+		r.leaves = now.Add(told.DrainRemaining)
+	}
 	r.listed = true
 }
 
@@ -93,6 +97,16 @@
 	}
 }
 
+// RunnerLeft notes that a runner has ended, with all that ran on it.
+func (c *Core) RunnerLeft(id string, now steady.Time) {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	r.listed, r.reachable = false, false
+	c.loseRuns(r, now, "runner left")
+}
+
 // Needed reports whether a runner is listed or may still run something.
 func (c *Core) Needed(id string) bool {
 	r := c.runners[id]
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -160,7 +160,7 @@
 	for _, id := range w.ids() {
 		r := w.pool.Runner(id).Runner
 		r.Born = 0
-		core.ListRunner(r)
+		core.ListRunner(r, w.now)
 	}
 	w.core = core
 	clear(w.held)
--- a/kvstore/follow.go
+++ b/kvstore/follow.go
@@ -22,6 +22,8 @@
 	// Reset takes the whole prefix; Apply takes later changes in order.
 	Reset func(items []Item)
 	Apply func(events []Event)
+	// Current, when set, is called after each look at the store that succeeded.
+	Current func()
 	// Lost and Regained tell that the copy is no longer, or again, current.
 	Lost     func(err error)
 	Regained func()
@@ -44,6 +46,9 @@
 		switch {
 		case err == nil:
 			f.report(&lost, nil)
+			if f.Current != nil {
+				f.Current()
+			}
 			after, retry = next, followRetry
 			if f.Pause != nil {
 				pause.For(ctx, f.Pause())
