--- a/standin/keyspace/keyspace.go
+++ b/standin/keyspace/keyspace.go
@@ -172,6 +172,12 @@
 	return s.apply(txn)
 }
 
+// Write applies a transaction without conditions past all faults.
+func (s *Store) Write(txn kvstore.Txn) {
+	txn.If = nil
+	_, _ = s.apply(txn) // only a lease could be missing, and none is named
+}
+
 func (s *Store) apply(txn kvstore.Txn) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -31,6 +31,8 @@
 	// Started and Ended, when set, are told what happens, for checks.
 	Started func(now steady.Time, on string, task batch.TaskID, attempt int)
 	Ended   func(now steady.Time, on string, task batch.TaskID, attempt int, how batch.End)
+	// Acknowledged is told of ends that a scheduler has taken note of.
+	Acknowledged func(now steady.Time, on string, end batch.EndedTask)
 }
 
 type key struct {
@@ -237,7 +239,7 @@
 	if o.Deadline > r.clock(now) {
 		r.extend(o.Deadline)
 	}
-	r.ends = slices.DeleteFunc(r.ends, func(e batch.EndedTask) bool { return e.Sequence <= o.Acknowledged })
+	p.acknowledge(now, r, o.Acknowledged)
 	report := batch.Report{Born: r.Born, Clock: r.clock(now), Ended: slices.Clone(r.ends)}
 	for _, running := range r.sorted() {
 		report.Running = append(report.Running, batch.RunningTask{
@@ -247,6 +249,18 @@
 	return report, dispatch.Accepted
 }
 
+func (p *Pool) acknowledge(now steady.Time, r *Runner, until int64) {
+	r.ends = slices.DeleteFunc(r.ends, func(e batch.EndedTask) bool {
+		if e.Sequence > until {
+			return false
+		}
+		if p.opts.Acknowledged != nil {
+			p.opts.Acknowledged(now, r.ID, e)
+		}
+		return true
+	})
+}
+
 // HasEnds reports whether a runner lists ends beyond an acknowledged one.
 func (p *Pool) HasEnds(id string, acknowledged int64) bool {
 	r := p.runners[id]
