--- a/kvstore/follow.go
+++ b/kvstore/follow.go
@@ -22,13 +22,22 @@
 	// Reset takes the whole prefix; Apply takes later changes in order.
 	Reset func(items []Item)
 	Apply func(events []Event)
+	// Behind, when set, is called before Apply when more changes wait than one
+	// watch gives: the events' times are then unknown.
+	Behind func()
 	// Current, when set, is called after each look at the store that succeeded.
 	Current func()
 	// Lost and Regained tell that the copy is no longer, or again, current.
 	Lost     func(err error)
 	Regained func()
+
+	taken int // events of the last watch
 }
 
+// fullBatch is how many events of one watch mean that more are waiting; the
+// platform's store gives about 500 at a time.
+const fullBatch = 400
+
 const (
 	followGrace   = 700 * time.Millisecond // beyond the wait, for a slow answer
 	followTimeout = 2 * time.Second        // one whole list
@@ -50,7 +59,7 @@
 				f.Current()
 			}
 			after, retry = next, followRetry
-			if f.Pause != nil {
+			if f.Pause != nil && f.taken < fullBatch {
 				pause.For(ctx, f.Pause())
 			}
 		case errors.Is(err, ErrCompacted):
@@ -92,6 +101,10 @@
 	if err != nil {
 		return 0, err
 	}
+	f.taken = len(events)
+	if f.taken >= fullBatch && f.Behind != nil {
+		f.Behind()
+	}
 	if len(events) > 0 {
 		f.Apply(events)
 	}
