Look for the places of equal tasks once in a decision

Cause: with 3,000 runners each of a step's equal tasks looked at every runner and sorted them anew, 6 ms a task; decisions held the lock for seconds, and half of the jobs started 21 s late. Ruled out: holds (the try that held idle runners rarely changed nothing here). Change: the places for all waiting tasks of one shape are looked for once and checked when used; only as many are put in order as are needed.

--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -72,7 +72,13 @@
 	evacuated map[string]bool
 	fresh     time.Duration // oldest report on which a start may rest
 	dirty     []*job
-	orders    []Order
+
+	// Within one decision: places that were looked for, and how many units of a
+	// shape wait.
+	places  map[placeKey][]slot
+	waiting map[shape]int
+
+	orders []Order
 }
 
 // New returns a core without jobs and runners.
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -33,13 +33,19 @@
 // what waits. wall is the time of day that occurrences are due by.
 func (c *Core) Decide(now steady.Time, wall time.Time) {
 	c.expire(now)
+	c.places, c.waiting = make(map[placeKey][]slot), make(map[shape]int)
 	for _, j := range c.active {
 		for _, u := range j.units {
 			c.tend(u, now)
 		}
 	}
 	failed := make(map[shape]bool)
-	for _, u := range c.queue(now, wall) {
+	queue := c.queue(now, wall)
+	clear(c.places) // tending looked for places before it was known how many wait
+	for _, u := range queue {
+		c.waiting[u.shape()]++
+	}
+	for _, u := range queue {
 		s := u.shape()
 		if failed[s] {
 			continue
--- a/batch/scheduler/decide_test.go
+++ b/batch/scheduler/decide_test.go
@@ -187,3 +187,18 @@
 	must.Eq(t, batch.Completed, w.state("filing"))
 	must.Eq(t, 1, w.starts)
 }
+
+// Many equal tasks are placed in one decision, each where there is room left.
+func TestManyEqualTasksInOneDecision(t *testing.T) {
+	w := calmWorld(t, 4, 6)
+	w.submit(batch.Job{ID: "wide", Priority: 1, Steps: []batch.Step{
+		{Tasks: 190, Estimate: time.Minute, Request: batch.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}},
+	}}, time.Minute, false)
+	w.run(100 * time.Millisecond)
+	placed := 0
+	for _, id := range w.ids() {
+		placed += w.pool.Runner(id).Running()
+		must.LessEq(t, 8, w.pool.Runner(id).Running())
+	}
+	must.Eq(t, 190, placed)
+}
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -37,17 +37,69 @@
 
 // place returns a runner for each task of the unit, or nil when it doesn't fit.
 func (c *Core) place(u *unit, now steady.Time, remote bool) []*runner {
+	if u.tasks == 1 {
+		return c.placeOne(u, now, remote)
+	}
+	slots := c.freeSlots(u, now, remote)
+	if u.spec().SameRack {
+		if near := fillOneRack(slots, u.tasks); near != nil || !remote {
+			return near
+		}
+	}
+	return fill(bestSlots(slots, u.tasks), u.tasks)
+}
+
+func (c *Core) freeSlots(u *unit, now steady.Time, remote bool) []slot {
 	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.freeFor(u, now) })
 	if !remote {
 		slots = slices.DeleteFunc(slots, func(s slot) bool { return s.remote })
 	}
-	if !u.spec().SameRack || u.tasks == 1 {
-		return fill(slots, u.tasks)
+	return slots
+}
+
+// placeKey names places that units of one shape share within one decision.
+type placeKey struct {
+	shape  shape
+	remote bool
+}
+
+// placeOne places a single task. Steps have many equal ones, so the places for
+// all that wait are looked for once in a decision, and looked at again when used.
+func (c *Core) placeOne(u *unit, now steady.Time, remote bool) []*runner {
+	key := placeKey{u.shape(), remote}
+	slots, found := c.places[key]
+	if !found {
+		slots = bestSlots(c.freeSlots(u, now, remote), max(1, c.waiting[key.shape]))
+	}
+	defer func() { c.places[key] = slots }()
+	for len(slots) > 0 {
+		r := slots[0].runner
+		if u.fitting(r, r.freeFor(u, now)) > 0 {
+			return []*runner{r}
+		}
+		slots = slots[1:]
 	}
-	if near := fillOneRack(slots, u.tasks); near != nil || !remote {
-		return near
+	return nil
+}
+
+// bestSlots returns the n best slots in order. Each takes a task at least, so n
+// tasks need no more of them.
+func bestSlots(slots []slot, n int) []slot {
+	if len(slots) <= 2*n {
+		slices.SortFunc(slots, compareSlots)
+		return slots
 	}
-	return fill(slots, u.tasks)
+	best := slices.Clone(slots[:n])
+	slices.SortFunc(best, compareSlots)
+	for _, s := range slots[n:] {
+		if compareSlots(s, best[n-1]) >= 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, s, compareSlots)
+		copy(best[at+1:], best[at:n-1])
+		best[at] = s
+	}
+	return best
 }
 
 // slots filters the runners that can take a task of the unit, and scores them.
@@ -74,7 +126,6 @@
 		s.explore = u.job.spec.Priority > 0 && c.speeds.unknown(r.ID)
 		out = append(out, s)
 	}
-	slices.SortFunc(out, compareSlots)
 	return out
 }
 
@@ -169,6 +220,7 @@
 	var best []*runner
 	bestRank, bestRoom := math.Inf(1), 0
 	for _, name := range names {
+		slices.SortFunc(racks[name], compareSlots)
 		chosen := fill(racks[name], tasks)
 		if chosen == nil {
 			continue
