--- a/soak/check.go
+++ b/soak/check.go
@@ -141,7 +141,7 @@
 		c.violate("task %v started on %s as attempt %d while it runs on %v", task, on, attempt, others)
 	}
 	if c.doneNoted[task] {
-		c.violate("task %v started on %s as attempt %d after its end was taken note of", task, on, attempt)
+		c.violate("task %v started on %s as attempt %d after its end was acknowledged", task, on, attempt)
 	}
 	if since, out := c.evacuated[domain]; out && now.Sub(since) > evacuationBound {
 		c.violate("task %v started in %s, %s after it was taken out", task, domain, now.Sub(since))
@@ -174,7 +174,7 @@
 	delete(c.running[task], on)
 }
 
-// Acknowledged notes that an end was taken note of.
+// Acknowledged notes that a scheduler acknowledged an end.
 func (c *Checker) Acknowledged(end batch.EndedTask) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -223,16 +223,6 @@
 	}
 }
 
-const settingsFormat = `node_name: %q
-ip: "127.0.0.1"
-zone: %q
-listen: {front: %q, ready: %q}
-internal_ports: [%d]
-limits: {cpu_share: 0.5, cores: 1, memory_mb: 256}
-bounds: {hold_max_ms: 6000, grace_s: %d, early_ms: 250, remote_factor: 3}
-platform: {address: %q}
-`
-
 func (d *deployment) addHost(i int) error {
 	proxy, err := faultproxy.New(d.storeAt)
 	if err != nil {
@@ -246,9 +236,11 @@
 		name: fmt.Sprintf("host-%d", i), store: proxy, front: fmt.Sprintf("127.0.0.1:%d", ports[0]),
 		settings: filepath.Join(d.dir, fmt.Sprintf("host-%d.yaml", i)), logPath: filepath.Join(d.dir, fmt.Sprintf("host-%d.log", i)),
 	}
-	text := fmt.Sprintf(settingsFormat, h.name, fmt.Sprintf("fd-%d", i%domains), h.front,
-		fmt.Sprintf("127.0.0.1:%d", ports[1]), ports[2], int(graceTime.Seconds()), proxy.Addr())
-	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+	settings := standin.HostSettings{
+		Name: h.name, FailureDomain: fmt.Sprintf("fd-%d", i%domains), FrontAddress: h.front,
+		ReadyAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]), PeerPort: ports[2], Store: proxy.Addr(), Grace: graceTime,
+	}
+	if err := os.WriteFile(h.settings, []byte(settings.Text()), 0o600); err != nil {
 		return err
 	}
 	d.hosts = append(d.hosts, h)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 	"github.com/cyclamentray/cyclamentray/platform"
+	"github.com/cyclamentray/cyclamentray/platform/standin"
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 	"github.com/cyclamentray/cyclamentray/standin/keyspace"
 	"github.com/cyclamentray/cyclamentray/standin/runner"
@@ -60,15 +61,15 @@
 	{"history gone", func(d *deployment, _ *rand.Rand) func() { d.store.Compact(); return nothing }},
 	{"odd entry", func(d *deployment, rng *rand.Rand) func() {
 		key := platform.RunnerPrefix + "odd"
-		d.put(key, [][]byte{{0, 255}, []byte("{}"), []byte(`{"state":7}`)}[rng.IntN(3)])
+		d.put(key, [][]byte{{0, 255}, []byte("{}"), []byte(`{"address":7}`)}[rng.IntN(3)])
 		return func() { d.remove(key) }
 	}},
 	{"evacuation", func(d *deployment, rng *rand.Rand) func() {
 		domain := fmt.Sprintf("fd-%d", rng.IntN(domains))
-		d.put("op/evacuate/"+domain, []byte("{}"))
+		d.put(standin.EvacuationKey(domain), []byte("{}"))
 		d.check.Evacuate(domain, true, steady.Now())
 		return func() {
-			d.remove("op/evacuate/" + domain)
+			d.remove(standin.EvacuationKey(domain))
 			d.check.Evacuate(domain, false, steady.Now())
 		}
 	}},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,7 @@
 
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
+	"github.com/cyclamentray/cyclamentray/platform/standin"
 	"github.com/cyclamentray/cyclamentray/standin/runner"
 )
 
@@ -49,6 +50,9 @@
 	// done: a takeover, a runner's lease, and the work that waits.
 	settleTime = 60 * time.Second
 	cancelOdds = 8 // one job in so many is cancelled
+
+	hostName        = "soak" // that callers ask for
+	organisationKey = "k"
 )
 
 // run is one soak.
@@ -128,12 +132,23 @@
 	r.version++
 	version := r.version
 	r.mu.Unlock()
-	var routes []string
+	config := batch.Configuration{
+		Version:       int64(version),
+		Services:      []batch.Service{{Name: "s"}},
+		Organisations: []batch.Organisation{{Name: "one", Keys: []string{organisationKey}, Guaranteed: batch.Resources{Accelerators: accelerators}}},
+	}
 	for v := range version + 1 {
-		routes = append(routes, fmt.Sprintf(`{"name":"q%d","host":"soak","prefix":"/q%d/","service":"s","priority":%d,"max_attempts":9,"stretch":3,"target_latency_ms":1000}`, v, v, v%2))
+		config.Queues = append(config.Queues, batch.Queue{
+			Name: fmt.Sprintf("q%d", v), Host: hostName, Prefix: fmt.Sprintf("/q%d/", v), Service: "s", Priority: v % 2,
+			MaxAttempts: 9, Stretch: 3, TargetLatency: time.Second,
+		})
 	}
-	r.d.put("op/config", []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"tenants":[{"name":"one","api_keys":["k"],"guaranteed":{"gpu":8}}]}`,
-		version, strings.Join(routes, ","))))
+	text, err := standin.ConfigurationText(config)
+	if err != nil {
+		r.opts.Log("configuration not written: " + err.Error())
+		return
+	}
+	r.d.put(standin.ConfigurationKey, text)
 }
 
 func (r *run) submit(ctx context.Context) {
@@ -185,9 +200,13 @@
 }
 
 func (r *run) jobBody(spec string, task runner.Task) string {
-	return fmt.Sprintf(`{"spec":%q,"phases":[{"count":%d,"cpu":%d,"mem_mb":%d,"gpu":%d,"estimated_ms":%d,"gang":%t,"checkpointing":%t}]}`,
-		spec, task.GangSize, task.Request.MilliCPU, task.Request.MemoryMB, task.Request.Accelerators,
-		task.Work.Milliseconds(), task.GangSize > 1, task.Checkpoint > 0)
+	text, err := standin.JobText(spec, batch.Step{
+		Tasks: task.GangSize, Request: task.Request, Estimate: task.Work, Gang: task.GangSize > 1, Checkpoints: task.Checkpoint > 0,
+	})
+	if err != nil {
+		r.opts.Log("job not written: " + err.Error())
+	}
+	return string(text)
 }
 
 func (r *run) host() *hostProcess {
@@ -202,8 +221,8 @@
 	if err != nil {
 		return 0, err.Error()
 	}
-	req.Host = "soak"
-	req.Header.Set("Api-Key", "k")
+	req.Host = hostName
+	req.Header.Set(standin.KeyHeader, organisationKey)
 	resp, err := r.http.Do(req)
 	if err != nil {
 		return 0, err.Error()
