Move what is inferred from entries out of the adapter

The adapter now only names and decodes entries; batch/conditions follows them, tells a runner that left from a silent one, and keeps a configuration from reverting.

--- a/platform/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -1,8 +1,11 @@
-package platform
+package conditions
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,9 +20,32 @@
 
 func quietLogger() *log.Logger { return log.New(io.Discard) }
 
-func runnerItem(id, state, clock string) kvstore.Item {
-	return kvstore.Item{Key: RunnerPrefix + id, Value: []byte(
-		`{"service":"s","address":"a","zone":"z","state":"` + state + `","capacity":{"gpu":8},"clock_ms":` + clock + `}`)}
+// plainFormat writes entries as this package's types, in JSON.
+var plainFormat = Format{
+	OperatorPrefix: "operator/",
+	RunnerPrefix:   "runner/",
+	Document: func(item kvstore.Item) (Document, error) {
+		d := Document{Configuration: &batch.Configuration{Revision: item.Revision}}
+		return d, json.Unmarshal(item.Value, &d.Configuration.Version)
+	},
+	EvacuatedDomain: func(key string) string {
+		domain, found := strings.CutPrefix(key, "operator/evacuated/")
+		if !found {
+			return ""
+		}
+		return domain
+	},
+	Runner: func(item kvstore.Item) (batch.Runner, error) {
+		var r batch.Runner
+		err := json.Unmarshal(item.Value, &r)
+		return r, err
+	},
+	RunnerID: func(key string) string { return strings.TrimPrefix(key, "runner/") },
+}
+
+// runnerItem is a heartbeat; beat changes with each.
+func runnerItem(id string, draining bool, beat int) kvstore.Item {
+	return kvstore.Item{Key: "runner/" + id, Value: fmt.Appendf(nil, `{"ID":%q,"Service":"s","Draining":%t,"Beat":%d}`, id, draining, beat)}
 }
 
 type recordedEvents struct {
@@ -37,26 +63,26 @@
 }
 
 func deleted(id string) kvstore.Event {
-	return kvstore.Event{Item: kvstore.Item{Key: RunnerPrefix + id}, Deleted: true}
+	return kvstore.Event{Item: kvstore.Item{Key: "runner/" + id}, Deleted: true}
 }
 
 // Heartbeats that only move the clock are not passed on; an entry that comes
 // back within the grace was never gone; one that can't be read is no runner.
 func TestRunnerListPassesOnWhatChanges(t *testing.T) {
 	events := &recordedEvents{}
-	l := newRunnerList(context.Background(), quietLogger(), events)
-	l.reset([]kvstore.Item{runnerItem("i-1", "ready", "1"), runnerItem("i-2", "ready", "1")})
+	l := newRunnerList(context.Background(), plainFormat, quietLogger(), events)
+	l.reset([]kvstore.Item{runnerItem("i-1", false, 1), runnerItem("i-2", false, 1)})
 	must.Eq(t, [3]int{2, 0, 0}, events.counts())
-	l.apply([]kvstore.Event{{Item: runnerItem("i-1", "ready", "2")}, {Item: runnerItem("i-1", "ready", "3")}})
+	l.apply([]kvstore.Event{{Item: runnerItem("i-1", false, 2)}, {Item: runnerItem("i-1", false, 3)}})
 	must.Eq(t, [3]int{2, 0, 0}, events.counts())
-	l.apply([]kvstore.Event{{Item: runnerItem("i-1", "ready", "4")}, {Item: runnerItem("i-1", "draining", "5")}})
+	l.apply([]kvstore.Event{{Item: runnerItem("i-1", false, 4)}, {Item: runnerItem("i-1", true, 5)}})
 	must.Eq(t, [3]int{3, 0, 0}, events.counts())
 	l.apply([]kvstore.Event{deleted("i-1")})
 	l.reset(nil) // i-2 is missing, too
-	l.apply([]kvstore.Event{{Item: runnerItem("i-2", "ready", "6")}})
+	l.apply([]kvstore.Event{{Item: runnerItem("i-2", false, 6)}})
 	time.Sleep(missingGrace + 300*time.Millisecond)
 	must.Eq(t, [3]int{4, 1, 0}, events.counts())
-	l.apply([]kvstore.Event{{Item: kvstore.Item{Key: RunnerPrefix + "i-2", Value: []byte("\x00")}}})
+	l.apply([]kvstore.Event{{Item: kvstore.Item{Key: "runner/i-2", Value: []byte("\x00")}}})
 	must.Eq(t, [3]int{4, 2, 0}, events.counts())
 }
 
@@ -78,17 +104,17 @@
 			events := &recordedEvents{}
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			l := newRunnerList(ctx, quietLogger(), events)
+			l := newRunnerList(ctx, plainFormat, quietLogger(), events)
 			now := steady.Now()
 			l.look(now)
-			l.put(runnerItem("i-1", "draining", "1"))
+			l.put(runnerItem("i-1", true, 1))
 			for at := time.Duration(0); test.looks && at < test.silence; at += time.Second {
 				l.look(now.Add(at))
 			}
 			l.look(now.Add(test.silence))
 			if test.behind {
 				l.behind()
-				l.put(runnerItem("i-1", "draining", "2")) // as late as the rest
+				l.put(runnerItem("i-1", true, 2)) // as late as the rest
 			}
 			l.gone("i-1", now.Add(test.silence))
 			must.Eq(t, test.want, events.counts())
@@ -98,18 +124,18 @@
 
 // A configuration never gives way to an older one, nor to an unreadable one.
 func TestConfigurationNeverReverts(t *testing.T) {
-	c := NewConditions(nil, quietLogger())
+	c := New(nil, plainFormat, quietLogger())
 	apply := func(revision uint64, text string) {
-		c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: configurationKey, Value: []byte(text), Revision: revision}}})
+		c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: "operator/configuration", Value: []byte(text), Revision: revision}}})
 	}
-	apply(5, `{"version":9}`)
-	apply(4, `{"version":7}`)
-	apply(6, `{"version":`)
+	apply(5, "9")
+	apply(4, "7")
+	apply(6, "{")
 	must.Eq(t, int64(9), c.Configuration().Version)
-	apply(7, `{"version":12}`)
+	apply(7, "12")
 	must.Eq(t, int64(12), c.Configuration().Version)
-	c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: "op/evacuate/z1", Revision: 8}}})
+	c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: "operator/evacuated/z1", Revision: 8}}})
 	must.True(t, c.Evacuated()["z1"])
-	c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: "op/evacuate/z1", Revision: 9}, Deleted: true}})
+	c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: "operator/evacuated/z1", Revision: 9}, Deleted: true}})
 	must.False(t, c.Evacuated()["z1"])
 }
--- a/platform/conditions.go
+++ b/batch/conditions/runners.go
@@ -1,10 +1,9 @@
-package platform
+package conditions
 
 import (
 	"context"
 	"reflect"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -15,117 +14,6 @@
 	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
-// watchWait is short, so that a connection that has gone silent is replaced
-// within the time a configuration has to be in force.
-const watchWait = time.Second
-
-// Conditions follows the operator's documents and the runners' entries.
-type Conditions struct {
-	store kvstore.Keyspace
-	log   *log.Logger
-
-	configuration atomic.Pointer[batch.Configuration]
-
-	mu        sync.Mutex
-	evacuated map[string]bool
-}
-
-// NewConditions returns Conditions that follow nothing yet.
-func NewConditions(store kvstore.Keyspace, logger *log.Logger) *Conditions {
-	return &Conditions{store: store, log: logger}
-}
-
-var _ dispatch.Conditions = (*Conditions)(nil)
-
-// Configuration implements dispatch.Conditions.
-func (c *Conditions) Configuration() *batch.Configuration { return c.configuration.Load() }
-
-// Evacuated implements dispatch.Conditions. The map isn't changed later.
-func (c *Conditions) Evacuated() map[string]bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.evacuated
-}
-
-// FollowOperator follows the operator's documents until ctx ends.
-func (c *Conditions) FollowOperator(ctx context.Context) {
-	f := kvstore.Follower{
-		Store:  c.store,
-		Prefix: OperatorPrefix,
-		Wait:   watchWait,
-		Reset:  c.resetDocuments,
-		Apply:  c.applyDocuments,
-	}
-	c.reportLoss(&f)
-	f.Run(ctx)
-}
-
-func (c *Conditions) reportLoss(f *kvstore.Follower) {
-	f.Lost = func(err error) { c.log.Warn("store lost", "prefix", f.Prefix, "err", err) }
-	f.Regained = func() { c.log.Info("store regained", "prefix", f.Prefix) }
-}
-
-func (c *Conditions) resetDocuments(items []kvstore.Item) {
-	c.setEvacuated(func(domains map[string]bool) { clear(domains) })
-	for _, item := range items {
-		c.applyDocument(kvstore.Event{Item: item})
-	}
-}
-
-func (c *Conditions) applyDocuments(events []kvstore.Event) {
-	for _, e := range events {
-		c.applyDocument(e)
-	}
-}
-
-func (c *Conditions) applyDocument(e kvstore.Event) {
-	if domain := EvacuatedDomain(e.Key); domain != "" {
-		c.setEvacuated(func(domains map[string]bool) { setMember(domains, domain, !e.Deleted) })
-		c.log.Info("evacuation", "failure-domain", domain, "out", !e.Deleted, "revision", e.Revision)
-		return
-	}
-	if e.Deleted {
-		return
-	}
-	document, err := DecodeDocument(e.Item)
-	if err != nil {
-		c.log.Error("document is unreadable; the one in force stays", "key", e.Key, "revision", e.Revision, "err", err)
-		return
-	}
-	if document.Configuration != nil {
-		c.apply(document.Configuration)
-	}
-}
-
-// apply puts a configuration in force unless a later one already is.
-func (c *Conditions) apply(config *batch.Configuration) {
-	if now := c.configuration.Load(); now != nil && now.Revision >= config.Revision {
-		return
-	}
-	c.configuration.Store(config)
-	c.log.Info("configuration in force", "version", config.Version, "revision", config.Revision,
-		"queues", len(config.Queues), "organisations", len(config.Organisations))
-}
-
-func (c *Conditions) setEvacuated(change func(map[string]bool)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	next := make(map[string]bool, len(c.evacuated)+1)
-	for domain := range c.evacuated {
-		next[domain] = true
-	}
-	change(next)
-	c.evacuated = next
-}
-
-func setMember(set map[string]bool, name string, in bool) {
-	if in {
-		set[name] = true
-		return
-	}
-	delete(set, name)
-}
-
 const (
 	// missingGrace is how long a runner whose entry is gone is still taken as
 	// listed: after an outage of the store the entries of live runners come back
@@ -139,10 +27,10 @@
 
 // FollowRunners implements dispatch.Conditions.
 func (c *Conditions) FollowRunners(ctx context.Context, to dispatch.RunnerEvents) {
-	l := newRunnerList(ctx, c.log, to)
+	l := newRunnerList(ctx, c.format, c.log, to)
 	f := kvstore.Follower{
 		Store:  c.store,
-		Prefix: RunnerPrefix,
+		Prefix: c.format.RunnerPrefix,
 		Wait:   watchWait,
 		Pause:  func() time.Duration { return runnerPause },
 		Reset:  l.reset,
@@ -157,9 +45,10 @@
 
 // runnerList passes on what changes in the runners' entries.
 type runnerList struct {
-	ctx context.Context
-	log *log.Logger
-	to  dispatch.RunnerEvents
+	ctx    context.Context
+	format Format
+	log    *log.Logger
+	to     dispatch.RunnerEvents
 
 	looked steady.Time            // when the store was last looked at
 	beats  map[string]steady.Time // heartbeats seen without a gap in looking since
@@ -167,9 +56,9 @@
 	known  map[string]batch.Runner
 }
 
-func newRunnerList(ctx context.Context, logger *log.Logger, to dispatch.RunnerEvents) *runnerList {
+func newRunnerList(ctx context.Context, format Format, logger *log.Logger, to dispatch.RunnerEvents) *runnerList {
 	return &runnerList{
-		ctx: ctx, log: logger, to: to,
+		ctx: ctx, format: format, log: logger, to: to,
 		beats: make(map[string]steady.Time), known: make(map[string]batch.Runner),
 	}
 }
@@ -203,7 +92,7 @@
 func (l *runnerList) reset(items []kvstore.Item) {
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
-		present[RunnerID(item.Key)] = true
+		present[l.format.RunnerID(item.Key)] = true
 		l.put(item)
 	}
 	for _, id := range l.missing(present) {
@@ -221,7 +110,7 @@
 		switch {
 		case last[e.Key] != i:
 		case e.Deleted:
-			l.gone(RunnerID(e.Key), steady.Now())
+			l.gone(l.format.RunnerID(e.Key), steady.Now())
 		default:
 			l.put(e.Item)
 		}
@@ -231,10 +120,10 @@
 // put passes an entry on when it says something new. One that can't be used
 // names no runner.
 func (l *runnerList) put(item kvstore.Item) {
-	r, err := DecodeRunner(item)
+	r, err := l.format.Runner(item)
 	if err != nil {
 		l.log.Warn("runner's entry can't be used", "key", item.Key, "revision", item.Revision, "err", err)
-		l.to.Unlisted(RunnerID(item.Key))
+		l.to.Unlisted(l.format.RunnerID(item.Key))
 		return
 	}
 	if now := steady.Now(); now.Sub(l.looked) <= lookGap {
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -19,6 +19,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/cyclamentray/cyclamentray/batch/conditions"
 	"github.com/cyclamentray/cyclamentray/batch/dispatch"
 	"github.com/cyclamentray/cyclamentray/batch/host"
 	"github.com/cyclamentray/cyclamentray/batch/intake"
@@ -107,7 +108,7 @@
 		ProbeKey:  ledger.LeaderKey,
 		Metrics:   set,
 	}
-	conditions := platform.NewConditions(store, logger)
+	followed := conditions.New(store, platform.Entries, logger)
 	runners := platform.NewRunners()
 	now := host.Anchored()
 	return host.New(host.Options{
@@ -119,7 +120,7 @@
 		Cores:        s.Cores,
 		Store:        store,
 		Direct:       direct,
-		Conditions:   conditions,
+		Conditions:   followed,
 		Replica:      replica,
 		Front:        func(in *intake.Intake) http.Handler { return &platform.Front{Intake: in} },
 		Log:          logger,
@@ -130,7 +131,7 @@
 				Store:        store,
 				Replica:      replica,
 				Runners:      runners,
-				Conditions:   conditions,
+				Conditions:   followed,
 				Log:          logger,
 				Metrics:      set,
 				Now:          now,
