--- a/batch/conditions/conditions.go
+++ b/batch/conditions/conditions.go
@@ -45,6 +45,8 @@
 	format Format
 	log    *log.Logger
 
+	heartbeat time.Duration
+
 	configuration atomic.Pointer[batch.Configuration]
 
 	mu        sync.Mutex
@@ -52,8 +54,9 @@
 }
 
 // New returns Conditions that follow nothing yet.
-func New(store kvstore.Keyspace, format Format, logger *log.Logger) *Conditions {
-	return &Conditions{store: store, format: format, log: logger}
+// Runners write their entries every heartbeat.
+func New(store kvstore.Keyspace, format Format, heartbeat time.Duration, logger *log.Logger) *Conditions {
+	return &Conditions{store: store, format: format, heartbeat: heartbeat, log: logger}
 }
 
 var _ dispatch.Conditions = (*Conditions)(nil)
--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -70,7 +70,7 @@
 // back within the grace was never gone; one that can't be read is no runner.
 func TestRunnerListPassesOnWhatChanges(t *testing.T) {
 	events := &recordedEvents{}
-	l := newRunnerList(context.Background(), plainFormat, quietLogger(), events)
+	l := newRunnerList(context.Background(), plainFormat, 1500*time.Millisecond, quietLogger(), events)
 	l.reset([]kvstore.Item{runnerItem("i-1", false, 1), runnerItem("i-2", false, 1)})
 	must.Eq(t, [3]int{2, 0, 0}, events.counts())
 	l.apply([]kvstore.Event{{Item: runnerItem("i-1", false, 2)}, {Item: runnerItem("i-1", false, 3)}})
@@ -89,22 +89,25 @@
 // An entry that goes soon after a heartbeat is that of a runner that left. One
 // that goes after silence, or unseen during a gap, may be that of a live one.
 func TestRunnerThatLeftIsToldFromASilentOne(t *testing.T) {
+	const beat = 1500 * time.Millisecond
 	for name, test := range map[string]struct {
-		silence time.Duration
-		looks   bool
-		behind  bool
-		want    [3]int
+		heartbeat time.Duration
+		silence   time.Duration
+		looks     bool
+		behind    bool
+		want      [3]int
 	}{
-		"left":            {time.Second, true, false, [3]int{1, 0, 1}},
-		"silent":          {4500 * time.Millisecond, true, false, [3]int{1, 0, 0}},
-		"gap in watching": {4500 * time.Millisecond, false, false, [3]int{1, 0, 0}},
-		"read late":       {time.Second, true, true, [3]int{1, 0, 0}},
+		"left":             {beat, time.Second, true, false, [3]int{1, 0, 1}},
+		"silent":           {beat, 4500 * time.Millisecond, true, false, [3]int{1, 0, 0}},
+		"gap in watching":  {beat, 4500 * time.Millisecond, false, false, [3]int{1, 0, 0}},
+		"short heartbeats": {beat / 3, 1500 * time.Millisecond, true, false, [3]int{1, 0, 0}},
+		"read late":        {beat, time.Second, true, true, [3]int{1, 0, 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			events := &recordedEvents{}
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			l := newRunnerList(ctx, plainFormat, quietLogger(), events)
+			l := newRunnerList(ctx, plainFormat, test.heartbeat, quietLogger(), events)
 			now := steady.Now()
 			l.look(now)
 			l.put(runnerItem("i-1", true, 1))
@@ -124,7 +127,7 @@
 
 // A configuration never gives way to an older one, nor to an unreadable one.
 func TestConfigurationNeverReverts(t *testing.T) {
-	c := New(nil, plainFormat, quietLogger())
+	c := New(nil, plainFormat, time.Second, quietLogger())
 	apply := func(revision uint64, text string) {
 		c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: "operator/configuration", Value: []byte(text), Revision: revision}}})
 	}
--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -27,7 +27,7 @@
 
 // FollowRunners implements dispatch.Conditions.
 func (c *Conditions) FollowRunners(ctx context.Context, to dispatch.RunnerEvents) {
-	l := newRunnerList(ctx, c.format, c.log, to)
+	l := newRunnerList(ctx, c.format, c.heartbeat, c.log, to)
 	f := kvstore.Follower{
 		Store:  c.store,
 		Prefix: c.format.RunnerPrefix,
@@ -50,15 +50,17 @@
 	log    *log.Logger
 	to     dispatch.RunnerEvents
 
+	leftWithin time.Duration
+
 	looked steady.Time            // when the store was last looked at
 	beats  map[string]steady.Time // heartbeats seen without a gap in looking since
 	mu     sync.Mutex
 	known  map[string]batch.Runner
 }
 
-func newRunnerList(ctx context.Context, format Format, logger *log.Logger, to dispatch.RunnerEvents) *runnerList {
+func newRunnerList(ctx context.Context, format Format, heartbeat time.Duration, logger *log.Logger, to dispatch.RunnerEvents) *runnerList {
 	return &runnerList{
-		ctx: ctx, format: format, log: logger, to: to,
+		ctx: ctx, format: format, log: logger, to: to, leftWithin: time.Duration(leftWithin * float64(heartbeat)),
 		beats: make(map[string]steady.Time), known: make(map[string]batch.Runner),
 	}
 }
@@ -67,10 +69,10 @@
 	// lookGap is the longest time between two looks in which nothing was missed.
 	lookGap = watchWait + runnerPause + 600*time.Millisecond
 
-	// leftWithin is how soon after a heartbeat an entry must go for its runner to
-	// have left by itself: silence takes three heartbeats of 1.5 s, and an entry
-	// is removed for no other reason.
-	leftWithin = 2500 * time.Millisecond
+	// leftWithin is how soon after a heartbeat, in heartbeats, an entry must go
+	// for its runner to have left by itself: silence takes three of them, and an
+	// entry is removed for no other reason.
+	leftWithin = 1.7
 )
 
 // look notes that the store was looked at. After a gap, times of earlier
@@ -145,7 +147,7 @@
 // gone tells a runner that has left from one that is only silent.
 func (l *runnerList) gone(id string, now steady.Time) {
 	beat, seen := l.beats[id]
-	if !seen || now.Sub(l.looked) > lookGap || now.Sub(beat) > leftWithin {
+	if !seen || now.Sub(l.looked) > lookGap || now.Sub(beat) > l.leftWithin {
 		l.remove(id)
 		return
 	}
--- a/batch/dispatch/election.go
+++ b/batch/dispatch/election.go
@@ -22,10 +22,10 @@
 	termTTL = 2 * time.Second
 
 	renewEvery    = termTTL / 4
-	renewTimeout  = 900 * time.Millisecond // above the slowest store, below what is left of the lease
-	termMargin    = 200 * time.Millisecond // for the way of a call and for timers that fire late
-	acquireJitter = 120 * time.Millisecond // spreads the candidates when a term ends
-	acquireCall   = 1500 * time.Millisecond
+	renewTimeout  = 900 * time.Millisecond  // above the slowest store, below what is left of the lease
+	termMargin    = 200 * time.Millisecond  // for the way of a call and for timers that fire late
+	acquireJitter = 120 * time.Millisecond  // spreads the candidates when a term ends
+	acquireCall   = 1500 * time.Millisecond // two calls of a slow store
 
 	// yieldAfter is how long a host leads before it yields to a much stronger
 	// one, and yieldAgain how long until it may yield again: the stronger one may
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -29,8 +29,8 @@
 	// decideShare keeps decisions from taking more than a third of the processor.
 	decideShare = 2
 
-	loadTimeout = 3 * time.Second
-	loadRetry   = 100 * time.Millisecond
+	loadTimeout = 3 * time.Second        // a few pages of a slow store
+	loadRetry   = 100 * time.Millisecond // nothing else can be done meanwhile
 )
 
 // Conditions is what operators and runners say, as the host follows it.
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -21,27 +21,27 @@
 	holdWaitMin = time.Second
 	holdWaitMax = 2 * time.Second
 
-	// holdsPerCore is how many holds a second one core may spend on: half of
-	// what it carries, as measured on hosts of 0.144 and 0.8 cores.
+	// holdsPerCore is how many holds a second one core spends its time on. A host
+	// of 0.144 cores kept up with three times as many, so bursts have room.
 	holdsPerCore = 400
 
-	holdGrace = 600 * time.Millisecond // beyond the wait, for a slow answer
-	holdRetry = 100 * time.Millisecond // after a hold without an answer; doubles up to holdRetryMax
-	holdMax   = 800 * time.Millisecond
+	holdGrace    = 600 * time.Millisecond // beyond the wait, for a slow answer
+	holdRetry    = 100 * time.Millisecond // after a hold without an answer; doubles up to holdRetryMax
+	holdRetryMax = 800 * time.Millisecond // several tries within a runner's shortest lease
 
 	// recordWait is how long a hold waits for the ends of the last report to be
-	// recorded, so that it can acknowledge them.
+	// recorded, so that it can acknowledge them: many commits' time.
 	recordWait = 250 * time.Millisecond
 
 	// unrecordedPause lies between holds while ends can't be recorded: a runner
-	// with unacknowledged ends answers at once.
+	// with unacknowledged ends answers at once. It costs two calls a second.
 	unrecordedPause = 400 * time.Millisecond
 
 	startTries   = 3
 	startTimeout = 450 * time.Millisecond // three tries end before the rest of a gang has waited too long
-	stopTimeout  = 500 * time.Millisecond
+	stopTimeout  = 500 * time.Millisecond // a hundred round trips within a region
 	stopRetry    = 100 * time.Millisecond // doubles up to stopRetryMax
-	stopRetryMax = time.Second
+	stopRetryMax = time.Second            // a cancelled task must be gone within three seconds of a cut's end
 )
 
 // link is the connection to one runner. Its fields are guarded by the leader's mu.
@@ -116,7 +116,7 @@
 		}
 		wait = 0
 		pause.For(ctx, retry)
-		retry = min(2*retry, holdMax)
+		retry = min(2*retry, holdRetryMax)
 	}
 }
 
--- a/batch/dispatch/record.go
+++ b/batch/dispatch/record.go
@@ -20,8 +20,8 @@
 	groupSize = (kvstore.MaxTxnEntries - 1) / 3
 
 	commitTimeout  = 1500 * time.Millisecond // four times the slowest store's answer, direct and through a peer
-	commitRetry    = 50 * time.Millisecond
-	commitRetryMax = 250 * time.Millisecond
+	commitRetry    = 50 * time.Millisecond   // doubles up to commitRetryMax
+	commitRetryMax = 250 * time.Millisecond  // four calls a second are little for the store
 )
 
 // recordLoop commits changed records, one group at a time. Each record has one
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -25,9 +25,9 @@
 const (
 	// listingTTL is how long a dead host stays listed as a peer.
 	listingTTL   = 8 * time.Second
-	listingRenew = listingTTL / 4
-	listingRetry = 500 * time.Millisecond
-	listingCall  = time.Second
+	listingRenew = listingTTL / 4         // three renewals may be lost
+	listingRetry = 500 * time.Millisecond // peers are of use only once they are listed
+	listingCall  = time.Second            // three calls of a slow store
 
 	// replicaWait is short, so that a connection that has gone silent is replaced soon.
 	replicaWait  = time.Second
@@ -48,8 +48,8 @@
 	// drainMargin is left of the time to stop for ending by itself.
 	drainMargin = 700 * time.Millisecond
 
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
+	headerTimeout = 5 * time.Second  // longer than callers wait for an answer
+	idleTimeout   = 30 * time.Second // longer than callers pause between requests
 )
 
 // Conditions is what operators and runners say.
--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -21,7 +21,7 @@
 const (
 	callTimeout  = 900 * time.Millisecond // one call of the store; it answers in 4 ms, in 350 ms when slow
 	retryPause   = 40 * time.Millisecond  // before a call that had no clear outcome is made again
-	readTimeout  = time.Second
+	readTimeout  = time.Second            // the same, once through a peer
 	refuseAfter  = 250 * time.Millisecond // of a store that certainly did nothing, before the caller is told
 	retryAfter   = time.Second            // how long an outage's next look takes
 	answerMargin = 150 * time.Millisecond // kept of the caller's patience for the answer's way
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -14,7 +14,8 @@
 	// the rest is for waiting.
 	tolerance = 0.55
 
-	// avoidFactor makes a runner on which the unit failed look this much slower.
+	// avoidFactor makes a runner on which the unit failed look this much slower:
+	// more than the users' runners differ from the average.
 	avoidFactor = 2.0
 )
 
--- a/batch/scheduler/rescue.go
+++ b/batch/scheduler/rescue.go
@@ -12,10 +12,11 @@
 	// and a start.
 	moveCost = 500 * time.Millisecond
 
-	// moveGain is how much sooner a unit must be done elsewhere to be moved.
+	// moveGain is how much sooner a unit must be done elsewhere to be moved;
+	// estimates of work and speed are off by about as much.
 	moveGain = 0.75
 
-	// movesMost bounds the moves of one unit.
+	// movesMost bounds the moves of one unit: each throws work away.
 	movesMost = 2
 )
 
--- a/batch/scheduler/speeds.go
+++ b/batch/scheduler/speeds.go
@@ -39,7 +39,9 @@
 	// driftVariance is added a run, because runners turn slow and recover.
 	driftVariance = 0.02 * 0.02
 
-	biasShare = 0.1 // of a step's error that its queue's bias takes
+	// biasShare is the part of a step's error that its queue's bias takes, so
+	// that some ten steps make up the mean.
+	biasShare = 0.1
 )
 
 func newSpeeds() *speeds {
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -108,7 +108,7 @@
 		ProbeKey:  ledger.LeaderKey,
 		Metrics:   set,
 	}
-	followed := conditions.New(store, platform.Entries, logger)
+	followed := conditions.New(store, platform.Entries, s.Heartbeat, logger)
 	runners := platform.NewRunners()
 	now := host.Anchored()
 	return host.New(host.Options{
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -238,7 +238,7 @@
 	}
 	settings := standin.HostSettings{
 		Name: h.name, FailureDomain: fmt.Sprintf("fd-%d", i%domains), FrontAddress: h.front,
-		ReadyAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]), PeerPort: ports[2], Store: proxy.Addr(), Grace: graceTime,
+		ReadyAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]), PeerPort: ports[2], Store: proxy.Addr(), Heartbeat: heartbeat, Grace: graceTime,
 	}
 	if err := os.WriteFile(h.settings, []byte(settings.Text()), 0o600); err != nil {
 		return err
