Give the soak's hosts their ports all at once

Eight hosts could not listen: ports had been given out twice, and another host's readiness answered for them.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -33,6 +33,7 @@
 	rackSize     = 3
 	domains      = 2
 	accelerators = 8
+	portsEach    = 3 // for callers, readiness and peers
 )
 
 // deployment is the stand-ins and the hosts' processes.
@@ -98,8 +99,13 @@
 			return nil, err
 		}
 	}
+	// All at once: ports that were closed again may be given out twice.
+	ports, err := freePorts(hosts * portsEach)
+	if err != nil {
+		return nil, err
+	}
 	for i := range hosts {
-		if err := d.addHost(i); err != nil {
+		if err := d.addHost(i, ports[i*portsEach:(i+1)*portsEach]); err != nil {
 			return nil, err
 		}
 	}
@@ -223,15 +229,11 @@
 	}
 }
 
-func (d *deployment) addHost(i int) error {
+func (d *deployment) addHost(i int, ports []int) error {
 	proxy, err := faultproxy.New(d.storeAt)
 	if err != nil {
 		return err
 	}
-	ports, err := freePorts(3)
-	if err != nil {
-		return err
-	}
 	h := &hostProcess{
 		name: fmt.Sprintf("host-%d", i), store: proxy, front: fmt.Sprintf("127.0.0.1:%d", ports[0]),
 		settings: filepath.Join(d.dir, fmt.Sprintf("host-%d.yaml", i)), logPath: filepath.Join(d.dir, fmt.Sprintf("host-%d.log", i)),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,8 @@
 var seeds = []uint64{
 	11,
 	106, 118, // the check of refusals did not wait for a try on its way, which was accepted
+	300, // the hosts' program was replaced during the run by one that wants another setting
+	900, // with 120 hosts, ports were given out twice: another host's answer counted as an acceptance
 }
 
 // Hosts as processes go through a short series of faults.
