Have others stopped on fast runners where an urgent job would be late at once

Change: where the best free place makes an urgent unit late, units of lower priority are stopped on runners that are fast enough, within a bound of thrown-away work; if that is not to be had, the unit takes the free place.

--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -191,11 +191,14 @@
 // schedule places a unit, or stops others to make room for it.
 func (c *Core) schedule(u *unit, now steady.Time) bool {
 	near := c.place(u, now, false)
-	if near != nil {
+	if near != nil && !(c.preempts(u) && c.late(u, near, now) && c.preemptFaster(u, now)) {
 		c.assign(u, near, now)
 		return true
 	}
-	if u.job.spec.Priority == 0 && !c.opts.Plain && c.preempt(u, now) {
+	if near != nil {
+		return false
+	}
+	if c.preempts(u) && c.preempt(u, now) {
 		return false
 	}
 	if now.Sub(u.since) < c.remotePatience(u) {
@@ -209,6 +212,9 @@
 	return true
 }
 
+// preempts reports whether others may be stopped for the unit.
+func (c *Core) preempts(u *unit) bool { return u.job.spec.Priority == 0 && !c.opts.Plain }
+
 // remotePatience is how long a unit waits for a place near its data. While most
 // of the service is free, the place near it isn't taken by work that ends soon.
 func (c *Core) remotePatience(u *unit) time.Duration {
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -41,6 +41,7 @@
 	since      steady.Time    // when its turn came; 0: not yet
 	avoid      map[string]int // failures by runner
 	preempting steady.Time    // when it last had others stopped
+	awaited    float64        // time factor of the slowest runner that they were stopped on
 	ending     steady.Time    // when a member of the present attempt ended
 	preempted  int            // how often it was stopped for others
 	moves      int            // how often it was moved to a faster place
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -23,6 +23,14 @@
 	wasteFirst = 0.5
 	wasteLast  = 4.0
 
+	// wasteInTime bounds it for a unit that would start at once but be late, and
+	// so be worth a fifth.
+	wasteInTime = 4.0
+
+	// fasterWithin is how long a unit that could start may look for a faster place.
+	// With the wait for what is stopped, a guarantee is still reclaimed in time.
+	fasterWithin = 600 * time.Millisecond
+
 	// reclaimAfter is how long a unit within its organisation's guarantee waits
 	// at most before others are stopped whatever that throws away. The guarantee
 	// is due back in 2.7 s; a stop, reports and starts take up to 0.8 s of that.
@@ -52,19 +60,39 @@
 // work thrown away, and keeps their room for u. It reports whether room is on
 // its way.
 func (c *Core) preempt(u *unit, now steady.Time) bool {
-	if !u.preempting.IsZero() && now.Sub(u.preempting) < preemptAgain {
+	if u.awaitsRoom(now) {
 		return true
 	}
-	chosen := c.choosePreemption(u, now)
-	if chosen == nil {
+	return c.stopVictims(u, c.choosePreemption(u, math.Inf(1), now), c.wasteAllowed(u, now), now)
+}
+
+// preemptFaster does the same on runners that are fast enough for u to be in
+// time, where u could start at once but would be late.
+func (c *Core) preemptFaster(u *unit, now steady.Time) bool {
+	if u.awaitsRoom(now) {
+		return u.awaited <= c.slowestInTime(u, now.Add(startLead))
+	}
+	if now.Sub(u.since) > fasterWithin {
 		return false
 	}
-	if waste := wasteOf(chosen); waste > c.wasteAllowed(u, now) {
+	chosen := c.choosePreemption(u, c.slowestInTime(u, now.Add(stopLead)), now)
+	return c.stopVictims(u, chosen, wasteInTime*c.ownWork(u), now)
+}
+
+// awaitsRoom reports whether others were stopped for the unit a moment ago.
+func (u *unit) awaitsRoom(now steady.Time) bool {
+	return !u.preempting.IsZero() && now.Sub(u.preempting) < preemptAgain
+}
+
+// stopVictims stops what was chosen unless that throws too much away.
+func (c *Core) stopVictims(u *unit, chosen []victims, allowed float64, now steady.Time) bool {
+	if chosen == nil || wasteOf(chosen) > allowed {
 		return false
 	}
-	u.preempting = now
+	u.preempting, u.awaited = now, 0
 	left := u.tasks
 	for _, v := range chosen {
+		u.awaited = math.Max(u.awaited, v.cost)
 		take := min(v.tasks, left)
 		left -= take
 		for _, victim := range v.units {
@@ -103,8 +131,12 @@
 	if waited < slack {
 		used = float64(waited) / float64(slack)
 	}
-	own := u.cores() * work.Seconds() * float64(u.tasks)
-	return own * (wasteFirst + used*(wasteLast-wasteFirst))
+	return c.ownWork(u) * (wasteFirst + used*(wasteLast-wasteFirst))
+}
+
+// ownWork returns the core-seconds that the unit takes itself.
+func (c *Core) ownWork(u *unit) float64 {
+	return u.cores() * c.speeds.duration(u).Seconds() * float64(u.tasks)
 }
 
 // withinGuarantee reports whether all urgent jobs of the job's organisation
@@ -138,11 +170,12 @@
 	r.nominated = append(r.nominated, nomination{unit: u, request: sum, until: now.Add(nominationLife)})
 }
 
-func (c *Core) choosePreemption(u *unit, now steady.Time) []victims {
+// choosePreemption returns what to stop on runners that cost no more than most.
+func (c *Core) choosePreemption(u *unit, most float64, now steady.Time) []victims {
 	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.freeFor(u, now).Plus(r.preemptible(u)) })
 	var all []victims
 	for _, s := range slots {
-		if !s.remote {
+		if !s.remote && s.cost <= most {
 			all = append(all, c.victimsOn(u, s, now))
 		}
 	}
--- a/batch/scheduler/rescue.go
+++ b/batch/scheduler/rescue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/internal/steady"
@@ -86,3 +87,23 @@
 
 // savedShare is the part of what was done that a checkpoint holds on average.
 const savedShare = 0.8
+
+// slowestInTime returns the largest time factor of a runner on which the unit
+// is in time when it starts at the given time.
+func (c *Core) slowestInTime(u *unit, start steady.Time) float64 {
+	work := c.speeds.duration(u)
+	if work <= 0 {
+		return math.Inf(1)
+	}
+	return float64(c.due(u).Sub(start)) / float64(work)
+}
+
+// late reports whether the unit is going to be late when it starts on the
+// chosen runners now.
+func (c *Core) late(u *unit, chosen []*runner, now steady.Time) bool {
+	limit := c.slowestInTime(u, now.Add(startLead))
+	return slices.ContainsFunc(chosen, func(r *runner) bool { return c.cost(u, r, u.away(chosen, r)) > limit })
+}
+
+// startLead is the time that a record and a start take before the work begins.
+const startLead = 100 * time.Millisecond
