Keep what was learned of the runners' speeds across a takeover

Ruled out: the learning itself; before the takeover the factors were near the runners' true ones (0.7 and 1.7).

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -99,6 +99,7 @@
 	}
 	l.background.Go(func() { l.Conditions.FollowRunners(ctx, runnerEvents{ctx, l}) })
 	l.background.Go(func() { l.recordLoop(ctx) })
+	l.background.Go(func() { l.speedsLoop(ctx) })
 	l.decideLoop(ctx)
 }
 
@@ -107,10 +108,10 @@
 func (l *Leader) load(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, loadTimeout)
-		items, progress, err := l.readAll(call)
+		found, err := l.readAll(call)
 		cancel()
 		if err == nil {
-			l.build(items, progress)
+			l.build(found)
 			return true
 		}
 		l.Log.Warn("records not read; trying again", "err", err)
@@ -119,27 +120,36 @@
 	return false
 }
 
-func (l *Leader) readAll(ctx context.Context) (items, progress []kvstore.Item, err error) {
-	items, _, err = l.Store.List(ctx, ledger.Prefix)
-	if err != nil {
-		return nil, nil, err
+// records is what earlier terms left in the store.
+type records struct {
+	jobs, progress []kvstore.Item
+	speeds         batch.Speeds
+}
+
+func (l *Leader) readAll(ctx context.Context) (found records, err error) {
+	if found.jobs, _, err = l.Store.List(ctx, ledger.Prefix); err != nil {
+		return found, err
+	}
+	if found.progress, _, err = l.Store.List(ctx, ledger.ProgressPrefix); err != nil {
+		return found, err
 	}
-	progress, _, err = l.Store.List(ctx, ledger.ProgressPrefix)
-	return items, progress, err
+	found.speeds, err = l.readSpeeds(ctx)
+	return found, err
 }
 
-func (l *Leader) build(items, progress []kvstore.Item) {
+func (l *Leader) build(found records) {
 	whole := ledger.NewReplica(l.Log)
-	whole.Reset(items)
+	whole.Reset(found.jobs)
 	now := steady.Now()
 	l.core = scheduler.New(scheduler.Options{
 		Early:          l.Early,
 		RemoteFactor:   l.RemoteFactor,
 		InheritedUntil: now.Add(slowest(l.Lease)),
+		Learned:        found.speeds,
 		Observe:        l.observe,
 	})
-	recorded := make(map[string]kvstore.Item, len(progress))
-	for _, item := range progress {
+	recorded := make(map[string]kvstore.Item, len(found.progress))
+	for _, item := range found.progress {
 		recorded[ledger.ProgressJob(item.Key)] = item
 	}
 	n := 0
@@ -147,7 +157,7 @@
 		l.addJob(e, recorded[e.Job.ID], now)
 		n++
 	})
-	l.Log.Info("records read", "token", l.term.Token, "jobs", n)
+	l.Log.Info("records read", "token", l.term.Token, "jobs", n, "speeds", len(found.speeds.Runners))
 }
 
 // addJob gives a job to the core with its progress record, if there is one.
--- a/batch/ledger/ledger.go
+++ b/batch/ledger/ledger.go
@@ -24,6 +24,9 @@
 	// it changes more often than the rest.
 	ProgressPrefix = "progress/"
 
+	// SpeedsKey is of what leaders learned of the runners' speeds.
+	SpeedsKey = "learned/speeds"
+
 	jobPrefix    = "batch/job/"
 	statePrefix  = "batch/state/"
 	cancelPrefix = "batch/cancel/"
@@ -61,6 +64,18 @@
 	return p, nil
 }
 
+// EncodeSpeeds writes what was learned of speeds.
+func EncodeSpeeds(s batch.Speeds) ([]byte, error) { return json.Marshal(s) }
+
+// DecodeSpeeds reads what was learned of speeds.
+func DecodeSpeeds(value []byte) (batch.Speeds, error) {
+	var s batch.Speeds
+	if err := json.Unmarshal(value, &s); err != nil {
+		return batch.Speeds{}, errors.Wrap(err, "record of speeds")
+	}
+	return s, nil
+}
+
 // Entry is what is known of one job.
 type Entry struct {
 	Job       *batch.Job
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -21,6 +21,7 @@
 	// InheritedUntil is when everything that an earlier scheduler started on a
 	// runner that doesn't answer has certainly lapsed.
 	InheritedUntil steady.Time
+	Learned        batch.Speeds // by earlier schedulers
 	// Plain places in order of arrival on the first runners that fit, without
 	// preemption and learned speeds: the baseline that measurements compare with.
 	Plain bool
@@ -93,7 +94,7 @@
 		opts:      o,
 		jobs:      make(map[string]*job),
 		runners:   make(map[string]*runner),
-		speeds:    newSpeeds(),
+		speeds:    newSpeeds(o.Learned),
 		evacuated: make(map[string]bool),
 		fresh:     freshContact,
 	}
@@ -112,6 +113,9 @@
 	return out
 }
 
+// Learned returns what was learned of the speeds of the runners that are known.
+func (c *Core) Learned() batch.Speeds { return c.speeds.learned(c.runners) }
+
 // Record is a job's progress to be committed.
 type Record struct {
 	Job      string
--- a/batch/scheduler/decide_test.go
+++ b/batch/scheduler/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -90,11 +91,33 @@
 // slow ones.
 func TestUrgentWorkLearnsWhichRunnersAreFast(t *testing.T) {
 	w := calmWorld(t, 2, 6)
-	for i := range 12 { // each gang spans fast and slow runners
+	learnSpeeds(w)
+	for i := range 4 {
+		id := fmt.Sprintf("urgent%d", i)
+		w.submit(batch.Job{ID: id, Stretch: 1.5, Steps: []batch.Step{gang(2, 8, 2*time.Second)}}, 2*time.Second, false)
+		w.run(2500 * time.Millisecond) // 2 s of work; the slow third of the runners needs 3.2 s
+		must.Eq(t, batch.Completed, w.state(id), must.Sprint(id))
+	}
+}
+
+// learnSpeeds plays gangs that span fast and slow runners until their speeds are known.
+func learnSpeeds(w *world) {
+	for i := range 12 {
 		w.submit(batch.Job{ID: fmt.Sprintf("learn%02d", i), Priority: 1, Steps: []batch.Step{gang(6, 8, 2*time.Second)}}, 2*time.Second, false)
 		w.run(2 * time.Second)
 	}
 	w.run(20 * time.Second)
+}
+
+// What was learned of the runners' speeds outlives the scheduler: after a
+// takeover urgent work ran on slow runners until they were known again.
+func TestLearnedSpeedsOutliveTheirScheduler(t *testing.T) {
+	w := calmWorld(t, 2, 6)
+	learnSpeeds(w)
+	w.kill()
+	w.run(time.Second)
+	w.lead()
+	w.run(8 * time.Second)
 	for i := range 4 {
 		id := fmt.Sprintf("urgent%d", i)
 		w.submit(batch.Job{ID: id, Stretch: 1.5, Steps: []batch.Step{gang(2, 8, 2*time.Second)}}, 2*time.Second, false)
@@ -103,6 +126,28 @@
 	}
 }
 
+// On a heavy day the free places are on the slow runners. Work that can be
+// resumed makes way on a fast one for an urgent job that would be late.
+func TestUrgentWorkIsNotLeftToSlowRunners(t *testing.T) {
+	w := calmWorld(t, 1, 6) // two fast, two average and two slow ones
+	w.kill()
+	speed := func(factor float64) batch.Speed { return batch.Speed{LogFactor: math.Log(factor), Variance: 0.001} }
+	w.learned = batch.Speeds{Runners: map[string]batch.Speed{
+		"r0-0": speed(0.6), "r0-1": speed(1), "r0-2": speed(1.6), "r0-3": speed(0.6), "r0-4": speed(1), "r0-5": speed(1.6),
+	}}
+	w.lead()
+	w.run(8 * time.Second)
+	resumable := batch.Step{Tasks: 32, Checkpoints: true, Estimate: 40 * time.Second, Request: batch.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}}
+	w.submit(batch.Job{ID: "resumable", Priority: 2, Stretch: 2, Steps: []batch.Step{resumable}}, 40*time.Second, false)
+	w.run(3 * time.Second)
+	must.Eq(t, 0, w.pool.Runner("r0-2").Running()+w.pool.Runner("r0-5").Running())
+	w.submit(batch.Job{ID: "urgent", Stretch: 1.5, TargetLatency: 250 * time.Millisecond, Steps: []batch.Step{gang(1, 8, 3*time.Second)}}, 3*time.Second, false)
+	w.run(4750 * time.Millisecond) // its target; a slow runner needs 4.8 s
+	must.Eq(t, batch.Completed, w.state("urgent"))
+	w.run(60 * time.Second)
+	must.Eq(t, batch.Completed, w.state("resumable"))
+}
+
 // A task that makes no progress on a hanging runner is moved.
 func TestStalledWorkIsMoved(t *testing.T) {
 	w := calmWorld(t, 1, 2)
--- a/batch/scheduler/speeds.go
+++ b/batch/scheduler/speeds.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -44,10 +45,34 @@
 	biasShare = 0.1
 )
 
-func newSpeeds() *speeds {
-	return &speeds{factor: make(map[string]*estimate), bias: make(map[string]*estimate)}
+func newSpeeds(learned batch.Speeds) *speeds {
+	s := &speeds{factor: make(map[string]*estimate), bias: make(map[string]*estimate)}
+	for id, known := range learned.Runners {
+		s.factor[id] = &estimate{mean: known.LogFactor, variance: known.Variance}
+	}
+	for queue, off := range learned.Queues {
+		s.bias[queue] = &estimate{mean: off}
+	}
+	return s
 }
 
+// learned returns what is known of the given runners and of all queues.
+func (s *speeds) learned(runners map[string]*runner) batch.Speeds {
+	out := batch.Speeds{Runners: make(map[string]batch.Speed), Queues: make(map[string]float64)}
+	for id, e := range s.factor {
+		if runners[id] != nil {
+			out.Runners[id] = batch.Speed{LogFactor: rounded(e.mean), Variance: rounded(e.variance)}
+		}
+	}
+	for queue, e := range s.bias {
+		out.Queues[queue] = rounded(e.mean)
+	}
+	return out
+}
+
+// rounded keeps records small; a thousandth is far below what can be learned.
+func rounded(v float64) float64 { return math.Round(v*1000) / 1000 }
+
 // learn takes how long a run takes whole, with the variance of that reading's
 // logarithm.
 func (s *speeds) learn(r *run, whole time.Duration, reading float64) {
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -44,8 +44,9 @@
 	faults faults
 	fleet  []string // runners' ids
 
-	storeDown bool // records are not committed
-	plain     bool // the scheduler is the baseline
+	storeDown bool         // records are not committed
+	learned   batch.Speeds // by the last scheduler that was killed
+	plain     bool         // the scheduler is the baseline
 
 	collect    bool // violations don't end the test
 	violations []string
@@ -150,7 +151,7 @@
 // lead starts a new scheduler from what is recorded.
 func (w *world) lead() {
 	w.token++
-	core := scheduler.New(scheduler.Options{Plain: w.plain, RemoteFactor: 3, InheritedUntil: w.inheritedUntil()})
+	core := scheduler.New(scheduler.Options{Plain: w.plain, RemoteFactor: 3, InheritedUntil: w.inheritedUntil(), Learned: w.learned})
 	core.Configure(&batch.Configuration{Organisations: []batch.Organisation{
 		{Name: "one", Guaranteed: batch.Resources{Accelerators: 24}},
 	}})
@@ -186,7 +187,12 @@
 }
 
 // kill ends the scheduler; its orders on the way may still arrive.
-func (w *world) kill() { w.core = nil }
+func (w *world) kill() {
+	if w.core != nil {
+		w.learned = w.core.Learned()
+	}
+	w.core = nil
+}
 
 func (w *world) after(d time.Duration, do func()) {
 	w.events = append(w.events, event{at: w.now.Add(d), do: do})
