Free places on fast runners first when an urgent job's lateness depends on it

Change: first a choice among runners that are fast enough, with the bound that being in time is worth; any runner, with the growing bound, after it. The test now also plays a full service.

--- a/batch/scheduler/decide_test.go
+++ b/batch/scheduler/decide_test.go
@@ -126,26 +126,36 @@
 	}
 }
 
-// On a heavy day the free places are on the slow runners. Work that can be
-// resumed makes way on a fast one for an urgent job that would be late.
+// On a heavy day what is free, and what is cheapest to free, is on the slow
+// runners. Work that can be resumed makes way on a fast one for an urgent job
+// that would be late.
 func TestUrgentWorkIsNotLeftToSlowRunners(t *testing.T) {
-	w := calmWorld(t, 1, 6) // two fast, two average and two slow ones
-	w.kill()
-	speed := func(factor float64) batch.Speed { return batch.Speed{LogFactor: math.Log(factor), Variance: 0.001} }
-	w.learned = batch.Speeds{Runners: map[string]batch.Speed{
-		"r0-0": speed(0.6), "r0-1": speed(1), "r0-2": speed(1.6), "r0-3": speed(0.6), "r0-4": speed(1), "r0-5": speed(1.6),
-	}}
-	w.lead()
-	w.run(8 * time.Second)
-	resumable := batch.Step{Tasks: 32, Checkpoints: true, Estimate: 40 * time.Second, Request: batch.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}}
-	w.submit(batch.Job{ID: "resumable", Priority: 2, Stretch: 2, Steps: []batch.Step{resumable}}, 40*time.Second, false)
-	w.run(3 * time.Second)
-	must.Eq(t, 0, w.pool.Runner("r0-2").Running()+w.pool.Runner("r0-5").Running())
-	w.submit(batch.Job{ID: "urgent", Stretch: 1.5, TargetLatency: 250 * time.Millisecond, Steps: []batch.Step{gang(1, 8, 3*time.Second)}}, 3*time.Second, false)
-	w.run(4750 * time.Millisecond) // its target; a slow runner needs 4.8 s
-	must.Eq(t, batch.Completed, w.state("urgent"))
-	w.run(60 * time.Second)
-	must.Eq(t, batch.Completed, w.state("resumable"))
+	for name, tasks := range map[string]int{"slow runners are free": 32, "nothing is free": 48} {
+		t.Run(name, func(t *testing.T) {
+			w := calmWorld(t, 1, 6) // two fast, two average and two slow ones
+			w.kill()
+			w.learned = knownSpeeds()
+			w.lead()
+			w.run(8 * time.Second)
+			resumable := batch.Step{Tasks: tasks, Checkpoints: true, Estimate: 40 * time.Second, Request: batch.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}}
+			w.submit(batch.Job{ID: "resumable", Priority: 2, Stretch: 2, Steps: []batch.Step{resumable}}, 40*time.Second, false)
+			w.run(3 * time.Second)
+			must.Eq(t, tasks-32, w.pool.Runner("r0-2").Running()+w.pool.Runner("r0-5").Running())
+			w.submit(batch.Job{ID: "urgent", Stretch: 1.5, TargetLatency: 250 * time.Millisecond, Steps: []batch.Step{gang(1, 8, 3*time.Second)}}, 3*time.Second, false)
+			w.run(4750 * time.Millisecond) // its target; a slow runner needs 4.8 s
+			must.Eq(t, batch.Completed, w.state("urgent"))
+			w.run(90 * time.Second)
+			must.Eq(t, batch.Completed, w.state("resumable"))
+		})
+	}
+}
+
+func knownSpeeds() batch.Speeds {
+	known := batch.Speeds{Runners: make(map[string]batch.Speed)}
+	for i, factor := range []float64{0.6, 1, 1.6, 0.6, 1, 1.6} {
+		known.Runners[fmt.Sprintf("r0-%d", i)] = batch.Speed{LogFactor: math.Log(factor), Variance: 0.001}
+	}
+	return known
 }
 
 // A task that makes no progress on a hanging runner is moved.
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -23,8 +23,8 @@
 	wasteFirst = 0.5
 	wasteLast  = 4.0
 
-	// wasteInTime bounds it for a unit that would start at once but be late, and
-	// so be worth a fifth.
+	// wasteInTime bounds it where it makes the difference between in time and
+	// late, which is worth a fifth.
 	wasteInTime = 4.0
 
 	// fasterWithin is how long a unit that could start may look for a faster place.
@@ -57,24 +57,28 @@
 }
 
 // preempt has units of lower priority stopped so that u fits, with the least
-// work thrown away, and keeps their room for u. It reports whether room is on
-// its way.
+// work thrown away, and keeps their room for u. Runners that are fast enough for
+// u to be in time go first. It reports whether room is on its way.
 func (c *Core) preempt(u *unit, now steady.Time) bool {
 	if u.awaitsRoom(now) {
 		return true
 	}
+	if c.preemptInTime(u, now) {
+		return true
+	}
 	return c.stopVictims(u, c.choosePreemption(u, math.Inf(1), now), c.wasteAllowed(u, now), now)
 }
 
-// preemptFaster does the same on runners that are fast enough for u to be in
-// time, where u could start at once but would be late.
+// preemptFaster makes room for a unit that could start at once but would be late.
 func (c *Core) preemptFaster(u *unit, now steady.Time) bool {
 	if u.awaitsRoom(now) {
 		return u.awaited <= c.slowestInTime(u, now.Add(startLead))
 	}
-	if now.Sub(u.since) > fasterWithin {
-		return false
-	}
+	return now.Sub(u.since) <= fasterWithin && c.preemptInTime(u, now)
+}
+
+// preemptInTime makes room on runners that are fast enough for u to be in time.
+func (c *Core) preemptInTime(u *unit, now steady.Time) bool {
 	chosen := c.choosePreemption(u, c.slowestInTime(u, now.Add(stopLead)), now)
 	return c.stopVictims(u, chosen, wasteInTime*c.ownWork(u), now)
 }
