Tell callers the leader's state of a job, and read changes in groups

Change: a host asks the leader for the state of a job that has not ended, with 150 ms at most and its own copy as the answer if there is none; its copy then may be 250 ms behind. Tests: the leader's later state is told, an earlier one never replaces a later one; a silent leader is asked once.

--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -31,7 +31,7 @@
 
 	// replicaWait is short, so that a connection that has gone silent is replaced soon.
 	replicaWait  = time.Second
-	replicaPause = 40 * time.Millisecond // batches a burst of changes; small against the time that callers may wait for a state
+	replicaPause = 250 * time.Millisecond // batches changes; counts may be 2 s old, and states are asked of the leader
 
 	// unreadyAfter is how long the store may be away, directly and through
 	// peers, before the host asks for no new connections.
@@ -70,6 +70,7 @@
 
 	Store      *kvstore.Fallback
 	Direct     kvstore.Keyspace // the store without the help of peers, for theirs
+	Peers      peer.Caller      // calls other hosts
 	Conditions Conditions
 	Replica    *ledger.Replica
 	Dispatch   func() dispatch.Options // asked at the start of each term
@@ -98,11 +99,13 @@
 	taken := intake.New(intake.Options{
 		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
 		Metrics: h.Metrics, StoreLost: func() bool { return h.lostFor() > refuseAfter },
+		Leader: &intake.LeaderCopy{Replica: h.Replica, Peers: h.Peers, Host: h.Name},
 	})
 	front := &http.Server{Handler: h.Front(taken), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
 	peers := peer.NewServer(peer.Options{Host: h.Name})
-	if err := peers.Register("Keyspace", &kvstore.KeyspaceService{Store: h.Direct}); err != nil {
+	if err := errors.CombineErrors(peers.Register("Keyspace", &kvstore.KeyspaceService{Store: h.Direct}),
+		peers.Register("Jobs", &intake.StateService{Replica: h.Replica})); err != nil {
 		return err
 	}
 	failed := make(chan error, 3)
--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -62,6 +62,7 @@
 	Replica       *ledger.Replica
 	Configuration func() *batch.Configuration // in force; nil: none yet
 	StoreLost     func() bool                 // known to answer neither this host nor its peers; nil: never
+	Leader        *LeaderCopy                 // nil: only this host's copy is asked
 	Now           func() time.Time
 	Log           *log.Logger
 	Metrics       *metrics.Set // nil: nothing is counted
@@ -241,7 +242,7 @@
 // State returns the state of a job.
 func (in *Intake) State(ctx context.Context, target Target, patience time.Duration) (batch.State, error) {
 	if entry, known := in.Replica.Job(target.JobID); known {
-		return entry.State(), nil
+		return in.latest(ctx, target.JobID, entry.State()), nil
 	}
 	if err := in.stored(ctx, target.JobID, patience); err != nil {
 		return "", err
@@ -249,6 +250,17 @@
 	return batch.Queued, nil
 }
 
+// latest returns the later of this host's state of a job and the leader's.
+func (in *Intake) latest(ctx context.Context, id string, own batch.State) batch.State {
+	if own.Final() || in.Leader == nil {
+		return own
+	}
+	if state, known := in.Leader.State(ctx, id); known && state != batch.Queued {
+		return state
+	}
+	return own
+}
+
 // stored asks the store itself for a job that the copy doesn't have.
 func (in *Intake) stored(ctx context.Context, id string, patience time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, min(readTimeout, patience-answerMargin))
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -101,9 +101,10 @@
 	s := watched.Current()
 	replica := ledger.NewReplica(logger)
 	direct := platform.NewStore(s.Store)
+	peers := peer.NewPool(peer.Options{Host: s.Host})
 	store := &kvstore.Fallback{
 		Direct:    direct,
-		Peers:     peer.NewPool(peer.Options{Host: s.Host}),
+		Peers:     peers,
 		Addresses: host.PeerAddresses(replica, s.Host),
 		ProbeKey:  ledger.LeaderKey,
 		Metrics:   set,
@@ -120,6 +121,7 @@
 		Cores:        s.Cores,
 		Store:        store,
 		Direct:       direct,
+		Peers:        peers,
 		Conditions:   followed,
 		Replica:      replica,
 		Front:        func(in *intake.Intake) http.Handler { return &platform.Front{Intake: in} },
