Ask the adviser which runners may run a step, and start with its ticket

Cause: the platform's contracts let a queue demand advice; without a ticket every start of its jobs is refused. Permits end with their time and with the runner's incarnation.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -56,6 +56,19 @@
 	Interval    time.Duration `json:"interval"`
 }
 
+// Advice is how an adviser answers that says which runners may run a step.
+type Advice struct {
+	Decide time.Duration `json:"decide"` // it takes for one question
+	Each   time.Duration `json:"each"`   // and for each runner named
+	Valid  time.Duration `json:"valid"`  // how long a ticket is valid
+}
+
+// Approval is an adviser's answer.
+type Approval struct {
+	Tickets map[string]string // by runner; one that is missing may not run the step
+	Valid   time.Duration
+}
+
 // Job is an accepted job. It doesn't change after it was accepted.
 type Job struct {
 	ID            string        `json:"id"`
@@ -69,6 +82,7 @@
 	TargetLatency time.Duration `json:"targetLatency"`
 	Steps         []Step        `json:"steps"`
 	Schedule      *Schedule     `json:"schedule,omitempty"`
+	Advice        *Advice       `json:"advice,omitempty"` // nil: every runner of the service may run its steps
 	Accepted      time.Time     `json:"accepted"`
 }
 
@@ -150,6 +164,7 @@
 	Stretch       float64
 	TargetLatency time.Duration
 	Public        bool
+	Advice        *Advice // nil: its jobs need none
 }
 
 // Service is a pool of runners.
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -53,6 +53,7 @@
 	Store      kvstore.Keyspace
 	Replica    *ledger.Replica
 	Runners    Runners
+	Adviser    Adviser // nil: nobody is asked
 	Conditions Conditions
 	Log        *log.Logger
 	Metrics    *metrics.Set     // nil: nothing is counted
@@ -77,6 +78,7 @@
 
 	wake       chan struct{} // something may be decided
 	toRecord   chan struct{} // a record changed
+	toAsk      chan struct{} // a question for the adviser may be due
 	committed  chan struct{} // closed and replaced after each commit; guarded by mu
 	background sync.WaitGroup
 }
@@ -91,6 +93,7 @@
 		links:     make(map[string]*link),
 		wake:      make(chan struct{}, 1),
 		toRecord:  make(chan struct{}, 1),
+		toAsk:     make(chan struct{}, 1),
 		committed: make(chan struct{}),
 	}
 	defer l.background.Wait()
@@ -100,6 +103,9 @@
 	l.background.Go(func() { l.Conditions.FollowRunners(ctx, runnerEvents{ctx, l}) })
 	l.background.Go(func() { l.recordLoop(ctx) })
 	l.background.Go(func() { l.speedsLoop(ctx) })
+	if l.Adviser != nil {
+		l.background.Go(func() { l.adviceLoop(ctx) })
+	}
 	l.decideLoop(ctx)
 }
 
@@ -245,8 +251,12 @@
 		l.core.Decide(steady.Now(), l.Now())
 	}
 	orders := l.core.TakeOrders()
+	asks := l.core.AnyAdvised()
 	l.mu.Unlock()
 	l.send(ctx, orders)
+	if asks {
+		signal(l.toAsk)
+	}
 	signal(l.toRecord)
 }
 
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -290,7 +290,7 @@
 	call, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	answer, err = l.Runners.Start(call, o.Runner, StartOrder{
-		Task: o.Task, Attempt: o.Attempt, Spec: o.Spec, Checkpoint: o.Checkpoint, Token: l.term.Token, Deadline: deadline,
+		Task: o.Task, Attempt: o.Attempt, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Token: l.term.Token, Deadline: deadline,
 	})
 	return answer, !errors.Is(err, ErrNotSent), err
 }
--- a/batch/dispatch/orders.go
+++ b/batch/dispatch/orders.go
@@ -17,6 +17,7 @@
 	Attempt    int
 	Spec       string
 	Checkpoint string
+	Ticket     string        // of the adviser; empty: none is needed
 	Token      uint64        // of the sender's term; a runner obeys no lower one than it has seen
 	Deadline   time.Duration // on the runner's clock; its lease lasts until then
 }
@@ -56,6 +57,12 @@
 // ErrNotSent marks an order that did not leave this host.
 var ErrNotSent = errors.New("dispatch: order not sent")
 
+// Adviser says which runners may run a step. Implementations are safe for
+// concurrent use.
+type Adviser interface {
+	Advise(ctx context.Context, job string, occurrence, step int, runners []string) (batch.Approval, error)
+}
+
 // Runners sends orders. Implementations are safe for concurrent use.
 type Runners interface {
 	Start(ctx context.Context, to batch.Runner, o StartOrder) (Answer, error)
--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -162,6 +162,7 @@
 	job.MaxAttempts = q.MaxAttempts
 	job.Stretch = q.Stretch
 	job.TargetLatency = q.TargetLatency
+	job.Advice = q.Advice
 	job.Accepted = in.Now()
 }
 
--- /dev/null
+++ b/batch/scheduler/advice_test.go
@@ -0,0 +1,154 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/dispatch"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+const (
+	adviceTakes = 60 * time.Millisecond
+	adviceValid = 3 * time.Second
+)
+
+// adviser is the stand-in of the service that says which runners may run a step.
+type adviser struct {
+	approves func(runner string) bool
+	away     bool
+
+	busy      bool
+	questions int
+	named     int // runners in the largest question
+	refused   int // starts without a valid ticket
+	issued    map[string]steady.Time
+}
+
+// consult asks the adviser as the driver does: one question at a time.
+func (w *world) consult() {
+	if w.adviser == nil || w.adviser.busy {
+		return
+	}
+	q, due := w.core.Ask(w.now)
+	if !due {
+		return
+	}
+	a, core, asked := w.adviser, w.core, w.now
+	a.busy = true
+	a.questions++
+	a.named = max(a.named, len(q.Runners))
+	w.after(adviceTakes, func() {
+		a.busy = false
+		if w.core != core {
+			return
+		}
+		if a.away {
+			core.NotAdvised(q, w.now)
+			return
+		}
+		core.Advised(q, a.answer(w.now, q.Job, q.Step, q.Runners), asked)
+	})
+}
+
+func (a *adviser) answer(now steady.Time, job string, step int, runners []string) batch.Approval {
+	out := batch.Approval{Tickets: make(map[string]string), Valid: adviceValid}
+	for _, id := range runners {
+		if a.approves(id) {
+			ticket := fmt.Sprintf("%s/%d/%s/%d", job, step, id, now)
+			a.issued[ticket] = now
+			out.Tickets[id] = ticket
+		}
+	}
+	return out
+}
+
+// permits is the runners' check of a start.
+func (w *world) permits(now steady.Time, _ string, o dispatch.StartOrder) bool {
+	if w.adviser == nil || w.jobs[o.Task.Job].Advice == nil {
+		return true
+	}
+	issued, known := w.adviser.issued[o.Ticket]
+	if !known || now.Sub(issued) > adviceValid {
+		w.adviser.refused++
+		return false
+	}
+	return true
+}
+
+func advisedWorld(t *testing.T, approves func(string) bool) *world {
+	w := newWorld(t, 1, faults{})
+	w.adviser = &adviser{approves: approves, issued: make(map[string]steady.Time)}
+	w.addRunners(4, 12)
+	w.lead()
+	w.run(1500 * time.Millisecond)
+	return w
+}
+
+func advisedJob(id string, step batch.Step) batch.Job {
+	return batch.Job{ID: id, Priority: 1, Steps: []batch.Step{step}, Advice: &batch.Advice{Decide: adviceTakes, Valid: adviceValid}}
+}
+
+// A step runs only on runners that the adviser approves, and each start carries
+// its ticket. Tasks that outlast a ticket's life get new ones.
+func TestAdvisedStepsRunWhereTheyMay(t *testing.T) {
+	w := advisedWorld(t, func(id string) bool { return id == "r0-1" || id == "r3-2" })
+	step := batch.Step{Tasks: 40, Estimate: 2 * time.Second, Request: batch.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}}
+	w.submit(advisedJob("wide", step), 2*time.Second, false)
+	w.submit(advisedJob("gang", gang(2, 8, time.Second)), time.Second, false)
+	for range 400 {
+		w.run(50 * time.Millisecond)
+		for _, id := range w.ids() {
+			if id != "r0-1" && id != "r3-2" {
+				must.Eq(t, 0, w.pool.Runner(id).Running(), must.Sprint(id))
+			}
+		}
+	}
+	must.Eq(t, batch.Completed, w.state("wide"))
+	must.Eq(t, batch.Completed, w.state("gang"))
+	must.Eq(t, 0, w.adviser.refused)
+	must.LessEq(t, 30, w.adviser.named)
+	must.LessEq(t, 16, w.adviser.questions)
+}
+
+// Without an answer nothing starts, the adviser isn't pressed, and the work
+// begins once it answers. Other jobs don't wait for it.
+func TestAdviserThatIsAway(t *testing.T) {
+	w := advisedWorld(t, func(string) bool { return true })
+	w.adviser.away = true
+	w.submit(advisedJob("advised", gang(1, 1, time.Second)), time.Second, false)
+	w.submit(batch.Job{ID: "plain", Priority: 1, Steps: []batch.Step{gang(1, 1, time.Second)}}, time.Second, false)
+	w.run(4 * time.Second)
+	must.Eq(t, batch.State(""), w.state("advised"))
+	must.Eq(t, batch.Completed, w.state("plain"))
+	must.LessEq(t, 14, w.adviser.questions) // three a second
+	w.adviser.away = false
+	w.run(3 * time.Second)
+	must.Eq(t, batch.Completed, w.state("advised"))
+}
+
+// A step that no runner may run is asked about once for each runner.
+func TestNobodyApprovedIsAskedOnce(t *testing.T) {
+	w := advisedWorld(t, func(string) bool { return false })
+	w.submit(advisedJob("barred", gang(1, 1, time.Second)), time.Second, false)
+	w.run(20 * time.Second)
+	must.Eq(t, 2, w.adviser.questions) // 48 runners, 30 in a question
+	must.Eq(t, 0, w.starts)
+}
+
+// A ticket is for one incarnation of its runner.
+func TestTicketEndsWithItsRunner(t *testing.T) {
+	w := advisedWorld(t, func(id string) bool { return id == "r0-0" })
+	w.submit(advisedJob("steps", batch.Step{Tasks: 24, Estimate: time.Second, Request: batch.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}}), time.Second, false)
+	w.run(600 * time.Millisecond)
+	w.pool.Crash(w.now, "r0-0")
+	w.pool.Reboot(w.now, "r0-0")
+	asked := w.adviser.questions
+	w.run(20 * time.Second)
+	must.Eq(t, batch.Completed, w.state("steps"))
+	must.Greater(t, asked, w.adviser.questions)
+}
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -55,6 +55,9 @@
 			r.runner.suspect(now)
 		}
 		c.observe("refused", r, "start refused by the runner")
+		if u.advised() {
+			delete(u.permits().byRunner, r.runner.ID) // its ticket may be why
+		}
 		c.detach(r)
 		c.change(u.job)
 		c.abandon(u, now, "another member was not started")
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -60,6 +60,7 @@
 	Attempt    int
 	Spec       string
 	Checkpoint string
+	Ticket     string // of the adviser; empty: none is needed
 }
 
 // Core is the scheduler's state. It isn't safe for concurrent use.
@@ -154,7 +155,7 @@
 		if r.phase != planned || r.needs > u.job.committed {
 			continue
 		}
-		if !r.runner.mayStart(c, now) {
+		if !r.runner.mayStart(c, now) || !u.permitted(r.runner, now, startLead) {
 			c.abandon(u, now, "runner became unavailable before the start was sent")
 			return
 		}
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -64,6 +64,7 @@
 	sameRack                 bool
 	priority                 int
 	step                     *batch.Step // set where runs of the step limit each other
+	advised                  stepKey     // with step, of a step that needs advice
 }
 
 func (u *unit) shape() shape {
@@ -72,9 +73,12 @@
 		service: u.job.spec.Service, label: s.Label, dataRack: s.DataRack, request: s.Request,
 		tasks: u.tasks, perRunner: s.PerRunner, sameRack: s.SameRack, priority: u.job.spec.Priority,
 	}
-	if s.PerRunner > 0 || len(u.avoid) > 0 {
+	if s.PerRunner > 0 || len(u.avoid) > 0 || u.advised() {
 		out.step = s
 	}
+	if u.advised() {
+		out.advised = stepKey{u.occurrence, u.step}
+	}
 	return out
 }
 
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -20,6 +20,7 @@
 	queued    bool            // waits to be recorded
 	added     steady.Time
 	size      float64               // core-seconds declared, one occurrence
+	permits   map[stepKey]*permits  // of steps that need advice
 	work      map[stepKey]*estimate // log of the seconds that a task of the step takes
 }
 
@@ -96,6 +97,7 @@
 		Attempt:    r.attempt,
 		Spec:       r.unit.job.spec.Spec,
 		Checkpoint: r.unit.checkpoint,
+		Ticket:     r.unit.ticket(r.runner),
 	}
 }
 
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -103,8 +103,18 @@
 	return best
 }
 
-// slots filters the runners that can take a task of the unit, and scores them.
+// slots returns the open slots on which the unit may run.
 func (c *Core) slots(u *unit, now steady.Time, free func(*runner) batch.Resources) []slot {
+	open := c.openSlots(u, now, free)
+	if !u.advised() {
+		return open
+	}
+	return slices.DeleteFunc(open, func(s slot) bool { return !u.permitted(s.runner, now, permitMargin) })
+}
+
+// openSlots filters the runners that can take a task of the unit, whether it
+// was asked if they may, and scores them.
+func (c *Core) openSlots(u *unit, now steady.Time, free func(*runner) batch.Resources) []slot {
 	var out []slot
 	step := u.spec()
 	for _, r := range c.runners {
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -48,6 +48,8 @@
 	learned   batch.Speeds // by the last scheduler that was killed
 	plain     bool         // the scheduler is the baseline
 
+	adviser *adviser // nil: no step needs advice
+
 	collect    bool // violations don't end the test
 	violations []string
 	impatient  bool // planted: a new scheduler doesn't wait for what it inherits
@@ -87,6 +89,7 @@
 		GangTimeout: worldGang,
 		Describe:    func(id batch.TaskID, _ string) runner.Task { return w.steps[stepName(id.Job, id.Step)] },
 		Started:     w.checkStart,
+		Permits:     w.permits,
 	})
 	return w
 }
@@ -227,6 +230,7 @@
 		w.hold(id)
 	}
 	w.core.Decide(w.now, time.Unix(0, int64(w.now)))
+	w.consult()
 	w.commit()
 	for _, o := range w.core.TakeOrders() {
 		w.send(o)
@@ -365,7 +369,7 @@
 			return w.pool.Stop(w.now, id, dispatch.StopOrder{Task: o.Task, Attempt: o.Attempt, Token: token})
 		}
 		return w.pool.Start(w.now, id, dispatch.StartOrder{
-			Task: o.Task, Attempt: o.Attempt, Spec: o.Spec, Checkpoint: o.Checkpoint, Token: token, Deadline: deadline,
+			Task: o.Task, Attempt: o.Attempt, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Token: token, Deadline: deadline,
 		})
 	}
 }
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -111,6 +111,10 @@
 	}
 	followed := conditions.New(store, platform.Entries, s.Heartbeat, logger)
 	runners := platform.NewRunners()
+	var adviser dispatch.Adviser
+	if s.Advice != "" {
+		adviser = platform.NewAdviser(s.Advice)
+	}
 	now := host.Anchored()
 	return host.New(host.Options{
 		Name:         s.Host,
@@ -133,6 +137,7 @@
 				Store:        store,
 				Replica:      replica,
 				Runners:      runners,
+				Adviser:      adviser,
 				Conditions:   followed,
 				Log:          logger,
 				Metrics:      set,
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -28,6 +28,8 @@
 type Options struct {
 	Describe    func(batch.TaskID, string) Task
 	GangTimeout time.Duration // how long a member waits for the others
+	// Permits, when set, tells whether a start has the ticket that it needs.
+	Permits func(now steady.Time, on string, o dispatch.StartOrder) bool
 	// Started and Ended, when set, are told what happens, for checks.
 	Started func(now steady.Time, on string, task batch.TaskID, attempt int)
 	Ended   func(now steady.Time, on string, task batch.TaskID, attempt int, how batch.End)
@@ -185,6 +187,9 @@
 	if o.Attempt <= r.highest[o.Task] {
 		return dispatch.Superseded
 	}
+	if p.opts.Permits != nil && !p.opts.Permits(now, id, o) {
+		return dispatch.NoTicket
+	}
 	task := p.opts.Describe(o.Task, o.Spec)
 	if task.Guarded && !r.used().Plus(task.Request).Fits(r.Capacity) {
 		return dispatch.NoRoom
