--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -99,7 +99,7 @@
 	taken := intake.New(intake.Options{
 		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
 		Metrics: h.Metrics, StoreLost: func() bool { return h.lostFor() > refuseAfter },
-		Leader: &intake.LeaderCopy{Replica: h.Replica, Peers: h.Peers, Host: h.Name},
+		Leader: &intake.LeaderCopy{Replica: h.Replica, Peers: h.Peers, Host: h.Name, Log: h.Log},
 	})
 	front := &http.Server{Handler: h.Front(taken), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -302,9 +302,14 @@
 }
 
 // Pending returns how many jobs of a queue have not begun.
-func (in *Intake) Pending(target Target) (int, error) {
+func (in *Intake) Pending(ctx context.Context, target Target) (int, error) {
 	if !in.Replica.Loaded() {
 		return 0, Refusal{Kind: NotReady, Reason: "the list of jobs isn't loaded yet", RetryAfter: retryAfter}
 	}
+	if in.Leader != nil {
+		if n, ok := in.Leader.Pending(ctx, target.Queue.Name); ok {
+			return n, nil
+		}
+	}
 	return in.Replica.Pending(target.Queue.Name), nil
 }
--- a/batch/intake/leader.go
+++ b/batch/intake/leader.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
@@ -30,6 +32,9 @@
 	State batch.State
 }
 
+// PendingArgs asks how many jobs of a queue have not begun.
+type PendingArgs struct{ Queue string }
+
 // StateService answers other hosts from this host's copy. It is registered as "Jobs".
 type StateService struct{ Replica *ledger.Replica }
 
@@ -42,12 +47,19 @@
 	return nil
 }
 
+// Pending answers with the number of a queue's jobs that have not begun.
+func (s *StateService) Pending(args PendingArgs, reply *int) error {
+	*reply = s.Replica.Pending(args.Queue)
+	return nil
+}
+
 // LeaderCopy asks the host that leads, whose copy follows the store without a
 // pause, while the other hosts read changes in groups. It is safe for concurrent use.
 type LeaderCopy struct {
 	Replica *ledger.Replica
 	Peers   peer.Caller
 	Host    string // this one; it doesn't ask itself
+	Log     *log.Logger
 
 	mu      sync.Mutex
 	resting steady.Time // until when the leader isn't asked
@@ -56,19 +68,35 @@
 // State returns the state of a job as the leader has it; ok is false when it
 // can't be asked or doesn't know the job.
 func (l *LeaderCopy) State(ctx context.Context, id string) (state batch.State, ok bool) {
+	var reply StateReply
+	if !l.ask(ctx, "Jobs.State", StateArgs{ID: id}, &reply) {
+		return "", false
+	}
+	return reply.State, reply.Known
+}
+
+// Pending returns how many jobs of a queue have not begun, as the leader has
+// it; ok is false when it can't be asked.
+func (l *LeaderCopy) Pending(ctx context.Context, queue string) (n int, ok bool) {
+	ok = l.ask(ctx, "Jobs.Pending", PendingArgs{Queue: queue}, &n)
+	return n, ok
+}
+
+// ask reports whether the leader answered. If not, this host's own copy has to
+// do; it is behind by a fraction of a second.
+func (l *LeaderCopy) ask(ctx context.Context, method string, args, reply any) bool {
 	address := l.address()
 	if address == "" || steady.Now().Before(l.restsUntil()) {
-		return "", false
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
-	var reply StateReply
-	if err := l.Peers.Call(ctx, address, "Jobs.State", StateArgs{ID: id}, &reply); err != nil {
-		// This host's own copy answers; it is behind by a fraction of a second.
+	if err := l.Peers.Call(ctx, address, method, args, reply); err != nil {
+		l.Log.Debug("leader not asked for a while; this host's copy answers", "leader", address, "err", err)
 		l.rest(steady.Now().Add(leaderPause))
-		return "", false
+		return false
 	}
-	return reply.State, reply.Known
+	return true
 }
 
 func (l *LeaderCopy) address() string {
--- a/batch/intake/leader_test.go
+++ b/batch/intake/leader_test.go
@@ -35,6 +35,9 @@
 		<-ctx.Done()
 		return errors.Mark(ctx.Err(), peer.ErrNotSent)
 	}
+	if queue, ok := args.(intake.PendingArgs); ok {
+		return p.service.Pending(queue, reply.(*int))
+	}
 	return p.service.State(args.(intake.StateArgs), reply.(*intake.StateReply))
 }
 
@@ -60,7 +63,7 @@
 func askingIntake(t *testing.T, own batch.State, p *leaderPeer) *intake.Intake {
 	in, _ := newIntake(nil)
 	in.Replica = copyWith(t, own)
-	in.Leader = &intake.LeaderCopy{Replica: in.Replica, Peers: p, Host: "weak"}
+	in.Leader = &intake.LeaderCopy{Replica: in.Replica, Peers: p, Host: "weak", Log: in.Log}
 	return in
 }
 
@@ -80,6 +83,19 @@
 	}
 }
 
+// So does the count of jobs that have not begun: told after a state, it fits it.
+func TestPendingComesFromTheLeadersCopy(t *testing.T) {
+	p := &leaderPeer{service: intake.StateService{Replica: copyWith(t, batch.Completed)}}
+	in := askingIntake(t, "", p)
+	n, err := in.Pending(t.Context(), intake.Target{})
+	must.NoError(t, err)
+	must.Zero(t, n)
+	p.silent = true
+	n, err = in.Pending(t.Context(), intake.Target{})
+	must.NoError(t, err)
+	must.One(t, n)
+}
+
 // A leader that does not answer is asked once, and the host's own copy answers.
 func TestSilentLeaderIsNotAskedAgain(t *testing.T) {
 	p := &leaderPeer{silent: true}
