Keep fillers away from tasks that serve, and give tasks that last a place in time

A filler's CPU was counted against its runner, fillers were placed beside serving tasks, and a task that lasts waited behind others for as long as the service was full; three failures in a row also put its runners aside for 8 s. Change: a step's holdings leave a filler's CPU out; fillers and serving tasks never share a runner; a task that lasts has what ends and isn't urgent stopped for it after 2 s; its failures don't count against a runner. Tests: both fail with the mechanism off.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -46,9 +46,23 @@
 	Speculative bool          `json:"speculative,omitempty"` // copies may run in parallel
 	LongRunning bool          `json:"longRunning,omitempty"` // runs until the job is cancelled
 	Fills       bool          `json:"fills,omitempty"`       // uses the CPU that others leave
+	TailTarget  time.Duration `json:"tailTarget,omitempty"`  // of the response times of a step that serves users; 0: it serves none
 	MayMiss     int           `json:"mayMiss,omitempty"`     // most tasks away at once by our own doing
 }
 
+// Holds returns what one task takes of its runner's capacity: a filler's CPU is
+// what others leave.
+func (s *Step) Holds() Resources {
+	r := s.Request
+	if s.Fills {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// Serves reports whether the step's tasks serve users.
+func (s *Step) Serves() bool { return s.TailTarget > 0 }
+
 // Schedule says when a job's steps run; without one they run once, at once.
 type Schedule struct {
 	Occurrences int           `json:"occurrences"`
--- a/batch/scheduler/advice.go
+++ b/batch/scheduler/advice.go
@@ -150,7 +150,7 @@
 // it may have that.
 func (c *Core) reachableRoom(u *unit, r *runner, now steady.Time) batch.Resources {
 	free := r.freeFor(u, now)
-	if c.preempts(u) {
+	if c.preempts(u, now) {
 		free = free.Plus(r.preemptible(u))
 	}
 	return free
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -27,6 +27,10 @@
 	// nominationLife is how long freed capacity is kept for the unit that had
 	// others stopped: a stop, its report and a margin.
 	nominationLife = 1500 * time.Millisecond
+
+	// lastingPatience is how long a task that lasts waits for a free place. It is
+	// due back 6 s after its last run, and making room takes up to two.
+	lastingPatience = 2 * time.Second
 )
 
 // Decide expires what has lapsed, moves runs that make no progress and places
@@ -61,7 +65,7 @@
 	service, label, dataRack string
 	request                  batch.Resources
 	tasks, perRunner         int
-	sameRack                 bool
+	sameRack, fills, serves  bool
 	priority                 int
 	step                     *batch.Step // set where runs of the step limit each other
 	advised                  stepKey     // with step, of a step that needs advice
@@ -70,7 +74,7 @@
 func (u *unit) shape() shape {
 	s := u.spec()
 	out := shape{
-		service: u.job.spec.Service, label: s.Label, dataRack: s.DataRack, request: s.Request,
+		service: u.job.spec.Service, label: s.Label, dataRack: s.DataRack, request: s.Holds(), fills: s.Fills, serves: s.Serves(),
 		tasks: u.tasks, perRunner: s.PerRunner, sameRack: s.SameRack, priority: u.job.spec.Priority,
 	}
 	if s.PerRunner > 0 || len(u.avoid) > 0 || u.advised() {
@@ -195,14 +199,14 @@
 // schedule places a unit, or stops others to make room for it.
 func (c *Core) schedule(u *unit, now steady.Time) bool {
 	near := c.place(u, now, false)
-	if near != nil && !(c.preempts(u) && c.late(u, near, now) && c.preemptFaster(u, now)) {
+	if near != nil && !(c.preempts(u, now) && c.late(u, near, now) && c.preemptFaster(u, now)) {
 		c.assign(u, near, now)
 		return true
 	}
 	if near != nil {
 		return false
 	}
-	if c.preempts(u) && c.preempt(u, now) {
+	if c.preempts(u, now) && c.preempt(u, now) {
 		return false
 	}
 	if now.Sub(u.since) < c.remotePatience(u) {
@@ -217,7 +221,12 @@
 }
 
 // preempts reports whether others may be stopped for the unit.
-func (c *Core) preempts(u *unit) bool { return u.job.spec.Priority == 0 && !c.opts.Plain }
+func (c *Core) preempts(u *unit, now steady.Time) bool {
+	if c.opts.Plain {
+		return false
+	}
+	return u.job.spec.Priority == 0 || u.spec().LongRunning && now.Sub(u.since) >= lastingPatience
+}
 
 // remotePatience is how long a unit waits for a place near its data. While most
 // of the service is free, the place near it isn't taken by work that ends soon.
@@ -280,6 +289,9 @@
 
 // hopeless reports whether the unit's work is far too late to matter.
 func (c *Core) hopeless(u *unit, now steady.Time) bool {
+	if u.spec().LongRunning {
+		return false // it earns as long as it runs
+	}
 	late := c.due(u).Sub(u.since)
 	return now.Sub(u.since) > hopelessFactor*late-c.speeds.duration(u)
 }
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -300,7 +300,7 @@
 func (c *Core) attach(r *run) {
 	r.unit.runs = append(r.unit.runs, r)
 	r.runner.runs[runKey{r.task(), r.attempt}] = r
-	r.runner.used = r.runner.used.Plus(r.unit.spec().Request)
+	r.runner.used = r.runner.used.Plus(r.unit.spec().Holds())
 }
 
 // detach removes a run that has ended.
@@ -310,7 +310,7 @@
 		return
 	}
 	delete(r.runner.runs, key)
-	r.runner.used = r.runner.used.Minus(r.unit.spec().Request)
+	r.runner.used = r.runner.used.Minus(r.unit.spec().Holds())
 	u := r.unit
 	u.runs = slices.DeleteFunc(u.runs, func(o *run) bool { return o == r })
 	if len(u.runs) == 0 {
--- /dev/null
+++ b/batch/scheduler/lasting_test.go
@@ -0,0 +1,99 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+)
+
+func accelerated(tasks int, accelerators int64) batch.Step {
+	return batch.Step{
+		Tasks: tasks, Estimate: 2 * time.Second,
+		Request: batch.Resources{MilliCPU: 1000 * accelerators, MemoryMB: 1000 * accelerators, Accelerators: accelerators},
+	}
+}
+
+func servingStep(tasks int) batch.Step {
+	s := accelerated(tasks, 2)
+	s.LongRunning, s.TailTarget, s.Estimate = true, 100*time.Millisecond, 0
+	return s
+}
+
+func fillingStep(tasks int) batch.Step {
+	s := accelerated(tasks, 1)
+	s.Fills, s.Request.MilliCPU = true, 64000 // as much as a runner has
+	return s
+}
+
+// runsOf counts a job's runs on each runner.
+func (w *world) runsOf(job string) map[string]int {
+	out := make(map[string]int)
+	for _, id := range w.ids() {
+		out[id] = w.pool.RunningOf(id, job)
+	}
+	return out
+}
+
+// Fillers take the CPU that others leave, so it isn't counted, but never beside
+// a task that serves users, whichever comes first.
+func TestFillersKeepAwayFromServingTasks(t *testing.T) {
+	for _, servingFirst := range []bool{true, false} {
+		w := calmWorld(t, 1, 6)
+		jobs := []batch.Job{
+			{ID: "serving", Priority: 1, Steps: []batch.Step{servingStep(4)}},
+			{ID: "filling", Priority: 2, Steps: []batch.Step{fillingStep(20)}},
+		}
+		if !servingFirst {
+			jobs[0], jobs[1] = jobs[1], jobs[0]
+		}
+		for _, j := range jobs {
+			w.submit(j, time.Minute, false)
+			w.run(500 * time.Millisecond)
+		}
+		w.run(3 * time.Second)
+		serving, filling := w.runsOf("serving"), w.runsOf("filling")
+		most := 0
+		for _, id := range w.ids() {
+			must.True(t, serving[id] == 0 || filling[id] == 0, must.Sprint(id, serving, filling))
+			most = max(most, filling[id])
+		}
+		must.Greater(t, 1, most) // their CPU alone would fill a runner each
+		must.Eq(t, 4, total(serving))
+	}
+}
+
+func total(counts map[string]int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// A task that lasts gets a place within its 6 s although the service is full,
+// stops nothing urgent for it, and is started again however it ends.
+func TestTaskThatLastsIsBackInTime(t *testing.T) {
+	w := calmWorld(t, 1, 2)
+	w.submit(batch.Job{ID: "urgent", Stretch: 1.5, Steps: []batch.Step{accelerated(8, 1)}}, time.Minute, false)
+	w.run(time.Second)
+	for i := range 8 {
+		w.submit(batch.Job{ID: fmt.Sprintf("ends%d", i), Priority: 1, Steps: []batch.Step{accelerated(1, 1)}}, time.Minute, false)
+	}
+	w.run(time.Second)
+	w.submit(batch.Job{ID: "lasting", Priority: 2, MaxAttempts: 2, Steps: []batch.Step{servingStep(1)}}, 4*time.Second, true)
+	away := time.Duration(0)
+	for range 600 {
+		w.run(50 * time.Millisecond)
+		away += 50 * time.Millisecond
+		if total(w.runsOf("lasting")) > 0 {
+			away = 0
+		}
+		must.Less(t, 6*time.Second, away)
+	}
+	must.Eq(t, 8, total(w.runsOf("urgent")))
+	must.Eq(t, batch.Running, w.state("lasting"))
+}
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -121,7 +121,7 @@
 		if r.Service != u.job.spec.Service || !r.has(step.Label) || !r.mayStart(c, now) {
 			continue
 		}
-		if now.Before(r.suspended) || len(r.foreign) > 0 {
+		if now.Before(r.suspended) || len(r.foreign) > 0 || r.disturbs(step) {
 			continue
 		}
 		s := slot{runner: r, tasks: u.fitting(r, free(r))}
@@ -184,13 +184,28 @@
 		limit = min(limit, step.PerRunner-r.tasksOf(u))
 	}
 	n := 0
-	for n < limit && step.Request.Fits(free) {
-		free = free.Minus(step.Request)
+	holds := step.Holds()
+	for n < limit && holds.Fits(free) {
+		free = free.Minus(holds)
 		n++
 	}
 	return n
 }
 
+// disturbs reports whether a task of the step on r would fill beside a task that
+// serves users. What fillers take shows in the response times within seconds.
+func (r *runner) disturbs(step *batch.Step) bool {
+	if !step.Fills && !step.Serves() {
+		return false
+	}
+	for _, other := range r.runs {
+		if with := other.unit.spec(); step.Fills && with.Serves() || step.Serves() && with.Fills {
+			return true
+		}
+	}
+	return false
+}
+
 // tasksOf counts the tasks of the unit's step and occurrence on r.
 func (r *runner) tasksOf(u *unit) int {
 	n := 0
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -126,6 +126,9 @@
 // wasteAllowed returns the core-seconds that may be thrown away for u now.
 func (c *Core) wasteAllowed(u *unit, now steady.Time) float64 {
 	waited := now.Sub(u.since)
+	if u.spec().LongRunning {
+		return math.Inf(1) // away, it serves nobody
+	}
 	if waited >= reclaimAfter && c.withinGuarantee(u.job) {
 		return math.Inf(1)
 	}
@@ -169,7 +172,7 @@
 	})
 	var sum batch.Resources
 	for range tasks {
-		sum = sum.Plus(u.spec().Request)
+		sum = sum.Plus(u.spec().Holds())
 	}
 	r.nominated = append(r.nominated, nomination{unit: u, request: sum, until: now.Add(nominationLife)})
 }
@@ -236,14 +239,22 @@
 	var sum batch.Resources
 	for _, run := range r.runs {
 		if run.unit.yieldsTo(u) || run.phase == stopping {
-			sum = sum.Plus(run.unit.spec().Request)
+			sum = sum.Plus(run.unit.spec().Holds())
 		}
 	}
 	return sum
 }
 
+// yieldsTo reports whether u may be stopped for o. What lasts is stopped for
+// nothing, and takes the place of all that ends but is not urgent.
 func (u *unit) yieldsTo(o *unit) bool {
-	return u.job.spec.Priority > o.job.spec.Priority && !u.spec().LongRunning
+	if u.spec().LongRunning {
+		return false
+	}
+	if o.spec().LongRunning {
+		return u.job.spec.Priority > 0
+	}
+	return u.job.spec.Priority > o.job.spec.Priority
 }
 
 // victimsOn picks what to stop on one runner: what is stopping already counts
@@ -255,7 +266,7 @@
 	for _, run := range r.runs {
 		switch {
 		case run.phase == stopping:
-			free = free.Plus(run.unit.spec().Request)
+			free = free.Plus(run.unit.spec().Holds())
 		case run.unit.yieldsTo(u) && !slices.Contains(able, run.unit):
 			able = append(able, run.unit)
 		}
@@ -284,7 +295,7 @@
 	var sum batch.Resources
 	for _, run := range u.runs {
 		if run.runner == r {
-			sum = sum.Plus(u.spec().Request)
+			sum = sum.Plus(u.spec().Holds())
 		}
 	}
 	return sum
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -120,7 +120,9 @@
 }
 
 func (c *Core) fail(u *unit, r *run, now steady.Time) {
-	r.runner.suspect(now)
+	if !u.spec().LongRunning { // those may fail at any time, on a sound runner too
+		r.runner.suspect(now)
+	}
 	if u.avoid == nil {
 		u.avoid = make(map[string]int)
 	}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -130,6 +130,17 @@
 // Running returns how many runs a runner has.
 func (r *Runner) Running() int { return len(r.runs) }
 
+// RunningOf counts a job's runs on one runner.
+func (p *Pool) RunningOf(id, job string) int {
+	n := 0
+	for k := range p.runners[id].runs {
+		if k.task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Runner) clock(now steady.Time) time.Duration { return now.Sub(r.bornAt) }
 
 func (r *Runner) used() batch.Resources {
