--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -28,24 +28,26 @@
 
 // unit is what is placed as one: a gang, or a task of a step that is no gang.
 type unit struct {
-	job        *job
-	occurrence int
-	step       int
-	first      int // index of its first task
-	tasks      int
-	done       bool
-	failures   int
-	failedLast int // the attempt whose failure was counted last
-	attempt    int
-	checkpoint string
-	runs       []*run         // of the present attempt, not ended
-	since      steady.Time    // when its turn came; 0: not yet
-	avoid      map[string]int // failures by runner
-	preempting steady.Time    // when it last had others stopped
-	awaited    float64        // time factor of the slowest runner that they were stopped on
-	ending     steady.Time    // when a member of the present attempt ended
-	preempted  int            // how often it was stopped for others
-	moves      int            // how often it was moved to a faster place
+	job          *job
+	occurrence   int
+	step         int
+	first        int // index of its first task
+	tasks        int
+	done         bool
+	failures     int
+	failedLast   int // the attempt whose failure was counted last
+	attempt      int
+	checkpoint   string
+	savedIn      int            // attempt that the checkpoint is of
+	savedPercent int            // of the member that made it
+	runs         []*run         // of the present attempt, not ended
+	since        steady.Time    // when its turn came; 0: not yet
+	avoid        map[string]int // failures by runner
+	preempting   steady.Time    // when it last had others stopped
+	awaited      float64        // time factor of the slowest runner that they were stopped on
+	ending       steady.Time    // when a member of the present attempt ended
+	preempted    int            // how often it was stopped for others
+	moves        int            // how often it was moved to a faster place
 }
 
 type phase int
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -70,9 +70,7 @@
 		return
 	}
 	c.observe("end", ended, string(e.How))
-	if e.Checkpoint != "" {
-		u.checkpoint = e.Checkpoint
-	}
+	u.save(e.Checkpoint, ended)
 	c.detach(ended)
 	c.change(j)
 	switch e.How {
@@ -175,9 +173,6 @@
 }
 
 func (c *Core) takeProgress(r *run, row batch.RunningTask, now steady.Time) {
-	if row.Checkpoint != "" {
-		r.unit.checkpoint = row.Checkpoint
-	}
 	if r.phase == ordered || r.phase == inherited {
 		r.phase, r.changed = running, now
 	}
@@ -185,15 +180,28 @@
 		r.started = now
 		r.advanced = now
 	}
-	if row.Percent == r.percent {
+	advanced := row.Percent != r.percent
+	r.percent = row.Percent
+	r.unit.save(row.Checkpoint, r)
+	if !advanced {
 		return
 	}
-	r.percent, r.advanced = row.Percent, now
+	r.advanced = now
 	if r.readPace(now) {
 		c.speeds.learnProgress(r)
 	}
 }
 
+// save keeps the checkpoint of the member that has come furthest in the present
+// attempt: each member's is valid for the whole gang.
+func (u *unit) save(checkpoint string, by *run) {
+	behind := by.attempt == u.savedIn && by.percent < u.savedPercent
+	if checkpoint == "" || u.checkpoint != "" && behind {
+		return
+	}
+	u.checkpoint, u.savedIn, u.savedPercent = checkpoint, by.attempt, by.percent
+}
+
 // paceSpan is the shortest time over which a pace is read: progress is given in
 // whole percents.
 const paceSpan = 600 * time.Millisecond
--- a/batch/scheduler/rescue.go
+++ b/batch/scheduler/rescue.go
@@ -78,11 +78,11 @@
 
 // saved estimates the part of the work that the last checkpoint holds.
 func (u *unit) saved() float64 {
-	least := 100
+	most := 0
 	for _, r := range u.runs {
-		least = min(least, r.percent)
+		most = max(most, r.percent)
 	}
-	return savedShare * float64(least) / 100
+	return savedShare * float64(most) / 100
 }
 
 // savedShare is the part of what was done that a checkpoint holds on average.
--- a/batch/scheduler/speeds_test.go
+++ b/batch/scheduler/speeds_test.go
@@ -58,3 +58,23 @@
 	report(c, r, 27, 6*time.Second)
 	must.Between(t, 4, c.speeds.timeFactor("r")/before, 8)
 }
+
+// A gang that is started again goes on from the member that had come furthest.
+func TestGangKeepsItsFurthestCheckpoint(t *testing.T) {
+	c := New(Options{})
+	slow, fast := memberOn("slow", 4*time.Second), memberOn("fast", 4*time.Second)
+	fast.unit = slow.unit
+	tell := func(r *run, percent int, checkpoint string) {
+		c.takeProgress(r, batch.RunningTask{Percent: percent, Checkpoint: checkpoint}, speedsStart.Add(time.Second))
+	}
+	tell(slow, 30, "at-30")
+	tell(fast, 70, "at-70")
+	tell(slow, 40, "at-40")
+	must.Eq(t, "at-70", slow.unit.checkpoint)
+	tell(fast, 90, "at-90")
+	tell(slow, 50, "")
+	must.Eq(t, "at-90", slow.unit.checkpoint)
+	slow.attempt = 2 // the next attempt counts its percents anew
+	tell(slow, 10, "at-95")
+	must.Eq(t, "at-95", slow.unit.checkpoint)
+}
