--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -104,19 +104,19 @@
 // holdLoop holds a runner until it is neither listed nor needed.
 func (l *Leader) holdLoop(ctx context.Context, id string) {
 	wait := time.Duration(0) // the first hold only reads the clock
-	retry := holdRetry
+	retry := pause.Backoff{First: holdRetry, Most: holdRetryMax}
 	for ctx.Err() == nil {
 		to, order, ok := l.nextHold(id, wait)
 		if !ok {
 			return
 		}
 		if l.hold(ctx, to, order) {
-			wait, retry = l.afterReport(ctx, id, order.Deadline == 0), holdRetry
+			retry.Reset()
+			wait = l.afterReport(ctx, id, order.Deadline == 0)
 			continue
 		}
 		wait = 0
-		pause.For(ctx, retry)
-		retry = min(2*retry, holdRetryMax)
+		retry.Wait(ctx)
 	}
 }
 
@@ -297,7 +297,7 @@
 
 // stop sends a stop until it is answered or the run is gone.
 func (l *Leader) stop(ctx context.Context, o scheduler.Order) {
-	retry := stopRetry
+	retry := pause.Backoff{First: stopRetry, Most: stopRetryMax}
 	for ctx.Err() == nil && l.stopDue(o) {
 		to, known := l.linked(o.Runner.ID)
 		if !known { // inherited from an earlier term; not listed yet
@@ -310,8 +310,7 @@
 		switch answer {
 		case Unanswered, Unhealthy:
 			l.Log.Debug("stop failed; trying again", "job", o.Task.Job, "runner", o.Runner.ID, "err", err)
-			pause.For(ctx, retry)
-			retry = min(2*retry, stopRetryMax)
+			retry.Wait(ctx)
 		case Fenced:
 			l.lost("a runner has seen a later term", nil)
 			return
--- a/batch/dispatch/record.go
+++ b/batch/dispatch/record.go
@@ -93,7 +93,7 @@
 
 // commit tries until the outcome is clear or the term ends.
 func (l *Leader) commit(ctx context.Context, txn kvstore.Txn) (uint64, bool) {
-	retry := commitRetry
+	retry := pause.Backoff{First: commitRetry, Most: commitRetryMax}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
 		revision, err := l.Store.Commit(call, txn)
@@ -111,8 +111,7 @@
 			return 0, false
 		}
 		l.Log.Debug("commit failed; trying again", "records", len(txn.Puts), "err", err)
-		pause.For(ctx, retry)
-		retry = min(2*retry, commitRetryMax)
+		retry.Wait(ctx)
 	}
 	return 0, false
 }
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -60,9 +60,9 @@
 		}
 		c.detach(r)
 		c.change(u.job)
-		c.abandon(u, now, "another member was not started")
+		c.stopUnit(u, now, "another member was not started")
 	case Unknown:
 		r.runner.suspect(now)
-		c.abandon(u, now, "start without an answer")
+		c.stopUnit(u, now, "start without an answer")
 	}
 }
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -156,7 +156,7 @@
 			continue
 		}
 		if !r.runner.mayStart(c, now) || !u.permitted(r.runner, now, startLead) {
-			c.abandon(u, now, "runner became unavailable before the start was sent")
+			c.stopUnit(u, now, "runner became unavailable before the start was sent")
 			return
 		}
 	}
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -296,9 +296,6 @@
 	c.orders = append(c.orders, r.stopOrder())
 }
 
-// abandon gives up the present attempt of a unit.
-func (c *Core) abandon(u *unit, now steady.Time, reason string) { c.stopUnit(u, now, reason) }
-
 func (c *Core) attach(r *run) {
 	r.unit.runs = append(r.unit.runs, r)
 	r.runner.runs[runKey{r.task(), r.attempt}] = r
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -6,6 +6,26 @@
 	"time"
 )
 
+// Backoff waits longer after each failure in a row. It isn't safe for
+// concurrent use.
+type Backoff struct {
+	First time.Duration // after one failure
+	Most  time.Duration
+
+	next time.Duration
+}
+
+// Wait waits for the pause that is due and doubles the next one. It returns
+// false when ctx ended first.
+func (b *Backoff) Wait(ctx context.Context) bool {
+	due := max(b.next, b.First)
+	b.next = min(2*due, b.Most)
+	return For(ctx, due)
+}
+
+// Reset notes a success.
+func (b *Backoff) Reset() { b.next = 0 }
+
 // For waits for d. It returns false when ctx ended first.
 func For(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/kvstore/follow.go
+++ b/kvstore/follow.go
@@ -49,7 +49,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var after uint64
 	lost := true
-	retry := followRetry
+	retry := pause.Backoff{First: followRetry, Most: followMax}
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, after, f.waitWhen(lost))
 		switch {
@@ -58,7 +58,8 @@
 			if f.Current != nil {
 				f.Current()
 			}
-			after, retry = next, followRetry
+			retry.Reset()
+			after = next
 			if f.Pause != nil && f.taken < fullBatch {
 				pause.For(ctx, f.Pause())
 			}
@@ -66,8 +67,7 @@
 			after = 0
 		case ctx.Err() == nil:
 			f.report(&lost, err)
-			pause.For(ctx, retry)
-			retry = min(2*retry, followMax)
+			retry.Wait(ctx)
 		}
 	}
 }
