Have every host ask the adviser for the leader

Cause: the adviser answers one question at a time for each host that asks, in a third of a second for 30 runners, so one leader asked 3 a second where 6 were due. Change: the leader gives each host that is free a question, one at a time each; a host through which no answer came rests for 3 s. One question a step is on its way at a time.

--- a/batch/dispatch/advice.go
+++ b/batch/dispatch/advice.go
@@ -4,47 +4,122 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/scheduler"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
+	"github.com/cyclamentray/cyclamentray/peer"
+)
+
+const (
+	// adviceGrace is how much longer than it says the adviser may take: its
+	// answers wait for each other, and a slow link is slower.
+	adviceGrace = time.Second
+
+	// askerRest is how long a host through which no answer came isn't used:
+	// about as long as a cut lasts.
+	askerRest = 3 * time.Second
 )
 
-// adviceGrace is how much longer than it says the adviser may take: a queue of
-// a few other hosts' questions, which it answers in turn.
-const adviceGrace = time.Second
+// AdviceArgs has a host ask the adviser.
+type AdviceArgs struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Runners    []string
+
+	ctx context.Context
+}
+
+// TakeContext implements peer.ContextTaker.
+func (a *AdviceArgs) TakeContext(ctx context.Context) { a.ctx = ctx }
+
+// AdviceService asks the adviser for other hosts. It is registered as "Advice".
+type AdviceService struct{ Adviser Adviser }
+
+// Ask brings the adviser's answer.
+func (s *AdviceService) Ask(args *AdviceArgs, reply *batch.Approval) (err error) {
+	ctx := args.ctx
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	*reply, err = s.Adviser.Advise(ctx, args.Job, args.Occurrence, args.Step, args.Runners)
+	return err
+}
+
+// Askers are the ways to the adviser. It answers one question at a time for
+// each host that asks, so the leader has all hosts ask.
+type Askers struct {
+	Own   Adviser         // nil: nobody is asked
+	Peers peer.Caller     // to the other hosts
+	Hosts func() []string // their addresses
+
+	// Guarded by the leader's mu.
+	busy    map[string]bool // by address; "" is this host
+	resting map[string]steady.Time
+}
 
-// adviceLoop asks the adviser until ctx ends: one question at a time, and a
-// decision is made on each answer before the next one.
+// adviceLoop has questions asked until ctx ends. A decision is made on each
+// answer before more are given out.
 func (l *Leader) adviceLoop(ctx context.Context) {
+	l.Askers.busy, l.Askers.resting = make(map[string]bool), make(map[string]steady.Time)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.toAsk:
 		}
-		l.mu.Lock()
-		q, due := l.core.Ask(steady.Now())
-		l.mu.Unlock()
-		if due {
-			l.ask(ctx, q)
-			signal(l.wake)
+		for _, address := range append([]string{""}, l.Askers.Hosts()...) {
+			l.askThrough(ctx, address)
 		}
 	}
 }
 
-func (l *Leader) ask(ctx context.Context, q scheduler.Question) {
+// askThrough gives the host at address a question, if it is free and one is due.
+func (l *Leader) askThrough(ctx context.Context, address string) {
+	now := steady.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.Askers.busy[address] || now.Before(l.Askers.resting[address]) {
+		return
+	}
+	q, due := l.core.Ask(now)
+	if !due {
+		return
+	}
+	l.Askers.busy[address] = true
+	l.background.Go(func() {
+		l.ask(ctx, q, address)
+		signal(l.wake)
+	})
+}
+
+func (l *Leader) ask(ctx context.Context, q scheduler.Question, address string) {
 	limit := q.Advice.Decide + time.Duration(len(q.Runners))*q.Advice.Each + adviceGrace
 	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	asked := steady.Now()
-	approval, err := l.Adviser.Advise(call, q.Job, q.Occurrence, q.Step, q.Runners)
+	approval, err := l.Askers.advise(call, q, address)
 	now := steady.Now()
-	l.Log.Info("advice", "job", q.Job, "occurrence", q.Occurrence, "step", q.Step, "asked", len(q.Runners),
+	l.Log.Info("advice", "job", q.Job, "occurrence", q.Occurrence, "step", q.Step, "asked", len(q.Runners), "through", address,
 		"approved", len(approval.Tickets), "valid", approval.Valid, "took", now.Sub(asked).Round(time.Millisecond), "err", err)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.Askers.busy[address] = false
 	if err != nil {
+		l.Askers.resting[address] = now.Add(askerRest)
 		l.core.NotAdvised(q, now)
 		return
 	}
 	l.core.Advised(q, approval, asked)
 }
+
+func (a *Askers) advise(ctx context.Context, q scheduler.Question, address string) (approval batch.Approval, err error) {
+	if address == "" {
+		return a.Own.Advise(ctx, q.Job, q.Occurrence, q.Step, q.Runners)
+	}
+	args := &AdviceArgs{Job: q.Job, Occurrence: q.Occurrence, Step: q.Step, Runners: q.Runners}
+	err = a.Peers.Call(ctx, address, "Advice.Ask", args, &approval)
+	return approval, errors.Wrapf(err, "asking through %s", address)
+}
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -53,7 +53,7 @@
 	Store      kvstore.Keyspace
 	Replica    *ledger.Replica
 	Runners    Runners
-	Adviser    Adviser // nil: nobody is asked
+	Askers     Askers
 	Conditions Conditions
 	Log        *log.Logger
 	Metrics    *metrics.Set     // nil: nothing is counted
@@ -103,7 +103,7 @@
 	l.background.Go(func() { l.Conditions.FollowRunners(ctx, runnerEvents{ctx, l}) })
 	l.background.Go(func() { l.recordLoop(ctx) })
 	l.background.Go(func() { l.speedsLoop(ctx) })
-	if l.Adviser != nil {
+	if l.Askers.Own != nil {
 		l.background.Go(func() { l.adviceLoop(ctx) })
 	}
 	l.decideLoop(ctx)
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -71,6 +71,7 @@
 	Store      *kvstore.Fallback
 	Direct     kvstore.Keyspace // the store without the help of peers, for theirs
 	Peers      peer.Caller      // calls other hosts
+	Adviser    dispatch.Adviser // nil: there is none
 	Conditions Conditions
 	Replica    *ledger.Replica
 	Dispatch   func() dispatch.Options // asked at the start of each term
@@ -104,8 +105,7 @@
 	front := &http.Server{Handler: h.Front(taken), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
 	peers := peer.NewServer(peer.Options{Host: h.Name})
-	if err := errors.CombineErrors(peers.Register("Keyspace", &kvstore.KeyspaceService{Store: h.Direct}),
-		peers.Register("Jobs", &intake.StateService{Replica: h.Replica})); err != nil {
+	if err := h.registerPeerCalls(peers); err != nil {
 		return err
 	}
 	failed := make(chan error, 3)
@@ -138,6 +138,16 @@
 	return err
 }
 
+// registerPeerCalls registers what other hosts may call here.
+func (h *Host) registerPeerCalls(s *peer.Server) error {
+	err := errors.CombineErrors(s.Register("Keyspace", &kvstore.KeyspaceService{Store: h.Direct}),
+		s.Register("Jobs", &intake.StateService{Replica: h.Replica}))
+	if h.Adviser != nil {
+		err = errors.CombineErrors(err, s.Register("Advice", &dispatch.AdviceService{Adviser: h.Adviser}))
+	}
+	return err
+}
+
 func serve(address string, run func(net.Listener) error, failed chan<- error) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/batch/scheduler/advice.go
+++ b/batch/scheduler/advice.go
@@ -42,6 +42,7 @@
 // permits is what is known of the runners for one step.
 type permits struct {
 	byRunner map[string]permit
+	asking   bool        // a question is on its way
 	next     steady.Time // no question is due before
 }
 
@@ -89,8 +90,8 @@
 	return slices.ContainsFunc(c.active, func(j *job) bool { return j.spec.Advice != nil })
 }
 
-// Ask returns the most urgent question for the adviser. The caller asks one at
-// a time.
+// Ask returns the most urgent question for the adviser. Each one that it returns
+// must be followed by Advised or NotAdvised.
 func (c *Core) Ask(now steady.Time) (Question, bool) {
 	var best *unit
 	var runners []slot
@@ -108,6 +109,7 @@
 	if best == nil {
 		return Question{}, false
 	}
+	best.permits().asking = true
 	q := Question{Job: best.job.spec.ID, Occurrence: best.occurrence, Step: best.step, Advice: *best.job.spec.Advice}
 	for _, s := range runners {
 		q.Runners = append(q.Runners, s.runner.ID)
@@ -120,7 +122,7 @@
 // that were approved before, then those nobody asked about, the best first. It
 // is nil when all answers together would not give the unit a place.
 func (c *Core) toAsk(u *unit, now steady.Time) []slot {
-	if !u.waiting() || u.since.IsZero() || u.awaitsRoom(now) || now.Before(u.permits().next) {
+	if !u.waiting() || u.since.IsZero() || u.awaitsRoom(now) || u.permits().asking || now.Before(u.permits().next) {
 		return nil
 	}
 	var out []slot
@@ -162,6 +164,7 @@
 	if p == nil {
 		return
 	}
+	p.asking = false
 	for i, id := range q.Runners {
 		p.byRunner[id] = permit{born: q.born[i], ticket: a.Tickets[id], until: asked.Add(a.Valid)}
 	}
@@ -170,6 +173,7 @@
 // NotAdvised notes that a question got no answer.
 func (c *Core) NotAdvised(q Question, now steady.Time) {
 	if p := c.permitsFor(q); p != nil {
+		p.asking = false
 		p.next = now.Add(askAgain)
 	}
 }
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -102,10 +102,11 @@
 	replica := ledger.NewReplica(logger)
 	direct := platform.NewStore(s.Store)
 	peers := peer.NewPool(peer.Options{Host: s.Host})
+	others := host.PeerAddresses(replica, s.Host)
 	store := &kvstore.Fallback{
 		Direct:    direct,
 		Peers:     peers,
-		Addresses: host.PeerAddresses(replica, s.Host),
+		Addresses: others,
 		ProbeKey:  ledger.LeaderKey,
 		Metrics:   set,
 	}
@@ -126,6 +127,7 @@
 		Store:        store,
 		Direct:       direct,
 		Peers:        peers,
+		Adviser:      adviser,
 		Conditions:   followed,
 		Replica:      replica,
 		Front:        func(in *intake.Intake) http.Handler { return &platform.Front{Intake: in} },
@@ -137,7 +139,7 @@
 				Store:        store,
 				Replica:      replica,
 				Runners:      runners,
-				Adviser:      adviser,
+				Askers:       dispatch.Askers{Own: adviser, Peers: peers, Hosts: others},
 				Conditions:   followed,
 				Log:          logger,
 				Metrics:      set,
