Ask about all runners that may matter in one question

Change: a question names runners until they take as long as the question, those without room last; who may run a step doesn't change.

--- a/batch/scheduler/advice.go
+++ b/batch/scheduler/advice.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// askMost is how many runners one question names: the users' target times
-	// count one question of that size a step.
-	askMost = 30
+	// askUsual is how many runners one question names at least, if there are as
+	// many: the users' target times count one question of that size a step.
+	askUsual = 30
+
+	// askLimit is how many the adviser takes.
+	askLimit = 100
 
 	// permitMargin is left of a permit when it is used: a record and a start,
 	// also with a slow store.
@@ -119,8 +122,9 @@
 }
 
 // toAsk returns the runners to ask about for a unit that waits: those with room
-// that were approved before, then those nobody asked about, the best first. It
-// is nil when all answers together would not give the unit a place.
+// that were approved before, then those with room nobody asked about, the best
+// first, and then others nobody asked about. It is nil when all answers together
+// would not give the unit a place.
 func (c *Core) toAsk(u *unit, now steady.Time) []slot {
 	if !u.waiting() || u.since.IsZero() || u.awaitsRoom(now) || u.permits().asking || now.Before(u.permits().next) {
 		return nil
@@ -145,7 +149,33 @@
 		_, knownB := u.permits().of(b.runner)
 		return cmp.Or(compareBool(!knownA, !knownB), compareSlots(a, b))
 	})
-	return out[:min(len(out), askMost)]
+	if len(out) == 0 {
+		return nil
+	}
+	out = append(out, c.unknownWithoutRoom(u, out, now)...)
+	return out[:min(len(out), questionSize(u.job.spec.Advice))]
+}
+
+// unknownWithoutRoom returns the runners nobody asked about that have no room
+// now: who may run the step doesn't change, and a question's time hardly
+// depends on the runners that it names.
+func (c *Core) unknownWithoutRoom(u *unit, named []slot, now steady.Time) []slot {
+	all := c.openSlots(u, now, func(r *runner) batch.Resources { return r.Capacity })
+	all = slices.DeleteFunc(all, func(s slot) bool {
+		_, known := u.permits().of(s.runner)
+		return known || slices.ContainsFunc(named, func(n slot) bool { return n.runner == s.runner })
+	})
+	slices.SortFunc(all, compareSlots)
+	return all
+}
+
+// questionSize returns how many runners a question names: as many as take the
+// adviser as long as the question itself.
+func questionSize(a *batch.Advice) int {
+	if a.Each <= 0 {
+		return askLimit
+	}
+	return min(max(askUsual, int(a.Decide/a.Each)), askLimit)
 }
 
 // reachableRoom is what the unit could get on r, with others stopped for it if
