--- a/batch/dispatch/advice.go
+++ b/batch/dispatch/advice.go
@@ -71,28 +71,32 @@
 		case <-l.toAsk:
 		}
 		for _, address := range append([]string{""}, l.Askers.Hosts()...) {
-			l.askThrough(ctx, address)
+			if !l.askThrough(ctx, address) {
+				break
+			}
 		}
 	}
 }
 
-// askThrough gives the host at address a question, if it is free and one is due.
-func (l *Leader) askThrough(ctx context.Context, address string) {
+// askThrough gives the host at address a question, if it is free. It returns
+// false when none is due.
+func (l *Leader) askThrough(ctx context.Context, address string) bool {
 	now := steady.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.Askers.busy[address] || now.Before(l.Askers.resting[address]) {
-		return
+		return true
 	}
 	q, due := l.core.Ask(now)
 	if !due {
-		return
+		return false
 	}
 	l.Askers.busy[address] = true
 	l.background.Go(func() {
 		l.ask(ctx, q, address)
 		signal(l.wake)
 	})
+	return true
 }
 
 func (l *Leader) ask(ctx context.Context, q scheduler.Question, address string) {
--- a/batch/scheduler/advice.go
+++ b/batch/scheduler/advice.go
@@ -102,11 +102,8 @@
 		if j.spec.Advice == nil || best != nil && j.spec.Priority >= best.job.spec.Priority {
 			continue
 		}
-		for _, u := range j.units {
-			if found := c.toAsk(u, now); found != nil {
-				best, runners = u, found
-				break
-			}
+		if u, found := c.firstToAsk(j, now); u != nil {
+			best, runners = u, found
 		}
 	}
 	if best == nil {
@@ -121,12 +118,29 @@
 	return q, true
 }
 
+// firstToAsk returns the first unit of a job for which a question is due. Units
+// of one step wait for the same answers, so one of each is looked at.
+func (c *Core) firstToAsk(j *job, now steady.Time) (*unit, []slot) {
+	looked := make(map[stepKey]bool)
+	for _, u := range j.units {
+		key := stepKey{u.occurrence, u.step}
+		if looked[key] || !u.waiting() || u.since.IsZero() {
+			continue
+		}
+		looked[key] = true
+		if found := c.toAsk(u, now); found != nil {
+			return u, found
+		}
+	}
+	return nil, nil
+}
+
 // toAsk returns the runners to ask about for a unit that waits: those with room
 // that were approved before, then those with room nobody asked about, the best
 // first, and then others nobody asked about. It is nil when all answers together
 // would not give the unit a place.
 func (c *Core) toAsk(u *unit, now steady.Time) []slot {
-	if !u.waiting() || u.since.IsZero() || u.awaitsRoom(now) || u.permits().asking || now.Before(u.permits().next) {
+	if u.awaitsRoom(now) || u.permits().asking || now.Before(u.permits().next) {
 		return nil
 	}
 	var out []slot
