--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -196,7 +196,8 @@
 	return out
 }
 
-// schedule places a unit, or stops others to make room for it.
+// schedule places a unit, or stops others to make room for it. It returns false
+// when neither is possible now, so that units alike needn't be tried.
 func (c *Core) schedule(u *unit, now steady.Time) bool {
 	near := c.place(u, now, false)
 	if near != nil && !(c.preempts(u, now) && c.late(u, near, now) && c.preemptFaster(u, now)) {
@@ -204,10 +205,10 @@
 		return true
 	}
 	if near != nil {
-		return false
+		return true
 	}
 	if c.preempts(u, now) && c.preempt(u, now) {
-		return false
+		return true
 	}
 	if now.Sub(u.since) < c.remotePatience(u) {
 		return false
--- a/batch/scheduler/decide_test.go
+++ b/batch/scheduler/decide_test.go
@@ -160,6 +160,20 @@
 	}}}
 }
 
+// Single tasks that are urgent get their room at the same time, not one after
+// the other: a guarantee of many accelerators is due back within 3 s.
+func TestUrgentTasksGetTheirRoomTogether(t *testing.T) {
+	w := calmWorld(t, 1, 6)
+	w.submit(plainJob("others", 48, true), 40*time.Second, false)
+	w.run(3 * time.Second)
+	urgent := batch.Step{Tasks: 5, Estimate: 3 * time.Second, Request: batch.Resources{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}}
+	w.submit(batch.Job{ID: "urgent", Stretch: 1.5, TargetLatency: 250 * time.Millisecond, Steps: []batch.Step{urgent}}, 3*time.Second, false)
+	w.run(3 * worldTick) // a decision, and the stops' way
+	must.Eq(t, 8, total(w.runsOf("others")))
+	w.run(700 * time.Millisecond)
+	must.Eq(t, 5, total(w.runsOf("urgent")))
+}
+
 func knownSpeeds() batch.Speeds {
 	known := batch.Speeds{Runners: make(map[string]batch.Speed)}
 	for i, factor := range []float64{0.6, 1, 1.6, 0.6, 1, 1.6} {
