Infer a runner's leaving from bounds that hold, not from when changes were read

A heartbeat was dated when it was read, up to 1.8 s and the store's answer late, of 1.95 s that the inference allows; and after the store had dropped its history every listed entry was dated as if it had just been heard, although its runner may have been silent for 4 s. A runner that is only cut off then looks like one that left. Change: a heartbeat is dated by when the look before the one that told it was sent, so never too late; a list tells none, nor does what follows a truncated batch, nor an entry that can't be used. With that, 2.8 of the three heartbeats that silence takes may pass. Tests: listed anew, slow answers, read late, gaps; listed anew fails when a list counts as heard.

--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -86,40 +86,58 @@
 	must.Eq(t, [3]int{4, 2, 0}, events.counts())
 }
 
-// An entry that goes soon after a heartbeat is that of a runner that left. One
-// that goes after silence, or unseen during a gap, may be that of a live one.
+// played is one look at the store: when it was sent and what it brought.
+type played struct {
+	sent      time.Duration
+	listed    bool // the prefix is listed, not watched
+	truncated bool // more changes wait than were brought
+	beats     bool // a heartbeat of the runner is among them
+}
+
+// An entry that goes soon after a heartbeat is that of a runner that left. A
+// runner that is only silent may be alive and have done its work, so nothing
+// that hides the silence may look like leaving: gaps, slow answers, changes read
+// late, and entries listed anew.
 func TestRunnerThatLeftIsToldFromASilentOne(t *testing.T) {
 	const beat = 1500 * time.Millisecond
+	watched := func(sent time.Duration) played { return played{sent: sent, beats: true} }
 	for name, test := range map[string]struct {
 		heartbeat time.Duration
-		silence   time.Duration
-		looks     bool
-		behind    bool
+		looks     []played
+		gone      time.Duration // when the entry is seen to be gone
 		want      [3]int
 	}{
-		"left":             {beat, time.Second, true, false, [3]int{1, 0, 1}},
-		"silent":           {beat, 4500 * time.Millisecond, true, false, [3]int{1, 0, 0}},
-		"gap in watching":  {beat, 4500 * time.Millisecond, false, false, [3]int{1, 0, 0}},
-		"short heartbeats": {beat / 3, 1500 * time.Millisecond, true, false, [3]int{1, 0, 0}},
-		"read late":        {beat, time.Second, true, true, [3]int{1, 0, 0}},
+		"left":                {beat, []played{{sent: 0}, watched(time.Second)}, 3 * time.Second, [3]int{1, 0, 1}},
+		"left, often watched": {beat, []played{{sent: 0}, watched(time.Second), watched(2 * time.Second), {sent: 3 * time.Second}}, 4500 * time.Millisecond, [3]int{1, 0, 1}},
+		"silent":              {beat, []played{{sent: 0}, watched(time.Second), {sent: 2 * time.Second}}, 5500 * time.Millisecond, [3]int{1, 0, 0}},
+		"gap in watching":     {beat, []played{{sent: 0}, watched(time.Second)}, 5500 * time.Millisecond, [3]int{1, 0, 0}},
+		"short heartbeats":    {beat / 3, []played{{sent: 0}, watched(time.Second)}, 1600 * time.Millisecond, [3]int{1, 0, 0}},
+		"slow answers":        {beat, []played{{sent: 0}, watched(2400 * time.Millisecond)}, 4600 * time.Millisecond, [3]int{1, 0, 0}},
+		"listed anew":         {beat, []played{{sent: 0}, {sent: 3 * time.Second, listed: true, beats: true}}, 3500 * time.Millisecond, [3]int{1, 0, 0}},
+		"read late":           {beat, []played{{sent: 0}, {sent: 3 * time.Second, truncated: true}, watched(3100 * time.Millisecond)}, 3400 * time.Millisecond, [3]int{1, 0, 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			events := &recordedEvents{}
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			l := newRunnerList(ctx, plainFormat, test.heartbeat, quietLogger(), events)
-			now := steady.Now()
-			l.look(now)
-			l.put(runnerItem("i-1", true, 1))
-			for at := time.Duration(0); test.looks && at < test.silence; at += time.Second {
-				l.look(now.Add(at))
-			}
-			l.look(now.Add(test.silence))
-			if test.behind {
-				l.behind()
-				l.put(runnerItem("i-1", true, 2)) // as late as the rest
+			began := steady.Now()
+			l.reset([]kvstore.Item{runnerItem("i-1", true, 1)})
+			for i, look := range test.looks {
+				l.asking(began.Add(look.sent))
+				item := runnerItem("i-1", true, i+2)
+				switch {
+				case look.listed:
+					l.reset([]kvstore.Item{item})
+				case look.beats:
+					l.apply([]kvstore.Event{{Item: item}})
+				}
+				if look.truncated {
+					l.behind()
+				}
+				l.current()
 			}
-			l.gone("i-1", now.Add(test.silence))
+			l.gone("i-1", began.Add(test.gone))
 			must.Eq(t, test.want, events.counts())
 		})
 	}
--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -36,7 +36,8 @@
 		Reset:  l.reset,
 		Apply:  l.apply,
 
-		Current: func() { l.look(steady.Now()) },
+		Asking:  func() { l.asking(steady.Now()) },
+		Current: l.current,
 		Behind:  l.behind,
 	}
 	c.reportLoss(&f)
@@ -52,10 +53,12 @@
 
 	leftWithin time.Duration
 
-	looked steady.Time            // when the store was last looked at
-	beats  map[string]steady.Time // heartbeats seen without a gap in looking since
-	mu     sync.Mutex
-	known  map[string]batch.Runner
+	asked     steady.Time            // when the look under way was sent
+	since     steady.Time            // changes that are told now happened later; 0: not known
+	truncated bool                   // the look under way leaves changes out
+	beats     map[string]steady.Time // a time before the last heartbeat of each runner
+	mu        sync.Mutex
+	known     map[string]batch.Runner
 }
 
 func newRunnerList(ctx context.Context, format Format, heartbeat time.Duration, logger *log.Logger, to dispatch.RunnerEvents) *runnerList {
@@ -65,31 +68,25 @@
 	}
 }
 
-const (
-	// lookGap is the longest time between two looks in which nothing was missed.
-	lookGap = watchWait + runnerPause + 600*time.Millisecond
+// leftWithin is how soon after a heartbeat, in heartbeats, an entry must go for
+// its runner to have left by itself: silence takes three of them, and an entry is
+// removed for no other reason. The rest is for clocks that differ.
+const leftWithin = 2.8
 
-	// leftWithin is how soon after a heartbeat, in heartbeats, an entry must go
-	// for its runner to have left by itself: silence takes three of them, and an
-	// entry is removed for no other reason.
-	leftWithin = 1.7
-)
+// asking notes that the store is about to be looked at.
+func (l *runnerList) asking(now steady.Time) { l.asked = now }
 
-// look notes that the store was looked at. After a gap, times of earlier
-// heartbeats say nothing.
-func (l *runnerList) look(now steady.Time) {
-	if now.Sub(l.looked) > lookGap {
-		clear(l.beats)
+// current notes that the look under way told all that had changed. What the
+// next one tells happened after this one was sent.
+func (l *runnerList) current() {
+	l.since = l.asked
+	if l.truncated {
+		l.since, l.truncated = 0, false
 	}
-	l.looked = now
 }
 
-// behind forgets when heartbeats were seen: what is read late seems to follow
-// closely on what was before it.
-func (l *runnerList) behind() {
-	clear(l.beats)
-	l.looked = 0
-}
+// behind notes that more changes wait: the next look tells them late.
+func (l *runnerList) behind() { l.truncated = true }
 
 func (l *runnerList) reset(items []kvstore.Item) {
 	present := make(map[string]bool, len(items))
@@ -114,22 +111,29 @@
 		case e.Deleted:
 			l.gone(l.format.RunnerID(e.Key), steady.Now())
 		default:
-			l.put(e.Item)
+			if l.put(e.Item) {
+				l.heard(l.format.RunnerID(e.Key))
+			}
 		}
 	}
 }
 
+// heard notes a heartbeat. The list of all entries tells none: those may be as
+// old as silence takes.
+func (l *runnerList) heard(id string) {
+	if !l.since.IsZero() {
+		l.beats[id] = l.since
+	}
+}
+
 // put passes an entry on when it says something new. One that can't be used
-// names no runner.
-func (l *runnerList) put(item kvstore.Item) {
+// names no runner, and put returns false.
+func (l *runnerList) put(item kvstore.Item) bool {
 	r, err := l.format.Runner(item)
 	if err != nil {
 		l.log.Warn("runner's entry can't be used", "key", item.Key, "revision", item.Revision, "err", err)
 		l.to.Unlisted(l.format.RunnerID(item.Key))
-		return
-	}
-	if now := steady.Now(); now.Sub(l.looked) <= lookGap {
-		l.beats[r.ID] = now
+		return false
 	}
 	l.mu.Lock()
 	old, known := l.known[r.ID]
@@ -137,17 +141,18 @@
 	l.mu.Unlock()
 	old.DrainRemaining = r.DrainRemaining // it shrinks with each heartbeat
 	if known && reflect.DeepEqual(old, r) {
-		return
+		return true
 	}
 	l.log.Info("runner", "runner", r.ID, "failure-domain", r.FailureDomain, "rack", r.Rack, "draining", r.Draining,
 		"drain-remaining", r.DrainRemaining, "born", r.Born, "revision", item.Revision)
 	l.to.Listed(r)
+	return true
 }
 
 // gone tells a runner that has left from one that is only silent.
 func (l *runnerList) gone(id string, now steady.Time) {
 	beat, seen := l.beats[id]
-	if !seen || now.Sub(l.looked) > lookGap || now.Sub(beat) > l.leftWithin {
+	if !seen || now.Sub(beat) > l.leftWithin {
 		l.remove(id)
 		return
 	}
--- a/kvstore/follow.go
+++ b/kvstore/follow.go
@@ -22,6 +22,8 @@
 	// Reset takes the whole prefix; Apply takes later changes in order.
 	Reset func(items []Item)
 	Apply func(events []Event)
+	// Asking, when set, is called before each look at the store is sent.
+	Asking func()
 	// Behind, when set, is called before Apply when more changes wait than one
 	// watch gives: the events' times are then unknown.
 	Behind func()
@@ -51,6 +53,9 @@
 	lost := true
 	retry := pause.Backoff{First: followRetry, Most: followMax}
 	for ctx.Err() == nil {
+		if f.Asking != nil {
+			f.Asking()
+		}
 		next, err := f.step(ctx, after, f.waitWhen(lost))
 		switch {
 		case err == nil:
