--- a/batch/dispatch/advice.go
+++ b/batch/dispatch/advice.go
@@ -54,23 +54,28 @@
 	Own   Adviser         // nil: nobody is asked
 	Peers peer.Caller     // to the other hosts
 	Hosts func() []string // their addresses
+}
 
-	// Guarded by the leader's mu.
-	busy    map[string]bool // by address; "" is this host
-	resting map[string]steady.Time
+// asker is a host that asks for the leader. Its fields are guarded by the
+// leader's mu.
+type asker struct {
+	busy  bool        // with a question
+	rests steady.Time // until when it isn't used
 }
 
+// ownAddress stands for the leader itself among the askers.
+const ownAddress = ""
+
 // adviceLoop has questions asked until ctx ends. A decision is made on each
 // answer before more are given out.
 func (l *Leader) adviceLoop(ctx context.Context) {
-	l.Askers.busy, l.Askers.resting = make(map[string]bool), make(map[string]steady.Time)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.toAsk:
 		}
-		for _, address := range append([]string{""}, l.Askers.Hosts()...) {
+		for _, address := range append([]string{ownAddress}, l.Askers.Hosts()...) {
 			if !l.askThrough(ctx, address) {
 				break
 			}
@@ -84,14 +89,15 @@
 	now := steady.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.Askers.busy[address] || now.Before(l.Askers.resting[address]) {
+	through := l.asker(address)
+	if through.busy || now.Before(through.rests) {
 		return true
 	}
 	q, due := l.core.Ask(now)
 	if !due {
 		return false
 	}
-	l.Askers.busy[address] = true
+	through.busy = true
 	l.background.Go(func() {
 		l.ask(ctx, q, address)
 		signal(l.wake)
@@ -99,6 +105,14 @@
 	return true
 }
 
+// asker returns the host at address. The caller holds mu.
+func (l *Leader) asker(address string) *asker {
+	if l.askers[address] == nil {
+		l.askers[address] = &asker{}
+	}
+	return l.askers[address]
+}
+
 func (l *Leader) ask(ctx context.Context, q scheduler.Question, address string) {
 	limit := q.Advice.Decide + time.Duration(len(q.Runners))*q.Advice.Each + adviceGrace
 	call, cancel := context.WithTimeout(ctx, limit)
@@ -110,9 +124,10 @@
 		"approved", len(approval.Tickets), "valid", approval.Valid, "took", now.Sub(asked).Round(time.Millisecond), "err", err)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Askers.busy[address] = false
+	through := l.asker(address)
+	through.busy = false
 	if err != nil {
-		l.Askers.resting[address] = now.Add(askerRest)
+		through.rests = now.Add(askerRest)
 		l.core.NotAdvised(q, now)
 		return
 	}
@@ -120,7 +135,7 @@
 }
 
 func (a *Askers) advise(ctx context.Context, q scheduler.Question, address string) (approval batch.Approval, err error) {
-	if address == "" {
+	if address == ownAddress {
 		return a.Own.Advise(ctx, q.Job, q.Occurrence, q.Step, q.Runners)
 	}
 	args := &AdviceArgs{Job: q.Job, Occurrence: q.Occurrence, Step: q.Step, Runners: q.Runners}
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -75,6 +75,7 @@
 	revisions map[string]uint64      // of the progress record of each job
 	states    map[string]batch.State // as callers are told
 	links     map[string]*link
+	askers    map[string]*asker // by address
 
 	wake       chan struct{} // something may be decided
 	toRecord   chan struct{} // a record changed
@@ -91,6 +92,7 @@
 		revisions: make(map[string]uint64),
 		states:    make(map[string]batch.State),
 		links:     make(map[string]*link),
+		askers:    make(map[string]*asker),
 		wake:      make(chan struct{}, 1),
 		toRecord:  make(chan struct{}, 1),
 		toAsk:     make(chan struct{}, 1),
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -125,7 +125,7 @@
 }
 
 // TakeRecords returns up to most records that changed since they were last
-// taken..
+// taken.
 func (c *Core) TakeRecords(most int) []Record {
 	n := min(most, len(c.dirty))
 	out := make([]Record, 0, n)
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -199,12 +199,10 @@
 // schedule places a unit, or stops others to make room for it. It returns false
 // when neither is possible now, so that units alike needn't be tried.
 func (c *Core) schedule(u *unit, now steady.Time) bool {
-	near := c.place(u, now, false)
-	if near != nil && !(c.preempts(u, now) && c.late(u, near, now) && c.preemptFaster(u, now)) {
-		c.assign(u, near, now)
-		return true
-	}
-	if near != nil {
+	if near := c.place(u, now, false); near != nil {
+		if !c.awaitsFaster(u, near, now) {
+			c.assign(u, near, now)
+		}
 		return true
 	}
 	if c.preempts(u, now) && c.preempt(u, now) {
@@ -221,6 +219,12 @@
 	return true
 }
 
+// awaitsFaster reports whether room for the unit is on its way on faster
+// runners, because it would be late on those that are free.
+func (c *Core) awaitsFaster(u *unit, free []*runner, now steady.Time) bool {
+	return c.preempts(u, now) && c.late(u, free, now) && c.preemptFaster(u, now)
+}
+
 // preempts reports whether others may be stopped for the unit.
 func (c *Core) preempts(u *unit, now steady.Time) bool {
 	if c.opts.Plain {
