--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -23,8 +23,9 @@
 	wasteFirst = 0.5
 	wasteLast  = 4.0
 
-	// wasteInTime bounds it where it makes the difference between in time and
-	// late, which is worth a fifth.
+	// wasteInTime bounds it where it decides whether the job is in time: at the
+	// users' prices a late one is worth a fifth, and the difference pays for four
+	// to eight times the job's own work.
 	wasteInTime = 4.0
 
 	// fasterWithin is how long a unit that could start may look for a faster place.
