--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,27 +14,45 @@
 	"github.com/cyclamentray/cyclamentray/soak"
 )
 
-// seeds are run in CI: 11 as a short run, and each seed that ever failed, with
-// the cause that it guards against.
-var seeds = []uint64{
-	11,
-	106, 118, // the check of refused jobs did not wait for a submission in flight, which was accepted
-	300, // the hosts' binary was replaced during the run by one that needs another setting
-	900, // with 120 hosts, ports were assigned twice: another host's answer counted as an acceptance
+// soakCase is one run of the soak in CI.
+type soakCase struct {
+	seed           uint64
+	faultPeriod    time.Duration
+	hosts, runners int
 }
 
-// Runs host processes under random faults for 12 s per seed. No check of what
-// callers and runners observe may fail.
+// shortCase returns a run of the usual size in CI.
+func shortCase(seed uint64) soakCase {
+	return soakCase{seed: seed, faultPeriod: 12 * time.Second, hosts: 3, runners: 9}
+}
+
+// soakCases are run in CI: seed 11 as a short run, and each seed that ever failed,
+// with the cause that it guards against.
+var soakCases = []soakCase{
+	shortCase(11),
+	// The check of refused jobs did not wait for a submission in flight, which was accepted.
+	shortCase(106), shortCase(118),
+	// The hosts' binary was replaced during the run by one that needs another setting.
+	shortCase(300),
+	// With 120 hosts, ports were assigned twice: another host's answer counted as an acceptance.
+	shortCase(900),
+	// Two crash faults of one runner overlap from 11.5 s to 15.7 s: the second reboot ended
+	// runs without telling the checker.
+	{seed: 7021, faultPeriod: 30 * time.Second, hosts: 4, runners: 12},
+}
+
+// Runs host processes under random faults. No check of what callers and runners
+// observe may fail.
 func TestHostsKeepGuaranteesUnderRandomFaults(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "batchd")
 	out, err := exec.Command("go", "build", "-o", binary, "../cmd/cyclamentray-batchd").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
-	for _, seed := range seeds {
+	for _, c := range soakCases {
 		report, err := soak.Run(context.Background(), soak.Options{
-			Binary: binary, Dir: t.TempDir(), Seed: seed, FaultPeriod: 12 * time.Second, Hosts: 3, Runners: 9, Log: func(text string) { t.Log(text) },
+			Binary: binary, Dir: t.TempDir(), Seed: c.seed, FaultPeriod: c.faultPeriod, Hosts: c.hosts, Runners: c.runners, Log: func(text string) { t.Log(text) },
 		})
 		must.NoError(t, err)
-		must.SliceEmpty(t, report.Violations, must.Sprintf("seed %d", seed))
+		must.SliceEmpty(t, report.Violations, must.Sprintf("seed %d", c.seed))
 		must.Positive(t, report.Accepted)
 		must.Positive(t, report.Starts)
 	}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -116,8 +116,13 @@
 	r.crashed = true
 }
 
-// Reboot starts a crashed runner again under the same id, with no state.
-func (p *Pool) Reboot(now steady.Time, id string) { p.boot(p.runners[id], now) }
+// Reboot starts a runner again under the same id, with no state. A runner that
+// has not crashed crashes first, so that the end of each of its runs is reported
+// to OnEnd.
+func (p *Pool) Reboot(now steady.Time, id string) {
+	p.Crash(now, id)
+	p.boot(p.runners[id], now)
+}
 
 // Runner returns the runner with an id; nil if there is none.
 func (p *Pool) Runner(id string) *Runner { return p.runners[id] }
--- /dev/null
+++ b/standin/runner/runner_test.go
@@ -0,0 +1,36 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/dispatch"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+	"github.com/cyclamentray/cyclamentray/standin/runner"
+)
+
+// Two crash faults of one runner may overlap: the second reboot then meets a
+// runner that is up and has runs. Their ends must be reported, because an observer
+// would otherwise take the next attempt for a second run of the task.
+func TestRebootOfARunningRunnerReportsTheEndsOfItsRuns(t *testing.T) {
+	now := steady.Time(1000 * time.Second)
+	task := batch.TaskID{Job: "j"}
+	var ended []batch.TaskID
+	p := runner.New(runner.Options{
+		DescribeTask: func(batch.TaskID, string) runner.Task { return runner.Task{Work: time.Minute} },
+		OnEnd:        func(_ steady.Time, _ string, task batch.TaskID, _ int, _ batch.EndReason) { ended = append(ended, task) },
+	})
+	p.Add(now, batch.Runner{ID: "r"}, 1)
+	p.Crash(now, "r")
+	p.Reboot(now, "r")
+	answer := p.Start(now, "r", dispatch.StartOrder{Task: task, Attempt: 1, Deadline: time.Minute})
+	must.Eq(t, dispatch.Accepted, answer)
+	must.SliceEmpty(t, ended)
+
+	p.Reboot(now.Add(time.Second), "r")
+	must.Eq(t, []batch.TaskID{task}, ended)
+	must.Eq(t, 0, p.CountTaskRuns(task))
+}
