Scheduler: make decisions between equal units repeatable

Change: ties are broken by job and position; the stand-in lists gang members in order. TestDecisionsAreRepeatable fails before, passes 4 of 4 after.

--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -87,6 +88,15 @@
 
 func (u *unit) spec() *batch.Step { return &u.job.spec.Steps[u.step] }
 
+// compareIdentity orders units by job and position in the job. It makes decisions
+// between otherwise equal units repeatable.
+func (u *unit) compareIdentity(o *unit) int {
+	return cmp.Or(
+		cmp.Compare(u.job.spec.ID, o.job.spec.ID), cmp.Compare(u.occurrence, o.occurrence),
+		cmp.Compare(u.step, o.step), cmp.Compare(u.first, o.first),
+	)
+}
+
 func (u *unit) waiting() bool { return !u.done && len(u.runs) == 0 }
 
 func (r *run) task() batch.TaskID {
--- a/batch/scheduler/load_test.go
+++ b/batch/scheduler/load_test.go
@@ -37,17 +37,31 @@
 
 type classResult struct{ jobs, inTime, done int }
 
-// simulateHeavyDay returns the results of each class. firstFit selects the
+// Decisions are repeatable: the same load and faults give the same completion
+// times, so that two policies can be compared load by load.
+func TestDecisionsAreRepeatable(t *testing.T) {
+	first := playHeavyDay(t, 5, false).completedAt
+	must.MapNotEmpty(t, first)
+	must.Eq(t, first, playHeavyDay(t, 5, false).completedAt)
+}
+
+// dayOutcome is what became of the jobs of one simulated day.
+type dayOutcome struct {
+	classOf     map[string]string      // by job
+	due         map[string]steady.Time // by job: when it is late
+	completedAt map[string]steady.Time // by job
+}
+
+// playHeavyDay plays a heavy day with the load of a seed. firstFit selects the
 // baseline scheduler.
-func simulateHeavyDay(t *testing.T, seed uint64, firstFit bool) map[string]*classResult {
+func playHeavyDay(t *testing.T, seed uint64, firstFit bool) dayOutcome {
 	w := newWorld(t, seed, faults{})
 	w.firstFit = firstFit
 	w.addRunners(4, 6)
 	w.startScheduler()
 	w.run(1500 * time.Millisecond)
 	rng := rand.New(rand.NewPCG(seed, 3))
-	due := make(map[string]steady.Time)
-	classOf := make(map[string]string)
+	day := dayOutcome{classOf: make(map[string]string), due: make(map[string]steady.Time), completedAt: w.completedAt}
 	for tick := range 300 {
 		for _, c := range heavyDay {
 			rate := c.jobsPerSecond / 10
@@ -60,21 +74,26 @@
 			id := fmt.Sprintf("%s%03d", c.name, tick)
 			work := time.Duration(float64(c.work) * (0.6 + 0.8*rng.Float64()))
 			w.submit(c.job(rng, id, work), work, false)
-			classOf[id] = c.name
-			due[id] = w.now.Add(time.Duration(c.stretch*float64(work)) + c.latency)
+			day.classOf[id] = c.name
+			day.due[id] = w.now.Add(time.Duration(c.stretch*float64(work)) + c.latency)
 		}
 		w.run(100 * time.Millisecond)
 	}
 	w.run(90 * time.Second)
+	return day
+}
+
+// byClass counts the jobs of each class.
+func (d dayOutcome) byClass() map[string]*classResult {
 	out := make(map[string]*classResult)
 	for _, c := range heavyDay {
 		out[c.name] = &classResult{}
 	}
-	for id, name := range classOf {
+	for id, name := range d.classOf {
 		out[name].jobs++
-		if ended, ok := w.completedAt[id]; ok {
+		if ended, ok := d.completedAt[id]; ok {
 			out[name].done++
-			if !ended.After(due[id]) {
+			if !ended.After(d.due[id]) {
 				out[name].inTime++
 			}
 		}
@@ -105,7 +124,7 @@
 			sum[firstFit][c.name] = &classResult{}
 		}
 		for seed := range uint64(4) {
-			for name, s := range simulateHeavyDay(t, seed, firstFit) {
+			for name, s := range playHeavyDay(t, seed, firstFit).byClass() {
 				total := sum[firstFit][name]
 				total.jobs, total.inTime, total.done = total.jobs+s.jobs, total.inTime+s.inTime, total.done+s.done
 			}
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -122,16 +122,16 @@
 // wasteOf returns the core-seconds that stopping the chosen units throws away.
 // A gang counts once.
 func wasteOf(chosen []victims) float64 {
-	seen := make(map[*unit]float64)
+	seen := make(map[*unit]bool)
+	sum := 0.0
 	for _, v := range chosen {
 		for i, victim := range v.units {
-			seen[victim] = v.wasteByUnit[i]
+			if !seen[victim] {
+				seen[victim] = true
+				sum += v.wasteByUnit[i]
+			}
 		}
 	}
-	sum := 0.0
-	for _, w := range seen {
-		sum += w
-	}
 	return sum
 }
 
@@ -295,7 +295,11 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *unit) int {
-		return cmp.Or(cmp.Compare(b.job.spec.Priority, a.job.spec.Priority), cmp.Compare(a.lostWork(now), b.lostWork(now)))
+		return cmp.Or(
+			cmp.Compare(b.job.spec.Priority, a.job.spec.Priority),
+			cmp.Compare(a.lostWork(now), b.lostWork(now)),
+			a.compareIdentity(b),
+		)
 	})
 	v := victims{runner: r, tasks: u.tasksFitting(r, free), runnerCost: s.cost}
 	for _, victim := range candidates {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -7,8 +7,8 @@
 package runner
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
@@ -169,24 +169,17 @@
 	for _, running := range r.runs {
 		out = append(out, running)
 	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i].runKey, out[j].runKey
-		if a.task != b.task {
-			return lessTaskID(a.task, b.task)
-		}
-		return a.attempt < b.attempt
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(compareTaskID(a.runKey.task, b.runKey.task), cmp.Compare(a.runKey.attempt, b.runKey.attempt))
 	})
 	return out
 }
 
-func lessTaskID(a, b batch.TaskID) bool {
-	if a.Job != b.Job {
-		return a.Job < b.Job
-	}
-	if a.Step != b.Step {
-		return a.Step < b.Step
-	}
-	return a.Index < b.Index
+func compareTaskID(a, b batch.TaskID) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index),
+	)
 }
 
 // Start handles a start order. Unless the order is fenced or past its deadline,
@@ -372,17 +365,25 @@
 	}
 }
 
-// gangMembers returns the runs of the gang that a run is part of, each with its
-// runner.
-func (p *Pool) gangMembers(of *run) map[*run]*Runner {
-	out := make(map[*run]*Runner)
-	for _, r := range p.runners {
-		for k, running := range r.runs {
+// gangMember is a run of a gang with its runner.
+type gangMember struct {
+	run    *run
+	runner *Runner
+}
+
+// gangMembers returns the runs of the gang that a run is part of, by runner and
+// then by task.
+func (p *Pool) gangMembers(of *run) []gangMember {
+	var out []gangMember
+	for _, id := range p.runnerIDs {
+		first := len(out)
+		for k, running := range p.runners[id].runs {
 			same := k.task.Job == of.runKey.task.Job && k.task.Step == of.runKey.task.Step && k.task.Occurrence == of.runKey.task.Occurrence
 			if same && k.attempt == of.attempt {
-				out[running] = r
+				out = append(out, gangMember{running, p.runners[id]})
 			}
 		}
+		slices.SortFunc(out[first:], func(a, b gangMember) int { return cmp.Compare(a.run.runKey.task.Index, b.run.runKey.task.Index) })
 	}
 	return out
 }
@@ -392,8 +393,8 @@
 func (p *Pool) leastWorkDone(of *run) time.Duration {
 	least := of.workDone
 	if of.task.GangSize > 1 {
-		for member := range p.gangMembers(of) {
-			least = min(least, member.workDone)
+		for _, member := range p.gangMembers(of) {
+			least = min(least, member.run.workDone)
 		}
 	}
 	return least
@@ -408,8 +409,8 @@
 		}
 		return
 	}
-	for member, r := range p.gangMembers(of) {
-		p.recordEnd(now, r, member, batch.EndDone)
+	for _, member := range p.gangMembers(of) {
+		p.recordEnd(now, member.runner, member.run, batch.EndDone)
 	}
 }
 
@@ -423,9 +424,9 @@
 	if ended.task.GangSize <= 1 {
 		return
 	}
-	for member, r := range p.gangMembers(ended) {
-		if member != ended {
-			p.recordEnd(now, r, member, batch.EndGangMemberEnded)
+	for _, member := range p.gangMembers(ended) {
+		if member.run != ended {
+			p.recordEnd(now, member.runner, member.run, batch.EndGangMemberEnded)
 		}
 	}
 }
