--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/batch/scheduler"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
@@ -67,6 +68,7 @@
 	RunnerLease   time.Duration // lease of a runner, which all its tasks share
 	Cores         float64       // processor cores that this host may use
 	MaxEarlyStart time.Duration // how early an occurrence may start
+	Off           mechanism.Set // mechanisms that an experiment switches off
 	RemoteFactor  float64       // slow-down of tasks away from their gang's rack or their data
 }
 
@@ -161,6 +163,7 @@
 		RemoteFactor:      l.RemoteFactor,
 		InheritedLeaseEnd: now.Add(maxLeaseDuration(l.RunnerLease)),
 		LearnedSpeeds:     found.speeds,
+		Off:               l.Off,
 		Observe:           l.logDecision,
 	})
 	recorded := make(map[string]kvstore.Item, len(found.progress))
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/cyclamentray/cyclamentray/batch/dispatch"
 	"github.com/cyclamentray/cyclamentray/batch/intake"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 	"github.com/cyclamentray/cyclamentray/kvstore"
@@ -88,7 +89,8 @@
 	NewAPIHandler func(*intake.Intake) http.Handler
 	Metrics       *metrics.Set
 
-	MetricsAddress string // empty: metrics are not served
+	Off            mechanism.Set // mechanisms that an experiment switches off
+	MetricsAddress string        // empty: metrics are not served
 	Log            *log.Logger
 }
 
@@ -109,8 +111,7 @@
 	defer stop()
 	jobs := intake.New(intake.Options{
 		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
-		Metrics: h.Metrics, StoreUnreachable: func() bool { return h.storeLostFor() > refuseAfterStoreLoss },
-		Leader: &intake.LeaderClient{Replica: h.Replica, Peers: h.Peers, Host: h.Name, Log: h.Log},
+		Metrics: h.Metrics, StoreUnreachable: h.storeKnownLost, Leader: h.leaderClient(),
 	})
 	apiServer := &http.Server{Handler: h.NewAPIHandler(jobs), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	readinessServer := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: readHeaderTimeout}
@@ -148,6 +149,14 @@
 	return err
 }
 
+// leaderClient returns the client for questions to the leader; nil: none is asked.
+func (h *Host) leaderClient() *intake.LeaderClient {
+	if !h.Off.On(mechanism.LeaderAnswers) {
+		return nil
+	}
+	return &intake.LeaderClient{Replica: h.Replica, Peers: h.Peers, Host: h.Name, Log: h.Log}
+}
+
 // registerPeerCalls registers the services that other hosts may call.
 func (h *Host) registerPeerCalls(s *peer.Server) error {
 	err := errors.CombineErrors(s.Register("Keyspace", &kvstore.KeyspaceService{Store: h.DirectStore}),
@@ -218,7 +227,7 @@
 	if h.Conditions.Configuration() == nil || !h.Replica.Loaded() {
 		return false
 	}
-	if h.storeLostFor() >= unreadyAfterStoreLoss {
+	if h.Off.On(mechanism.Unreadiness) && h.storeLostFor() >= unreadyAfterStoreLoss {
 		return false
 	}
 	h.mu.Lock()
@@ -236,6 +245,12 @@
 	return steady.Now().Sub(h.storeLostAt)
 }
 
+// storeKnownLost reports whether the store has been unreachable for long enough to
+// refuse requests without a call to it.
+func (h *Host) storeKnownLost() bool {
+	return h.Off.On(mechanism.EarlyRefusal) && h.storeLostFor() > refuseAfterStoreLoss
+}
+
 func (h *Host) followReplica(ctx context.Context) {
 	f := kvstore.Follower{
 		Store:  h.Store,
@@ -259,7 +274,7 @@
 // watchPause returns the pause between two watches of the replica. It is 0 on
 // the leader, so that it receives new jobs at once.
 func (h *Host) watchPause() time.Duration {
-	if h.Replica.Leader().HostName() == h.Name {
+	if h.Replica.Leader().HostName() == h.Name || !h.Off.On(mechanism.BatchedReplicas) {
 		return 0
 	}
 	return replicaWatchPause
@@ -298,7 +313,7 @@
 	if len(hosts) < 2 {
 		strongest = 1
 	}
-	if h.Cores <= 0 || strongest <= h.Cores {
+	if h.Cores <= 0 || strongest <= h.Cores || !h.Off.On(mechanism.WeakHostsYield) {
 		return 0
 	}
 	return time.Duration((1 - h.Cores/strongest) * float64(maxAcquireDelay))
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -28,10 +29,8 @@
 	// scheduler started on a runner that doesn't answer has certainly ended
 	// with its lease.
 	InheritedLeaseEnd steady.Time
-	LearnedSpeeds     batch.Speeds // runner speeds learned by earlier schedulers
-	// FirstFit places units in order of arrival on the first runners that fit,
-	// without preemption and learned speeds: the baseline for measurements.
-	FirstFit bool
+	LearnedSpeeds     batch.Speeds  // runner speeds learned by earlier schedulers
+	Off               mechanism.Set // mechanisms that an experiment switches off
 	// Observe, when set, is called with each decision.
 	Observe func(Decision)
 }
@@ -98,6 +97,9 @@
 	if o.Observe == nil {
 		o.Observe = func(Decision) {}
 	}
+	if !o.Off.On(mechanism.KeptSpeeds) {
+		o.LearnedSpeeds = batch.Speeds{}
+	}
 	return &Core{
 		opts:         o,
 		jobs:         make(map[string]*job),
@@ -108,6 +110,9 @@
 	}
 }
 
+// uses reports whether a mechanism is switched on.
+func (c *Core) uses(m mechanism.Mechanism) bool { return c.opts.Off.On(m) }
+
 // SetConfiguration replaces the configuration.
 func (c *Core) SetConfiguration(config *batch.Configuration) { c.config = config }
 
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -107,11 +108,11 @@
 		c.stopUnit(u, now, "runner is leaving")
 		return
 	}
-	if !c.opts.FirstFit && c.shouldMove(u, now) {
+	if c.uses(mechanism.Moves) && c.shouldMove(u, now) {
 		c.stopUnit(u, now, "too slow where it runs")
 		return
 	}
-	if c.stalled(u, now) {
+	if c.uses(mechanism.StallStops) && c.stalled(u, now) {
 		u.recordStall(now)
 		c.stopUnit(u, now, "no progress")
 	}
@@ -198,7 +199,7 @@
 			}
 		}
 	}
-	if c.opts.FirstFit {
+	if !c.uses(mechanism.QueueOrder) {
 		slices.SortStableFunc(out, func(a, b *unit) int { return a.job.spec.Accepted.Compare(b.job.spec.Accepted) })
 		return out
 	}
@@ -242,12 +243,12 @@
 // preemption frees for it, because it would be late on the free ones. It may
 // start that preemption.
 func (c *Core) awaitsFasterRunners(u *unit, free []*runner, now steady.Time) bool {
-	return c.mayPreempt(u, now) && c.wouldBeLate(u, free, now) && c.preemptForFasterRunners(u, now)
+	return c.uses(mechanism.FasterRunners) && c.mayPreempt(u, now) && c.wouldBeLate(u, free, now) && c.preemptForFasterRunners(u, now)
 }
 
 // mayPreempt reports whether others may be stopped to make room for the unit.
 func (c *Core) mayPreempt(u *unit, now steady.Time) bool {
-	if c.opts.FirstFit {
+	if !c.uses(mechanism.Preemption) {
 		return false
 	}
 	return u.job.spec.Priority == 0 || u.spec().LongRunning && now.Sub(u.eligibleSince) >= longRunningPreemptDelay
@@ -257,7 +258,7 @@
 // gang, in one rack. While most of the service is free, it is the minimum: that
 // place is then not occupied by work that ends soon.
 func (c *Core) localityWait(u *unit) time.Duration {
-	if u.job.spec.Priority == 0 {
+	if u.job.spec.Priority == 0 || !c.uses(mechanism.LocalityWait) {
 		return 0
 	}
 	if c.mostlyFree(u.job.spec.Service) {
--- a/batch/scheduler/load_test.go
+++ b/batch/scheduler/load_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -25,6 +26,12 @@
 	checkpoints   bool
 	stretch       float64
 	latency       time.Duration
+
+	// The policy bench draws these too.
+	spread, workSpread, estimateSpread float64         // of the logarithms of the number of tasks, the work and the declared duration
+	sameRack                           float64         // share of the gangs that must be in one rack
+	request                            batch.Resources // of a task, without accelerators
+	credit, lateCredit                 float64         // what a job in time and a late one earn
 }
 
 // heavyDay has the rates of a heaviest day for half as many runners: urgent
@@ -40,9 +47,9 @@
 // Decisions are repeatable: the same load and faults give the same completion
 // times, so that two policies can be compared load by load.
 func TestDecisionsAreRepeatable(t *testing.T) {
-	first := playHeavyDay(t, 5, false).completedAt
+	first := playHeavyDay(t, 5, mechanism.Set{}).completedAt
 	must.MapNotEmpty(t, first)
-	must.Eq(t, first, playHeavyDay(t, 5, false).completedAt)
+	must.Eq(t, first, playHeavyDay(t, 5, mechanism.Set{}).completedAt)
 }
 
 // dayOutcome is what became of the jobs of one simulated day.
@@ -52,11 +59,11 @@
 	completedAt map[string]steady.Time // by job
 }
 
-// playHeavyDay plays a heavy day with the load of a seed. firstFit selects the
-// baseline scheduler.
-func playHeavyDay(t *testing.T, seed uint64, firstFit bool) dayOutcome {
+// playHeavyDay plays a heavy day with the load of a seed, without the
+// given mechanisms.
+func playHeavyDay(t *testing.T, seed uint64, off mechanism.Set) dayOutcome {
 	w := newWorld(t, seed, faults{})
-	w.firstFit = firstFit
+	w.off = off
 	w.addRunners(4, 6)
 	w.startScheduler()
 	w.run(1500 * time.Millisecond)
@@ -83,6 +90,22 @@
 	return day
 }
 
+// playHeavyDays returns the results of each class over days with the loads of the
+// seeds 0 to seeds-1.
+func playHeavyDays(t *testing.T, seeds uint64, off mechanism.Set) map[string]*classResult {
+	sum := make(map[string]*classResult)
+	for _, c := range heavyDay {
+		sum[c.name] = &classResult{}
+	}
+	for seed := range seeds {
+		for name, s := range playHeavyDay(t, seed, off).byClass() {
+			total := sum[name]
+			total.jobs, total.inTime, total.done = total.jobs+s.jobs, total.inTime+s.inTime, total.done+s.done
+		}
+	}
+	return sum
+}
+
 // byClass counts the jobs of each class.
 func (d dayOutcome) byClass() map[string]*classResult {
 	out := make(map[string]*classResult)
@@ -118,23 +141,11 @@
 // time than with first-fit in order of arrival, no other class has fewer jobs
 // in time, and every job is still done.
 func TestUrgentBurstIsServedInTime(t *testing.T) {
-	sum := map[bool]map[string]*classResult{true: {}, false: {}}
-	for _, firstFit := range []bool{true, false} {
-		for _, c := range heavyDay {
-			sum[firstFit][c.name] = &classResult{}
-		}
-		for seed := range uint64(4) {
-			for name, s := range playHeavyDay(t, seed, firstFit).byClass() {
-				total := sum[firstFit][name]
-				total.jobs, total.inTime, total.done = total.jobs+s.jobs, total.inTime+s.inTime, total.done+s.done
-			}
-		}
-	}
+	baseline, full := playHeavyDays(t, 4, mechanism.FirstFit()), playHeavyDays(t, 4, mechanism.Set{})
 	for _, c := range heavyDay {
-		baseline, full := sum[true][c.name], sum[false][c.name]
-		t.Logf("%s: first-fit %+v, full scheduler %+v", c.name, *baseline, *full)
-		must.Eq(t, full.jobs, full.done, must.Sprint(c.name))
-		must.GreaterEq(t, baseline.inTime, full.inTime, must.Sprint(c.name))
+		t.Logf("%s: first-fit %+v, full scheduler %+v", c.name, *baseline[c.name], *full[c.name])
+		must.Eq(t, full[c.name].jobs, full[c.name].done, must.Sprint(c.name))
+		must.GreaterEq(t, baseline[c.name].inTime, full[c.name].inTime, must.Sprint(c.name))
 	}
-	must.Greater(t, sum[true]["urgent"].inTime, sum[false]["urgent"].inTime)
+	must.Greater(t, baseline["urgent"].inTime, full["urgent"].inTime)
 }
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -6,18 +6,19 @@
 	"slices"
 
 	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
 const (
 	// slowdownTolerance is the part of a job's stretch that a slow runner may
 	// use up; the rest is for waiting.
-	slowdownTolerance = 0.55
+	slowdownTolerance = 0.7
 
 	// failedRunnerFactor multiplies the cost of a runner for each failure of
-	// the unit there. It is larger than the factor by which the users' runners
-	// differ from the average.
-	failedRunnerFactor = 2.0
+	// the unit there. It exceeds the slowdown that a job with a stretch of 3
+	// tolerates, so that the job goes elsewhere.
+	failedRunnerFactor = 3.0
 )
 
 // nomination reserves capacity of a runner for a unit that preempted others.
@@ -127,7 +128,7 @@
 		if r.Service != u.job.spec.Service || !r.hasLabel(step.Label) || !r.acceptsStarts(c, now) {
 			continue
 		}
-		if now.Before(r.suspendedUntil) || len(r.orphans) > 0 || r.conflictsWith(step) {
+		if c.suspended(r, now) || len(r.orphans) > 0 || r.conflictsWith(step) {
 			continue
 		}
 		s := slot{runner: r, tasks: u.tasksFitting(r, free(r))}
@@ -137,19 +138,24 @@
 		s.remote = step.DataRack != "" && step.DataRack != r.Rack
 		s.cost = c.cost(u, r, s.remote)
 		s.rank = math.Max(s.cost, 1)
-		if s.cost <= slowdownTolerance*u.job.spec.Stretch {
+		if c.uses(mechanism.SlackTolerance) && s.cost <= slowdownTolerance*u.job.spec.Stretch {
 			s.rank = 1
 		}
-		s.explore = u.job.spec.Priority > 0 && c.speeds.unknown(r.ID)
+		s.explore = c.uses(mechanism.Exploration) && u.job.spec.Priority > 0 && c.speeds.unknown(r.ID)
 		out = append(out, s)
 	}
 	return out
 }
 
+// suspended reports whether a runner gets no work because of failures.
+func (c *Core) suspended(r *runner, now steady.Time) bool {
+	return c.uses(mechanism.FailureBackoff) && now.Before(r.suspendedUntil)
+}
+
 // cost returns slot.cost for the unit on r.
 func (c *Core) cost(u *unit, r *runner, remote bool) float64 {
 	cost := 1.0
-	if !c.opts.FirstFit {
+	if c.uses(mechanism.LearnedSpeeds) {
 		cost = c.speeds.cautiousFactor(r.ID)
 	}
 	if remote {
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -88,6 +89,9 @@
 // preemptInTime preempts others on runners that are fast enough for u to be in
 // time.
 func (c *Core) preemptInTime(u *unit, now steady.Time) bool {
+	if !c.uses(mechanism.InTimeVictims) {
+		return false
+	}
 	chosen := c.choosePreemption(u, c.maxCostInTime(u, now.Add(stopLatency)), now)
 	return c.stopVictims(u, chosen, wasteFactorInTime*c.ownWork(u), now)
 }
@@ -308,7 +312,10 @@
 		}
 		free = free.Plus(victim.heldOn(r))
 		v.units = append(v.units, victim)
-		lost := victim.lostWork(now) * float64(1+victim.timesPreempted)
+		lost := victim.lostWork(now)
+		if c.uses(mechanism.RepeatVictims) {
+			lost *= float64(1 + victim.timesPreempted)
+		}
 		v.wasteByUnit = append(v.wasteByUnit, lost)
 		v.waste += lost
 		v.tasks = u.tasksFitting(r, free)
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/dispatch"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/batch/scheduler"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 	"github.com/cyclamentray/cyclamentray/standin/runner"
@@ -45,9 +46,9 @@
 	faults           faults
 	runnerIDs        []string // in the order in which they were added
 
-	storeDown bool         // records can't be committed
-	learned   batch.Speeds // by the last scheduler that was killed
-	firstFit  bool         // the scheduler is the baseline
+	storeDown bool          // records can't be committed
+	learned   batch.Speeds  // by the last scheduler that was killed
+	off       mechanism.Set // mechanisms that the scheduler doesn't use
 
 	adviser *adviser // nil: no step needs advice
 
@@ -61,6 +62,17 @@
 	doneAt      map[batch.TaskID]steady.Time // when an end "done" was acknowledged
 	cancelledAt map[string]steady.Time
 	starts      int
+
+	// What the policy bench counts.
+	submittedAt  map[string]steady.Time
+	startedAt    map[runID]steady.Time
+	work, wasted float64 // core-seconds of all runs, and of those that did not end done and were not checkpointed
+}
+
+// runID names one run of a task.
+type runID struct {
+	task    batch.TaskID
+	attempt int
 }
 
 type faults struct {
@@ -85,11 +97,13 @@
 		store: make(map[string]batch.Progress), unreachableUntil: make(map[string]steady.Time),
 		lastHold: make(map[string]steady.Time), doneAt: make(map[batch.TaskID]steady.Time),
 		cancelledAt: make(map[string]steady.Time), completedAt: make(map[string]steady.Time),
+		submittedAt: make(map[string]steady.Time), startedAt: make(map[runID]steady.Time),
 	}
 	w.pool = runner.New(runner.Options{
 		GangTimeout:    worldGangTimeout,
 		DescribeTask:   func(id batch.TaskID, _ string) runner.Task { return w.stepTasks[stepName(id.Job, id.Step)] },
 		OnStart:        w.checkStart,
+		OnEnd:          w.countWork,
 		HasValidTicket: w.permits,
 	})
 	return w
@@ -156,7 +170,7 @@
 // startScheduler starts a new scheduler from the recorded state.
 func (w *world) startScheduler() {
 	w.token++
-	core := scheduler.New(scheduler.Options{FirstFit: w.firstFit, RemoteFactor: 3, InheritedLeaseEnd: w.inheritedLeaseEnd(), LearnedSpeeds: w.learned})
+	core := scheduler.New(scheduler.Options{Off: w.off, RemoteFactor: 3, InheritedLeaseEnd: w.inheritedLeaseEnd(), LearnedSpeeds: w.learned})
 	core.SetConfiguration(&batch.Configuration{Organisations: []batch.Organisation{
 		{Name: "one", Guaranteed: batch.Resources{Accelerators: 24}},
 	}})
@@ -392,6 +406,7 @@
 // before its due time.
 func (w *world) checkStart(now steady.Time, on string, task batch.TaskID, attempt int) {
 	w.starts++
+	w.startedAt[runID{task, attempt}] = now
 	if n := w.pool.CountTaskRuns(task); n != 1 {
 		w.reportViolation("%d runs of %v at %v, attempt %d on %s", n, task, now, attempt, on)
 	}
@@ -412,6 +427,19 @@
 	}
 }
 
+// countWork adds the core-seconds of a run that ended to work and wasted.
+func (w *world) countWork(now steady.Time, _ string, task batch.TaskID, attempt int, reason batch.EndReason) {
+	id := runID{task, attempt}
+	step := w.jobs[task.Job].Steps[task.Step]
+	cores := float64(step.Request.MilliCPU)/1000 + 8*float64(step.Request.Accelerators)
+	done := cores * now.Sub(w.startedAt[id]).Seconds()
+	delete(w.startedAt, id)
+	w.work += done
+	if reason != batch.EndDone && !step.Checkpoints {
+		w.wasted += done
+	}
+}
+
 // reportViolation ends the test, unless violations are collected.
 func (w *world) reportViolation(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -24,6 +24,7 @@
 	"github.com/cyclamentray/cyclamentray/batch/host"
 	"github.com/cyclamentray/cyclamentray/batch/intake"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
@@ -47,9 +48,10 @@
 )
 
 type options struct {
-	Settings    string `long:"settings" description:"settings file; without it the platform's environment variable names it"`
-	MetricsPort int    `long:"metrics-port" description:"port of the host's address that serves metrics at /metrics; 0: none"`
-	LogLevel    string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
+	Settings    string   `long:"settings" description:"settings file; without it the platform's environment variable names it"`
+	MetricsPort int      `long:"metrics-port" description:"port of the host's address that serves metrics at /metrics; 0: none"`
+	Without     []string `long:"experiment-without" value-name:"MECHANISM" description:"for experiments only: switch a mechanism of the scheduler off, to measure what it is worth; may be repeated"`
+	LogLevel    string   `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
 }
 
 func main() { os.Exit(run()) }
@@ -65,6 +67,11 @@
 	if o.Settings == "" {
 		o.Settings = os.Getenv(platform.SettingsEnvVar)
 	}
+	off, err := mechanism.Parse(o.Without)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cyclamentray-batchd:", err)
+		return exitUsage
+	}
 	s, err := platform.LoadSettings(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cyclamentray-batchd:", err)
@@ -85,7 +92,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go settingsWatcher.Run(ctx, reload)
-	h := newHost(settingsWatcher, logger, out)
+	h := newHost(settingsWatcher, logger, out, off)
 	if o.MetricsPort > 0 {
 		h.MetricsAddress = net.JoinHostPort(s.Address, strconv.Itoa(o.MetricsPort))
 	}
@@ -96,7 +103,7 @@
 	return 0
 }
 
-func newHost(settingsWatcher *platform.SettingsWatcher, logger *log.Logger, out *telemetry.AsyncWriter) *host.Host {
+func newHost(settingsWatcher *platform.SettingsWatcher, logger *log.Logger, out *telemetry.AsyncWriter, off mechanism.Set) *host.Host {
 	set := metrics.NewSet()
 	set.NewGauge("cyclamentray_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
 	s := settingsWatcher.Current()
@@ -104,6 +111,9 @@
 	directStore := platform.NewStoreClient(s.StoreAddress)
 	peers := peer.NewPool(peer.Options{Host: s.Host})
 	peerAddresses := host.PeerAddresses(replica, s.Host)
+	if !off.On(mechanism.PeerCalls) {
+		peerAddresses = func() []string { return nil }
+	}
 	store := &kvstore.Fallback{
 		Direct:    directStore,
 		Peers:     peers,
@@ -125,6 +135,7 @@
 		ReadinessAddress: s.ReadinessAddress,
 		GracePeriod:      s.Bounds.Grace,
 		Cores:            s.Cores,
+		Off:              off,
 		Store:            store,
 		DirectStore:      directStore,
 		Peers:            peers,
@@ -147,6 +158,7 @@
 				Now:           now,
 				RunnerLease:   bounds.RunnerLease,
 				Cores:         s.Cores,
+				Off:           off,
 				MaxEarlyStart: bounds.Early / 2, // the other half covers differences between clocks
 				RemoteFactor:  bounds.RemoteX,
 			}
