Host: leave rotation as soon as requests would be refused

Cause: a host that had lost the store, directly and through peers, refused submissions after 0.2 s but reported ready for 1.5 s, and noticed a silent cut only when a watch of up to 1.7 s ended. In a cut failure domain callers used up their tries on hosts that could not accept. Change: one decision (storeHealth) says both; watches of the jobs wait 0.5 s.

--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -1,8 +1,8 @@
 // Package host assembles and runs the batch scheduler on one host: the callers'
 // API, the readiness and metrics endpoints, the calls from other hosts, the
-// ledger replica and the candidacy for leadership. It holds the time at which
-// the store was lost and whether the host is stopping; all else is in the parts
-// it is given. Command cyclamentray-batchd calls it.
+// ledger replica and the candidacy for leadership. It holds whether the store can
+// be reached and whether the host is stopping; all else is in the parts it is
+// given. Command cyclamentray-batchd calls it.
 package host
 
 import (
@@ -35,22 +35,14 @@
 	registrationTimeout       = time.Second            // three calls to a slow store
 
 	// replicaWatchWait is the longest wait of one watch. It is short, so that a
-	// connection on which the store no longer answers is replaced soon.
-	replicaWatchWait = time.Second
+	// connection on which the store no longer answers is replaced soon, and callers
+	// are sent elsewhere.
+	replicaWatchWait = 500 * time.Millisecond
 
 	// replicaWatchPause lets changes accumulate into batches on hosts that do not
 	// lead. Counts may be 2 s old, and job states are requested from the leader.
 	replicaWatchPause = 250 * time.Millisecond
 
-	// unreadyAfterStoreLoss is how long the store may be unreachable, directly and
-	// through peers, before the host reports not ready and gets no new connections.
-	unreadyAfterStoreLoss = 1500 * time.Millisecond
-
-	// refuseAfterStoreLoss is how long the store must have been unreachable before
-	// requests are refused without a call to it: longer than the effect of a reset
-	// connection.
-	refuseAfterStoreLoss = 200 * time.Millisecond
-
 	// balancerNoticePeriod is how long a stopping host still accepts requests: the
 	// load balancer removes it after two readiness probes 1 s apart.
 	balancerNoticePeriod = 2300 * time.Millisecond
@@ -97,9 +89,9 @@
 // Host runs the batch scheduler in one host's process.
 type Host struct {
 	Options
-	mu          sync.Mutex
-	storeLostAt steady.Time // 0: the store is reachable
-	stopping    bool
+	health   storeHealth
+	mu       sync.Mutex
+	stopping bool
 }
 
 // New returns a Host with the given options. Run starts it.
@@ -227,7 +219,7 @@
 	if h.Conditions.Configuration() == nil || !h.Replica.Loaded() {
 		return false
 	}
-	if h.Off.On(mechanism.Unreadiness) && h.storeLostFor() >= unreadyAfterStoreLoss {
+	if h.Off.On(mechanism.Unreadiness) && h.health.knownLost(steady.Now()) {
 		return false
 	}
 	h.mu.Lock()
@@ -235,20 +227,9 @@
 	return !h.stopping
 }
 
-// storeLostFor returns how long the store has been unreachable, or 0 if it is reachable.
-func (h *Host) storeLostFor() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.storeLostAt.IsZero() {
-		return 0
-	}
-	return steady.Now().Sub(h.storeLostAt)
-}
-
-// storeKnownLost reports whether the store has been unreachable for long enough to
-// refuse requests without a call to it.
+// storeKnownLost reports whether requests are refused without a call to the store.
 func (h *Host) storeKnownLost() bool {
-	return h.Off.On(mechanism.EarlyRefusal) && h.storeLostFor() > refuseAfterStoreLoss
+	return h.Off.On(mechanism.EarlyRefusal) && h.health.knownLost(steady.Now())
 }
 
 func (h *Host) followReplica(ctx context.Context) {
@@ -260,11 +241,11 @@
 		Reset:  h.Replica.Reset,
 		Apply:  h.Replica.Apply,
 		Lost: func(err error) {
-			h.setStoreLost(steady.Now())
+			h.health.recordLoss(steady.Now())
 			h.Log.Warn("store lost", "prefix", ledger.ReplicaPrefix, "err", err)
 		},
 		Regained: func() {
-			h.setStoreLost(0)
+			h.health.recordAnswer()
 			h.Log.Info("store regained", "prefix", ledger.ReplicaPrefix)
 		},
 	}
@@ -280,12 +261,6 @@
 	return replicaWatchPause
 }
 
-func (h *Host) setStoreLost(at steady.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.storeLostAt = at
-}
-
 func (h *Host) candidate() *dispatch.Candidate {
 	return &dispatch.Candidate{
 		Store:        h.Store,
