Intake: use the short time of a caller's last retry for the store

Cause: 150 ms of each caller's timeout were kept for the response, also when the last retry of a caller had only 100 or 160 ms left. Change: at most a fifth of the timeout is kept.

--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -28,7 +28,8 @@
 	storeReadTimeout      = time.Second            // one store read, including one try through a peer
 	unavailableRetryLimit = 250 * time.Millisecond // a commit that certainly had no effect is retried this long before it is refused
 	defaultRetryAfter     = time.Second            // an unavailable store has been probed again by then
-	responseMargin        = 150 * time.Millisecond // part of the caller's timeout left for sending the response
+	responseMargin        = 150 * time.Millisecond // part of the caller's timeout left for sending the response, at most
+	responseShare         = 0.2                    // the same as a share of the timeout: the last retries of a caller have little time
 
 	// Limits of one job; a larger one does not fit in one store record.
 	maxSteps       = 200
@@ -214,7 +215,7 @@
 		return RequestError{Kind: NotAccepted, Reason: "the store is unavailable", RetryAfter: defaultRetryAfter}
 	}
 	began := in.Now()
-	deadline := began.Add(timeout - responseMargin)
+	deadline := began.Add(storeTime(timeout))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	ambiguous := false
@@ -240,6 +241,11 @@
 	return RequestError{Kind: NotAccepted, Reason: "the store can't be reached", RetryAfter: defaultRetryAfter}
 }
 
+// storeTime returns how much of a caller's timeout the store's calls may take.
+func storeTime(timeout time.Duration) time.Duration {
+	return timeout - min(responseMargin, time.Duration(responseShare*float64(timeout)))
+}
+
 func (in *Intake) commitOnce(ctx context.Context, txn kvstore.Txn) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
@@ -273,7 +279,7 @@
 // checkStored reads a job that the replica lacks from the store. It returns nil
 // if the store has the job.
 func (in *Intake) checkStored(ctx context.Context, id string, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, min(storeReadTimeout, timeout-responseMargin))
+	ctx, cancel := context.WithTimeout(ctx, min(storeReadTimeout, storeTime(timeout)))
 	defer cancel()
 	_, err := in.Store.Get(ctx, ledger.JobKey(id))
 	switch {
--- a/batch/intake/intake_test.go
+++ b/batch/intake/intake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,6 +14,8 @@
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/intake"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/keyspace"
 )
 
@@ -157,3 +160,30 @@
 	must.True(t, errors.As(err, &reqErr))
 	must.Positive(t, reqErr.RetryAfter)
 }
+
+// slowStore answers each commit after a delay, unless its context ends before.
+type slowStore struct {
+	kvstore.Keyspace
+	delay time.Duration
+}
+
+func (s slowStore) Commit(ctx context.Context, txn kvstore.Txn) (uint64, error) {
+	if !pause.For(ctx, s.delay) {
+		return 0, kvstore.ErrAmbiguous
+	}
+	return s.Keyspace.Commit(ctx, txn)
+}
+
+// A caller's last retry may come with little time left. It is used for the store,
+// which accepts the job, and not kept for the response.
+func TestSubmitUsesTheShortTimeOfALastRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in, replica := newIntake(nil)
+		in.Store = slowStore{in.Store, 30 * time.Millisecond}
+		target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
+		must.NoError(t, err)
+		must.NoError(t, in.Submit(t.Context(), target, oneTask(), 120*time.Millisecond))
+		_, known := replica.Job(target.JobID)
+		must.True(t, known)
+	})
+}
