--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -234,12 +234,13 @@
 
 func (h *Host) followReplica(ctx context.Context) {
 	f := kvstore.Follower{
-		Store:  h.Store,
-		Prefix: ledger.ReplicaPrefix,
-		Wait:   replicaWatchWait,
-		Pause:  h.watchPause,
-		Reset:  h.Replica.Reset,
-		Apply:  h.Replica.Apply,
+		Store:        h.Store,
+		Prefix:       ledger.ReplicaPrefix,
+		Wait:         replicaWatchWait,
+		Pause:        h.watchPause,
+		MaxRetryWait: func() time.Duration { return kvstore.RetryInterval(len(h.Replica.Hosts())) },
+		Reset:        h.Replica.Reset,
+		Apply:        h.Replica.Apply,
 		Lost: func(err error) {
 			h.health.recordLoss(steady.Now())
 			h.Log.Warn("store lost", "prefix", ledger.ReplicaPrefix, "err", err)
--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -21,11 +21,9 @@
 	// peerTimeShare is the fraction of the time then left that one peer may take.
 	peerTimeShare = 0.6
 
-	// probeInterval is the pause before each probe that checks whether the store
-	// answers this host again. probeTimeout bounds one probe; it is longer than
-	// the slowest store takes to answer.
-	probeInterval = 250 * time.Millisecond
-	probeTimeout  = 500 * time.Millisecond
+	// probeTimeout bounds one probe that checks whether the store answers this host
+	// again; it is longer than the slowest store takes to answer.
+	probeTimeout = 500 * time.Millisecond
 
 	maxKeyspacePeers = 2 // peers tried for one call
 )
@@ -301,7 +299,7 @@
 // probeUntilRecovered probes the store until it answers, then clears storeDown.
 func (f *Fallback) probeUntilRecovered() {
 	for {
-		time.Sleep(probeInterval)
+		time.Sleep(RetryInterval(len(f.Addresses()) + 1))
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		_, err := f.Direct.Get(ctx, f.ProbeKey)
 		cancel()
--- a/kvstore/fallback_test.go
+++ b/kvstore/fallback_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -197,3 +198,31 @@
 	cancel()
 	<-ended
 }
+
+// The store returns after an outage of 3 s. A follower of a small deployment reads
+// it again within a few answers, as callers are refused until then; the retries of
+// a large one stay below the store's rate.
+func TestFollowerReadsSoonAfterALongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var fault atomic.Int64
+		store := keyspace.New(keyspace.Options{Fault: func(keyspace.Call) keyspace.Outcome { return keyspace.Outcome(fault.Load()) }})
+		regained := make(chan time.Time, 4)
+		f := &kvstore.Follower{
+			Store: store, Prefix: "p/", Wait: 50 * time.Millisecond,
+			MaxRetryWait: func() time.Duration { return kvstore.RetryInterval(6) },
+			Reset:        func([]kvstore.Item) {}, Apply: func([]kvstore.Event) {},
+			Regained: func() { regained <- time.Now() },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		<-regained
+		fault.Store(int64(keyspace.Refused))
+		time.Sleep(3050 * time.Millisecond)
+		fault.Store(int64(keyspace.Served))
+		back := time.Now()
+		must.LessEq(t, 100*time.Millisecond, (<-regained).Sub(back))
+		cancel()
+		synctest.Wait()
+	})
+	must.GreaterEq(t, 100*time.Millisecond, kvstore.RetryInterval(43))
+}
--- a/kvstore/follower.go
+++ b/kvstore/follower.go
@@ -21,6 +21,9 @@
 	// Pause returns the time between two watches, so that frequent changes of a
 	// prefix are read in batches. Nil: no pause.
 	Pause func() time.Duration
+	// MaxRetryWait returns the longest pause between two reads while the store is
+	// away. Nil: defaultMaxRetryWait.
+	MaxRetryWait func() time.Duration
 	// Reset receives all items under the prefix; Apply receives later
 	// changes in order.
 	Reset func(items []Item)
@@ -45,10 +48,10 @@
 const truncatedBatch = 400
 
 const (
-	watchAnswerGrace = 700 * time.Millisecond // time for a slow answer beyond the watch's wait
-	listTimeout      = 2 * time.Second        // bounds one list
-	firstRetryWait   = 60 * time.Millisecond  // first pause after a failure; doubles up to maxRetryWait
-	maxRetryWait     = 400 * time.Millisecond // changes must be seen well within two seconds of the store's recovery
+	watchAnswerGrace    = 700 * time.Millisecond // time for a slow answer beyond the watch's wait
+	listTimeout         = 2 * time.Second        // bounds one list
+	firstRetryWait      = 60 * time.Millisecond  // first pause after a failure; doubles up to MaxRetryWait
+	defaultMaxRetryWait = 400 * time.Millisecond // changes must be seen well within two seconds of the store's recovery
 )
 
 // Run follows the prefix until ctx ends. It lists the prefix first, and again
@@ -56,7 +59,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var after uint64
 	lost := true
-	retry := pause.Backoff{Initial: firstRetryWait, Max: maxRetryWait}
+	retry := pause.Backoff{Initial: firstRetryWait, Max: defaultMaxRetryWait}
 	for ctx.Err() == nil {
 		if f.ReadStarted != nil {
 			f.ReadStarted()
@@ -77,6 +80,9 @@
 			after = 0
 		case ctx.Err() == nil:
 			f.reportLoss(&lost, err)
+			if f.MaxRetryWait != nil {
+				retry.Max = f.MaxRetryWait()
+			}
 			retry.Wait(ctx)
 		}
 	}
