Scheduler: reclaim a due guarantee although stops are late

Cause (found by reading, then in virtual time): a unit that had preempted counted as waiting for 1.5 s, and runs told to stop counted as free however late their stop was. With stops that arrive late on the first runners, an urgent gang within its guarantee started 3.62 s after it was submitted; 2.9 s is due. Change: once the guarantee is due (1.2 s), a stop is waited for for 0.6 s, a run whose stop is late holds its capacity, and a free place is taken even if slow. Measured: TestGuaranteeIsReclaimedAlthoughStopsAreLate fails before (3.62 s) and passes after.

--- a/batch/scheduler/advice.go
+++ b/batch/scheduler/advice.go
@@ -148,7 +148,7 @@
 // returns nil when no runner with room needs a question, or when the unit could
 // not be placed even if all of them were approved.
 func (c *Core) runnersToAsk(u *unit, now steady.Time) []slot {
-	if u.awaitsPreemption(now) || u.stepAdvice().questionPending || now.Before(u.stepAdvice().nextQuestionAt) {
+	if c.awaitsPreemption(u, now) || u.stepAdvice().questionPending || now.Before(u.stepAdvice().nextQuestionAt) {
 		return nil
 	}
 	var out []slot
@@ -206,7 +206,7 @@
 func (c *Core) obtainableResources(u *unit, r *runner, now steady.Time) batch.Resources {
 	free := r.freeFor(u, now)
 	if c.mayPreempt(u, now) {
-		free = free.Plus(r.preemptibleBy(u))
+		free = free.Plus(r.preemptibleBy(u, now))
 	}
 	return free
 }
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -243,7 +243,10 @@
 // preemption frees for it, because it would be late on the free ones. It may
 // start that preemption.
 func (c *Core) awaitsFasterRunners(u *unit, free []*runner, now steady.Time) bool {
-	return c.uses(mechanism.FasterRunners) && c.mayPreempt(u, now) && c.wouldBeLate(u, free, now) && c.preemptForFasterRunners(u, now)
+	if !c.uses(mechanism.FasterRunners) || c.guaranteeDue(u, now) {
+		return false
+	}
+	return c.mayPreempt(u, now) && c.wouldBeLate(u, free, now) && c.preemptForFasterRunners(u, now)
 }
 
 // mayPreempt reports whether others may be stopped to make room for the unit.
--- a/batch/scheduler/decide_test.go
+++ b/batch/scheduler/decide_test.go
@@ -71,6 +71,29 @@
 	return 0
 }
 
+// Stops on slowed runners are carried out late. An urgent gang within its
+// organisation's guarantee doesn't wait for them: it is started on other runners
+// in time.
+func TestGuaranteeIsReclaimedAlthoughStopsAreLate(t *testing.T) {
+	w := faultFreeWorld(t, 3, 4)
+	for i := range 12 {
+		w.submit(batch.Job{ID: fmt.Sprintf("other%02d", i), Organisation: "two", Priority: 1, Steps: []batch.Step{gang(1, 8, time.Minute)}}, time.Minute, false)
+	}
+	w.run(20 * time.Second)
+	late := orderFault{answerLost: true, delay: 5 * time.Second}
+	w.nextFaults = []orderFault{late, late, late, late, late, late} // three stops and their retries
+	w.submit(batch.Job{ID: "urgent", Organisation: "one", Stretch: 1.5, Steps: []batch.Step{gang(3, 8, time.Second)}}, time.Second, false)
+	submitted := w.now
+	for w.state("urgent") != batch.Running && w.now.Sub(submitted) < 10*time.Second {
+		w.run(worldTick)
+	}
+	must.LessEq(t, guaranteeDue, w.now.Sub(submitted))
+}
+
+// guaranteeDue is the time within which a guarantee is given back to its
+// organisation.
+const guaranteeDue = 2900 * time.Millisecond
+
 // Beyond the guarantee, preemption doesn't throw away long unsaved work for a
 // short job.
 func TestPreemptionIsBoundedByLostWork(t *testing.T) {
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -67,7 +67,7 @@
 // enough for u to be in time are tried first. It reports whether capacity for u
 // is being freed.
 func (c *Core) preempt(u *unit, now steady.Time) bool {
-	if u.awaitsPreemption(now) {
+	if c.awaitsPreemption(u, now) {
 		return true
 	}
 	if c.preemptInTime(u, now) {
@@ -80,7 +80,7 @@
 // could start at once but would be late. It reports whether capacity on such
 // runners is being freed.
 func (c *Core) preemptForFasterRunners(u *unit, now steady.Time) bool {
-	if u.awaitsPreemption(now) {
+	if c.awaitsPreemption(u, now) {
 		return u.awaitedCost <= c.maxCostInTime(u, now.Add(startLatency))
 	}
 	return now.Sub(u.eligibleSince) <= fasterRunnerWait && c.preemptInTime(u, now)
@@ -96,10 +96,21 @@
 	return c.stopVictims(u, chosen, wasteFactorInTime*c.ownWork(u), now)
 }
 
-// awaitsPreemption reports whether others were preempted for the unit less than
-// preemptRetryDelay ago.
-func (u *unit) awaitsPreemption(now steady.Time) bool {
-	return !u.preemptingSince.IsZero() && now.Sub(u.preemptingSince) < preemptRetryDelay
+// awaitsPreemption reports whether others were preempted for the unit so recently
+// that their capacity may still become free. A guarantee that is due leaves no time
+// to wait for stops that are late.
+func (c *Core) awaitsPreemption(u *unit, now steady.Time) bool {
+	limit := preemptRetryDelay
+	if c.guaranteeDue(u, now) {
+		limit = stopLatency
+	}
+	return !u.preemptingSince.IsZero() && now.Sub(u.preemptingSince) < limit
+}
+
+// guaranteeDue reports whether a unit within its organisation's guarantee has
+// waited so long that it must start on any runner, whatever work that throws away.
+func (c *Core) guaranteeDue(u *unit, now steady.Time) bool {
+	return now.Sub(u.eligibleSince) >= guaranteeReclaimDelay && c.withinGuarantee(u.job)
 }
 
 // stopVictims stops the chosen units unless that throws away more than allowed
@@ -146,7 +157,7 @@
 	if u.spec().LongRunning {
 		return math.Inf(1) // it serves no users while it is not running
 	}
-	if waited >= guaranteeReclaimDelay && c.withinGuarantee(u.job) {
+	if c.guaranteeDue(u, now) {
 		return math.Inf(1)
 	}
 	work := c.speeds.expectedDuration(u)
@@ -199,7 +210,7 @@
 // choosePreemption returns the units to stop on runners that cost at most
 // maxCost, or nil when that doesn't make enough room.
 func (c *Core) choosePreemption(u *unit, maxCost float64, now steady.Time) []victims {
-	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.freeFor(u, now).Plus(r.preemptibleBy(u)) })
+	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.freeFor(u, now).Plus(r.preemptibleBy(u, now)) })
 	var all []victims
 	for _, s := range slots {
 		if !s.remote && s.cost <= maxCost {
@@ -258,12 +269,18 @@
 	return nil
 }
 
+// isStopping reports whether the run was told to stop and may still end in time. A
+// stop that is late says nothing about when its capacity becomes free.
+func (r *run) isStopping(now steady.Time) bool {
+	return r.phase == stopping && now.Sub(r.phaseSince) < stopLatency
+}
+
 // preemptibleBy returns the resources on r of units that yield to u or are
 // stopping.
-func (r *runner) preemptibleBy(u *unit) batch.Resources {
+func (r *runner) preemptibleBy(u *unit, now steady.Time) batch.Resources {
 	var sum batch.Resources
 	for _, run := range r.runs {
-		if run.unit.yieldsTo(u) || run.phase == stopping {
+		if run.isStopping(now) || run.phase != stopping && run.unit.yieldsTo(u) {
 			sum = sum.Plus(run.unit.spec().ReservedResources())
 		}
 	}
@@ -292,9 +309,9 @@
 	var candidates []*unit
 	for _, run := range r.runs {
 		switch {
-		case run.phase == stopping:
+		case run.isStopping(now):
 			free = free.Plus(run.unit.spec().ReservedResources())
-		case run.unit.yieldsTo(u) && !slices.Contains(candidates, run.unit):
+		case run.phase != stopping && run.unit.yieldsTo(u) && !slices.Contains(candidates, run.unit):
 			candidates = append(candidates, run.unit)
 		}
 	}
