Dispatch: send no start again once the term has run out

Runners fence by token and leases are bounded, so no double run was seen. Change: the try ends with an unknown outcome, as before after three tries. Measured: TestStartIsNotRetriedAfterTheTermHasRunOut fails before (3 starts).

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -249,8 +249,8 @@
 func (l *Leader) startRun(ctx context.Context, o scheduler.Order) scheduler.Answer {
 	ambiguous := false
 	for range maxStartTries {
-		if !l.term.Valid() && !ambiguous {
-			return scheduler.NotExecuted
+		if !l.term.Valid() {
+			break // the next leader decides about the run, also if this host was paused between two tries
 		}
 		answer, sent, err := l.sendStart(ctx, o)
 		if answer == Accepted {
@@ -277,10 +277,14 @@
 			return scheduler.NotExecuted
 		}
 	}
-	if ambiguous {
+	switch {
+	case ambiguous:
 		return scheduler.OutcomeUnknown
+	case !l.term.Valid():
+		return scheduler.NotExecuted
+	default:
+		return scheduler.Unhealthy
 	}
-	return scheduler.Unhealthy
 }
 
 // sendStart sends a start order once. sent is false when it certainly did not leave
