Conditions: keep evacuated failure domains while documents are listed again

Change: the set is replaced once. Measured: TestEvacuationHoldsWhileTheDocumentsAreListedAgain fails before.

--- a/batch/conditions/conditions.go
+++ b/batch/conditions/conditions.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,8 +97,20 @@
 	f.Regained = func() { c.log.Info("store regained", "prefix", f.Prefix) }
 }
 
+// resetDocuments replaces the documents by a list of all of them. The set of
+// evacuated failure domains changes once, as a decision in between must not take a
+// domain that stays evacuated for one in use.
 func (c *Conditions) resetDocuments(items []kvstore.Item) {
-	c.updateEvacuated(func(domains map[string]bool) { clear(domains) })
+	listed := make(map[string]bool)
+	for _, item := range items {
+		if domain := c.format.EvacuatedDomain(item.Key); domain != "" {
+			listed[domain] = true
+		}
+	}
+	c.updateEvacuated(func(domains map[string]bool) {
+		clear(domains)
+		maps.Copy(domains, listed)
+	})
 	for _, item := range items {
 		c.applyDocument(kvstore.Event{Item: item})
 	}
--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -165,3 +165,23 @@
 	c.applyDocuments([]kvstore.Event{{Item: kvstore.Item{Key: "operator/evacuated/z1", Revision: 9}, Deleted: true}})
 	must.False(t, c.Evacuated()["z1"])
 }
+
+// A list of all documents, read again after an outage or a compaction, doesn't bring
+// an evacuated failure domain back into use, not even while it is applied.
+func TestEvacuationHoldsWhileTheDocumentsAreListedAgain(t *testing.T) {
+	var c *Conditions
+	format := jsonFormat
+	seen := 0
+	format.DecodeDocument = func(item kvstore.Item) (Document, error) {
+		must.True(t, c.Evacuated()["fd-b"])
+		seen++
+		return jsonFormat.DecodeDocument(item)
+	}
+	c = New(nil, format, time.Second, discardLogger())
+	evacuation := kvstore.Item{Key: "operator/evacuated/fd-b", Revision: 2}
+	c.applyDocument(kvstore.Event{Item: evacuation})
+	c.resetDocuments([]kvstore.Item{{Key: "operator/config", Value: []byte("1"), Revision: 3}, evacuation})
+	must.Eq(t, 1, seen)
+	c.resetDocuments(nil)
+	must.MapEmpty(t, c.Evacuated())
+}
