--- a/batch/scheduler/advice.go
+++ b/batch/scheduler/advice.go
@@ -11,8 +11,8 @@
 
 const (
 	// questionSizeMin is the minimum number of runners that a question names, if
-	// there are that many: the users' target times include one question of that
-	// size for each step.
+	// there are that many: target times include one question of that size for each
+	// step.
 	questionSizeMin = 30
 
 	// questionSizeMax is the maximum number of runners that the adviser accepts
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -181,11 +181,6 @@
 	}
 }
 
-// tooLateFactor is the multiple of a job's target time beyond which it no longer
-// matters to the caller how late the job is. Units that can't end before then are
-// placed after those that can still be in time.
-const tooLateFactor = 3
-
 // eligibleUnits returns the waiting units that may be placed, in the order in
 // which they are placed: by priority, then those that can still be in time, then
 // those of small jobs, because that serves the most callers in time, and then by
--- a/batch/scheduler/load_test.go
+++ b/batch/scheduler/load_test.go
@@ -13,7 +13,7 @@
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
-// class is one kind of job of the users' heaviest days.
+// class is one kind of job of a heavy day.
 type class struct {
 	name          string
 	priority      int
@@ -136,8 +136,7 @@
 	}
 }
 
-// On the users' heaviest days late urgent work was two thirds of what was lost.
-// With the queue order, preemption and learned speeds more urgent jobs are in
+// On heavy days most of what callers lose is lost to late urgent work. With the queue order, preemption and learned speeds more urgent jobs are in
 // time than with first-fit in order of arrival, no other class has fewer jobs
 // in time, and every job is still done.
 func TestUrgentBurstIsServedInTime(t *testing.T) {
--- a/batch/scheduler/move.go
+++ b/batch/scheduler/move.go
@@ -13,11 +13,6 @@
 	// a stop, its report and a start.
 	moveOverhead = 500 * time.Millisecond
 
-	// moveTimeRatio is the largest ratio of the time after a move to the time
-	// without it at which a unit is moved. Estimates of work and speed are off
-	// by about as much as the gain.
-	moveTimeRatio = 0.75
-
 	// maxMoves bounds the moves of one unit, because each throws work away.
 	maxMoves = 2
 )
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -10,17 +10,6 @@
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
-const (
-	// slowdownTolerance is the part of a job's stretch that a slow runner may
-	// use up; the rest is for waiting.
-	slowdownTolerance = 0.7
-
-	// failedRunnerFactor multiplies the cost of a runner for each failure of
-	// the unit there. It exceeds the slowdown that a job with a stretch of 3
-	// tolerates, so that the job goes elsewhere.
-	failedRunnerFactor = 3.0
-)
-
 // nomination reserves capacity of a runner for a unit that preempted others.
 type nomination struct {
 	unit    *unit
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -17,18 +17,6 @@
 	// it preempted before it preempts more.
 	preemptRetryDelay = nominationTTL
 
-	// wasteFactorMin and wasteFactorMax bound the work that preemption for an
-	// urgent unit may throw away, as a multiple of the unit's own work: at
-	// once, and when its slack is used up. At the users' prices an urgent job
-	// in time is worth about five times its own work thrown away.
-	wasteFactorMin = 0.5
-	wasteFactorMax = 4.0
-
-	// wasteFactorInTime is the bound for a preemption that decides whether the
-	// job is in time: at the users' prices a late job is worth a fifth of one in
-	// time, and the difference pays for four to eight times the job's own work.
-	wasteFactorInTime = 4.0
-
 	// fasterRunnerWait is how long a unit that could start may still preempt
 	// others on faster runners. Together with the wait for the preempted units
 	// to stop, it lets a guarantee be reclaimed in time.
@@ -36,17 +24,14 @@
 
 	// guaranteeReclaimDelay is how long a unit within its organisation's
 	// guarantee waits at most before it may preempt others regardless of the
-	// work that this throws away. The guarantee is due back in 2.7 s; a stop,
-	// reports and starts take up to 0.8 s of that.
+	// work that this throws away. The guarantee is due back in 2.9 s; two
+	// tries to stop others, reports and starts take up to 1.7 s of that.
 	guaranteeReclaimDelay = 1200 * time.Millisecond
 
 	// stopLatency is the part of a unit's slack that is reserved for stopping
 	// the preempted units.
 	stopLatency = 600 * time.Millisecond
 
-	// coresPerAccelerator is the number of cores that an accelerator counts as.
-	coresPerAccelerator = 8
-
 	// minLostTime is the time that even a task with checkpoints loses: a stop
 	// and a restore.
 	minLostTime = 500 * time.Millisecond
--- a/batch/scheduler/speeds.go
+++ b/batch/scheduler/speeds.go
@@ -25,11 +25,11 @@
 
 const (
 	// factorVariance is the variance of a runner's factor before anything is
-	// learned of it: the users' fleets differ by up to 1.7 times either way.
+	// learned of it: most fleets differ by up to 1.7 times either way.
 	factorVariance = 0.45 * 0.45
 
-	// declaredVariance is the variance of a declared duration: "far off" in the
-	// users' words.
+	// declaredVariance is the variance of a declared duration. Callers estimate
+	// roughly: every third is off by more than 1.6 times.
 	declaredVariance = 0.5 * 0.5
 
 	// taskVariance is the variance of one task's work around the work of its
