--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -75,6 +75,7 @@
 	jobs         map[string]*job
 	active       []*job // not ended, in order of acceptance
 	runners      map[string]*runner
+	allRunners   []*runner // the same, for passes over all of them
 	speeds       *speeds
 	config       *batch.Configuration
 	evacuated    map[string]bool
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -198,10 +198,14 @@
 		slices.SortStableFunc(out, func(a, b *unit) int { return a.job.spec.Accepted.Compare(b.job.spec.Accepted) })
 		return out
 	}
+	tooLate := make(map[*unit]bool, len(out))
+	for _, u := range out {
+		tooLate[u] = c.tooLate(u, now)
+	}
 	slices.SortStableFunc(out, func(a, b *unit) int {
 		return cmp.Or(
 			cmp.Compare(a.job.spec.Priority, b.job.spec.Priority),
-			compareBool(c.tooLate(a, now), c.tooLate(b, now)),
+			compareBool(tooLate[a], tooLate[b]),
 			cmp.Compare(a.job.size, b.job.size),
 			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
 			cmp.Compare(a.occurrence, b.occurrence),
@@ -269,7 +273,7 @@
 // less than half of its CPU are reserved.
 func (c *Core) mostlyFree(service string) bool {
 	var reserved, all batch.Resources
-	for _, r := range c.runners {
+	for _, r := range c.allRunners {
 		if r.Service == service && r.listed {
 			reserved, all = reserved.Plus(r.reserved), all.Plus(r.Capacity)
 		}
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -319,6 +319,10 @@
 	r.unit.runs = append(r.unit.runs, r)
 	r.runner.runs[runKey{r.task(), r.attempt}] = r
 	r.runner.reserved = r.runner.reserved.Plus(r.unit.spec().ReservedResources())
+	if r.unit.job.spec.Priority == 0 {
+		r.runner.reservedUrgent = r.runner.reservedUrgent.Plus(r.unit.spec().ReservedResources())
+		r.runner.urgentRuns = append(r.runner.urgentRuns, r)
+	}
 }
 
 // detach removes a run that has ended, and releases its resources.
@@ -329,6 +333,10 @@
 	}
 	delete(r.runner.runs, key)
 	r.runner.reserved = r.runner.reserved.Minus(r.unit.spec().ReservedResources())
+	if r.unit.job.spec.Priority == 0 {
+		r.runner.reservedUrgent = r.runner.reservedUrgent.Minus(r.unit.spec().ReservedResources())
+		r.runner.urgentRuns = slices.DeleteFunc(r.runner.urgentRuns, func(o *run) bool { return o == r })
+	}
 	u := r.unit
 	u.runs = slices.DeleteFunc(u.runs, func(o *run) bool { return o == r })
 	if len(u.runs) == 0 {
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -113,7 +113,7 @@
 func (c *Core) openSlots(u *unit, now steady.Time, free func(*runner) batch.Resources) []slot {
 	var out []slot
 	step := u.spec()
-	for _, r := range c.runners {
+	for _, r := range c.allRunners {
 		if r.Service != u.job.spec.Service || !r.hasLabel(step.Label) || !r.acceptsStarts(c, now) {
 			continue
 		}
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -55,10 +55,11 @@
 	if c.awaitsPreemption(u, now) {
 		return true
 	}
-	if c.preemptInTime(u, now) {
+	candidates := c.preemptionCandidates(u, now)
+	if c.preemptInTime(u, candidates, now) {
 		return true
 	}
-	return c.stopVictims(u, c.choosePreemption(u, math.Inf(1), now), c.wasteAllowed(u, now), now)
+	return c.stopVictims(u, u.chooseVictims(candidates, math.Inf(1)), c.wasteAllowed(u, now), now)
 }
 
 // preemptForFasterRunners preempts others on faster runners for a unit that
@@ -68,16 +69,16 @@
 	if c.awaitsPreemption(u, now) {
 		return u.awaitedCost <= c.maxCostInTime(u, now.Add(startLatency))
 	}
-	return now.Sub(u.eligibleSince) <= fasterRunnerWait && c.preemptInTime(u, now)
+	return now.Sub(u.eligibleSince) <= fasterRunnerWait && c.preemptInTime(u, c.preemptionCandidates(u, now), now)
 }
 
-// preemptInTime preempts others on runners that are fast enough for u to be in
-// time.
-func (c *Core) preemptInTime(u *unit, now steady.Time) bool {
+// preemptInTime preempts others on those candidates that are fast enough for u to
+// be in time.
+func (c *Core) preemptInTime(u *unit, candidates []victims, now steady.Time) bool {
 	if !c.uses(mechanism.InTimeVictims) {
 		return false
 	}
-	chosen := c.choosePreemption(u, c.maxCostInTime(u, now.Add(stopLatency)), now)
+	chosen := u.chooseVictims(candidates, c.maxCostInTime(u, now.Add(stopLatency)))
 	return c.stopVictims(u, chosen, wasteFactorInTime*c.ownWork(u), now)
 }
 
@@ -192,23 +193,35 @@
 	r.nominations = append(r.nominations, nomination{unit: u, request: sum, until: now.Add(nominationTTL)})
 }
 
-// choosePreemption returns the units to stop on runners that cost at most
-// maxCost, or nil when that doesn't make enough room.
-func (c *Core) choosePreemption(u *unit, maxCost float64, now steady.Time) []victims {
-	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.freeFor(u, now).Plus(r.preemptibleBy(u, now)) })
+// preemptionCandidates returns the runners on which stopping units makes room for
+// tasks of u, the best first.
+func (c *Core) preemptionCandidates(u *unit, now steady.Time) []victims {
+	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.obtainableBy(u, now) })
 	var all []victims
 	for _, s := range slots {
-		if !s.remote && s.cost <= maxCost {
+		if !s.remote {
 			all = append(all, c.victimsOn(u, s, now))
 		}
 	}
 	slices.SortFunc(all, func(a, b victims) int {
 		return cmp.Or(cmp.Compare(a.score(), b.score()), cmp.Compare(a.runner.ID, b.runner.ID))
 	})
+	return all
+}
+
+// chooseVictims returns the best candidates, on runners that cost at most maxCost,
+// that together make room for u, or nil when they don't.
+func (u *unit) chooseVictims(candidates []victims, maxCost float64) []victims {
+	var affordable []victims
+	for _, v := range candidates {
+		if v.runnerCost <= maxCost {
+			affordable = append(affordable, v)
+		}
+	}
 	if !u.spec().SameRack || u.tasks == 1 {
-		return takeVictims(all, u.tasks)
+		return takeVictims(affordable, u.tasks)
 	}
-	return cheapestRack(all, u.tasks)
+	return cheapestRack(affordable, u.tasks)
 }
 
 // score orders runners by the work thrown away for each task that then fits,
@@ -260,6 +273,17 @@
 	return r.phase == stopping && now.Sub(r.phaseSince) < stopLatency
 }
 
+// obtainableBy returns the resources of r that are free for u or that stopping
+// others frees. Runners that urgent work fills are recognised without a look at
+// each run, because a pass asks this for every runner and waiting shape.
+func (r *runner) obtainableBy(u *unit, now steady.Time) batch.Resources {
+	atMost := r.Capacity.Minus(r.reservedUrgent)
+	if !u.spec().ReservedResources().Fits(atMost) && !slices.ContainsFunc(r.urgentRuns, func(o *run) bool { return o.phase == stopping }) {
+		return batch.Resources{}
+	}
+	return r.freeFor(u, now).Plus(r.preemptibleBy(u, now))
+}
+
 // preemptibleBy returns the resources on r of units that yield to u or are
 // stopping.
 func (r *runner) preemptibleBy(u *unit, now steady.Time) batch.Resources {
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -44,6 +44,8 @@
 	reachable         bool            // it answered the last hold
 	leaseEndsBy       steady.Time     // when its lease has certainly run out
 	reserved          batch.Resources // by its runs
+	reservedUrgent    batch.Resources // by urgentRuns
+	urgentRuns        []*run          // those of its runs that nothing may preempt
 	runs              map[runKey]*run
 	orphans           map[runKey]steady.Time // runs that no record names, and when they were last ordered to stop
 	lastEndSeen       int64                  // highest sequence number of a handled end
@@ -73,6 +75,7 @@
 			leaseEndsBy: c.opts.InheritedLeaseEnd,
 		}
 		c.runners[id] = r
+		c.allRunners = append(c.allRunners, r)
 	}
 	return r
 }
@@ -222,6 +225,7 @@
 		}
 		if !r.listed && len(r.runs) == 0 {
 			delete(c.runners, id)
+			c.allRunners = slices.DeleteFunc(c.allRunners, func(o *runner) bool { return o == r })
 		}
 	}
 }
