Scheduler: learn by queue what declared durations say

Hypothesis: urgent jobs' declared durations are off by a factor of e^0.9, and only their bias was learned, so estimates of who is late, what to stop and what to move were nearly random. Change: a line through the logarithms of the declared durations and of the work that steps turned out to be, by queue, with its residual variance. Stored with the speeds (durations; the former queues are ignored).

--- a/batch/mechanism/mechanism.go
+++ b/batch/mechanism/mechanism.go
@@ -21,6 +21,7 @@
 	InTimeVictims  Mechanism = "in-time-victims" // off: preemption doesn't try runners first that are fast enough
 	RepeatVictims  Mechanism = "repeat-victims"  // off: units that were preempted before are preempted as easily as others
 	LearnedSpeeds  Mechanism = "learned-speeds"  // off: all runners count as equally fast
+	DurationFit    Mechanism = "duration-fit"    // off: declared durations are believed
 	KeptSpeeds     Mechanism = "kept-speeds"     // off: a new leader doesn't know the speeds that earlier ones learned
 	Exploration    Mechanism = "exploration"     // off: runners of unknown speed aren't preferred for other than urgent work
 	SlackTolerance Mechanism = "slack-tolerance" // off: work with time to spare prefers average runners to slow ones too
@@ -43,7 +44,7 @@
 // All returns every mechanism.
 func All() []Mechanism {
 	return []Mechanism{
-		QueueOrder, Preemption, FasterRunners, InTimeVictims, RepeatVictims, LearnedSpeeds, KeptSpeeds, Exploration, SlackTolerance,
+		QueueOrder, Preemption, FasterRunners, InTimeVictims, RepeatVictims, LearnedSpeeds, DurationFit, KeptSpeeds, Exploration, SlackTolerance,
 		Moves, StallStops, LocalityWait, FailureBackoff,
 		PeerCalls, Unreadiness, EarlyRefusal, LeaderAnswers, WeakHostsYield, BatchedReplicas,
 	}
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -79,8 +79,8 @@
 	speeds       *speeds
 	config       *batch.Configuration
 	evacuated    map[string]bool
-	maxReportAge time.Duration // greatest age of a runner's last report at which it may be given starts
-	dirty        []*job        // jobs with changes that TakeRecords has not returned yet
+	maxReportAge time.Duration           // greatest age of a runner's last report at which it may be given starts
+	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
 
 	// State of one scheduling pass: the slots found so far, and the number of
 	// waiting units of each shape.
@@ -101,7 +101,7 @@
 	if !o.Off.On(mechanism.KeptSpeeds) {
 		o.LearnedSpeeds = batch.Speeds{}
 	}
-	return &Core{
+	c := &Core{
 		opts:         o,
 		jobs:         make(map[string]*job),
 		runners:      make(map[string]*runner),
@@ -109,6 +109,8 @@
 		evacuated:    make(map[string]bool),
 		maxReportAge: defaultMaxReportAge,
 	}
+	c.speeds.believe = !c.uses(mechanism.DurationFit)
+	return c
 }
 
 // uses reports whether a mechanism is switched on.
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -22,7 +22,7 @@
 	added        steady.Time
 	size         float64                 // declared core-seconds of one occurrence
 	adviceByStep map[stepKey]*stepAdvice // for the steps that need advice
-	work         map[stepKey]*estimate   // logarithm of the seconds that a task of the step takes
+	work         map[stepKey]*stepWork
 }
 
 type stepKey struct{ occurrence, step int }
--- a/batch/scheduler/policybench_test.go
+++ b/batch/scheduler/policybench_test.go
@@ -390,3 +390,9 @@
 func TestUsingSlowRunnersServesCallersBetter(t *testing.T) {
 	mustEarnMore(t, mechanism.SlackTolerance, 6, scenarios[0], scenarios[1])
 }
+
+// Callers who declare nearly at random get more when the scheduler learns how little
+// their declarations say.
+func TestLearningDeclaredDurationsServesCallersBetter(t *testing.T) {
+	mustEarnMore(t, mechanism.DurationFit, 8, scenarios[0])
+}
--- a/batch/scheduler/speeds.go
+++ b/batch/scheduler/speeds.go
@@ -13,8 +13,9 @@
 // kept as estimates of their logarithm with a variance, and each measured
 // duration changes the less certain one more (a scalar Kalman update).
 type speeds struct {
-	factor map[string]*estimate // by runner
-	bias   map[string]*estimate // by queue: factor by which declared durations are off
+	factor    map[string]*estimate  // by runner
+	durations map[string]*durations // by queue
+	believe   bool                  // an experiment believes declared durations
 }
 
 // estimate is an estimate of a logarithm.
@@ -28,10 +29,6 @@
 	// learned of it: most fleets differ by up to 1.7 times either way.
 	factorVariance = 0.45 * 0.45
 
-	// declaredVariance is the variance of a declared duration. Callers estimate
-	// roughly: every third is off by more than 1.6 times.
-	declaredVariance = 0.5 * 0.5
-
 	// taskVariance is the variance of one task's work around the work of its
 	// step.
 	taskVariance = 0.2 * 0.2
@@ -43,33 +40,32 @@
 	// driftVariance is added for each run, because runners turn slow and
 	// recover.
 	driftVariance = 0.02 * 0.02
-
-	// biasShare is the share of a step's error that is added to its queue's
-	// bias, so that the bias averages over some ten steps.
-	biasShare = 0.1
 )
 
 func newSpeeds(learned batch.Speeds) *speeds {
-	s := &speeds{factor: make(map[string]*estimate), bias: make(map[string]*estimate)}
+	s := &speeds{factor: make(map[string]*estimate), durations: make(map[string]*durations)}
 	for id, speed := range learned.Runners {
 		s.factor[id] = &estimate{mean: speed.LogFactor, variance: speed.Variance}
 	}
-	for queue, off := range learned.Queues {
-		s.bias[queue] = &estimate{mean: off}
+	for queue, fit := range learned.Durations {
+		s.durations[queue] = newDurations(fit)
 	}
 	return s
 }
 
 // learned returns the estimates for the given runners and for all queues.
 func (s *speeds) learned(runners map[string]*runner) batch.Speeds {
-	out := batch.Speeds{Runners: make(map[string]batch.Speed), Queues: make(map[string]float64)}
+	out := batch.Speeds{Runners: make(map[string]batch.Speed), Durations: make(map[string]batch.DurationFit)}
 	for id, e := range s.factor {
 		if runners[id] != nil {
 			out.Runners[id] = batch.Speed{LogFactor: rounded(e.mean), Variance: rounded(e.variance)}
 		}
 	}
-	for queue, e := range s.bias {
-		out.Queues[queue] = rounded(e.mean)
+	for queue, d := range s.durations {
+		out.Durations[queue] = batch.DurationFit{
+			Declared: rounded(d.fit.Declared), Work: rounded(d.fit.Work), Slope: rounded(d.fit.Slope),
+			Variance: rounded(d.fit.Variance), Weight: rounded(d.fit.Weight),
+		}
 	}
 	return out
 }
@@ -81,7 +77,7 @@
 // learn updates the estimates from the duration of a whole run.
 // measurementVariance is the variance of that duration's logarithm.
 func (s *speeds) learn(r *run, whole time.Duration, measurementVariance float64) {
-	work := s.workEstimate(r.unit)
+	work := s.stepWork(r.unit)
 	if whole <= 0 || work == nil {
 		return
 	}
@@ -90,23 +86,23 @@
 		noise = measurementVariance + memberVariance
 	}
 	factor := s.runnerEstimate(r.runner.ID)
-	residual := math.Log(whole.Seconds()) - work.mean - factor.mean
+	shown := math.Log(whole.Seconds()) - factor.mean
+	weight := declaredVariance / (declaredVariance + factor.variance + noise)
+	residual := shown - work.mean
 	total := work.variance + factor.variance + noise
 	work.update(residual, total)
 	factor.update(residual, total)
 	factor.variance += driftVariance
-	s.learnBias(r, work)
+	s.queueDurations(r.unit.job.spec.Queue).add(&work.observation, shown, weight)
 }
 
-// learnBias updates the queue's bias with the error of the declared duration.
-func (s *speeds) learnBias(r *run, work *estimate) {
-	queue := r.unit.job.spec.Queue
-	if s.bias[queue] == nil {
-		s.bias[queue] = &estimate{}
+func (s *speeds) queueDurations(queue string) *durations {
+	d := s.durations[queue]
+	if d == nil {
+		d = newDurations(batch.DurationFit{})
+		s.durations[queue] = d
 	}
-	bias := s.bias[queue]
-	off := work.mean - math.Log(r.unit.spec().Estimate.Seconds())
-	bias.mean += biasShare * (off - bias.mean)
+	return d
 }
 
 func (e *estimate) update(residual, total float64) {
@@ -115,26 +111,33 @@
 	e.variance *= 1 - gain
 }
 
-// workEstimate returns the estimate of the work of one task of the unit's step,
-// or nil when no duration is declared.
-func (s *speeds) workEstimate(u *unit) *estimate {
+// stepWork is what is known of the work of one task of a step.
+type stepWork struct {
+	estimate    // of the logarithm of its seconds
+	observation observation
+}
+
+// stepWork returns what is known of the work of one task of the unit's step, or nil
+// when no duration is declared.
+func (s *speeds) stepWork(u *unit) *stepWork {
 	key := stepKey{u.occurrence, u.step}
 	if u.job.work == nil {
-		u.job.work = make(map[stepKey]*estimate)
+		u.job.work = make(map[stepKey]*stepWork)
 	}
-	if e := u.job.work[key]; e != nil {
-		return e
+	if w := u.job.work[key]; w != nil {
+		return w
 	}
-	declared := u.spec().Estimate.Seconds()
-	if declared <= 0 {
+	seconds := u.spec().Estimate.Seconds()
+	if seconds <= 0 {
 		return nil
 	}
-	e := &estimate{mean: math.Log(declared), variance: declaredVariance}
-	if b := s.bias[u.job.spec.Queue]; b != nil {
-		e.mean += b.mean
+	declared := math.Log(seconds)
+	w := &stepWork{estimate: estimate{mean: declared, variance: declaredVariance}, observation: observation{declared: declared}}
+	if !s.believe {
+		w.estimate = s.queueDurations(u.job.spec.Queue).predict(declared)
 	}
-	u.job.work[key] = e
-	return e
+	u.job.work[key] = w
+	return w
 }
 
 func (s *speeds) runnerEstimate(runner string) *estimate {
@@ -159,11 +162,11 @@
 // expectedDuration returns how long a task of the unit takes on an average
 // runner near its data.
 func (s *speeds) expectedDuration(u *unit) time.Duration {
-	e := s.workEstimate(u)
-	if e == nil {
+	w := s.stepWork(u)
+	if w == nil {
 		return u.spec().Estimate
 	}
-	return time.Duration(math.Exp(e.mean) * float64(time.Second))
+	return time.Duration(math.Exp(w.mean) * float64(time.Second))
 }
 
 // cautionDeviations is the number of standard deviations that are added to the
