--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -47,6 +47,7 @@
 	SincePreemption time.Duration // placements: time since others were preempted for it; 0: none were
 	TimeFactor      float64       // placements: expected time relative to an average runner
 	Work            time.Duration // placements: expected duration on an average runner
+	Remote          bool          // placements: away from its data, or from the rest of its gang
 }
 
 // OrderKind is what an order asks of a runner.
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -219,7 +219,7 @@
 // needn't be tried.
 func (c *Core) schedule(u *unit, now steady.Time) bool {
 	if near := c.place(u, now, false); near != nil {
-		if !c.awaitsFasterRunners(u, near, now) {
+		if !c.awaitsFasterRunners(u, near, now) && !c.awaitsBetterOutcome(u, near, now) {
 			c.assign(u, near, now)
 		}
 		return true
@@ -231,7 +231,7 @@
 		return false
 	}
 	far := c.place(u, now, true)
-	if far == nil {
+	if far == nil || c.awaitsBetterOutcome(u, far, now) {
 		return false
 	}
 	c.assign(u, far, now)
@@ -303,7 +303,7 @@
 		c.opts.Observe(Decision{
 			What: "place", Job: j.spec.ID, Task: r.task(), Attempt: r.attempt, Runner: to.ID, Waited: now.Sub(u.eligibleSince),
 			SincePreemption: sincePreemption,
-			TimeFactor:      c.speeds.timeFactor(to.ID), Work: c.speeds.expectedDuration(u),
+			TimeFactor:      c.speeds.timeFactor(to.ID), Work: c.speeds.expectedDuration(u), Remote: r.remote,
 		})
 	}
 }
--- a/batch/scheduler/policybench_test.go
+++ b/batch/scheduler/policybench_test.go
@@ -396,3 +396,9 @@
 func TestLearningDeclaredDurationsServesCallersBetter(t *testing.T) {
 	mustEarnMore(t, mechanism.DurationFit, 8, scenarios[0])
 }
+
+// In a burst the free runners are the slow ones. Urgent jobs get more when they wait
+// for fast runners that are expected to be free in time.
+func TestWaitingForABetterOutcomeServesCallersBetter(t *testing.T) {
+	mustEarnMore(t, mechanism.OutcomeWait, 8, scenarios[0])
+}
