--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -24,7 +24,7 @@
 	rank    float64 // cost without the differences that don't matter to the job
 	tasks   int     // number of tasks that fit
 	remote  bool    // away from the unit's data
-	explore bool    // the runner's speed is not known yet and worth learning
+	explore bool    // the runner's speed is unknown and worth learning, and nothing runs there that will show it
 }
 
 // place returns a runner for each task of the unit, or nil when it doesn't fit.
@@ -70,9 +70,13 @@
 	}
 	defer func() { c.slotCache[key] = slots }()
 	for len(slots) > 0 {
-		r := slots[0].runner
-		if u.tasksFitting(r, r.freeFor(u, now)) > 0 {
-			return []*runner{r}
+		first := slots[0]
+		if u.tasksFitting(first.runner, first.runner.freeFor(u, now)) > 0 {
+			if first.explore { // one task shows its speed; the next one goes to another runner
+				first.explore = false
+				slots = append(slots[1:], first)
+			}
+			return []*runner{first.runner}
 		}
 		slots = slots[1:]
 	}
@@ -130,7 +134,7 @@
 		if c.uses(mechanism.SlackTolerance) && s.cost <= slowdownTolerance*u.job.spec.Stretch {
 			s.rank = 1
 		}
-		s.explore = c.uses(mechanism.Exploration) && u.job.spec.Priority > 0 && c.speeds.unknown(r.ID)
+		s.explore = c.uses(mechanism.Exploration) && u.job.spec.Priority > 0 && len(r.runs) == 0 && c.speeds.unknown(r.ID)
 		out = append(out, s)
 	}
 	return out
@@ -226,15 +230,27 @@
 // each task, or nil when the slots don't suffice.
 func fillSlots(slots []slot, tasks int) []*runner {
 	var out []*runner
-	for _, s := range slots {
-		for range min(s.tasks, tasks-len(out)) {
+	take := func(s slot, n int) {
+		for range min(n, tasks-len(out)) {
 			out = append(out, s.runner)
 		}
-		if len(out) == tasks {
-			return out
+	}
+	for _, s := range slots {
+		if s.explore { // one task shows its speed; the others follow below
+			take(s, 1)
+			continue
 		}
+		take(s, s.tasks)
 	}
-	return nil
+	for _, s := range slots {
+		if s.explore {
+			take(s, s.tasks-1)
+		}
+	}
+	if len(out) < tasks {
+		return nil
+	}
+	return out
 }
 
 // fillOneRack places all tasks in the best rack: by the rank of its slowest
--- a/batch/scheduler/policybench_test.go
+++ b/batch/scheduler/policybench_test.go
@@ -402,3 +402,9 @@
 func TestWaitingForABetterOutcomeServesCallersBetter(t *testing.T) {
 	mustEarnMore(t, mechanism.OutcomeWait, 8, scenarios[0])
 }
+
+// At the start of a deployment no runner's speed is known. Callers get more when the
+// first jobs show the speeds of many runners.
+func TestLearningTheSpeedsOfIdleRunnersServesCallersBetter(t *testing.T) {
+	mustEarnMore(t, mechanism.Exploration, 4, scenarios[0], scenarios[1])
+}
