Scheduler: reserve runners for gangs that wait long

Change: once half of the time that it can wait has passed, runners on which a gang can start first are kept free of work of the same or a lower priority; one reservation a service.

--- a/batch/mechanism/mechanism.go
+++ b/batch/mechanism/mechanism.go
@@ -25,6 +25,7 @@
 	KeptSpeeds     Mechanism = "kept-speeds"     // off: a new leader doesn't know the speeds that earlier ones learned
 	Exploration    Mechanism = "exploration"     // off: runners of unknown speed aren't preferred for other than urgent work
 	OutcomeWait    Mechanism = "outcome-wait"    // off: a unit starts on any free runner although it will be late there
+	Reservation    Mechanism = "reservation"     // off: nothing is kept free for gangs that wait long
 	SlackTolerance Mechanism = "slack-tolerance" // off: work with time to spare prefers average runners to slow ones too
 	Moves          Mechanism = "moves"           // off: work that will be late isn't moved
 	StallStops     Mechanism = "stall-stops"     // off: work without progress isn't stopped
@@ -45,7 +46,7 @@
 // All returns every mechanism.
 func All() []Mechanism {
 	return []Mechanism{
-		QueueOrder, Preemption, FasterRunners, InTimeVictims, RepeatVictims, LearnedSpeeds, DurationFit, KeptSpeeds, Exploration, SlackTolerance, OutcomeWait,
+		QueueOrder, Preemption, FasterRunners, InTimeVictims, RepeatVictims, LearnedSpeeds, DurationFit, KeptSpeeds, Exploration, SlackTolerance, OutcomeWait, Reservation,
 		Moves, StallStops, LocalityWait, FailureBackoff,
 		PeerCalls, Unreadiness, EarlyRefusal, LeaderAnswers, WeakHostsYield, BatchedReplicas,
 	}
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -81,6 +81,7 @@
 	config       *batch.Configuration
 	evacuated    map[string]bool
 	maxReportAge time.Duration           // greatest age of a runner's last report at which it may be given starts
+	reservations map[string]*reservation // by service
 	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
 
 	// State of one scheduling pass: the slots found so far, and the number of
@@ -108,6 +109,7 @@
 		runners:      make(map[string]*runner),
 		speeds:       newSpeeds(o.LearnedSpeeds),
 		evacuated:    make(map[string]bool),
+		reservations: make(map[string]*reservation),
 		maxReportAge: defaultMaxReportAge,
 	}
 	c.speeds.believe = !c.uses(mechanism.DurationFit)
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -55,6 +55,7 @@
 	for _, u := range units {
 		c.waitingByShape[u.shape()]++
 	}
+	c.dropReservations(now)
 	for _, u := range units {
 		s := u.shape()
 		if failed[s] {
@@ -62,6 +63,7 @@
 		}
 		if !c.schedule(u, now) {
 			failed[s] = true
+			c.reserve(u, now)
 		}
 	}
 }
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -124,6 +124,9 @@
 		if c.suspended(r, now) || len(r.orphans) > 0 || r.conflictsWith(step) {
 			continue
 		}
+		if c.reservations[r.Service].holds(r, u) {
+			continue
+		}
 		s := slot{runner: r, tasks: u.tasksFitting(r, free(r))}
 		if s.tasks == 0 {
 			continue
--- /dev/null
+++ b/batch/scheduler/reserve.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+// reservation keeps runners free of other work of the same or a lower priority, until
+// a waiting gang fits on them. It answers gangs of whole runners among many small
+// tasks: the small ones take each runner that becomes free, and the gang never starts.
+// A service has one reservation at a time, which bounds the capacity that is idle.
+type reservation struct {
+	unit    *unit
+	runners []*runner
+}
+
+// holds reports whether the reservation takes capacity of r away from u.
+func (v *reservation) holds(r *runner, u *unit) bool {
+	return v != nil && v.unit != u && u.job.spec.Priority >= v.unit.job.spec.Priority && slices.Contains(v.runners, r)
+}
+
+// reserve reserves runners for a gang that can't be placed and has used up
+// reservationShare of the time that it can wait.
+func (c *Core) reserve(u *unit, now steady.Time) {
+	service := u.job.spec.Service
+	if !c.uses(mechanism.Reservation) || c.reservations[service] != nil || u.tasks == 1 || c.mostlyFree(service) {
+		return
+	}
+	slack := c.deadline(u).Sub(u.eligibleSince) - c.speeds.expectedDuration(u)
+	if float64(now.Sub(u.eligibleSince)) < reservationShare*float64(slack) {
+		return
+	}
+	var best []prospect
+	var soonest steady.Time
+	for _, chosen := range c.prospects(u, now) {
+		if start, _ := startOf(chosen); best == nil || start < soonest {
+			best, soonest = chosen, start
+		}
+	}
+	if best == nil {
+		return
+	}
+	v := &reservation{unit: u}
+	for _, p := range best {
+		v.runners = append(v.runners, p.runner)
+	}
+	c.reservations[service] = v
+}
+
+// dropReservations ends the reservations of units that no longer wait, those on runners
+// that no longer accept starts, and those in services of which most is free.
+func (c *Core) dropReservations(now steady.Time) {
+	for service, v := range c.reservations {
+		lost := slices.ContainsFunc(v.runners, func(r *runner) bool { return !r.acceptsStarts(c, now) || c.suspended(r, now) })
+		if lost || !v.unit.waiting() || v.unit.job.state.Final() || c.mostlyFree(service) {
+			delete(c.reservations, service)
+		}
+	}
+}
--- a/batch/scheduler/weights.go
+++ b/batch/scheduler/weights.go
@@ -18,6 +18,10 @@
 	// the urgent job is in time. A late urgent job has lost most of its value.
 	wasteFactorInTime = 4.0
 
+	// reservationShare is the part of the time that a gang can wait after which
+	// runners are reserved for it.
+	reservationShare = 0.5
+
 	// slowdownTolerance is the part of a job's stretch that a slow runner may use
 	// up; the rest is for waiting. It answers fleets of two speeds: work with time
 	// to spare fills the slow runners, and urgent work finds room on the fast ones.
