Scheduler: start nothing in a failure domain that owes reports

Cause: in the first 1.8 s of a cut, gangs were started on runners of the cut domain. Change: the leader says when a report is due. An overdue runner gets no starts, nor does a domain of which several runners are overdue and none has reported since. What runs there is left alone.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -25,6 +25,7 @@
 	// 0.144 cores kept up with three times as many, which leaves room for bursts.
 	holdsPerCoreSecond = 400
 
+	reportMargin      = 120 * time.Millisecond // beyond the wait; nearly all answers arrive within it
 	holdGrace         = 600 * time.Millisecond // allowance beyond the wait, for a slow answer
 	holdRetryDelay    = 100 * time.Millisecond // after a hold without an answer; doubles up to holdRetryDelayMax
 	holdRetryDelayMax = 800 * time.Millisecond // allows several tries within a runner's shortest lease
@@ -134,6 +135,7 @@
 	}
 	o = HoldOrder{Token: l.term.Token, Acknowledged: l.core.AcknowledgedEnd(id), Wait: wait}
 	o.Deadline = l.extendLease(k)
+	l.core.ReportDue(id, steady.Now().Add(wait+reportMargin))
 	return k.runner, o, true
 }
 
--- a/batch/mechanism/mechanism.go
+++ b/batch/mechanism/mechanism.go
@@ -30,6 +30,7 @@
 	Moves          Mechanism = "moves"           // off: work that will be late isn't moved
 	StallStops     Mechanism = "stall-stops"     // off: work without progress isn't stopped
 	LocalityWait   Mechanism = "locality-wait"   // off: units don't wait for a place near their data or in one rack
+	SilenceCheck   Mechanism = "silence-check"   // off: runners get work until their last report is too old
 	FailureBackoff Mechanism = "failure-backoff" // off: a runner gets work at once after a failure
 )
 
@@ -47,7 +48,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		QueueOrder, Preemption, FasterRunners, InTimeVictims, RepeatVictims, LearnedSpeeds, DurationFit, KeptSpeeds, Exploration, SlackTolerance, OutcomeWait, Reservation,
-		Moves, StallStops, LocalityWait, FailureBackoff,
+		Moves, StallStops, LocalityWait, SilenceCheck, FailureBackoff,
 		PeerCalls, Unreadiness, EarlyRefusal, LeaderAnswers, WeakHostsYield, BatchedReplicas,
 	}
 }
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -80,6 +80,7 @@
 	speeds       *speeds
 	config       *batch.Configuration
 	evacuated    map[string]bool
+	silent       map[string]bool         // failure domains that seem to be cut off
 	maxReportAge time.Duration           // greatest age of a runner's last report at which it may be given starts
 	reservations map[string]*reservation // by service
 	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
@@ -109,6 +110,7 @@
 		runners:      make(map[string]*runner),
 		speeds:       newSpeeds(o.LearnedSpeeds),
 		evacuated:    make(map[string]bool),
+		silent:       make(map[string]bool),
 		reservations: make(map[string]*reservation),
 		maxReportAge: defaultMaxReportAge,
 	}
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -43,6 +43,7 @@
 // compared with.
 func (c *Core) Decide(now steady.Time, wall time.Time) {
 	c.expireLeases(now)
+	c.noteSilentDomains(now)
 	c.slotCache, c.waitingByShape = make(map[slotKey][]slot), make(map[shape]int)
 	for _, j := range c.active {
 		for _, u := range j.units {
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -19,7 +19,7 @@
 	if report.Born != 0 {
 		r.Born = report.Born
 	}
-	r.reportRequestedAt, r.reportReceivedAt, r.reachable = asked, now, true
+	r.reportRequestedAt, r.reportReceivedAt, r.reportDueBy, r.reachable = asked, now, 0, true
 	c.handleEnds(r, report.Ended, now)
 	c.handleRunning(r, asked, report.Running, now)
 }
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -41,6 +42,7 @@
 	listed            bool            // its entry in the store exists
 	reportRequestedAt steady.Time     // when the last report was requested
 	reportReceivedAt  steady.Time     // when the last report arrived
+	reportDueBy       steady.Time     // when the report that it owes should have arrived; 0: it owes none
 	reachable         bool            // it answered the last hold
 	leaseEndsBy       steady.Time     // when its lease has certainly run out
 	reserved          batch.Resources // by its runs
@@ -242,6 +244,9 @@
 
 // acceptsStarts reports whether runs may be started on the runner now.
 func (r *runner) acceptsStarts(c *Core, now steady.Time) bool {
+	if c.uses(mechanism.SilenceCheck) && (r.overdue(now) || c.silent[r.FailureDomain]) {
+		return false
+	}
 	return r.listed && r.reachable && !r.Draining &&
 		!c.evacuated[r.FailureDomain] &&
 		now.Sub(r.reportReceivedAt) <= c.maxReportAge
