--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -165,6 +165,7 @@
 		LearnedSpeeds:     found.speeds,
 		Off:               l.Off,
 		Observe:           l.logDecision,
+		ObserveDomain:     l.logDomain,
 	})
 	recorded := make(map[string]kvstore.Item, len(found.progress))
 	for _, item := range found.progress {
@@ -207,6 +208,15 @@
 		"factor", math.Round(d.TimeFactor*100)/100, "work", d.Work.Round(time.Millisecond), "remote", d.Remote)
 }
 
+// logDomain logs that a failure domain fell silent, or that it reports again.
+func (l *Leader) logDomain(domain string, silent bool) {
+	if silent {
+		l.Log.Warn("failure domain silent", "domain", domain, "token", l.term.Token)
+		return
+	}
+	l.Log.Info("failure domain reports again", "domain", domain, "token", l.term.Token)
+}
+
 func (l *Leader) countDecision(d scheduler.Decision) {
 	if l.Metrics == nil {
 		return
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -33,11 +33,14 @@
 	Off               mechanism.Set // mechanisms that an experiment switches off
 	// Observe, when set, is called with each decision.
 	Observe func(Decision)
+	// ObserveDomain, when set, is called when a failure domain falls silent and when it
+	// reports again.
+	ObserveDomain func(domain string, silent bool)
 }
 
 // Decision is one decision of the core, for logs and counters.
 type Decision struct {
-	What            string // "place", "refused", "stop" or "end"
+	What            string // "place", "reserve", "refused", "stop" or "end"
 	Job             string
 	Task            batch.TaskID
 	Attempt         int
@@ -101,6 +104,9 @@
 	if o.Observe == nil {
 		o.Observe = func(Decision) {}
 	}
+	if o.ObserveDomain == nil {
+		o.ObserveDomain = func(string, bool) {}
+	}
 	if !o.Off.On(mechanism.KeptSpeeds) {
 		o.LearnedSpeeds = batch.Speeds{}
 	}
--- a/batch/scheduler/policybench_test.go
+++ b/batch/scheduler/policybench_test.go
@@ -367,13 +367,30 @@
 	must.NoError(t, table.Flush())
 }
 
+// wholeDays keeps the days that were played with the whole scheduler, by scenario, as
+// several tests compare with them.
+var wholeDays = struct {
+	sync.Mutex
+	played map[string][]dayResult
+}{played: make(map[string][]dayResult)}
+
+// playWholeDays returns the first days of a scenario, played with the whole scheduler.
+func playWholeDays(t testing.TB, s scenario, days int) []dayResult {
+	wholeDays.Lock()
+	defer wholeDays.Unlock()
+	if len(wholeDays.played[s.name]) < days {
+		wholeDays.played[s.name] = playDays(t, s, days, mechanism.Set{})
+	}
+	return wholeDays.played[s.name][:days]
+}
+
 // mustEarnMore plays the first days of the scenarios with the whole scheduler and
 // without a mechanism, and checks that the mechanism serves callers better: the
 // jobs earn more credit, and no larger share of them is left unserved.
 func mustEarnMore(t *testing.T, m mechanism.Mechanism, days int, in ...scenario) {
 	var whole, without, wholeUnserved, withoutUnserved float64
 	for _, s := range in {
-		full, other := playDays(t, s, days, mechanism.Set{}), playDays(t, s, days, mechanism.Without(m))
+		full, other := playWholeDays(t, s, days), playDays(t, s, days, mechanism.Without(m))
 		for i := range full {
 			whole, without = whole+full[i].creditShare(), without+other[i].creditShare()
 			wholeUnserved, withoutUnserved = wholeUnserved+full[i].unservedShare(), withoutUnserved+other[i].unservedShare()
--- a/batch/scheduler/reserve.go
+++ b/batch/scheduler/reserve.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
@@ -21,17 +23,40 @@
 	return v != nil && v.unit != u && u.job.spec.Priority >= v.unit.job.spec.Priority && slices.Contains(v.runners, r)
 }
 
-// reserve reserves runners for a gang that can't be placed and has used up
-// reservationShare of the time that it can wait.
+// reserve reserves the runners on which a gang that couldn't be placed can start first.
 func (c *Core) reserve(u *unit, now steady.Time) {
-	service := u.job.spec.Service
-	if !c.uses(mechanism.Reservation) || c.reservations[service] != nil || u.tasks == 1 || c.mostlyFree(service) {
+	if !c.mayReserve(u, now) {
 		return
 	}
-	slack := c.deadline(u).Sub(u.eligibleSince) - c.speeds.expectedDuration(u)
-	if float64(now.Sub(u.eligibleSince)) < reservationShare*float64(slack) {
+	chosen := c.soonestProspects(u, now)
+	if chosen == nil {
 		return
 	}
+	v := &reservation{unit: u}
+	for _, p := range chosen {
+		v.runners = append(v.runners, p.runner)
+	}
+	c.reservations[u.job.spec.Service] = v
+	c.opts.Observe(Decision{
+		What: "reserve", Job: u.job.spec.ID, Task: batch.TaskID{Job: u.job.spec.ID, Occurrence: u.occurrence, Step: u.step, Index: u.first},
+		Waited: now.Sub(u.eligibleSince), Work: c.speeds.expectedDuration(u), Reason: fmt.Sprintf("%d runners", len(v.runners)),
+	})
+}
+
+// mayReserve reports whether the unit is a gang that has used up reservationShare of
+// the time that it can wait, in a service that is busy and has no reservation.
+func (c *Core) mayReserve(u *unit, now steady.Time) bool {
+	service := u.job.spec.Service
+	if !c.uses(mechanism.Reservation) || u.tasks == 1 || c.reservations[service] != nil {
+		return false
+	}
+	slack := c.deadline(u).Sub(u.eligibleSince) - c.speeds.expectedDuration(u)
+	return float64(now.Sub(u.eligibleSince)) >= reservationShare*float64(slack) && !c.mostlyFree(service)
+}
+
+// soonestProspects returns the runners on which the unit can start first, or nil when
+// it fits on none.
+func (c *Core) soonestProspects(u *unit, now steady.Time) []prospect {
 	var best []prospect
 	var soonest steady.Time
 	for _, chosen := range c.prospects(u, now) {
@@ -39,14 +64,7 @@
 			best, soonest = chosen, start
 		}
 	}
-	if best == nil {
-		return
-	}
-	v := &reservation{unit: u}
-	for _, p := range best {
-		v.runners = append(v.runners, p.runner)
-	}
-	c.reservations[service] = v
+	return best
 }
 
 // dropReservations ends the reservations of units that no longer wait, those on runners
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
-	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -244,10 +243,7 @@
 
 // acceptsStarts reports whether runs may be started on the runner now.
 func (r *runner) acceptsStarts(c *Core, now steady.Time) bool {
-	if c.uses(mechanism.SilenceCheck) && (r.overdue(now) || c.silent[r.FailureDomain]) {
-		return false
-	}
-	return r.listed && r.reachable && !r.Draining &&
+	return r.listed && r.reachable && !r.Draining && !c.seemsCutOff(r, now) &&
 		!c.evacuated[r.FailureDomain] &&
 		now.Sub(r.reportReceivedAt) <= c.maxReportAge
 }
--- a/batch/scheduler/silence.go
+++ b/batch/scheduler/silence.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -19,6 +20,28 @@
 // overdue reports whether the runner owes a report that should have arrived.
 func (r *runner) overdue(now steady.Time) bool { return r.reportDueBy != 0 && now.After(r.reportDueBy) }
 
+// domainReports is what the runners of one failure domain owe and have sent.
+type domainReports struct {
+	overdue    int         // runners that owe a report
+	firstDue   steady.Time // when the first of these reports was due
+	lastReport steady.Time // when any of the domain's runners last reported
+}
+
+func (d *domainReports) add(r *runner, now steady.Time) {
+	d.lastReport = max(d.lastReport, r.reportReceivedAt)
+	if !r.listed || !r.overdue(now) {
+		return
+	}
+	if d.overdue == 0 || r.reportDueBy < d.firstDue {
+		d.firstDue = r.reportDueBy
+	}
+	d.overdue++
+}
+
+func (d *domainReports) silent() bool {
+	return d.overdue >= minSilentRunners && d.lastReport < d.firstDue
+}
+
 // noteSilentDomains finds the failure domains of which several runners owe reports and
 // none has sent one since the first of these was due. It answers domains that are cut
 // off: runners report in turn, so that a cut shows within a fraction of the interval
@@ -26,31 +49,25 @@
 // answer keeps its task from running elsewhere until the runner's lease has run out.
 // What runs there is left alone.
 func (c *Core) noteSilentDomains(now steady.Time) {
-	type domain struct {
-		overdue    int
-		firstDue   steady.Time
-		lastReport steady.Time
+	if !c.uses(mechanism.SilenceCheck) {
+		return
 	}
-	domains := make(map[string]*domain)
+	domains := make(map[string]*domainReports)
 	for _, r := range c.allRunners {
-		d := domains[r.FailureDomain]
-		if d == nil {
-			d = &domain{}
-			domains[r.FailureDomain] = d
-		}
-		d.lastReport = max(d.lastReport, r.reportReceivedAt)
-		if !r.listed || !r.overdue(now) {
-			continue
+		if domains[r.FailureDomain] == nil {
+			domains[r.FailureDomain] = &domainReports{}
 		}
-		if d.overdue == 0 || r.reportDueBy < d.firstDue {
-			d.firstDue = r.reportDueBy
-		}
-		d.overdue++
+		domains[r.FailureDomain].add(r, now)
 	}
-	clear(c.silent)
 	for name, d := range domains {
-		if d.overdue >= minSilentRunners && d.lastReport < d.firstDue {
-			c.silent[name] = true
+		if d.silent() != c.silent[name] {
+			c.opts.ObserveDomain(name, d.silent())
 		}
+		c.silent[name] = d.silent()
 	}
 }
+
+// seemsCutOff reports whether the runner, or its failure domain, owes reports.
+func (c *Core) seemsCutOff(r *runner, now steady.Time) bool {
+	return c.uses(mechanism.SilenceCheck) && (r.overdue(now) || c.silent[r.FailureDomain])
+}
