--- a/batch/mechanism/mechanism.go
+++ b/batch/mechanism/mechanism.go
@@ -19,7 +19,6 @@
 	Preemption     Mechanism = "preemption"      // off: nothing is stopped to make room for others
 	FasterRunners  Mechanism = "faster-runners"  // off: a unit that can start is placed although it will be late
 	InTimeVictims  Mechanism = "in-time-victims" // off: preemption doesn't try runners first that are fast enough
-	RepeatVictims  Mechanism = "repeat-victims"  // off: units that were preempted before are preempted as easily as others
 	LearnedSpeeds  Mechanism = "learned-speeds"  // off: all runners count as equally fast
 	DurationFit    Mechanism = "duration-fit"    // off: declared durations are believed
 	KeptSpeeds     Mechanism = "kept-speeds"     // off: a new leader doesn't know the speeds that earlier ones learned
@@ -47,7 +46,7 @@
 // All returns every mechanism.
 func All() []Mechanism {
 	return []Mechanism{
-		QueueOrder, Preemption, FasterRunners, InTimeVictims, RepeatVictims, LearnedSpeeds, DurationFit, KeptSpeeds, Exploration, SlackTolerance, OutcomeWait, Reservation,
+		QueueOrder, Preemption, FasterRunners, InTimeVictims, LearnedSpeeds, DurationFit, KeptSpeeds, Exploration, SlackTolerance, OutcomeWait, Reservation,
 		Moves, StallStops, LocalityWait, SilenceCheck, FailureBackoff,
 		PeerCalls, Unreadiness, EarlyRefusal, LeaderAnswers, WeakHostsYield, BatchedReplicas,
 	}
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -48,7 +48,6 @@
 	preemptingSince   steady.Time    // when others were last preempted for it; 0: none since it was placed
 	awaitedCost       float64        // highest slot.cost of the runners on which others were preempted for it
 	memberEndedAt     steady.Time    // when the first member of the current attempt ended
-	timesPreempted    int            // how often it was stopped for others
 	timesMoved        int            // how often it was moved to a faster place
 }
 
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -42,7 +42,7 @@
 	runner      *runner
 	units       []*unit
 	tasks       int       // number of tasks of the preempting unit that fit then
-	wasteByUnit []float64 // core-seconds that preempting each unit throws away, times one plus its timesPreempted
+	wasteByUnit []float64 // core-seconds that preempting each unit throws away
 	waste       float64   // their sum
 	runnerCost  float64   // slot.cost of the runner
 }
@@ -112,7 +112,6 @@
 		take := min(v.tasks, left)
 		left -= take
 		for _, victim := range v.units {
-			victim.timesPreempted++
 			c.stopUnit(victim, now, "preempted by "+u.job.spec.ID)
 		}
 		v.runner.nominate(u, take, now)
@@ -339,9 +338,6 @@
 		free = free.Plus(victim.heldOn(r))
 		v.units = append(v.units, victim)
 		lost := victim.lostWork(now)
-		if c.uses(mechanism.RepeatVictims) {
-			lost *= float64(1 + victim.timesPreempted)
-		}
 		v.wasteByUnit = append(v.wasteByUnit, lost)
 		v.waste += lost
 		v.tasks = u.tasksFitting(r, free)
--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -21,7 +21,9 @@
 	var ended []batch.TaskID
 	p := runner.New(runner.Options{
 		DescribeTask: func(batch.TaskID, string) runner.Task { return runner.Task{Work: time.Minute} },
-		OnEnd:        func(_ steady.Time, _ string, task batch.TaskID, _ int, _ batch.EndReason) { ended = append(ended, task) },
+		OnEnd: func(_ steady.Time, _ string, task batch.TaskID, _ int, _ batch.EndReason) {
+			ended = append(ended, task)
+		},
 	})
 	p.Add(now, batch.Runner{ID: "r"}, 1)
 	p.Crash(now, "r")
