--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -248,7 +248,7 @@
 	if !c.uses(mechanism.FasterRunners) || c.guaranteeDue(u, now) {
 		return false
 	}
-	return c.mayPreempt(u, now) && c.wouldBeLate(u, free, now) && c.preemptForFasterRunners(u, now)
+	return c.mayPreempt(u, now) && c.outcomeOn(u, free, now) > inTime && c.preemptForFasterRunners(u, now)
 }
 
 // mayPreempt reports whether others may be stopped to make room for the unit.
--- a/batch/scheduler/move.go
+++ b/batch/scheduler/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/internal/steady"
@@ -98,13 +97,6 @@
 	return float64(c.deadline(u).Sub(start)) / float64(work)
 }
 
-// wouldBeLate reports whether the unit is going to be late if it starts on the
-// chosen runners now.
-func (c *Core) wouldBeLate(u *unit, chosen []*runner, now steady.Time) bool {
-	limit := c.maxCostInTime(u, now.Add(startLatency))
-	return slices.ContainsFunc(chosen, func(r *runner) bool { return c.cost(u, r, u.isRemote(chosen, r)) > limit })
-}
-
 // startLatency is the time that committing a record and sending a start take
 // before the work begins.
 const startLatency = 100 * time.Millisecond
