Scheduler: keep a variance in predictions

Cause: variances are stored rounded, so a queue whose callers declare exactly came back from the store with a variance of zero, and its steps' estimates no longer changed with what they turned out to be (found by reading). Measured: TestPredictionsKeepAVariance fails before.

--- a/batch/scheduler/durations.go
+++ b/batch/scheduler/durations.go
@@ -22,6 +22,10 @@
 	// a queue at first.
 	minPriorWeight = 3
 
+	// minWorkVariance is the smallest variance of a prediction, so that what a step
+	// turns out to be still changes its estimate.
+	minWorkVariance = 0.1 * 0.1
+
 	// maxObservedSteps bounds the observed steps of a queue. The oldest are
 	// dropped, so that the fit follows callers that declare otherwise than before.
 	maxObservedSteps = 40
@@ -58,7 +62,7 @@
 	}
 	return estimate{
 		mean:     d.fit.Work + d.fit.Slope*(declared-d.fit.Declared),
-		variance: d.fit.Variance,
+		variance: math.Max(d.fit.Variance, minWorkVariance),
 	}
 }
 
--- a/batch/scheduler/durations_test.go
+++ b/batch/scheduler/durations_test.go
@@ -55,3 +55,12 @@
 	}
 	must.InDelta(t, 8, predictSeconds(after, 2), 1.5)
 }
+
+// The stored variance of a queue whose callers declare exactly is rounded to zero, and an
+// odd record may hold less. Estimates of its steps can still change.
+func TestPredictionsKeepAVariance(t *testing.T) {
+	for _, stored := range []float64{0, -1} {
+		d := newDurations(batch.DurationFit{Work: 1, Declared: 1, Slope: 1, Variance: stored, Weight: 10})
+		must.Positive(t, d.predict(1).variance)
+	}
+}
