--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -116,7 +116,7 @@
 // their cost and rank. It ignores the adviser's answers.
 func (c *Core) openSlots(u *unit, now steady.Time, free func(*runner) batch.Resources) []slot {
 	var out []slot
-	step := u.spec()
+	step, reserved := u.spec(), c.reservations[u.job.spec.Service]
 	for _, r := range c.allRunners {
 		if r.Service != u.job.spec.Service || !r.hasLabel(step.Label) || !r.acceptsStarts(c, now) {
 			continue
@@ -124,7 +124,7 @@
 		if c.suspended(r, now) || len(r.orphans) > 0 || r.conflictsWith(step) {
 			continue
 		}
-		if c.reservations[r.Service].holds(r, u) {
+		if reserved.holds(r, u) {
 			continue
 		}
 		s := slot{runner: r, tasks: u.tasksFitting(r, free(r))}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -42,6 +42,7 @@
 	reportRequestedAt steady.Time     // when the last report was requested
 	reportReceivedAt  steady.Time     // when the last report arrived
 	reportDueBy       steady.Time     // when the report that it owes should have arrived; 0: it owes none
+	domainSilent      bool            // its failure domain seems to be cut off
 	reachable         bool            // it answered the last hold
 	leaseEndsBy       steady.Time     // when its lease has certainly run out
 	reserved          batch.Resources // by its runs
--- a/batch/scheduler/silence.go
+++ b/batch/scheduler/silence.go
@@ -65,9 +65,12 @@
 		}
 		c.silent[name] = d.silent()
 	}
+	for _, r := range c.allRunners {
+		r.domainSilent = c.silent[r.FailureDomain]
+	}
 }
 
 // seemsCutOff reports whether the runner, or its failure domain, owes reports.
 func (c *Core) seemsCutOff(r *runner, now steady.Time) bool {
-	return c.uses(mechanism.SilenceCheck) && (r.overdue(now) || c.silent[r.FailureDomain])
+	return c.uses(mechanism.SilenceCheck) && (r.domainSilent || r.overdue(now))
 }
