Review: a case of a start that is retried after its task has ended

Cause: a start without an answer is sent up to three times, and the end of its run that is noted meanwhile doesn't stop the tries. The case loses one answer and restarts the runner under its id.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
 export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/cyclamentray-batchd ] && [ -x target/review/standin ] || { echo "build first"; exit 2; }
-exec target/review/standin takeovers review/4/record.txt
+exec target/review/standin takeover review/4/record.txt
--- a/review/standin/case_foreign_entry.go
+++ b/review/standin/case_foreign_entry.go
@@ -34,9 +34,9 @@
 	}
 	if trouble {
 		for _, r := range d.runners {
+			r.awaitBeat() // the entry stays for over a second then
 			log.printf("another writer puts unreadable bytes at servers/%s", r.id)
 			d.store.write(map[string][]byte{"servers/" + r.id: {0xff, 0xfe, 0x00, 0x7b}})
-			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	time.Sleep(heartbeat + contact + time.Second) // every entry is restored by a heartbeat, and all is calm
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -41,6 +41,12 @@
 	r.notes[task] = true
 }
 
+func (r *record) isNoted(task string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notes[task]
+}
+
 // startsAfterDone returns the starts of tasks of which a run had ended done, where that
 // end was taken note of.
 func (r *record) startsAfterDone(job string) []observation {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 	"late-write":    lateWrite,
 	"many-ends":     manyEnds,
 	"pending":       pendingCount,
+	"retry":         retry,
 	"takeover":      takeover,
 	"takeovers":     takeovers,
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -90,6 +91,9 @@
 	busyUntil time.Time // starts are answered with 503 until then
 	draining  bool
 	gone      bool
+
+	losesAnswer func(task string) bool // whether the answer to a start is lost; nil: none is
+	silentUntil time.Time              // the machine answers nothing until then
 }
 
 // startRunner serves a runner and writes its heartbeats.
@@ -106,6 +110,9 @@
 	mux.HandleFunc("POST /-/hold", r.hold)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Instance-Id", r.id) })
 	handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if r.isSilent() {
+			noAnswer(q)
+		}
 		if want := q.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -146,6 +153,34 @@
 	})
 }
 
+// restart lets the runner crash without a reset of its connections and start again after
+// the given time, under its id. It then holds and knows nothing of before.
+func (r *runner) restart(after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log.printf("runner %s crashes", r.id)
+	r.silentUntil = time.Now().Add(after)
+	r.born = r.silentUntil
+	r.runs, r.highest, r.ends = make(map[runKey]*taskRun), make(map[string]int), nil
+	r.lastEnd, r.token, r.lease, r.sequence = 0, 0, 0, 0
+	time.AfterFunc(after, func() {
+		r.log.printf("runner %s starts again under its id", r.id)
+		r.beat()
+	})
+}
+
+func (r *runner) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.silentUntil)
+}
+
+// noAnswer ends a call whose answer is lost, once the caller has given up.
+func noAnswer(q *http.Request) {
+	<-q.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 func (r *runner) entry() []byte {
 	state := "ready"
 	if r.draining {
@@ -163,7 +198,7 @@
 func (r *runner) beat() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.gone || r.store.isDown() {
+	if r.gone || r.store.isDown() || time.Now().Before(r.silentUntil) {
 		return
 	}
 	r.sequence++
@@ -171,6 +206,19 @@
 	r.store.write(map[string][]byte{"servers/" + r.id: r.entry()})
 }
 
+// awaitBeat waits until the runner has written its entry a short while before.
+func (r *runner) awaitBeat() {
+	for {
+		r.mu.Lock()
+		age := time.Since(r.lastBeat)
+		r.mu.Unlock()
+		if age > 20*time.Millisecond && age < 300*time.Millisecond {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() }
 
 func (r *runner) advance() {
@@ -227,6 +275,11 @@
 		return
 	}
 	r.mu.Lock()
+	lost := r.losesAnswer != nil && r.losesAnswer(o.Task)
+	if lost {
+		defer noAnswer(q)
+		w = httptest.NewRecorder()
+	}
 	defer r.mu.Unlock()
 	r.advance()
 	key := runKey{o.Task, o.Attempt}
@@ -261,6 +314,9 @@
 			r.answer(w, http.StatusOK, map[string]any{})
 		}
 	}
+	if lost {
+		outcome += ", and the answer is lost"
+	}
 	r.log.printf("runner %s: start of %s attempt %d token %d: %s", r.id, o.Task, o.Attempt, o.FenceToken, outcome)
 }
 
@@ -316,10 +372,16 @@
 		r.log.noted(r.ends[0].key.task)
 		r.ends = r.ends[1:]
 	}
+	born := r.born
 	for len(r.ends) == 0 && time.Now().Before(limit) && q.Context().Err() == nil {
 		r.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
 		r.mu.Lock()
+		if r.born != born { // this life of the runner has ended
+			r.mu.Unlock()
+			defer r.mu.Lock()
+			noAnswer(q)
+		}
 		r.advance()
 	}
 	running, finished := [][]any{}, [][]any{}
