--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -28,27 +28,42 @@
 	out   *os.File
 	began time.Time
 	seen  []observation
-	notes map[string]bool // tasks of which an end was taken note of
+	notes map[int64]bool // ends that were taken note of, by observation.end
+	ends  int64          // number of ends so far
 }
 
-// noted notes that a scheduler has taken note of an end of a task.
-func (r *record) noted(task string) {
+// noted notes that a scheduler has taken note of an end.
+func (r *record) noted(end int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.notes == nil {
-		r.notes = make(map[string]bool)
+		r.notes = make(map[int64]bool)
 	}
-	r.notes[task] = true
+	r.notes[end] = true
 }
 
+// nextEnd returns the number of a new end.
+func (r *record) nextEnd() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends++
+	return r.ends
+}
+
+// isNoted reports whether an end of the task was taken note of.
 func (r *record) isNoted(task string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.notes[task]
+	for _, o := range r.seen {
+		if !o.start && o.task == task && r.notes[o.end] {
+			return true
+		}
+	}
+	return false
 }
 
-// startsAfterDone returns the starts of tasks of which a run had ended done, where that
-// end was taken note of.
+// startsAfterDone returns the starts of a job's tasks of which an earlier run had ended
+// done, where the end of that run was taken note of then or later.
 func (r *record) startsAfterDone(job string) []observation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -57,9 +72,9 @@
 	for _, o := range r.seen {
 		switch {
 		case jobOf(o.task) != job:
-		case o.start && done[o.task] && r.notes[o.task]:
+		case o.start && done[o.task]:
 			out = append(out, o)
-		case !o.start && o.how == "done":
+		case !o.start && o.how == "done" && r.notes[o.end]:
 			done[o.task] = true
 		}
 	}
@@ -408,3 +423,47 @@
 	}
 	return false
 }
+
+// watchIdle is the check of LOST: it asks for a job finish_s after it was submitted, and
+// watches it for six seconds more. It returns the longest time for which nothing of the
+// job ran while tasks were left, there was room for two of them, and under half of the
+// service's GPUs and processors were in use.
+func (d *deployment) watchIdle(id string, s step, submitted time.Time) time.Duration {
+	time.Sleep(time.Until(submitted.Add(finish)))
+	var since time.Time
+	longest := time.Duration(0)
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if d.isRunning(id) || d.log.endsOf(id) >= s.Count || !d.hasRoomTwice(s) {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = time.Now()
+		}
+		longest = max(longest, time.Since(since))
+	}
+	status, answer := d.call(d.anyReady(), http.MethodGet, prefix+id, nil)
+	d.log.printf("job %s, from %.0f s to %.0f s after it was submitted: nothing of it ran for %.1f s on end, with room for it twice over and under half in use; %d of %d tasks done; %d %s",
+		id, finish.Seconds(), finish.Seconds()+6, longest.Seconds(), d.log.endsOf(id), s.Count, status, answer)
+	return longest
+}
+
+// hasRoomTwice reports whether the live runners have room for two tasks of the step, and
+// under half of their GPUs and processors are in use.
+func (d *deployment) hasRoomTwice(s step) bool {
+	var usedCPU, allCPU, usedGPU, allGPU int64
+	rooms := int64(0)
+	for _, r := range d.runners {
+		cpu, mem, gpu, live := r.used()
+		if !live {
+			continue
+		}
+		usedCPU, allCPU, usedGPU, allGPU = usedCPU+cpu, allCPU+r.cpu, usedGPU+gpu, allGPU+r.gpu
+		n := min((r.cpu-cpu)/max(1, s.CPU), (r.mem-mem)/max(1, s.MemMB))
+		if s.GPU > 0 {
+			n = min(n, (r.gpu-gpu)/s.GPU)
+		}
+		rooms += n
+	}
+	return rooms >= 2 && 2*usedCPU < allCPU && 2*usedGPU < allGPU
+}
