Show that nothing runs again after a restart in long use

Records of ended jobs are never deleted. Hosts list all of them within 2 s, and the next leader reads them within 3 s, each try from the first page. With the records of 100,000 jobs no host leads after a kill of all processes, and jobs are still accepted.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"time"
 )
@@ -226,16 +227,16 @@
 	}
 	defer c.close(logDir)
 	const (
-		every, label = 6, "b" // every sixth runner is of kind b
-		jobs, width  = 7, 90
-		flapping     = 4 // 0.1 of 48
-		down, up     = 1400 * time.Millisecond, 1400 * time.Millisecond
-		step         = 50 * time.Millisecond // so that the pauses differ
-		periods      = 2
+		label       = "b" // the kind of every fourth runner
+		jobs, width = 10, 90
+		flapping    = 4 // 0.1 of 48
+		down, up    = 1400 * time.Millisecond, 1400 * time.Millisecond
+		step        = 50 * time.Millisecond // so that the pauses differ
+		periods     = 3
 	)
 	var special []*runner
 	for i, r := range c.allRunners() {
-		if i%every == 0 {
+		if i%4 == i/4%4 { // in every zone
 			r.relabel(label)
 			special = append(special, r)
 		}
@@ -308,3 +309,79 @@
 	c.state(2, "route-plan", lasting)
 	return broken, nil
 }
+
+// lostRestart: all processes are killed, when the system has been in use for some hours.
+func lostRestart(rec *recorder, trouble bool) (string, error) {
+	c, err := newCluster(rec, 10*time.Second, 12)
+	if err != nil {
+		return "", err
+	}
+	defer c.close(logDir)
+	const ended, jobs = 20, 100000
+	p := phase{Count: 12, CPU: 11000, MemMB: 20000, GPU: 1, EstimatedMS: 1000}
+	var ids []string
+	for i := range ended {
+		id := fmt.Sprintf("00000000000002%02x", i)
+		ids = append(ids, id)
+		if err := c.submit(i, "stock-recount", id, taskSpec{WorkMS: 1000}, p); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for i, id := range ids {
+		if got := c.state(i, "stock-recount", id); got != `{"state":"completed"}` {
+			return "", fmt.Errorf("job %s: %s", id, got)
+		}
+	}
+	const job = "00000000000000f1"
+	long := phase{Count: 1, CPU: 11000, MemMB: 20000, GPU: 1, EstimatedMS: 9500, LongRunning: true}
+	if err := c.submit(0, "stock-recount", job, taskSpec{}, long); err != nil {
+		return "", err
+	}
+	task := taskName(job, 0)
+	if err := c.awaitRunning(startLimit, task); err != nil {
+		return "", err
+	}
+	calm := time.Now()
+	if trouble {
+		for _, h := range c.hosts {
+			h.kill()
+		}
+		rec.note("all processes are killed")
+		records, _, err := c.keys.List(context.Background(), "")
+		if err != nil {
+			return "", err
+		}
+		c.aged.add(copies(records, ids, jobs))
+		rec.note("the store holds the records of %d more jobs", jobs)
+		time.Sleep(time.Second)
+		for _, h := range c.hosts {
+			if err := h.start(); err != nil {
+				return "", err
+			}
+		}
+		rec.note("all processes are started again")
+		calm = time.Now()
+	}
+	late := make(chan int)
+	go func() { late <- c.submitSome(p, 40*time.Second) }()
+	broken := c.watchLasting(task, taskSpec{CPU: p.CPU, MemMB: p.MemMB, GPU: p.GPU}, calm, 50*time.Second)
+	rec.note("%d of the 20 jobs that were handed in meanwhile were accepted", <-late)
+	c.state(1, "stock-recount", job)
+	return broken, nil
+}
+
+// submitSome hands in a job every two seconds, each at another host, and returns how many
+// were accepted.
+func (c *cluster) submitSome(p phase, length time.Duration) int {
+	accepted := 0
+	for i := range int(length / (2 * time.Second)) {
+		if err := c.submit(i, "stock-recount", fmt.Sprintf("00000000000003%02x", i), taskSpec{WorkMS: 1000}, p); err == nil {
+			accepted++
+		} else {
+			c.rec.note("client: not accepted: %v", err)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	return accepted
+}
--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -77,6 +77,9 @@
 	front, ready   int
 	store          *http.Server // the platform's store, as this host reaches it
 	cut            atomic.Bool  // the host has no path to the store
+	program        string
+	settings       string
+	metrics        int
 	process        *exec.Cmd
 	log            *os.File
 }
@@ -88,6 +91,7 @@
 	dir     string
 	holdMax time.Duration
 	keys    *keyspace.Store
+	aged    *agedStore
 	store   *platformStore
 	hosts   []*host
 
@@ -110,6 +114,20 @@
 	return out, nil
 }
 
+// start starts the host's process.
+func (h *host) start() error {
+	h.process = exec.Command(h.program, "--metrics-port", fmt.Sprint(h.metrics))
+	h.process.Env = append(os.Environ(), "CYCLAMENTRAY_CONFIG="+h.settings)
+	h.process.Stdout, h.process.Stderr = h.log, h.log
+	return h.process.Start()
+}
+
+// kill ends the host's process at once.
+func (h *host) kill() {
+	_ = h.process.Process.Kill()
+	_ = h.process.Wait()
+}
+
 // newCluster starts the platform's stand-ins and the runners.
 func newCluster(rec *recorder, holdMax time.Duration, perZone int) (*cluster, error) {
 	dir, err := os.MkdirTemp("", "review-2-")
@@ -118,6 +136,7 @@
 	}
 	c := &cluster{rec: rec, dir: dir, holdMax: holdMax, keys: keyspace.New(keyspace.Options{})}
 	c.store = &platformStore{c.keys}
+	c.aged = &agedStore{live: c.keys}
 	for i := range perZone * len(zones) {
 		r := &runner{
 			rec: rec, id: runnerID(i), zone: zones[i%len(zones)], labels: []string{"a", fmt.Sprintf("r%d", i/6)},
@@ -197,6 +216,10 @@
 			<-q.Context().Done()
 			return
 		}
+		if q.URL.Path == "/-/kv-range" {
+			c.aged.list(w, q)
+			return
+		}
 		store.ServeHTTP(w, q)
 	})}
 	go func() {
@@ -253,10 +276,8 @@
 		if h.log, err = os.Create(filepath.Join(c.dir, h.name+".log")); err != nil {
 			return err
 		}
-		h.process = exec.Command(program, "--metrics-port", fmt.Sprint(ports[4]))
-		h.process.Env = append(os.Environ(), "CYCLAMENTRAY_CONFIG="+settings)
-		h.process.Stdout, h.process.Stderr = h.log, h.log
-		if err := h.process.Start(); err != nil {
+		h.program, h.settings, h.metrics = program, settings, ports[4]
+		if err := h.start(); err != nil {
 			return err
 		}
 		c.hosts = append(c.hosts, h)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,7 @@
 	"lost-serving":     lostServing,
 	"lost-crash":       lostCrash,
 	"route-other-kind": routeOtherKind,
+	"lost-restart":     lostRestart,
 	"lost-reservation": lostReservation,
 }
 
