--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -230,7 +230,7 @@
 		label       = "b" // the kind of every fourth runner
 		jobs, width = 10, 90
 		flapping    = 4 // 0.1 of 48
-		down, up    = 1400 * time.Millisecond, 1400 * time.Millisecond
+		down, up    = 1450 * time.Millisecond, 1400 * time.Millisecond
 		step        = 50 * time.Millisecond // so that the pauses differ
 		periods     = 3
 	)
--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -119,7 +119,11 @@
 	h.process = exec.Command(h.program, "--metrics-port", fmt.Sprint(h.metrics))
 	h.process.Env = append(os.Environ(), "CYCLAMENTRAY_CONFIG="+h.settings)
 	h.process.Stdout, h.process.Stderr = h.log, h.log
-	return h.process.Start()
+	if err := h.process.Start(); err != nil {
+		return err
+	}
+	noteChild(h.process.Process)
+	return nil
 }
 
 // kill ends the host's process at once.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -36,6 +36,7 @@
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	flag.StringVar(&logDir, "logs", "", "directory for the logs of the program's processes; empty: they are dropped")
 	flag.Parse()
+	endChildrenOnSignal()
 	os.Exit(run(*name, *record, *trouble))
 }
 
