--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -460,13 +460,13 @@
 }
 
 // capacityFor returns how many tasks of a spec fit on runners that are up, reachable and
-// not draining.
-func (c *cluster) capacityFor(s taskSpec) int64 {
+// not draining. Those of the job called apart must be on different runners.
+func (c *cluster) capacityFor(s taskSpec, apart string) int64 {
 	n := int64(0)
 	for _, r := range c.allRunners() {
 		r.mu.Lock()
 		if r.up && !r.cut && !r.draining {
-			n += r.roomFor(s)
+			n += r.roomBeside(s, apart)
 		}
 		r.mu.Unlock()
 	}
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -165,14 +166,15 @@
 
 func (r *runner) clock(now time.Time) int64 { return now.Sub(r.booted).Milliseconds() }
 
-func (r *runner) refuse(w http.ResponseWriter, now time.Time, reason string) {
+func (r *runner) refuse(w http.ResponseWriter, o order, now time.Time, reason string) {
+	r.rec.note("runner %s: refuses an order for %q run %d, fence %d: %s", r.id, o.Task, o.Attempt, o.FenceToken, reason)
 	answer(w, http.StatusConflict, map[string]any{"clock_ms": r.clock(now), "reason": reason})
 }
 
 // take decodes an order and checks its fence token. The caller holds mu.
 func (r *runner) take(w http.ResponseWriter, o order, now time.Time) bool {
 	if o.FenceToken < r.fence {
-		r.refuse(w, now, "fence")
+		r.refuse(w, o, now, "fence")
 		return false
 	}
 	r.fence = o.FenceToken
@@ -217,6 +219,27 @@
 	return max(n, 0)
 }
 
+// roomBeside returns how many tasks of a spec fit, at most one if they are of the job called
+// apart, and none beside another task of it. The caller holds mu.
+func (r *runner) roomBeside(s taskSpec, apart string) int64 {
+	if apart == "" {
+		return r.roomFor(s)
+	}
+	for task := range r.runs {
+		if strings.HasPrefix(task, apart+".") {
+			return 0
+		}
+	}
+	return min(r.roomFor(s), 1)
+}
+
+// usable reports whether the runner is up, reachable and not draining.
+func (r *runner) usable() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.up && !r.cut && !r.draining
+}
+
 func decode(w http.ResponseWriter, q *http.Request) (order, bool) {
 	var o order
 	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
@@ -238,7 +261,7 @@
 		return
 	}
 	if o.DeadlineMS <= r.clock(now) {
-		r.refuse(w, now, "late")
+		r.refuse(w, o, now, "late")
 		return
 	}
 	r.extend(o.DeadlineMS, now)
@@ -247,7 +270,7 @@
 		return
 	}
 	if o.Attempt <= r.highest[o.Task] {
-		r.refuse(w, now, "old")
+		r.refuse(w, o, now, "old")
 		return
 	}
 	var spec taskSpec
@@ -256,7 +279,7 @@
 		return
 	}
 	if r.roomFor(spec) < 1 || r.runs[o.Task] != nil {
-		r.refuse(w, now, "room")
+		r.refuse(w, o, now, "room")
 		return
 	}
 	r.runs[o.Task] = &taskRun{task: o.Task, attempt: o.Attempt, spec: spec, began: now, checkpoint: o.Checkpoint}
