Give each play of the review's cases loopback addresses of its own

A runner's port was taken by another process while a cut had it closed: one of five runs of review/7 could not run (status 2) beside nine other plays.

--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -31,6 +31,10 @@
 	callTimeout     = 3 * time.Second
 	stopGrace       = 6 * time.Second
 	settleAfterBoot = 2 * time.Second
+
+	// Last parts of the addresses of the first host and the first runner.
+	hostAddress   = 11
+	runnerAddress = 100
 )
 
 var zones = []string{"cantabrico-a", "cantabrico-b", "cantabrico-c", "cantabrico-d"}
@@ -101,6 +105,13 @@
 	done    sync.WaitGroup
 }
 
+// loopback returns a loopback address of this process. A port that is closed for a while isn't
+// taken by other processes then, as connections come from 127.0.0.1.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%256, n)
+}
+
 func freePorts(ip string, n int) ([]int, error) {
 	var out []int
 	for range n {
@@ -143,7 +154,7 @@
 	c.aged = &agedStore{live: c.keys}
 	for i := range perZone * len(zones) {
 		r := &runner{
-			rec: rec, id: runnerID(i), zone: zones[i%len(zones)], labels: []string{"a", fmt.Sprintf("r%d", i/6)},
+			rec: rec, id: runnerID(i), address: net.JoinHostPort(loopback(runnerAddress+i), "0"), zone: zones[i%len(zones)], labels: []string{"a", fmt.Sprintf("r%d", i/6)},
 			cap: capacity{CPU: 128000, MemMB: 524288, GPU: 8}, holdMax: holdMax,
 		}
 		r.boot(time.Now())
@@ -262,7 +273,7 @@
 		return err
 	}
 	for i, zone := range zones {
-		ip := fmt.Sprintf("127.0.0.%d", 11+i)
+		ip := loopback(hostAddress + i)
 		ports, err := freePorts(ip, 5)
 		if err != nil {
 			return err
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -97,16 +97,12 @@
 	r.runs, r.highest = make(map[string]*taskRun), make(map[string]int)
 }
 
-// listen opens the runner's port again, on the address that it had if it has one.
+// listen opens the runner's port, on the address that it has.
 func (r *runner) listen() error {
-	address := r.address
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
 	var l net.Listener
 	var err error
 	for range 50 {
-		if l, err = net.Listen("tcp", address); err == nil {
+		if l, err = net.Listen("tcp", r.address); err == nil {
 			break
 		}
 		time.Sleep(runnerTick)
