Telemetry: the test of a trace's tree sets the spans' durations

TestTrace_TreeHasOneSpanPerHop asked that the printed tree contains "ms". The product is not at fault.

The test now sets the duration of each span, from 20 µs to 61 s, between the tracer and the Recorder, and compares the whole tree. It is stricter than before, where one span in milliseconds was enough: each of the six spans must print its own duration. On a scratch change in which the span platform.get prints none, the test fails.

--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,10 +22,40 @@
 // startRecording installs tracing with a Recorder until the test ends.
 func startRecording(t testing.TB) *Recorder {
 	rec := NewRecorder()
-	shutdown, err := SetupTracing(t.Context(), Tracing{Exporter: "none", Processors: []sdktrace.SpanProcessor{rec}})
+	startTracing(t, rec)
+	return rec
+}
+
+// startTracing installs tracing with a span processor until the test ends.
+func startTracing(t testing.TB, p sdktrace.SpanProcessor) {
+	shutdown, err := SetupTracing(t.Context(), Tracing{Exporter: "none", Processors: []sdktrace.SpanProcessor{p}})
 	must.NoError(t, err)
 	t.Cleanup(func() { must.NoError(t, shutdown(context.Background())) })
-	return rec
+}
+
+// spanDurations passes ended spans on to a Recorder, each with a duration that the test
+// sets, in the order in which they end. Their measured durations differ by machine.
+type spanDurations struct {
+	*Recorder
+	mu        sync.Mutex
+	durations []time.Duration
+}
+
+type timedSpan struct {
+	sdktrace.ReadOnlySpan
+	duration time.Duration
+}
+
+func (s timedSpan) EndTime() time.Time { return s.StartTime().Add(s.duration) }
+
+func (d *spanDurations) OnEnd(s sdktrace.ReadOnlySpan) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var next time.Duration
+	if len(d.durations) > 0 {
+		next, d.durations = d.durations[0], d.durations[1:]
+	}
+	d.Recorder.OnEnd(timedSpan{s, next})
 }
 
 // serveEntryHost starts an HTTP server for handler as the entry host named host.
@@ -50,7 +81,11 @@
 }
 
 func TestTrace_TreeHasOneSpanPerHop(t *testing.T) {
-	rec := startRecording(t)
+	rec := NewRecorder()
+	startTracing(t, &spanDurations{Recorder: rec, durations: []time.Duration{
+		20 * time.Microsecond, 40 * time.Microsecond, 840 * time.Microsecond,
+		2 * time.Millisecond, 1234567 * time.Microsecond, 61 * time.Second,
+	}})
 	set := metrics.NewSet()
 	client := &http.Client{Transport: Transport(http.DefaultTransport, "entry-host")}
 	secondHop := serveEntryHost(t, "b-1", set, func(w http.ResponseWriter, r *http.Request) {
@@ -78,7 +113,13 @@
          └─ entry POST /v1/jobs/{name} @b-1  failed: Service Unavailable
             └─ platform.get  failed: store unavailable
 `, rec.Shape(TraceID(ctx)))
-	must.StrContains(t, rec.Tree(TraceID(ctx)), "ms")
+	must.Eq(t, `caller  1m1s
+└─ entry-host POST /v1/jobs/secret  1.23457s
+   └─ entry POST /v1/jobs/{name} @a-1  2ms  failed: Service Unavailable
+      └─ entry-host POST /v1/jobs/secret  840µs
+         └─ entry POST /v1/jobs/{name} @b-1  40µs  failed: Service Unavailable
+            └─ platform.get  20µs  failed: store unavailable
+`, rec.Tree(TraceID(ctx)))
 
 	var b bytes.Buffer
 	set.WritePrometheus(&b)
