Scheduler: a refused connection doesn't show that a draining runner has left

Cause: RunnerUnreachable took a draining runner that isn't listed and refuses connections for one that has left, with all its runs. A partition of its failure domain does the same: it makes the runner silent, so that its entry is removed after three heartbeats, and may refuse connections. The lease of the runner, which bounds its runs, was not waited for.

Evidence: the log of the leader has the end "runner left" of these runs without the line "runner left" of the follower of the entries, which stands beside each departure that is told by the age of a heartbeat; so the refused connection decided. The two have different reasons now.

Change: only another runner at the address (status 421) shows that a draining, unlisted runner has left. For all else the lease decides.

Test: TestRefusedConnectionDoesNotShowThatADrainingRunnerHasLeft; on the code before, its case "refused" fails (the run is gone), the other five pass.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -174,8 +173,7 @@
 		if ctx.Err() == nil {
 			l.Log.Debug("hold failed", "runner", to.ID, "answer", int(answer), "err", err)
 		}
-		refused := answer == OtherIncarnation || errors.Is(err, syscall.ECONNREFUSED)
-		l.core.RunnerUnreachable(to.ID, refused, now)
+		l.core.RunnerUnreachable(to.ID, answer == OtherIncarnation, now)
 		signal(l.decisionDue)
 		return false
 	}
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"syscall"
 	"testing"
 	"time"
 
@@ -126,3 +127,44 @@
 	now := steady.Now()
 	l.core.HandleReport("r", now, r, now)
 }
+
+// refusingRunners answers no hold: with an answer and an error of the test.
+type refusingRunners struct {
+	Runners
+	answer Answer
+	err    error
+}
+
+func (r refusingRunners) Hold(context.Context, batch.Runner, HoldOrder) (batch.Report, Answer, error) {
+	return batch.Report{}, r.answer, r.err
+}
+
+// Guards against tasks that run twice when the failure domain of a draining runner is cut
+// off and the partition refuses connections: only another runner at its address shows that
+// the runner has left before its lease has run out.
+func TestRefusedConnectionDoesNotShowThatADrainingRunnerHasLeft(t *testing.T) {
+	for name, test := range map[string]struct {
+		runners                refusingRunners
+		draining, listed, runs bool
+	}{
+		"refused":                             {refusingRunners{err: syscall.ECONNREFUSED}, true, false, true},
+		"silent":                              {refusingRunners{err: context.DeadlineExceeded}, true, false, true},
+		"unhealthy":                           {refusingRunners{answer: Unhealthy}, true, false, true},
+		"another runner is at its address":    {refusingRunners{answer: OtherIncarnation}, true, false, false},
+		"another runner, and it is listed":    {refusingRunners{answer: OtherIncarnation}, true, true, true},
+		"another runner, and it didn't leave": {refusingRunners{answer: OtherIncarnation}, false, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, order := leaderOfOneRunner(t, test.runners, time.Minute)
+			now := steady.Now()
+			r := order.Runner
+			r.Draining, r.DrainRemaining = test.draining, time.Minute
+			l.core.RunnerListed(r, now)
+			if !test.listed {
+				l.core.RunnerUnlisted(r.ID)
+			}
+			must.False(t, l.sendHold(t.Context(), r, HoldOrder{}))
+			must.Eq(t, test.runs, l.core.AwaitsStart(order))
+		})
+	}
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -181,16 +181,19 @@
 	return len(r.pendingEnds) > 0
 }
 
-// RunnerUnreachable notes that a runner did not answer. If it was draining, is
-// no longer listed and refuses connections, it has left.
-func (c *Core) RunnerUnreachable(id string, refused bool, now steady.Time) {
+// RunnerUnreachable notes that a runner did not answer. replaced says that another runner
+// answered at its address: if it was draining and is no longer listed, it has left.
+// Silence, and connections that are refused, say nothing about its runs: its failure
+// domain may be cut off, by a partition that may refuse connections, and they go on until
+// the runner's lease has run out.
+func (c *Core) RunnerUnreachable(id string, replaced bool, now steady.Time) {
 	r := c.runners[id]
 	if r == nil {
 		return
 	}
 	r.reachable = false
-	if refused && !r.listed && r.Draining {
-		c.loseAllRuns(r, now, "runner left")
+	if replaced && !r.listed && r.Draining {
+		c.loseAllRuns(r, now, "another runner is at the address of the runner, which was leaving")
 	}
 }
 
