Scheduler: nothing starts on a runner whose entry is of another incarnation

Cause: a report with a new born made a runner fit for starts at once, with the labels, rack and capacity of the entry of its earlier incarnation, until the watch of the entries brought the new one. Nothing compared the incarnation of the entry with that of the report.

Evidence: the record has the starts some ten to a hundred milliseconds after the runner is up, in the leader's log before the line "runner" with the new born. A line "runner restarted" with the incarnations of report and entry is new.

Change: a runner accepts starts only while its entry and its last report are of the same incarnation. A run is planned for one incarnation; its start is not sent, nor tried again, once another is known.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -180,6 +180,7 @@
 		ObserveDomain:     l.logDomain,
 
 		ObserveEndsTruncated: l.logEndsTruncated,
+		ObserveRestart:       l.logRestart,
 	})
 	recorded := make(map[string]kvstore.Item, len(found.progress))
 	for _, item := range found.progress {
@@ -241,6 +242,11 @@
 	l.Log.Info("runner's reports list all ends again", "runner", runner, "token", l.term.Token)
 }
 
+// logRestart logs that a report shows that a runner has restarted.
+func (l *Leader) logRestart(runner string, born, earlier, described int64) {
+	l.Log.Info("runner restarted", "runner", runner, "born", born, "earlier", earlier, "entry-born", described, "token", l.term.Token)
+}
+
 func (l *Leader) countDecision(d scheduler.Decision) {
 	if l.Metrics == nil {
 		return
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -15,18 +15,23 @@
 	OutcomeUnknown        // the order may have been carried out, or may be later
 )
 
-// AwaitsStart reports whether the outcome of a start order is still open: its run was
-// neither listed nor ended by a report, nor stopped. A start whose outcome is known must
-// not be sent again, since a runner that has restarted doesn't know that the run ended.
+// AwaitsStart reports whether a start order may be sent. The outcome must be open: its run
+// was neither listed nor ended by a report, nor stopped. A start whose outcome is known must
+// not be sent again, since a runner that has restarted doesn't know that the run ended. The
+// runner must be the incarnation that the run was planned for.
 func (c *Core) AwaitsStart(o Order) bool {
 	r := c.runners[o.Runner.ID]
 	if r == nil {
 		return false
 	}
 	run := r.runs[runKey{o.Task, o.Attempt}]
-	return run != nil && run.phase == ordered
+	return run != nil && run.phase == ordered && run.mayStart()
 }
 
+// mayStart reports whether the run's runner is, as far as is known, the incarnation that
+// the run was planned for. A later one may be of another kind.
+func (r *run) mayStart() bool { return r.born == r.runner.Born && r.runner.described() }
+
 // HandleAnswer applies a runner's answer to an order.
 func (c *Core) HandleAnswer(o Order, a Answer, now steady.Time) {
 	r := c.runners[o.Runner.ID]
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -43,6 +43,9 @@
 	// ObserveEndsTruncated, when set, is called when a runner's reports begin to leave
 	// ends out, and when they are complete again.
 	ObserveEndsTruncated func(runner string, truncated bool)
+	// ObserveRestart, when set, is called when a report shows that a runner has restarted.
+	// described is the incarnation that its entry describes.
+	ObserveRestart func(runner string, born, earlier, described int64)
 }
 
 // Decision is one decision of the core, for logs and counters.
@@ -122,6 +125,9 @@
 	if o.ObserveEndsTruncated == nil {
 		o.ObserveEndsTruncated = func(string, bool) {}
 	}
+	if o.ObserveRestart == nil {
+		o.ObserveRestart = func(string, int64, int64, int64) {}
+	}
 	if !o.Off.On(mechanism.KeptSpeeds) {
 		o.LearnedSpeeds = batch.Speeds{}
 	}
@@ -204,7 +210,7 @@
 		if r.phase != planned || r.requiredVersion > u.job.committed {
 			continue
 		}
-		if !r.runner.acceptsStarts(c, now) || !u.permitted(r.runner, now, startLatency) {
+		if !r.runner.acceptsStarts(c, now) || !r.mayStart() || !u.permitted(r.runner, now, startLatency) {
 			c.stopUnit(u, now, "runner became unavailable before the start was sent")
 			return
 		}
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -310,7 +310,7 @@
 	}
 	for i, to := range chosen {
 		to.nominations = slices.DeleteFunc(to.nominations, func(n nomination) bool { return n.unit == u })
-		r := &run{unit: u, index: u.first + i, runner: to, attempt: u.attempt, phase: planned, requiredVersion: j.version, createdAt: now, phaseSince: now}
+		r := &run{unit: u, index: u.first + i, runner: to, attempt: u.attempt, phase: planned, born: to.Born, requiredVersion: j.version, createdAt: now, phaseSince: now}
 		r.resumed, r.remote = u.checkpoint != "", u.isRemote(chosen, to)
 		c.attach(r)
 		c.opts.Observe(Decision{
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -70,6 +70,7 @@
 	runner          *runner
 	attempt         int
 	phase           phase
+	born            int64       // the incarnation of the runner that it was planned for
 	requiredVersion int         // version of the job's record that must be committed before the start
 	createdAt       steady.Time // when it was planned, or restored from a record
 	phaseSince      steady.Time // when it entered its phase
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -39,6 +39,7 @@
 // the runner accepted after the report was requested. A later report decides about such
 // a run, and about all if this one leaves ends out.
 func (c *Core) handleRestart(r *runner, asked steady.Time, report batch.Report, now steady.Time) {
+	c.opts.ObserveRestart(r.ID, report.Born, r.Born, r.describedBorn)
 	r.lastEndSeen, r.ackedEnd, r.pendingEnds, r.failures = 0, 0, nil, 0
 	clear(r.orphans)
 	if report.EndsTruncated {
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -40,3 +40,81 @@
 	core.Decide(now.Add(50*time.Millisecond), time.Unix(0, int64(now)))
 	must.Eq(t, 2, attempt(core))
 }
+
+// incarnation returns the entry of an incarnation of the runner "r" with the given label.
+func incarnation(born int64, label string) batch.Runner {
+	return batch.Runner{ID: "r", Service: "s", Capacity: batch.Resources{MilliCPU: 1000}, Labels: []string{label}, Born: born}
+}
+
+// labelledJob returns a job of one task that requires the label "b".
+func labelledJob() *batch.Job {
+	j := oneTaskJob()
+	j.Steps[0].Label = "b"
+	return j
+}
+
+// Guards against a task that starts on a runner without the label that it requires: the
+// runner has restarted as another kind, and only its report or only its entry shows it yet.
+func TestNothingStartsUntilEntryAndReportAreOfOneIncarnation(t *testing.T) {
+	const now = worldStart
+	report := func(c *scheduler.Core, born int64) { c.HandleReport("r", now, batch.Report{Born: born}, now) }
+	for name, test := range map[string]struct {
+		happens func(*scheduler.Core)
+		starts  int
+	}{
+		"no restart":                  {func(*scheduler.Core) {}, 1},
+		"reported":                    {func(c *scheduler.Core) { report(c, 2) }, 0},
+		"listed, of another kind":     {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "a"), now) }, 0},
+		"listed, of the same kind":    {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now) }, 0},
+		"both, of another kind":       {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(2, "a"), now) }, 0},
+		"both, of the same kind":      {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(2, "b"), now) }, 1},
+		"listed before it reported":   {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now); report(c, 2) }, 1},
+		"the earlier entry is reread": {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(1, "b"), now) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := scheduler.New(scheduler.Options{})
+			core.RunnerListed(incarnation(1, "b"), now)
+			report(core, 1)
+			test.happens(core)
+			core.AddJob(labelledJob(), nil, now)
+			core.Decide(now, time.Unix(0, int64(now)))
+			must.Len(t, test.starts, core.TakeRecords(1))
+		})
+	}
+}
+
+// Guards against a start that was decided for an incarnation of a runner and is sent to a
+// later one, which is of another kind: while its record was being committed, or when it is
+// tried again.
+func TestStartIsNotSentToALaterIncarnation(t *testing.T) {
+	const now = worldStart
+	for name, restart := range map[string]func(*scheduler.Core){
+		"reported": func(c *scheduler.Core) { c.HandleReport("r", now, batch.Report{Born: 2}, now) },
+		"listed":   func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "a"), now) },
+		"both": func(c *scheduler.Core) {
+			c.RunnerListed(incarnation(2, "a"), now)
+			c.HandleReport("r", now, batch.Report{Born: 2}, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := scheduler.New(scheduler.Options{})
+			core.RunnerListed(incarnation(1, "b"), now)
+			core.HandleReport("r", now, batch.Report{Born: 1}, now)
+			core.AddJob(labelledJob(), nil, now)
+			second := labelledJob()
+			second.ID = "k"
+			core.AddJob(second, nil, now)
+			core.Decide(now, time.Unix(0, int64(now)))
+			records := core.TakeRecords(2)
+			must.Len(t, 2, records)
+			core.RecordCommitted(records[0].Job, records[0].Version, now)
+			orders := core.TakeOrders()
+			must.Len(t, 1, orders)
+			must.True(t, core.AwaitsStart(orders[0]))
+			restart(core)
+			must.False(t, core.AwaitsStart(orders[0]))
+			core.RecordCommitted(records[1].Job, records[1].Version, now)
+			must.Len(t, 0, core.TakeOrders())
+		})
+	}
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -37,7 +37,8 @@
 
 // runner is a runner with the runs that may exist on it.
 type runner struct {
-	batch.Runner
+	batch.Runner                      // as its entry describes it, but Born: the incarnation that reported last
+	describedBorn     int64           // the incarnation that its entry describes; 0: unknown
 	listed            bool            // its entry in the store exists
 	reportRequestedAt steady.Time     // when the last report was requested
 	reportReceivedAt  steady.Time     // when the last report arrived
@@ -90,7 +91,7 @@
 		return // an entry of an earlier incarnation
 	}
 	born := r.Born
-	r.Runner = entry
+	r.Runner, r.describedBorn = entry, entry.Born
 	if born != 0 {
 		r.Born = born // only a report shows that the earlier incarnation is gone
 	}
@@ -247,9 +248,16 @@
 	}
 }
 
+// described reports whether the runner's entry describes the incarnation that reported
+// last, which may be of another kind than the one before. The entry and the first report
+// of an incarnation arrive in either order.
+func (r *runner) described() bool {
+	return r.describedBorn == 0 || r.Born == 0 || r.describedBorn == r.Born
+}
+
 // acceptsStarts reports whether runs may be started on the runner now.
 func (r *runner) acceptsStarts(c *Core, now steady.Time) bool {
-	return r.listed && r.reachable && !c.leaseEndRecorded[r.ID] && !r.Draining && !c.seemsCutOff(r, now) &&
+	return r.listed && r.described() && r.reachable && !c.leaseEndRecorded[r.ID] && !r.Draining && !c.seemsCutOff(r, now) &&
 		!c.evacuated[r.FailureDomain] &&
 		now.Sub(r.reportReceivedAt) <= c.maxReportAge
 }
