Dispatch: an entry of a later incarnation only delays lease extensions

And while an entry was ahead of the reports, holds followed each other without a pause.

The core now says whether the entry is ahead of the last report; the clock is used again as soon as it is not.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -253,7 +253,7 @@
 // a hold to the earlier one is not waited for. The caller holds mu.
 func (l *Leader) noteRestart(runner string, born, earlier, described int64) {
 	if k := l.links[runner]; k != nil {
-		k.tokenAtRestart, k.restartedBorn, k.clockAt = k.token, born, 0
+		k.tokenAtRestart, k.clockAt = k.token, 0
 		if k.cancelHold != nil {
 			k.cancelHold()
 		}
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -56,8 +56,6 @@
 	// The token of orders to the runner when its last restart became known; 0: it has not
 	// restarted. The new incarnation is fenced once it has seen a higher one.
 	tokenAtRestart uint64
-	// The incarnation of the last restart that is known; 0: the runner has not restarted.
-	restartedBorn int64
 
 	// The runner's clock in its last report, and when that report arrived here; 0: there is
 	// no report of its present incarnation.
@@ -200,7 +198,7 @@
 		return false
 	}
 	l.handleReport(to.ID, o.Token, asked, report, now)
-	if k := l.links[to.ID]; k != nil && (k.restartedBorn == 0 || k.restartedBorn == report.Born) {
+	if k := l.links[to.ID]; k != nil && !l.core.AwaitsReport(to.ID) {
 		k.clock, k.clockAt = report.Clock, now
 	}
 	if len(report.Ended) > 0 || o.Deadline == 0 {
@@ -276,7 +274,12 @@
 		unacknowledged, committed := l.core.HasUnacknowledgedEnds(id), l.committed
 		awaitsCommit := l.core.AwaitsLeaseRecord(id) || l.links[id].awaitsToken()
 		atOnce := clockOnly || l.core.AwaitsFence(id) // extends the lease, or fences the runner
+		awaitsReport := l.core.AwaitsReport(id)
 		l.mu.Unlock()
+		if awaitsReport {
+			pause.For(ctx, holdRetryDelay)
+			return 0
+		}
 		if !awaitsCommit && atOnce {
 			return 0
 		}
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -147,3 +147,22 @@
 	must.Eq(t, scheduler.NotExecuted, l.startRun(t.Context(), order))
 	must.Eq(t, 1, runner.highest)
 }
+
+// An entry that names a later incarnation may be of another writer. Once the runner's own
+// entry is back, its lease is extended again.
+func TestLeaseIsExtendedAgainAfterAnEntryOfALaterIncarnationIsReplaced(t *testing.T) {
+	runner := &tokenRunner{born: 1}
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
+	hold(t, l)
+	entry := order.Runner
+	entry.Born = 1 << 50
+	l.core.RunnerListed(entry, steady.Now())
+	hold(t, l)
+	must.Eq(t, 0, hold(t, l).Deadline)
+	entry.Born = 1
+	l.core.RunnerListed(entry, steady.Now())
+	l.raiseTokens(7)
+	hold(t, l)
+	must.Positive(t, hold(t, l).Deadline)
+	must.False(t, l.tokensDue())
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -169,7 +169,7 @@
 // incarnation, because a runner that restarts numbers its ends anew.
 func (c *Core) AcknowledgedEnd(id string) int64 {
 	r := c.runners[id]
-	if r == nil || !r.reachable || r.describedBorn > r.Born {
+	if r == nil || !r.reachable || r.awaitsReport() {
 		return 0
 	}
 	r.acknowledge()
@@ -273,6 +273,17 @@
 	return r.describedBorn == 0 || r.Born == 0 || r.describedBorn == r.Born
 }
 
+// awaitsReport reports whether the runner's entry describes a later incarnation than the one
+// that reported last.
+func (r *runner) awaitsReport() bool { return r.Born != 0 && r.describedBorn > r.Born }
+
+// AwaitsReport reports whether a runner has restarted, by its entry, and its new incarnation
+// has not reported yet.
+func (c *Core) AwaitsReport(id string) bool {
+	r := c.runners[id]
+	return r != nil && r.awaitsReport()
+}
+
 // acceptsStarts reports whether runs may be started on the runner now.
 func (r *runner) acceptsStarts(c *Core, now steady.Time) bool {
 	return r.listed && r.described() && r.fence == fenced && r.reachable && !c.leaseEndRecorded[r.ID] && !r.Draining && !c.seemsCutOff(r, now) &&
