Scheduler: the lease of an unfenced runner outlasts orders to its earlier incarnation

A runner restarted, its entry showed it, all holds with the raised token stayed unanswered until the runner was cut off, and a hold to the earlier incarnation extended the lease of a run that the new one had accepted. The leader recorded a lease end by its own last order, so the next one took the run for lost while it went on.

Cause: until a restarted runner is fenced, orders that were sent before may still be carried out there, and only a report extended the lease that is assumed.

Change: from when a restart is known until the runner is fenced, its lease is taken to last for the delay with which an order may be carried out and a longest lease more, also in the record of lease ends. A runner that is reached is fenced within a commit and a hold, and then nothing is longer than before. An entry of another writer that named a later incarnation has no effect once the runner's own is back.

Test: TestLeaseOfAnUnfencedRunnerOutlastsOrdersToItsEarlierIncarnation.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -180,6 +180,7 @@
 		MaxEarlyStart:     l.MaxEarlyStart,
 		RemoteFactor:      l.RemoteFactor,
 		InheritedLeaseEnd: now.Add(maxLeaseDuration(l.RunnerLease)),
+		EarlierOrders:     lateOrderLimit + maxLeaseDuration(l.RunnerLease),
 		LearnedSpeeds:     found.speeds,
 		Off:               l.Off,
 		Observe:           l.logDecision,
@@ -349,6 +350,10 @@
 	return d*103/100 + clockReadSlack
 }
 
+// lateOrderLimit is how long after it was sent a runner may carry out an order that it left
+// unanswered: the longest delay among the platform's kinds of disruption.
+const lateOrderLimit = 12 * time.Second
+
 // clockReadSlack covers the latency of the report from which a runner's clock was
 // read.
 const clockReadSlack = 300 * time.Millisecond
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -32,9 +32,12 @@
 	// RecordedLeaseEnds holds, for the runners that the record of lease ends names, the
 	// earlier time at which that is so.
 	RecordedLeaseEnds map[string]steady.Time
-	Began             steady.Time   // when this scheduler began
-	LearnedSpeeds     batch.Speeds  // runner speeds learned by earlier schedulers
-	Off               mechanism.Set // mechanisms that an experiment switches off
+	// EarlierOrders is how long after a restart of a runner a lease may last that orders to
+	// its earlier incarnation extend, while the new one doesn't refuse them.
+	EarlierOrders time.Duration
+	Began         steady.Time   // when this scheduler began
+	LearnedSpeeds batch.Speeds  // runner speeds learned by earlier schedulers
+	Off           mechanism.Set // mechanisms that an experiment switches off
 	// Observe, when set, is called with each decision.
 	Observe func(Decision)
 	// ObserveDomain, when set, is called when a failure domain falls silent and when it
--- a/batch/scheduler/leaseends.go
+++ b/batch/scheduler/leaseends.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		c.leaseEndRecorded[r.ID] = true
-		ends[r.ID] = r.leaseEndsBy
+		ends[r.ID] = r.leaseCertainlyOver()
 	}
 	return ends
 }
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -14,7 +14,7 @@
 		return // a report requested later was applied already
 	}
 	if r.Born != 0 && report.Born != 0 && report.Born != r.Born {
-		c.noteRestart(r, report.Born)
+		c.noteRestart(r, report.Born, now)
 	}
 	if report.Born != 0 {
 		r.Born = report.Born
@@ -25,7 +25,7 @@
 	}
 	c.noteEndsTruncated(r, report.EndsTruncated)
 	if r.fence == raised {
-		r.fence = fenced
+		r.fence, r.earlierOrdersBy = fenced, 0
 		c.loseEarlierRuns(r, report, now)
 	}
 	c.handleEnds(r, report.Ended, now)
@@ -42,20 +42,20 @@
 }
 
 // noteRestart discards what was known of a runner's earlier incarnation but its runs.
-func (c *Core) noteRestart(r *runner, born int64) {
-	c.observeRestart(r, born)
+func (c *Core) noteRestart(r *runner, born int64, now steady.Time) {
+	c.observeRestart(r, born, now)
 	r.lastEndSeen, r.ackedEnd, r.pendingEnds, r.failures = 0, 0, nil, 0
 	clear(r.orphans)
 	r.fence = unfenced
 }
 
-// observeRestart passes a restart of a runner, which its entry or a report shows, to the
-// observer once.
-func (c *Core) observeRestart(r *runner, born int64) {
+// observeRestart notes a restart of a runner, which its entry or a report shows, and passes
+// it to the observer once.
+func (c *Core) observeRestart(r *runner, born int64, now steady.Time) {
 	if r.restartedBorn == born {
 		return
 	}
-	r.restartedBorn = born
+	r.restartedBorn, r.earlierOrdersBy = born, now.Add(c.opts.EarlierOrders)
 	c.opts.ObserveRestart(r.ID, born, r.Born, r.describedBorn)
 }
 
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -125,3 +125,48 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice when its runner restarts and is cut off before it has
+// seen a higher token: an order to the earlier incarnation, carried out late, may extend the
+// lease of a run there. Once the runner is fenced, the lease that was noted counts again.
+func TestLeaseOfAnUnfencedRunnerOutlastsOrdersToItsEarlierIncarnation(t *testing.T) {
+	const now = worldStart
+	const earlierOrders, lease = 18 * time.Second, 6 * time.Second
+	for name, test := range map[string]struct {
+		happens func(*scheduler.Core)
+		lostBy  time.Duration
+	}{
+		"no restart": {func(*scheduler.Core) {}, lease},
+		"listed":     {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now) }, earlierOrders},
+		"reported":   {func(c *scheduler.Core) { c.HandleReport("r", now, batch.Report{Born: 2}, now) }, earlierOrders},
+		"another writer's entry, and its own again": {func(c *scheduler.Core) {
+			c.RunnerListed(incarnation(2, "b"), now)
+			c.RunnerListed(incarnation(1, "b"), now)
+		}, lease},
+		"fenced": {func(c *scheduler.Core) {
+			c.HandleReport("r", now, batch.Report{Born: 2}, now)
+			c.RunnerFenced("r", 2)
+			c.HandleReport("r", now, batch.Report{Born: 2, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, now)
+		}, lease},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := scheduler.New(scheduler.Options{EarlierOrders: earlierOrders})
+			core.RunnerListed(incarnation(1, "b"), now)
+			core.HandleReport("r", now, batch.Report{Born: 1}, now)
+			core.AddJob(labelledJob(), nil, now)
+			core.Decide(now, time.Unix(0, int64(now)))
+			record := core.TakeRecords(1)[0]
+			core.RecordCommitted("j", record.Version, now)
+			core.HandleAnswer(core.TakeOrders()[0], scheduler.Accepted, now)
+			core.TakeRecords(1)
+			core.NoteLeaseExtension("r", now.Add(lease))
+			test.happens(core)
+			core.TakeRecords(1)
+			core.RunnerUnreachable("r", false, now)
+			core.Decide(now.Add(test.lostBy), time.Unix(0, int64(now)))
+			must.Len(t, 0, core.TakeRecords(1))
+			core.Decide(now.Add(test.lostBy+time.Second), time.Unix(0, int64(now)))
+			must.Len(t, 1, core.TakeRecords(1))
+		})
+	}
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -46,7 +46,8 @@
 	reportDueBy       steady.Time     // when the report that it owes should have arrived; 0: it owes none
 	domainSilent      bool            // its failure domain seems to be cut off
 	reachable         bool            // it answered the last hold
-	leaseEndsBy       steady.Time     // when its lease has certainly run out
+	leaseEndsBy       steady.Time     // when its lease has certainly run out, unless earlier orders extend it
+	earlierOrdersBy   steady.Time     // until it is fenced: when leases that orders to its earlier incarnation may extend have run out
 	reserved          batch.Resources // by its runs
 	reservedUrgent    batch.Resources // by urgentRuns
 	urgentRuns        []*run          // those of its runs that nothing may preempt
@@ -110,7 +111,9 @@
 		r.Born = born // only a report shows that the earlier incarnation is gone
 	}
 	if !r.described() {
-		c.observeRestart(r, entry.Born)
+		c.observeRestart(r, entry.Born, now)
+	} else if r.fence == fenced {
+		r.earlierOrdersBy = 0 // the entry of a later incarnation was another writer's
 	}
 	if entry.Draining {
 		r.leavesAt = now.Add(entry.DrainRemaining)
@@ -244,7 +247,7 @@
 // and removes runners that are no longer needed.
 func (c *Core) expireLeases(now steady.Time) {
 	for id, r := range c.runners {
-		if now.After(r.leaseEndsBy.Add(leaseExpiryMargin)) {
+		if now.After(r.leaseCertainlyOver().Add(leaseExpiryMargin)) {
 			c.loseRunsOfEndedLease(r, now)
 		}
 		if !r.listed && len(r.runs) == 0 {
@@ -255,12 +258,15 @@
 	}
 }
 
+// leaseCertainlyOver returns the time by which the runner's lease has run out.
+func (r *runner) leaseCertainlyOver() steady.Time { return max(r.leaseEndsBy, r.earlierOrdersBy) }
+
 // loseRunsOfEndedLease treats the runs that existed when the runner's lease ran
 // out as lost. Later runs extend the lease with their start; inherited ones are older
 // than the lease.
 func (c *Core) loseRunsOfEndedLease(r *runner, now steady.Time) {
 	for _, run := range r.runs {
-		if run.phase == inherited || !run.createdAt.After(r.leaseEndsBy) {
+		if run.phase == inherited || !run.createdAt.After(r.leaseCertainlyOver()) {
 			c.loseRun(run, now, "lease of the runner ran out")
 		}
 	}
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -23,6 +23,7 @@
 	worldTick        = 10 * time.Millisecond
 	worldLease       = 6 * time.Second
 	worldLeaseBound  = worldLease*103/100 + 300*time.Millisecond
+	worldLateness    = 10 * time.Second // how late an order is delivered at most
 	worldGangTimeout = 3 * time.Second
 	worldStart       = steady.Time(1000 * time.Second)
 	holdInterval     = time.Second
@@ -191,6 +192,7 @@
 	w.token = w.nextToken()
 	w.links = make(map[string]link)
 	core := scheduler.New(scheduler.Options{
+		EarlierOrders: worldLateness + worldLeaseBound,
 		ObserveRestart: func(id string, _, _, _ int64) {
 			k := w.linkTo(id)
 			k.tokenAtRestart = k.token
@@ -430,7 +432,7 @@
 
 // lateness returns how much later an order is delivered that is late.
 func (w *world) lateness() time.Duration {
-	return 2*time.Second + time.Duration(w.rng.Int64N(int64(8*time.Second)))
+	return 2*time.Second + time.Duration(w.rng.Int64N(int64(worldLateness-2*time.Second)))
 }
 
 // noteAcknowledged sets doneAt for the tasks whose end is recorded.
