Dispatch: holds to a restarted runner go on connections of their own

Cause: once a restart was known, the hold that fences the runner waited on open connections to the earlier incarnation, which stay silent when the runner lost its power: up to 1.5 s, in which the new incarnation still carried out orders to the earlier one, and was not used.

Change: until the runner is fenced, each hold opens a connection.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -148,6 +148,7 @@
 		return batch.Runner{}, HoldOrder{}, false
 	}
 	o = HoldOrder{Token: k.token, Acknowledged: l.core.AcknowledgedEnd(id), Wait: wait}
+	o.NewConnection = l.core.AwaitsReport(id) || l.core.AwaitsFence(id)
 	o.Deadline = l.extendLease(k)
 	l.core.ReportDue(id, steady.Now().Add(wait+reportMargin))
 	return k.runner, o, true
--- a/batch/dispatch/orders.go
+++ b/batch/dispatch/orders.go
@@ -40,6 +40,10 @@
 	Acknowledged int64         // sequence number up to which ends are recorded
 	Deadline     time.Duration // end of the lease, on the runner's clock; 0: the lease is not extended
 	Wait         time.Duration // how long the runner may wait for a run to end
+
+	// NewConnection has the order sent on a connection of its own: those that are open may
+	// lead to an earlier incarnation of the runner, and stay silent.
+	NewConnection bool
 }
 
 // Answer is a runner's answer to an order.
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -68,8 +68,11 @@
 
 	l.raiseTokens(7)
 	must.False(t, l.tokensDue())
-	must.Eq(t, 7, hold(t, l).Token)
+	fencing := hold(t, l)
+	must.Eq(t, 7, fencing.Token)
+	must.True(t, fencing.NewConnection)
 	must.False(t, l.core.AwaitsFence("r"))
+	must.False(t, hold(t, l).NewConnection)
 	must.Eq(t, Fenced, runner.admit(earlier.Token))
 
 	l.raiseTokens(9) // another commit, without a restart
