Scheduler: an entry with an earlier time of start is kept until its incarnation reports

Read in the diff, not seen by a caller: RunnerListed dropped an entry whose born is before that of the last report. Since a runner is used only while its entry and its report are of one incarnation, so a runner that restarts after its time of day was set back, and whose entry is read before its first report, would not have been used again by this leader: the follower reports an entry that doesn't change only once.

The entry is kept; nothing starts by it until a report of its incarnation has arrived, so an entry of an earlier incarnation that is read again has no effect either.

Test: a case of TestNothingStartsUntilEntryAndReportAreOfOneIncarnation, which fails on the code before.

--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -69,14 +69,15 @@
 		happens func(*scheduler.Core)
 		starts  int
 	}{
-		"no restart":                  {func(*scheduler.Core) {}, 1},
-		"reported":                    {func(c *scheduler.Core) { report(c, 2) }, 0},
-		"listed, of another kind":     {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "a"), now) }, 0},
-		"listed, of the same kind":    {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now) }, 0},
-		"both, of another kind":       {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(2, "a"), now) }, 0},
-		"both, of the same kind":      {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(2, "b"), now) }, 1},
-		"listed before it reported":   {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now); report(c, 2) }, 1},
-		"the earlier entry is reread": {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(1, "b"), now) }, 0},
+		"no restart":                {func(*scheduler.Core) {}, 1},
+		"reported":                  {func(c *scheduler.Core) { report(c, 2) }, 0},
+		"listed, of another kind":   {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "a"), now) }, 0},
+		"listed, of the same kind":  {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now) }, 0},
+		"both, of another kind":     {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(2, "a"), now) }, 0},
+		"both, of the same kind":    {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(2, "b"), now) }, 1},
+		"listed before it reported": {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now); report(c, 2) }, 1},
+		"listed with an earlier time of start, before it reported": {func(c *scheduler.Core) { c.RunnerListed(incarnation(-1, "b"), now); report(c, -1) }, 1},
+		"the earlier entry is reread":                              {func(c *scheduler.Core) { report(c, 2); c.RunnerListed(incarnation(1, "b"), now) }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			core := scheduler.New(scheduler.Options{})
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -102,17 +102,15 @@
 // RunnerListed adds or updates a runner from its entry in the store.
 func (c *Core) RunnerListed(entry batch.Runner, now steady.Time) {
 	r := c.ensureRunner(entry.ID)
-	if r.Born != 0 && entry.Born != 0 && r.Born > entry.Born {
-		return // an entry of an earlier incarnation
-	}
 	born := r.Born
 	r.Runner, r.describedBorn = entry, entry.Born
 	if born != 0 {
 		r.Born = born // only a report shows that the earlier incarnation is gone
 	}
-	if !r.described() {
+	switch {
+	case r.awaitsReport():
 		c.observeRestart(r, entry.Born, now)
-	} else if r.fence == fenced {
+	case r.described() && r.fence == fenced:
 		r.earlierOrdersBy = 0 // the entry of a later incarnation was another writer's
 	}
 	if entry.Draining {
