--- a/soak/scenarios.go
+++ b/soak/scenarios.go
@@ -160,7 +160,8 @@
 const (
 	darkTime     = 600 * time.Millisecond // between the crash of a runner and its restart
 	cutTime      = 9 * time.Second        // longer than a lease
-	maxLateOrder = 12 * time.Second       // later than this no order is carried out
+	minLateOrder = 2 * time.Second        // how much later an order is carried out that is late
+	maxLateOrder = 12 * time.Second
 	longWork     = 15 * time.Second
 )
 
@@ -180,46 +181,55 @@
 	task := runner.Task{Work: longWork, Request: batch.Resources{MilliCPU: 4000, Accelerators: 1}}
 	r.submitStep(ctx, task, batch.Step{Tasks: 3 * len(affected), Request: task.Request, Estimate: task.Work})
 	sleep(ctx, time.Duration(rng.IntN(2000))*time.Millisecond)
-	lateSeed := rng.Uint64()
-	for i, o := range affected {
-		lateness := rand.New(rand.NewPCG(lateSeed, uint64(i)))
-		d.setOrdersLate(o, func(path string) time.Duration {
-			if !slices.Contains(latePaths, path) || lateness.IntN(2) == 0 {
+	r.makeOrdersLate(affected, latePaths, rng.Uint64())
+	defer r.makeOrdersLate(affected, nil, 0)
+	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
+	r.restartInTheDark(ctx, affected, rng)
+	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
+	if h := d.leader(); h != nil && rng.IntN(2) == 0 {
+		h.signal(syscall.SIGKILL)
+		sleep(ctx, time.Duration(rng.IntN(1000))*time.Millisecond)
+	}
+	cutOff := func(on bool) {
+		for _, o := range affected {
+			o.stall(on)
+			d.setRunnerState(o, on, false) // its heartbeats stop meanwhile
+		}
+	}
+	cutOff(true)
+	sleep(ctx, cutTime)
+	cutOff(false)
+	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
+}
+
+// makeOrdersLate has half of the calls with the given paths to the runners carried out late.
+func (r *soakRun) makeOrdersLate(runners []*proxiedRunner, paths []string, seed uint64) {
+	for i, o := range runners {
+		lateness := rand.New(rand.NewPCG(seed, uint64(i)))
+		r.deployment.setOrdersLate(o, func(path string) time.Duration {
+			if !slices.Contains(paths, path) || lateness.IntN(2) == 0 {
 				return 0
 			}
-			return 2*time.Second + time.Duration(lateness.Int64N(int64(maxLateOrder-2*time.Second)))
+			return minLateOrder + time.Duration(lateness.Int64N(int64(maxLateOrder-minLateOrder)))
 		})
-		defer d.setOrdersLate(o, nil)
 	}
-	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
-	for _, o := range affected {
+}
+
+// restartInTheDark crashes runners and restarts them under their ids after darkTime. Nothing
+// from or to them arrives meanwhile.
+func (r *soakRun) restartInTheDark(ctx context.Context, runners []*proxiedRunner, rng *rand.Rand) {
+	for _, o := range runners {
 		o.stall(true)
-		defer o.stall(false)
-		crashRunner(d, o, rng)
+		crashRunner(r.deployment, o, rng)
 	}
 	sleep(ctx, darkTime)
-	for _, o := range affected {
-		d.rebootRunner(o)
-		if err := d.writeRunnerEntry(o); err != nil {
+	for _, o := range runners {
+		r.deployment.rebootRunner(o)
+		if err := r.deployment.writeRunnerEntry(o); err != nil {
 			r.opts.Log("entry not written: " + err.Error())
 		}
 		o.stall(false)
 	}
-	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
-	if h := d.leader(); h != nil && rng.IntN(2) == 0 {
-		h.signal(syscall.SIGKILL)
-		sleep(ctx, time.Duration(rng.IntN(1000))*time.Millisecond)
-	}
-	for _, o := range affected {
-		o.stall(true)
-		d.setRunnerState(o, true, false) // its heartbeats stop
-	}
-	sleep(ctx, cutTime)
-	for _, o := range affected {
-		o.stall(false)
-		d.setRunnerState(o, false, false)
-	}
-	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
 }
 
 // stall keeps all bytes from and to a runner, or forwards them again.
--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -36,3 +36,21 @@
 	must.Eq(t, []batch.TaskID{task}, ended)
 	must.Eq(t, 0, p.CountTaskRuns(task))
 }
+
+// A lease is shortened to the longest one, counted from when the order is carried out, also
+// if the order's deadline is on the clock of an earlier incarnation.
+func TestLeaseIsShortenedToTheLongestOne(t *testing.T) {
+	const start = steady.Time(1000 * time.Second)
+	p := runner.New(runner.Options{
+		MaxLease:     6 * time.Second,
+		DescribeTask: func(batch.TaskID, string) runner.Task { return runner.Task{Work: time.Hour} },
+	})
+	p.Add(start, batch.Runner{ID: "r"}, 1)
+	now := start.Add(time.Minute)
+	p.Reboot(now, "r")
+	must.Eq(t, dispatch.Accepted, p.Start(now, "r", dispatch.StartOrder{Task: batch.TaskID{Job: "j"}, Attempt: 1, Deadline: time.Minute}))
+	p.Advance(now.Add(5900 * time.Millisecond))
+	must.Eq(t, 1, p.Runner("r").CountRuns())
+	p.Advance(now.Add(6100 * time.Millisecond))
+	must.Eq(t, 0, p.Runner("r").CountRuns())
+}
