--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -171,3 +171,20 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: the first report of a fenced runner leaves ends out,
+// so a run that it doesn't list may have ended there. A later report decides.
+func TestReportThatLeavesEndsOutDecidesAboutNoRunAfterARestart(t *testing.T) {
+	const now = worldStart
+	core, order, _ := startOne(t, now)
+	core.HandleAnswer(order, scheduler.Accepted, now.Add(10*time.Millisecond))
+	core.TakeRecords(1)
+	core.HandleReport("r", now.Add(20*time.Millisecond), batch.Report{Born: 2}, now.Add(30*time.Millisecond))
+	core.RunnerFenced("r", 2)
+	core.HandleReport("r", now.Add(40*time.Millisecond), batch.Report{Born: 2, EndsTruncated: true}, now.Add(50*time.Millisecond))
+	core.Decide(now.Add(60*time.Millisecond), time.Unix(0, int64(now)))
+	must.Len(t, 0, core.TakeRecords(1))
+	core.HandleReport("r", now.Add(70*time.Millisecond), batch.Report{Born: 2}, now.Add(80*time.Millisecond))
+	core.Decide(now.Add(90*time.Millisecond), time.Unix(0, int64(now)))
+	must.Eq(t, 2, attempt(core))
+}
