Scheduler: log runs that no record names, and starts without an answer

One line each: at the first report that lists such a run, and when the last try of a start has had no answer.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -362,6 +362,8 @@
 	}
 	switch {
 	case ambiguous:
+		l.Log.Info("start without an answer", "job", o.Task.Job, "step", o.Task.Step, "task", o.Task.Index,
+			"attempt", o.Attempt, "runner", o.Runner.ID, "born", o.Runner.Born, "token", l.term.Token)
 		return scheduler.OutcomeUnknown
 	case !l.term.Valid() || !l.awaitsStart(o):
 		return scheduler.NotExecuted
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -54,7 +54,7 @@
 
 // Decision is one decision of the core, for logs and counters.
 type Decision struct {
-	What            string // "place", "reserve", "refused", "stop" or "end"
+	What            string // "place", "reserve", "refused", "stop", "end" or "unrecorded run"
 	Job             string
 	Task            batch.TaskID
 	Attempt         int
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -300,5 +300,8 @@
 		return
 	}
 	r.orphans[key] = now
+	if !known {
+		c.opts.Observe(Decision{What: "unrecorded run", Job: key.task.Job, Task: key.task, Attempt: key.attempt, Runner: r.ID, Reason: "its runner lists it, and no record names it there"})
+	}
 	c.orders = append(c.orders, Order{Kind: StopRun, Runner: r.Runner, Task: key.task, Attempt: key.attempt})
 }
