Reproduce starts that reach a runner's next incarnation after their run was given up

A start that a partition keeps is carried out by the runner's next incarnation when the partition ends. The host has given the run up by then, as the earlier incarnation's lease ran out or a new leader's wait was over, and places the next attempt on the room that the end of the partition frees.

- Soak: scenario "runners restart behind a cut" (by name only).
The proxy can freeze new connections, and open ones go on one by one after a stall.
- Scheduler: orders may be kept by a partition, or carried out late, and reach whichever incarnation is there.
In virtual time orders to an earlier incarnation never arrived before, and each stop extended the lease, which the leader doesn't do; both hid the fault.
Ends that a late hold drops count as acknowledged.

--- a/batch/scheduler/random_test.go
+++ b/batch/scheduler/random_test.go
@@ -60,11 +60,64 @@
 	}
 }
 
+// restartsAndCuts is how runners restart and are cut off.
+type restartsAndCuts struct {
+	faults
+	skipFence  bool
+	listed     bool // the store shows each restart soon
+	killLeader bool // a scheduler is killed between a restart and the cut
+	behindCut  bool // runners restart while they are cut off
+	shortJobs  bool // short jobs are submitted all the time, so that starts are under way
+}
+
+// waysOfRestartsAndCuts are the combinations of restarts and cuts, by name.
+var waysOfRestartsAndCuts = map[string]restartsAndCuts{
+	"restart is listed":                   {listed: true},
+	"restart is not listed":               {},
+	"behind the cut, listed":              {behindCut: true, listed: true},
+	"behind the cut, not listed":          {behindCut: true},
+	"leader is killed, restart is listed": {killLeader: true, listed: true},
+	"leader is killed, behind the cut":    {killLeader: true, behindCut: true, listed: true},
+	"leader is killed, nothing is listed": {killLeader: true},
+	"leader killed, behind cut, unlisted": {killLeader: true, behindCut: true},
+}
+
+// Guards against tasks that run twice: a start that is kept by a partition is carried out by
+// the runner's next incarnation when the partition ends.
+func TestNothingRunsTwiceWhenKeptStartsReachRestartedRunners(t *testing.T) {
+	testRestartsAndCuts(t, faults{keptOrders: true})
+}
+
+// Guards against tasks that run twice: a runner's next incarnation carries out a start that
+// was sent to the earlier one up to 10 s before.
+func TestNothingRunsTwiceWhenLateStartsReachRestartedRunners(t *testing.T) {
+	testRestartsAndCuts(t, faults{lateOrders: 0.3, lateHolds: 0.3})
+}
+
+func testRestartsAndCuts(t *testing.T, f faults) {
+	const seeds = 30
+	for name, how := range waysOfRestartsAndCuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			how.faults, how.shortJobs = f, true
+			var violations []string
+			for seed := range uint64(seeds) {
+				violations = append(violations, how.run(t, seed)...)
+			}
+			must.SliceEmpty(t, violations)
+		})
+	}
+}
+
 // runRestartsAndCuts runs long and short tasks while runners restart and are cut off, and
 // returns the violations.
 func runRestartsAndCuts(t *testing.T, seed uint64, skipFence bool) []string {
-	w := newWorld(t, seed, faults{lateHolds: 0.3})
-	w.skipFence, w.collectViolations = skipFence, true
+	return restartsAndCuts{faults: faults{lateHolds: 0.3}, skipFence: skipFence}.run(t, seed)
+}
+
+func (how restartsAndCuts) run(t *testing.T, seed uint64) []string {
+	w := newWorld(t, seed, how.faults)
+	w.skipFence, w.collectViolations, w.entriesNameIncarnations = how.skipFence, true, how.listed
 	w.addRunners(2, 3)
 	w.startScheduler()
 	w.run(2 * time.Second)
@@ -74,18 +127,53 @@
 			work := []time.Duration{2 * time.Second, 15 * time.Second}[i%2]
 			w.submit(randomJob(rng, fmt.Sprintf("job%d-%d", round, i)), work, false)
 		}
+		if how.shortJobs {
+			submitShortJobs(w, rng, round)
+		}
 		w.run(time.Duration(1000+rng.IntN(3000)) * time.Millisecond)
 		for _, id := range w.allRunners()[:3] { // one failure domain
-			w.pool.Crash(w.now, id)
-			w.after(600*time.Millisecond, func() { w.pool.Reboot(w.now, id) })
-			cutAt := 600*time.Millisecond + time.Duration(rng.IntN(3000))*time.Millisecond
-			w.after(cutAt, func() { w.unreachableUntil[id] = w.now.Add(9 * time.Second) })
+			how.restart(w, id, rng)
+		}
+		if how.killLeader {
+			w.after(2*time.Second, w.killScheduler)
+			w.after(4*time.Second, w.startSchedulerIfNone)
 		}
 		w.run(14 * time.Second)
 	}
 	return w.violations
 }
 
+// submitShortJobs has jobs of one short task each submitted in the next 15 s.
+func submitShortJobs(w *world, rng *rand.Rand, round int) {
+	const interval, jobs = 100 * time.Millisecond, 150
+	for i := range jobs {
+		j := batch.Job{ID: fmt.Sprintf("short%d-%d", round, i), Organisation: "one", Queue: "q", Priority: rng.IntN(2), TargetLatency: time.Second, Steps: []batch.Step{{
+			Tasks: 1, Request: batch.Resources{MilliCPU: 2000, MemoryMB: 1000, Accelerators: 1}, Estimate: 2 * time.Second,
+		}}}
+		work := time.Duration(500+rng.IntN(4000)) * time.Millisecond
+		w.after(time.Duration(i)*interval, func() { w.submit(j, work, false) })
+	}
+}
+
+// restart crashes a runner, restarts it and cuts it off.
+func (how restartsAndCuts) restart(w *world, id string, rng *rand.Rand) {
+	crashAfter, cutAt := time.Duration(0), 600*time.Millisecond+time.Duration(rng.IntN(3000))*time.Millisecond
+	if how.behindCut {
+		crashAfter, cutAt = time.Duration(1+rng.IntN(2000))*time.Millisecond, time.Duration(0)
+	}
+	w.after(crashAfter, func() {
+		w.pool.Crash(w.now, id)
+		w.cutOff(id, 600*time.Millisecond)
+	})
+	w.after(crashAfter+600*time.Millisecond, func() {
+		w.pool.Reboot(w.now, id)
+		if how.listed {
+			w.after(time.Second, func() { w.listRestarted(id) })
+		}
+	})
+	w.after(cutAt, func() { w.cutOff(id, 9*time.Second) })
+}
+
 // runRandomFaults submits random jobs for 25 s and injects random faults for
 // 40 s. It returns the cancelled jobs.
 func runRandomFaults(w *world, rng *rand.Rand) map[string]bool {
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -48,6 +48,7 @@
 	leaseEnds        map[string]steady.Time // the record of lease ends, by runner
 	events           []event
 	unreachableUntil map[string]steady.Time // by runner
+	unreachableSince map[string]steady.Time // by runner, set by cutOff
 	lastHold         map[string]steady.Time // by runner
 	faults           faults
 	runnerIDs        []string // in the order in which they were added
@@ -60,12 +61,15 @@
 
 	adviser *adviser // nil: no step needs advice
 
-	collectViolations     bool // violations are collected and don't end the test
-	violations            []string
-	skipInheritedWait     bool // injected fault: a new scheduler doesn't wait for the leases that it inherits
-	skipFence             bool // injected fault: a restarted runner counts as fenced at once
-	acknowledgeUnrecorded bool // injected fault: ends are acknowledged before they are recorded
-	nextFaults            []orderFault
+	collectViolations bool // violations are collected and don't end the test
+	violations        []string
+	skipInheritedWait bool // injected fault: a new scheduler doesn't wait for the leases that it inherits
+	skipFence         bool // injected fault: a restarted runner counts as fenced at once
+	// entriesNameIncarnations says that the runners' entries name their incarnations. A restart
+	// is then passed to the scheduler by listRestarted.
+	entriesNameIncarnations bool
+	acknowledgeUnrecorded   bool // injected fault: ends are acknowledged before they are recorded
+	nextFaults              []orderFault
 
 	completedAt map[string]steady.Time       // when a job's record first showed it completed
 	doneAt      map[batch.TaskID]steady.Time // when an end "done" was acknowledged
@@ -89,6 +93,12 @@
 	// lateHolds is the share of holds without an answer that are delivered late, to the
 	// incarnation of the runner that is there then.
 	lateHolds float64
+	// lateOrders is the share of starts and stops without an answer that are delivered late, to
+	// the incarnation of the runner that is there then.
+	lateOrders float64
+	// keptOrders says that orders that are sent on a connection that was open when its runner
+	// was cut off are delivered, without an answer, when the runner can be reached again.
+	keptOrders bool
 }
 
 // link is what the leader in batch/dispatch keeps about a runner.
@@ -114,7 +124,8 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: worldStart, faults: f,
 		jobs: make(map[string]*batch.Job), stepTasks: make(map[string]runner.Task),
 		store: make(map[string]batch.Progress), unreachableUntil: make(map[string]steady.Time),
-		lastHold: make(map[string]steady.Time), doneAt: make(map[batch.TaskID]steady.Time),
+		unreachableSince: make(map[string]steady.Time),
+		lastHold:         make(map[string]steady.Time), doneAt: make(map[batch.TaskID]steady.Time),
 		cancelledAt: make(map[string]steady.Time), completedAt: make(map[string]steady.Time),
 		submittedAt: make(map[string]steady.Time), startedAt: make(map[runID]steady.Time),
 	}
@@ -125,6 +136,7 @@
 		OnStart:        w.checkStart,
 		OnEnd:          w.countWork,
 		HasValidTicket: w.permits,
+		OnAcknowledge:  w.noteForgotten,
 	})
 	return w
 }
@@ -221,7 +233,9 @@
 	for _, id := range w.allRunners() {
 		w.linkTo(id) // its clock is read
 		r := w.pool.Runner(id).Runner
-		r.Born = 0
+		if !w.entriesNameIncarnations {
+			r.Born = 0
+		}
 		core.RunnerListed(r, w.now)
 	}
 	w.core = core
@@ -254,6 +268,13 @@
 	}
 }
 
+// listRestarted passes a runner's entry to the scheduler.
+func (w *world) listRestarted(id string) {
+	if w.core != nil {
+		w.core.RunnerListed(w.pool.Runner(id).Runner, w.now)
+	}
+}
+
 func (w *world) inheritedLeaseEnd() steady.Time {
 	if w.skipInheritedWait {
 		return w.now
@@ -399,6 +420,9 @@
 		return
 	}
 	if !w.reachable(id) {
+		if w.keepsOrders(id) {
+			w.whenReachable(id, func() { w.pool.Hold(w.now, id, order) })
+		}
 		core.RunnerUnreachable(id, false, w.now)
 		return
 	}
@@ -430,6 +454,38 @@
 	}
 }
 
+// openConnectionsLast is for how long after a runner was cut off orders go out on connections
+// that were open then. New ones can't be opened.
+const openConnectionsLast = time.Second
+
+// keepsOrders reports whether orders to a runner are kept until it can be reached again.
+func (w *world) keepsOrders(id string) bool {
+	return w.faults.keptOrders && !w.reachable(id) && w.now.Sub(w.unreachableSince[id]) < openConnectionsLast
+}
+
+// cutOff cuts a runner off for d.
+func (w *world) cutOff(id string, d time.Duration) {
+	if w.reachable(id) {
+		w.unreachableSince[id] = w.now
+	}
+	w.unreachableUntil[id] = max(w.unreachableUntil[id], w.now.Add(d))
+}
+
+// maxResumption is how long after a partition an order is delivered at most.
+const maxResumption = time.Second
+
+// whenReachable calls do when the runner can be reached again, or a little later.
+func (w *world) whenReachable(id string, do func()) {
+	resumption := time.Duration(w.rng.Int64N(int64(maxResumption)))
+	w.after(w.unreachableUntil[id].Sub(w.now)+resumption, func() {
+		if !w.reachable(id) {
+			w.whenReachable(id, do)
+			return
+		}
+		do()
+	})
+}
+
 // lateness returns how much later an order is delivered that is late.
 func (w *world) lateness() time.Duration {
 	return 2*time.Second + time.Duration(w.rng.Int64N(int64(worldLateness-2*time.Second)))
@@ -451,6 +507,13 @@
 	}
 }
 
+// noteForgotten sets doneAt for a task whose end a runner forgets, as a hold has acknowledged it.
+func (w *world) noteForgotten(now steady.Time, _ string, end batch.EndedTask, lapsed bool) {
+	if _, seen := w.doneAt[end.Task]; !seen && end.Reason == batch.EndDone && !lapsed {
+		w.doneAt[end.Task] = now
+	}
+}
+
 func (w *world) gangSize(job string, step int) int { return w.stepTasks[stepName(job, step)].GangSize }
 
 // sendOrder delivers an order, or loses it, loses its answer, or delivers it
@@ -458,7 +521,10 @@
 func (w *world) sendOrder(o scheduler.Order) {
 	core := w.core
 	lost, answerLost, delay := false, false, time.Duration(0)
-	if len(w.nextFaults) > 0 {
+	late := w.faults.lateOrders > 0 && w.reachable(o.Runner.ID) && w.rng.Float64() < w.faults.lateOrders
+	if late {
+		answerLost, delay = true, w.lateness()
+	} else if len(w.nextFaults) > 0 {
 		lost, answerLost, delay = w.nextFaults[0].lost, w.nextFaults[0].answerLost, w.nextFaults[0].delay
 		w.nextFaults = w.nextFaults[1:]
 	} else if w.rng.Float64() < w.faults.lost {
@@ -471,11 +537,15 @@
 			answerLost, delay = true, w.lateness()
 		}
 	}
-	core.NoteLeaseExtension(o.Runner.ID, w.now.Add(worldLeaseBound))
+	if o.Kind == scheduler.StartRun { // a stop extends no lease
+		core.NoteLeaseExtension(o.Runner.ID, w.now.Add(worldLeaseBound))
+	}
 	deliver := w.deliveryOf(o, w.linkTo(o.Runner.ID))
 	w.after(worldTick+delay, func() {
 		answer := dispatch.Unanswered
-		if !lost && w.reachable(o.Runner.ID) {
+		if w.keepsOrders(o.Runner.ID) {
+			w.whenReachable(o.Runner.ID, func() { deliver() })
+		} else if !lost && (late || w.reachable(o.Runner.ID)) { // a late order waits at the runner
 			answer = deliver()
 		}
 		if !answerLost && answer != dispatch.Unanswered && w.core == core {
@@ -501,14 +571,14 @@
 }
 
 // deliveryOf returns a function that delivers the order. The order's token and deadline are
-// fixed when it is sent, as by the leader, and the connection that it is sent on ends with
-// the runner's incarnation.
+// fixed when it is sent, as by the leader. Unless orders are late, the connection that it is
+// sent on ends with the runner's incarnation.
 func (w *world) deliveryOf(o scheduler.Order, k link) func() dispatch.Answer {
 	id := o.Runner.ID
 	born := w.pool.Runner(id).Born
 	deadline := w.now.Sub(k.clockStart) + worldLease
 	return func() dispatch.Answer {
-		if w.pool.Runner(id).Born != born {
+		if w.pool.Runner(id).Born != born && w.faults.lateOrders == 0 && !w.faults.keptOrders {
 			return dispatch.Unanswered
 		}
 		if o.Kind == scheduler.StopRun {
--- a/soak/scenarios.go
+++ b/soak/scenarios.go
@@ -32,15 +32,19 @@
 	{"many ends wait while the store is away", (*soakRun).letEndsWait},
 	{"job is cancelled whose write is late", (*soakRun).cancelLateWrites},
 	{"runners restart and are cut off soon after", func(r *soakRun, ctx context.Context, rng *rand.Rand) {
-		r.restartAndCutOff(ctx, rng, platform.HoldPath)
+		r.restartAndCutOff(ctx, rng, 0, platform.HoldPath)
 	}},
 }
 
 // knownRedScenarios show violations that are listed in KNOWN-RED.txt. They run only by name.
 var knownRedScenarios = []scenario{
 	{"runners restart, starts are late", func(r *soakRun, ctx context.Context, rng *rand.Rand) {
-		r.restartAndCutOff(ctx, rng, platform.HoldPath, platform.StartPath, platform.StopPath)
+		r.restartAndCutOff(ctx, rng, 0, platform.HoldPath, platform.StartPath, platform.StopPath)
 	}},
+	{"runners restart and are cut off, connections go on one by one", func(r *soakRun, ctx context.Context, rng *rand.Rand) {
+		r.restartAndCutOff(ctx, rng, resumeWithin)
+	}},
+	{"runners restart behind a cut", (*soakRun).restartBehindCut},
 }
 
 // scenarios returns the scenarios to run.
@@ -163,28 +167,24 @@
 	minLateOrder = 2 * time.Second        // how much later an order is carried out that is late
 	maxLateOrder = 12 * time.Second
 	longWork     = 15 * time.Second
+	// resumeWithin is how long after a partition a connection goes on at most: TCP doubles the
+	// time between its retransmissions.
+	resumeWithin = 2 * time.Second
 )
 
 // restartAndCutOff runs long tasks on all runners. Those of one failure domain restart under
 // their ids and are cut off soon after, while some of the calls with the given paths to them
 // are carried out late. What was sent to a runner in the meantime reaches it afterwards,
 // whichever incarnation it is.
-func (r *soakRun) restartAndCutOff(ctx context.Context, rng *rand.Rand, latePaths ...string) {
+func (r *soakRun) restartAndCutOff(ctx context.Context, rng *rand.Rand, resume time.Duration, latePaths ...string) {
 	d := r.deployment
-	domain := fmt.Sprintf("fd-%d", rng.IntN(failureDomains))
-	var affected []*proxiedRunner
-	for _, o := range d.runners {
-		if o.failureDomain == domain {
-			affected = append(affected, o)
-		}
-	}
-	task := runner.Task{Work: longWork, Request: batch.Resources{MilliCPU: 4000, Accelerators: 1}}
-	r.submitStep(ctx, task, batch.Step{Tasks: 3 * len(affected), Request: task.Request, Estimate: task.Work})
+	affected := r.runnersOfRandomDomain(rng)
+	r.submitLongTasks(ctx, len(affected))
 	sleep(ctx, time.Duration(rng.IntN(2000))*time.Millisecond)
 	r.makeOrdersLate(affected, latePaths, rng.Uint64())
 	defer r.makeOrdersLate(affected, nil, 0)
 	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
-	r.restartInTheDark(ctx, affected, rng)
+	r.restartInTheDark(ctx, affected, rng, resume)
 	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
 	if h := d.leader(); h != nil && rng.IntN(2) == 0 {
 		h.signal(syscall.SIGKILL)
@@ -192,16 +192,65 @@
 	}
 	cutOff := func(on bool) {
 		for _, o := range affected {
-			o.stall(on)
+			o.stall(on, resume)
+			d.setRunnerState(o, on, false) // its heartbeats stop meanwhile
+		}
+	}
+	cutOff(true)
+	sleep(ctx, cutTime)
+	cutOff(false)
+	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
+}
+
+// restartBehindCut runs long tasks on all runners, and short jobs beside them. The runners of one
+// failure domain are cut off and restart behind the cut. What was sent to them on connections
+// that were open then reaches the new incarnations when the cut ends.
+func (r *soakRun) restartBehindCut(ctx context.Context, rng *rand.Rand) {
+	d := r.deployment
+	affected := r.runnersOfRandomDomain(rng)
+	r.submitLongTasks(ctx, len(affected))
+	sleep(ctx, time.Duration(1000+rng.IntN(3000))*time.Millisecond)
+	cutOff := func(on bool) {
+		for _, o := range affected {
+			o.stall(on, resumeWithin)
+			o.proxy.FreezeNewConnections(on)
 			d.setRunnerState(o, on, false) // its heartbeats stop meanwhile
 		}
 	}
 	cutOff(true)
+	if h := d.leader(); h != nil && rng.IntN(3) == 0 {
+		sleep(ctx, time.Duration(rng.IntN(1000))*time.Millisecond)
+		h.signal(syscall.SIGKILL)
+	}
+	sleep(ctx, time.Duration(rng.IntN(5000))*time.Millisecond)
+	for _, o := range affected {
+		crashRunner(d, o, rng)
+		d.rebootRunner(o)
+		d.setRunnerState(o, true, false)
+	}
 	sleep(ctx, cutTime)
 	cutOff(false)
 	sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond)
 }
 
+// runnersOfRandomDomain returns the runners of one failure domain.
+func (r *soakRun) runnersOfRandomDomain(rng *rand.Rand) []*proxiedRunner {
+	domain := fmt.Sprintf("fd-%d", rng.IntN(failureDomains))
+	var out []*proxiedRunner
+	for _, o := range r.deployment.runners {
+		if o.failureDomain == domain {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// submitLongTasks submits a job of long tasks, three for each of so many runners.
+func (r *soakRun) submitLongTasks(ctx context.Context, runners int) {
+	task := runner.Task{Work: longWork, Request: batch.Resources{MilliCPU: 4000, Accelerators: 1}}
+	r.submitStep(ctx, task, batch.Step{Tasks: 3 * runners, Request: task.Request, Estimate: task.Work})
+}
+
 // makeOrdersLate has half of the calls with the given paths to the runners carried out late.
 func (r *soakRun) makeOrdersLate(runners []*proxiedRunner, paths []string, seed uint64) {
 	for i, o := range runners {
@@ -217,9 +266,9 @@
 
 // restartInTheDark crashes runners and restarts them under their ids after darkTime. Nothing
 // from or to them arrives meanwhile.
-func (r *soakRun) restartInTheDark(ctx context.Context, runners []*proxiedRunner, rng *rand.Rand) {
+func (r *soakRun) restartInTheDark(ctx context.Context, runners []*proxiedRunner, rng *rand.Rand, resume time.Duration) {
 	for _, o := range runners {
-		o.stall(true)
+		o.stall(true, resume)
 		crashRunner(r.deployment, o, rng)
 	}
 	sleep(ctx, darkTime)
@@ -228,14 +277,15 @@
 		if err := r.deployment.writeRunnerEntry(o); err != nil {
 			r.opts.Log("entry not written: " + err.Error())
 		}
-		o.stall(false)
+		o.stall(false, resume)
 	}
 }
 
-// stall keeps all bytes from and to a runner, or forwards them again.
-func (r *proxiedRunner) stall(on bool) {
+// stall keeps all bytes from and to a runner, or forwards them again, each connection's within
+// resume.
+func (r *proxiedRunner) stall(on bool, resume time.Duration) {
 	for _, direction := range []faultproxy.Direction{faultproxy.ClientToTarget, faultproxy.TargetToClient} {
-		r.proxy.SetFault(direction, faultproxy.Fault{CutAfterBytes: faultproxy.NoCut, Stall: on})
+		r.proxy.SetFault(direction, faultproxy.Fault{CutAfterBytes: faultproxy.NoCut, Stall: on, ResumeWithin: resume})
 	}
 }
 
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -5,6 +5,7 @@
 package faultproxy
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -34,6 +35,10 @@
 	CutAfterBytes int64         // bytes forwarded before both sides are closed; NoCut: never
 	Blackhole     bool          // bytes are read and dropped
 	Stall         bool          // bytes are kept, as by a partition, and forwarded once a fault without Stall is set
+	// ResumeWithin, with Stall, has each connection go on at a random time of its own after the
+	// stall, as retransmissions back off: as long as its bytes were kept at most, and at most
+	// this long. 0: all go on at once.
+	ResumeWithin time.Duration
 }
 
 // NoFault forwards all bytes without delay.
@@ -50,6 +55,7 @@
 	faults      [2]Fault
 	connections map[*connection]struct{}
 	refuseNew   bool
+	freezeNew   bool
 	accepted    int
 	closed      bool
 }
@@ -102,6 +108,14 @@
 	p.refuseNew = on
 }
 
+// FreezeNewConnections sets whether both directions of connections that are accepted from now
+// on are frozen, as if they had not been opened.
+func (p *Proxy) FreezeNewConnections(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.freezeNew = on
+}
+
 // FreezeOpenConnections drops all further bytes of one direction on the
 // connections that are open now. They stay open; new ones are not affected.
 func (p *Proxy) FreezeOpenConnections(d Direction) {
@@ -186,7 +200,7 @@
 	defer client.Close()
 	p.mu.Lock()
 	p.accepted++
-	target, refuse := p.target, p.refuseNew
+	target, refuse, freeze := p.target, p.refuseNew, p.freezeNew
 	p.mu.Unlock()
 	if refuse {
 		return
@@ -195,7 +209,7 @@
 	if err != nil {
 		return
 	}
-	l := &connection{client: client, server: server}
+	l := &connection{client: client, server: server, frozen: [2]bool{freeze, freeze}}
 	defer l.close()
 	if !p.addConnection(l) {
 		return
@@ -244,10 +258,8 @@
 // forward applies the direction's fault to a chunk and writes what remains. It
 // reports whether the connection stays open.
 func (p *Proxy) forward(l *connection, d Direction, dst net.Conn, chunk []byte) bool {
+	p.waitForStall(d)
 	p.mu.Lock()
-	for p.faults[d].Stall && !p.closed {
-		p.changed.Wait()
-	}
 	f := p.faults[d]
 	frozen := l.frozen[d]
 	allowed := int64(len(chunk))
@@ -270,3 +282,29 @@
 	}
 	return !cut
 }
+
+// waitForStall returns when bytes may go on that arrived in the given direction: at once, or
+// some time after the end of a stall, unless there is another one then.
+func (p *Proxy) waitForStall(d Direction) {
+	for {
+		began := time.Now()
+		resumeWithin := p.stallEnds(d)
+		limit := min(time.Since(began), resumeWithin)
+		if limit <= 0 {
+			return
+		}
+		time.Sleep(rand.N(limit))
+	}
+}
+
+// stallEnds waits for the end of a stall of the given direction, and returns the last one's
+// ResumeWithin; 0: there was none.
+func (p *Proxy) stallEnds(d Direction) (resumeWithin time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.faults[d].Stall && !p.closed {
+		resumeWithin = p.faults[d].ResumeWithin
+		p.changed.Wait()
+	}
+	return resumeWithin
+}
