Scheduler: a run whose start is open outlasts its runner's lease

Cause: a start without an answer may be carried out for as long as the network or the runner keeps it. The scheduler settled its run by what it knew of one incarnation: its lease had run out, or it had left. The next incarnation, which took the kept start, is bound by neither.

Change: each try of a start is noted before it is sent, and again when it is answered or was not sent. A run with a try that has no answer is lost by its runner's lease, or with its runner's departure, only when the last such try can't be carried out any more and a lease counted from then has run out; a report of a fenced incarnation decides as before. The record of lease ends holds that time, and is no longer cut down to a usual lease by the next leader, so that leaders in series keep to it.

Why it works: what was open is known exactly, so tasks with answered starts wait no longer than before.

The test of late starts doesn't change: there the earlier incarnation has answered a stop, and restarts afterwards.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -409,6 +409,9 @@
 	if k != nil {
 		deadline, token = l.extendLease(k), k.token
 	}
+	if deadline > 0 {
+		l.core.NoteStartSent(o, steady.Now())
+	}
 	l.mu.Unlock()
 	if deadline == 0 {
 		return Unanswered, false, errors.New("no recent report from the runner; its lease can't be extended")
@@ -421,7 +424,13 @@
 	if answer == Fenced && l.fencedByLaterTerm(o.Runner.ID, token) {
 		l.giveUpTerm("a runner has seen a later term", nil)
 	}
-	return answer, !errors.Is(err, ErrNotSent), err
+	sent = !errors.Is(err, ErrNotSent)
+	if answer != Unanswered || !sent {
+		l.mu.Lock()
+		l.core.NoteStartAnswered(o)
+		l.mu.Unlock()
+	}
+	return answer, sent, err
 }
 
 // stopRun sends a stop order until it is answered or the runner is no longer needed.
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -20,6 +20,7 @@
 type silentRunners struct {
 	Runners
 	starts    int
+	err       error // of each start; nil: one that may have been sent
 	delay     time.Duration
 	meanwhile func() // called during each start; nil: nothing happens
 }
@@ -30,6 +31,9 @@
 	if r.meanwhile != nil {
 		r.meanwhile()
 	}
+	if r.err != nil {
+		return Unanswered, r.err
+	}
 	return Unanswered, errors.New("no answer")
 }
 
@@ -45,7 +49,7 @@
 		raisedTokens: make(map[string]uint64),
 		decisionDue:  make(chan struct{}, 1),
 	}
-	core := scheduler.New(scheduler.Options{ObserveRestart: l.noteRestart})
+	core := scheduler.New(scheduler.Options{ObserveRestart: l.noteRestart, EarlierOrders: lateOrderLimit})
 	core.RunnerListed(r, now)
 	core.HandleReport(r.ID, now, batch.Report{Born: 1}, now)
 	core.AddJob(&batch.Job{ID: "j", Service: "s", MaxAttempts: 1, Stretch: 1, Steps: []batch.Step{{Tasks: 1}}}, nil, now)
@@ -115,6 +119,22 @@
 	}
 }
 
+// Guards against a task that runs twice: its runner left after a start that had no answer, and is
+// back under its ID. A start that was not sent keeps nothing waiting.
+func TestRunnerThatLeftIsKeptWhileAStartIsOpen(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		kept bool
+	}{"no answer": {nil, true}, "not sent": {ErrNotSent, false}} {
+		t.Run(name, func(t *testing.T) {
+			l, order := leaderOfOneRunner(t, &silentRunners{err: test.err}, time.Second)
+			l.startRun(t.Context(), order)
+			l.core.RunnerLeft(order.Runner.ID, steady.Now())
+			must.Eq(t, test.kept, l.core.RunnerNeeded(order.Runner.ID))
+		})
+	}
+}
+
 // A start whose job was cancelled before it was sent is not sent.
 func TestStartIsNotSentAfterItsJobWasCancelled(t *testing.T) {
 	runners := &silentRunners{}
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -20,11 +20,7 @@
 // not be sent again, since a runner that has restarted doesn't know that the run ended. The
 // runner must be the incarnation that the run was planned for.
 func (c *Core) AwaitsStart(o Order) bool {
-	r := c.runners[o.Runner.ID]
-	if r == nil {
-		return false
-	}
-	run := r.runs[runKey{o.Task, o.Attempt}]
+	run := c.runOf(o)
 	return run != nil && run.phase == ordered && run.mayStart()
 }
 
@@ -32,13 +28,40 @@
 // the run was planned for. A later one may be of another kind.
 func (r *run) mayStart() bool { return r.born == r.runner.Born && r.runner.described() }
 
-// HandleAnswer applies a runner's answer to an order.
-func (c *Core) HandleAnswer(o Order, a Answer, now steady.Time) {
+// NoteStartSent notes that a try of a start order is about to be sent. Until it is answered,
+// the runner may still carry it out, and so may its next incarnation, which knows nothing of
+// the lease, the stops and the ends of the one before.
+func (c *Core) NoteStartSent(o Order, now steady.Time) {
+	if run := c.runOf(o); run != nil {
+		run.openTries++
+		run.openUntil = now.Add(c.opts.EarlierOrders)
+	}
+}
+
+// NoteStartAnswered notes that a try of a start order was answered, or was not sent after all.
+func (c *Core) NoteStartAnswered(o Order) {
+	run := c.runOf(o)
+	if run == nil || run.openTries == 0 {
+		return
+	}
+	run.openTries--
+	if run.openTries == 0 {
+		run.openUntil = 0
+	}
+}
+
+// runOf returns the run that an order is for; nil: it has ended.
+func (c *Core) runOf(o Order) *run {
 	r := c.runners[o.Runner.ID]
 	if r == nil {
-		return
+		return nil
 	}
-	run := r.runs[runKey{o.Task, o.Attempt}]
+	return r.runs[runKey{o.Task, o.Attempt}]
+}
+
+// HandleAnswer applies a runner's answer to an order.
+func (c *Core) HandleAnswer(o Order, a Answer, now steady.Time) {
+	run := c.runOf(o)
 	if run == nil {
 		return
 	}
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -75,6 +75,8 @@
 	createdAt       steady.Time // when it was planned, or restored from a record
 	phaseSince      steady.Time // when it entered its phase
 	acceptedAt      steady.Time // when the runner accepted the last order; a report requested later lists the run unless it is gone
+	openTries       int         // tries of its start that were sent and have no answer
+	openUntil       steady.Time // when all that its open tries may still start has ended; 0: it has none
 	beganBy         steady.Time // when its start was accepted or a report first listed it; a report requested later lists it unless it is gone
 	startedAt       steady.Time // when it was first known to run
 	percent         int
--- a/batch/scheduler/leaseends.go
+++ b/batch/scheduler/leaseends.go
@@ -8,8 +8,8 @@
 // is not extended, and nothing starts on its runner, until a record without it is
 // committed.
 
-// LeaseEndsToRecord returns the time by which the lease of each runner has run out that has
-// runs and hasn't reported for so long that its lease isn't extended any more. From then on
+// LeaseEndsToRecord returns the time by which all that runs on it has ended for each runner
+// that has runs and hasn't reported for so long that its lease isn't extended any more. From then on
 // these leases are not extended, and those in the last committed record neither.
 func (c *Core) LeaseEndsToRecord(now steady.Time) map[string]steady.Time {
 	ends := make(map[string]steady.Time)
@@ -20,7 +20,7 @@
 			continue
 		}
 		c.leaseEndRecorded[r.ID] = true
-		ends[r.ID] = r.leaseCertainlyOver()
+		ends[r.ID] = r.allRunsOverBy()
 	}
 	return ends
 }
@@ -41,11 +41,11 @@
 	return r != nil && r.reachable && c.leaseEndRecorded[id]
 }
 
-// inheritedLeaseEnd returns the time by which a runner's lease from earlier schedulers has
-// run out.
+// inheritedLeaseEnd returns the time by which all that earlier schedulers may have started on
+// a runner has ended. A recorded time may lie beyond InheritedLeaseEnd, as starts were open.
 func (c *Core) inheritedLeaseEnd(id string) steady.Time {
 	if by, recorded := c.opts.RecordedLeaseEnds[id]; recorded {
-		return min(by, c.opts.InheritedLeaseEnd)
+		return min(by, max(c.opts.InheritedLeaseEnd, c.opts.Began.Add(c.opts.EarlierOrders)))
 	}
 	return c.opts.InheritedLeaseEnd
 }
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -188,3 +188,51 @@
 	core.Decide(now.Add(90*time.Millisecond), time.Unix(0, int64(now)))
 	must.Eq(t, 2, attempt(core))
 }
+
+// Guards against a task that runs twice: a start without an answer is carried out by the
+// runner's next incarnation, after the lease of the one before has run out or it has left.
+func TestRunWithAnOpenStartIsLostOnlyOnceNoIncarnationCanCarryItOut(t *testing.T) {
+	const now = worldStart
+	const earlierOrders, lease = 18 * time.Second, 6 * time.Second
+	left := func(c *scheduler.Core) { c.RunnerLeft("r", now) }
+	for name, test := range map[string]struct {
+		open    bool
+		happens func(*scheduler.Core)
+		lostBy  time.Duration
+	}{
+		"answered, silent": {false, func(*scheduler.Core) {}, lease},
+		"open, silent":     {true, func(*scheduler.Core) {}, earlierOrders},
+		"answered, left":   {false, left, 0},
+		"open, left":       {true, left, earlierOrders},
+		"open, and the next incarnation refuses it": {true, func(c *scheduler.Core) {
+			c.HandleReport("r", now, batch.Report{Born: 2}, now)
+			c.RunnerFenced("r", 2)
+			c.HandleReport("r", now, batch.Report{Born: 2}, now)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := scheduler.New(scheduler.Options{EarlierOrders: earlierOrders})
+			core.RunnerListed(incarnation(1, "b"), now)
+			core.HandleReport("r", now, batch.Report{Born: 1}, now)
+			core.AddJob(labelledJob(), nil, now)
+			core.Decide(now, time.Unix(0, int64(now)))
+			core.RecordCommitted("j", core.TakeRecords(1)[0].Version, now)
+			order := core.TakeOrders()[0]
+			core.NoteLeaseExtension("r", now.Add(lease))
+			core.NoteStartSent(order, now)
+			if !test.open {
+				core.NoteStartAnswered(order)
+				core.HandleAnswer(order, scheduler.Accepted, now)
+			}
+			core.TakeRecords(1)
+			test.happens(core)
+			core.RunnerUnreachable("r", false, now)
+			if test.lostBy > 0 {
+				core.Decide(now.Add(test.lostBy-time.Millisecond), time.Unix(0, int64(now)))
+				must.Len(t, 0, core.TakeRecords(1))
+			}
+			core.Decide(now.Add(test.lostBy+time.Second), time.Unix(0, int64(now)))
+			must.Len(t, 1, core.TakeRecords(1))
+		})
+	}
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -223,10 +223,17 @@
 	r.suspendedUntil = max(r.suspendedUntil, now.Add(pause))
 }
 
-// loseAllRuns treats all runs on a runner as lost.
+// loseAllRuns treats the runs on a runner that has ended as lost. Those with open tries wait
+// until its next incarnation can't carry these out any more, or refuses them.
 func (c *Core) loseAllRuns(r *runner, now steady.Time, reason string) {
-	for _, lost := range r.runs {
-		c.loseRun(lost, now, reason)
+	r.leaseEndsBy = min(r.leaseEndsBy, now)
+	for _, run := range r.runs {
+		switch {
+		case !now.Before(run.openUntil):
+			c.loseRun(run, now, reason)
+		case run.phase != stopping:
+			c.stopRun(run, now, reason)
+		}
 	}
 }
 
@@ -259,11 +266,25 @@
 // leaseCertainlyOver returns the time by which the runner's lease has run out.
 func (r *runner) leaseCertainlyOver() steady.Time { return max(r.leaseEndsBy, r.earlierOrdersBy) }
 
+// allRunsOverBy returns the time by which all that may run on the runner has ended, if its
+// lease is not extended and it can't be reached.
+func (r *runner) allRunsOverBy() steady.Time {
+	by := r.leaseCertainlyOver()
+	for _, run := range r.runs {
+		by = max(by, run.openUntil)
+	}
+	return by
+}
+
 // loseRunsOfEndedLease treats the runs that existed when the runner's lease ran
 // out as lost. Later runs extend the lease with their start; inherited ones are older
-// than the lease.
+// than the lease. The lease of one incarnation says nothing of a start that the next one may
+// carry out.
 func (c *Core) loseRunsOfEndedLease(r *runner, now steady.Time) {
 	for _, run := range r.runs {
+		if now.Before(run.openUntil) {
+			continue
+		}
 		if run.phase == inherited || !run.createdAt.After(r.leaseCertainlyOver()) {
 			c.loseRun(run, now, "lease of the runner ran out")
 		}
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -539,6 +539,7 @@
 	}
 	if o.Kind == scheduler.StartRun { // a stop extends no lease
 		core.NoteLeaseExtension(o.Runner.ID, w.now.Add(worldLeaseBound))
+		core.NoteStartSent(o, w.now)
 	}
 	deliver := w.deliveryOf(o, w.linkTo(o.Runner.ID))
 	w.after(worldTick+delay, func() {
@@ -549,6 +550,9 @@
 			answer = deliver()
 		}
 		if !answerLost && answer != dispatch.Unanswered && w.core == core {
+			if o.Kind == scheduler.StartRun {
+				core.NoteStartAnswered(o)
+			}
 			core.HandleAnswer(o, schedulerAnswer(answer), w.now)
 		}
 		answerLost = answerLost || answer == dispatch.Unanswered
