Scheduler: holds acknowledge ends only until the runner has forgotten them

Cause: each hold named the last recorded end again, also long after the runner had forgotten it, so any hold that reached the next incarnation late dropped as many of its first ends.

Change: a hold names a recorded end until one hold that did has been answered. Most holds acknowledge nothing then.

What is left: a hold that acknowledges a new end may itself be kept. The kept starts alone have a test of their own now, TestNothingRunsTwiceWhenPartitionsKeepStarts, which passes.

TestHoldAcknowledgesEndsOnce and TestEndIs- AcknowledgedOnlyUntilTheRunnerHasForgottenIt fail without the change.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -198,6 +198,7 @@
 		signal(l.decisionDue)
 		return false
 	}
+	l.core.EndsForgotten(to.ID, o.Acknowledged)
 	l.handleReport(to.ID, o.Token, asked, report, now)
 	if k := l.links[to.ID]; k != nil && !l.core.AwaitsReport(to.ID) {
 		k.clock, k.clockAt = report.Clock, now
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	born    int64
 	highest uint64
 	waits   bool // its holds wait until their call ends
+	ended   []batch.EndedTask
 }
 
 func (r *tokenRunner) restart() { r.born, r.highest = r.born+1, 0 }
@@ -36,7 +38,8 @@
 		<-ctx.Done()
 		return batch.Report{}, Unanswered, ctx.Err()
 	}
-	return batch.Report{Born: r.born, Clock: time.Minute}, r.admit(o.Token), nil
+	r.ended = slices.DeleteFunc(r.ended, func(e batch.EndedTask) bool { return e.Sequence <= o.Acknowledged })
+	return batch.Report{Born: r.born, Clock: time.Minute, Ended: slices.Clone(r.ended)}, r.admit(o.Token), nil
 }
 
 func (r *tokenRunner) Start(_ context.Context, _ batch.Runner, o StartOrder) (Answer, error) {
@@ -169,3 +172,14 @@
 	must.Positive(t, hold(t, l).Deadline)
 	must.False(t, l.tokensDue())
 }
+
+// Guards against a hold that acknowledges ends of the earlier incarnation to the next one: once
+// the runner has forgotten them, holds acknowledge nothing.
+func TestHoldAcknowledgesEndsOnce(t *testing.T) {
+	runner := &tokenRunner{born: 1, ended: []batch.EndedTask{{Sequence: 7, Task: batch.TaskID{Job: "unknown"}, Attempt: 1}}}
+	l, _ := leaderOfOneRunner(t, runner, time.Minute)
+	must.Eq(t, 0, hold(t, l).Acknowledged)
+	must.Eq(t, 7, hold(t, l).Acknowledged)
+	must.Len(t, 0, runner.ended)
+	must.Eq(t, 0, hold(t, l).Acknowledged)
+}
--- a/batch/scheduler/random_test.go
+++ b/batch/scheduler/random_test.go
@@ -84,24 +84,28 @@
 
 // Guards against tasks that run twice: a start that is kept by a partition is carried out by
 // the runner's next incarnation when the partition ends.
+func TestNothingRunsTwiceWhenPartitionsKeepStarts(t *testing.T) {
+	testRestartsAndCuts(t, 12, faults{keptOrders: true})
+}
+
+// Guards against the same, when a hold that is kept as well drops the end of the kept start's run.
 func TestNothingRunsTwiceWhenKeptStartsReachRestartedRunners(t *testing.T) {
-	testRestartsAndCuts(t, faults{keptOrders: true})
+	testRestartsAndCuts(t, 30, faults{keptOrders: true, keptHolds: true})
 }
 
 // Guards against tasks that run twice: a runner's next incarnation carries out a start that
 // was sent to the earlier one up to 10 s before.
 func TestNothingRunsTwiceWhenLateStartsReachRestartedRunners(t *testing.T) {
-	testRestartsAndCuts(t, faults{lateOrders: 0.3, lateHolds: 0.3})
+	testRestartsAndCuts(t, 30, faults{lateOrders: 0.3, lateHolds: 0.3})
 }
 
-func testRestartsAndCuts(t *testing.T, f faults) {
-	const seeds = 30
+func testRestartsAndCuts(t *testing.T, seeds uint64, f faults) {
 	for name, how := range waysOfRestartsAndCuts {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			how.faults, how.shortJobs = f, true
 			var violations []string
-			for seed := range uint64(seeds) {
+			for seed := range seeds {
 				violations = append(violations, how.run(t, seed)...)
 			}
 			must.SliceEmpty(t, violations)
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -44,7 +44,7 @@
 // noteRestart discards what was known of a runner's earlier incarnation but its runs.
 func (c *Core) noteRestart(r *runner, born int64, now steady.Time) {
 	c.observeRestart(r, born, now)
-	r.lastEndSeen, r.ackedEnd, r.pendingEnds, r.failures = 0, 0, nil, 0
+	r.lastEndSeen, r.ackedEnd, r.forgottenEnd, r.pendingEnds, r.failures = 0, 0, 0, nil, 0
 	clear(r.orphans)
 	r.fence = unfenced
 }
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -236,3 +236,26 @@
 		})
 	}
 }
+
+// Guards against an end that nobody has read and a runner forgets: a hold that acknowledges
+// ends of its earlier incarnation reaches the next one.
+func TestEndIsAcknowledgedOnlyUntilTheRunnerHasForgottenIt(t *testing.T) {
+	const now = worldStart
+	core := scheduler.New(scheduler.Options{})
+	core.RunnerListed(incarnation(1, "b"), now)
+	end := func(n int64) batch.EndedTask {
+		return batch.EndedTask{Sequence: n, Task: batch.TaskID{Job: "unknown"}, Attempt: 1, Reason: batch.EndDone}
+	}
+	core.HandleReport("r", now, batch.Report{Born: 1, Ended: []batch.EndedTask{end(1)}}, now)
+	must.Eq(t, 1, core.AcknowledgedEnd("r"))
+	must.Eq(t, 1, core.AcknowledgedEnd("r")) // the hold before had no answer
+	core.EndsForgotten("r", 1)
+	must.Eq(t, 0, core.AcknowledgedEnd("r"))
+	core.HandleReport("r", now, batch.Report{Born: 1, Ended: []batch.EndedTask{end(2)}}, now)
+	must.Eq(t, 2, core.AcknowledgedEnd("r"))
+	core.EndsForgotten("r", 2)
+	core.HandleReport("r", now, batch.Report{Born: 2}, now)
+	core.RunnerFenced("r", 2)
+	core.HandleReport("r", now, batch.Report{Born: 2, Ended: []batch.EndedTask{end(1)}}, now)
+	must.Eq(t, 1, core.AcknowledgedEnd("r"))
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -55,6 +55,7 @@
 	orphans           map[runKey]steady.Time // runs that no record names, and when they were last ordered to stop
 	lastEndSeen       int64                  // highest sequence number of a handled end
 	ackedEnd          int64                  // highest sequence number of a recorded end
+	forgottenEnd      int64                  // the same, of an end that the runner has forgotten
 	pendingEnds       []pendingEnd
 	endsTruncated     bool // its last report leaves ends out
 	fence             fence
@@ -165,18 +166,31 @@
 	r.leaseEndsBy = max(r.leaseEndsBy, until)
 }
 
-// AcknowledgedEnd returns the sequence number up to which all ends of a runner
-// are recorded. It returns 0 while the runner is unreachable or its entry describes a later
-// incarnation, because a runner that restarts numbers its ends anew.
+// AcknowledgedEnd returns the sequence number up to which all ends of a runner are recorded,
+// or 0 if it has forgotten these already. A runner that restarts numbers its ends anew, and a
+// hold to the earlier incarnation that reaches the next one would drop ends that nobody has
+// read. So it also returns 0 while the runner is unreachable or its entry describes a later
+// incarnation.
 func (c *Core) AcknowledgedEnd(id string) int64 {
 	r := c.runners[id]
 	if r == nil || !r.reachable || r.awaitsReport() {
 		return 0
 	}
 	r.acknowledge()
+	if r.ackedEnd <= r.forgottenEnd {
+		return 0
+	}
 	return r.ackedEnd
 }
 
+// EndsForgotten notes that a runner has answered a hold that acknowledged its ends up to a
+// sequence number.
+func (c *Core) EndsForgotten(id string, upTo int64) {
+	if r := c.runners[id]; r != nil {
+		r.forgottenEnd = max(r.forgottenEnd, upTo)
+	}
+}
+
 // acknowledge advances ackedEnd up to the first end that is not recorded yet.
 func (r *runner) acknowledge() {
 	n := 0
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -99,6 +99,8 @@
 	// keptOrders says that orders that are sent on a connection that was open when its runner
 	// was cut off are delivered, without an answer, when the runner can be reached again.
 	keptOrders bool
+	// keptHolds says the same of holds.
+	keptHolds bool
 }
 
 // link is what the leader in batch/dispatch keeps about a runner.
@@ -420,7 +422,7 @@
 		return
 	}
 	if !w.reachable(id) {
-		if w.keepsOrders(id) {
+		if w.faults.keptHolds && w.keepsOrders(id) {
 			w.whenReachable(id, func() { w.pool.Hold(w.now, id, order) })
 		}
 		core.RunnerUnreachable(id, false, w.now)
@@ -432,6 +434,7 @@
 		return
 	}
 	w.noteAcknowledged()
+	core.EndsForgotten(id, acknowledged)
 	w.handleReport(core, id, k, report)
 }
 
@@ -460,7 +463,7 @@
 
 // keepsOrders reports whether orders to a runner are kept until it can be reached again.
 func (w *world) keepsOrders(id string) bool {
-	return w.faults.keptOrders && !w.reachable(id) && w.now.Sub(w.unreachableSince[id]) < openConnectionsLast
+	return (w.faults.keptOrders || w.faults.keptHolds) && !w.reachable(id) && w.now.Sub(w.unreachableSince[id]) < openConnectionsLast
 }
 
 // cutOff cuts a runner off for d.
@@ -544,7 +547,7 @@
 	deliver := w.deliveryOf(o, w.linkTo(o.Runner.ID))
 	w.after(worldTick+delay, func() {
 		answer := dispatch.Unanswered
-		if w.keepsOrders(o.Runner.ID) {
+		if w.faults.keptOrders && w.keepsOrders(o.Runner.ID) {
 			w.whenReachable(o.Runner.ID, func() { deliver() })
 		} else if !lost && (late || w.reachable(o.Runner.ID)) { // a late order waits at the runner
 			answer = deliver()
