Scheduler: the next leader knows of restarts since a run was recorded

Cause: a new leader knows neither which starts are open nor that the runner has restarted since, so it waits for a usual lease. What the leader before records of silent runners covers it only if that leader lived long enough to write it.

Change: the record of a job's progress names the incarnation that each run was meant for. If a runner's entry describes another one and the runner has not answered this term, its inherited runs wait as long as orders to the earlier incarnation may matter. Once it has answered, it refuses those orders, and what it lists keeps the lease that they gave it. Records without the field are read as before, and earlier versions ignore it.

Left: a runner whose restart no entry shows, with a leader killed before it recorded the open starts; nothing tells the next leader then.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -161,6 +161,7 @@
 	Failures   int    `json:"f,omitempty"`
 	Attempt    int    `json:"a,omitempty"` // highest attempt that may have started
 	Runner     string `json:"r,omitempty"` // runner on which that attempt may be running; empty: it has ended
+	Born       int64  `json:"b,omitempty"` // incarnation of the runner that it was meant for; 0: unknown
 	Checkpoint string `json:"c,omitempty"`
 }
 
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -182,7 +182,7 @@
 			continue
 		}
 		if t.Runner != "" && !j.state.Final() {
-			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, createdAt: now, phaseSince: now, resumed: true}
+			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, born: t.Born, createdAt: now, phaseSince: now, resumed: true}
 			c.attach(r)
 		}
 	}
@@ -232,7 +232,7 @@
 		return append(rows, row)
 	}
 	for _, r := range u.runs {
-		row.Index, row.Runner = r.index, r.runner.ID
+		row.Index, row.Runner, row.Born = r.index, r.runner.ID, r.born
 		rows = append(rows, row)
 		row.Checkpoint = "" // only one row of a gang carries it
 	}
--- a/batch/scheduler/random_test.go
+++ b/batch/scheduler/random_test.go
@@ -139,8 +139,9 @@
 			how.restart(w, id, rng)
 		}
 		if how.killLeader {
-			w.after(2*time.Second, w.killScheduler)
-			w.after(4*time.Second, w.startSchedulerIfNone)
+			killAfter := time.Duration(rng.IntN(2500)) * time.Millisecond
+			w.after(killAfter, w.killScheduler)
+			w.after(killAfter+2*time.Second, w.startSchedulerIfNone)
 		}
 		w.run(14 * time.Second)
 	}
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -23,6 +23,9 @@
 	if r.fence == unfenced {
 		return
 	}
+	if r.fence == fenced && !r.awaitsReport() {
+		r.endEarlierOrders()
+	}
 	c.noteEndsTruncated(r, report.EndsTruncated)
 	if r.fence == raised {
 		r.fence, r.earlierOrdersBy = fenced, 0
@@ -32,6 +35,13 @@
 	c.handleRunning(r, asked, report.Running, now)
 }
 
+// endEarlierOrders notes that a runner which restarted before this term has seen the term's
+// token. What it has carried out of earlier orders until then holds the lease that they gave it.
+func (r *runner) endEarlierOrders() {
+	r.leaseEndsBy = max(r.leaseEndsBy, r.earlierOrdersBy)
+	r.earlierOrdersBy = 0
+}
+
 // noteEndsTruncated notes whether the runner's last report leaves ends out, and tells
 // the observer of a change.
 func (c *Core) noteEndsTruncated(r *runner, truncated bool) {
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -259,3 +259,46 @@
 	core.HandleReport("r", now, batch.Report{Born: 2, Ended: []batch.EndedTask{end(1)}}, now)
 	must.Eq(t, 1, core.AcknowledgedEnd("r"))
 }
+
+// Guards against a task that runs twice after a takeover: the runner has restarted since the
+// run was recorded, and may still carry out a start of the leader before.
+func TestInheritedRunOfARestartedRunnerOutlastsEarlierOrders(t *testing.T) {
+	const now = worldStart
+	const earlierOrders, lease = 18 * time.Second, 6 * time.Second
+	for name, test := range map[string]struct {
+		recorded, listed int64 // incarnations; 0: unknown
+		lostBy           time.Duration
+	}{
+		"same incarnation":         {1, 1, lease},
+		"restarted":                {1, 2, earlierOrders},
+		"recorded without one":     {0, 2, lease},
+		"entry does not name it":   {1, 0, lease},
+		"entry of an earlier time": {2, 1, earlierOrders},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(lease), EarlierOrders: earlierOrders})
+			core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{
+				{Attempt: 1, Runner: "r", Born: test.recorded},
+			}}, now)
+			core.RunnerListed(incarnation(test.listed, "b"), now)
+			core.RunnerListed(incarnation(test.listed, "b"), now.Add(time.Second)) // the next heartbeat
+			core.Decide(now.Add(test.lostBy), time.Unix(0, int64(now)))
+			must.Len(t, 0, core.TakeRecords(1))
+			core.Decide(now.Add(test.lostBy+time.Second), time.Unix(0, int64(now)))
+			must.Len(t, 1, core.TakeRecords(1))
+		})
+	}
+}
+
+// The report that first shows a leader a restarted runner lists what it has carried out of the
+// orders of the leader before. Guards against such a run being lost by the lease of the run before.
+func TestReportedRunOfARestartedRunnerIsKept(t *testing.T) {
+	const now = worldStart
+	core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(6 * time.Second), EarlierOrders: 18 * time.Second})
+	core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Born: 1}}}, now)
+	core.RunnerListed(incarnation(2, "b"), now)
+	at := now.Add(8 * time.Second)
+	core.HandleReport("r", at, batch.Report{Born: 2, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, at)
+	core.Decide(at, time.Unix(0, int64(now)))
+	must.Len(t, 0, core.TakeRecords(1))
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -111,6 +111,10 @@
 	switch {
 	case r.awaitsReport():
 		c.observeRestart(r, entry.Born, now)
+	case r.reportReceivedAt.IsZero() && r.restartedSinceItsRuns():
+		if r.earlierOrdersBy.IsZero() {
+			r.earlierOrdersBy = now.Add(c.opts.EarlierOrders)
+		}
 	case r.described() && r.fence == fenced:
 		r.earlierOrdersBy = 0 // the entry of a later incarnation was another writer's
 	}
@@ -312,6 +316,18 @@
 	return r.describedBorn == 0 || r.Born == 0 || r.describedBorn == r.Born
 }
 
+// restartedSinceItsRuns reports whether the runner's entry describes another incarnation than
+// the one that a run was meant for that an earlier scheduler has recorded. Until the present
+// one has answered a hold of this term, it may still carry out orders to that one.
+func (r *runner) restartedSinceItsRuns() bool {
+	for _, run := range r.runs {
+		if run.phase == inherited && run.born != 0 && r.describedBorn != 0 && run.born != r.describedBorn {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitsReport reports whether the runner's entry describes a later incarnation than the one
 // that reported last.
 func (r *runner) awaitsReport() bool { return r.Born != 0 && r.describedBorn > r.Born }
