Scheduler: the record of a job says which starts may be open

Cause: which starts are open was known to one leader only.

Change: a record shows a start as open from when its run is planned until the start is known to be answered; records that still show answered starts are written again twice a second at most. An inherited run whose start is shown as open waits, if its runner can't be reached, as long as it would have waited in the term before. The incarnations that runs were meant for are kept once a runner instead of once a run, as the record of a job of 10,000 tasks is near the store's limit for a value.

New: TestInheritedRunWithAnOpenStartOutlasts- ItsRunnersLease and TestAnsweredStartsAreRecorded; planted, without the restored mark and without the later record, each fails.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -161,7 +161,7 @@
 	Failures   int    `json:"f,omitempty"`
 	Attempt    int    `json:"a,omitempty"` // highest attempt that may have started
 	Runner     string `json:"r,omitempty"` // runner on which that attempt may be running; empty: it has ended
-	Born       int64  `json:"b,omitempty"` // incarnation of the runner that it was meant for; 0: unknown
+	Open       bool   `json:"o,omitempty"` // its start may be under way: it isn't answered, or not known to be
 	Checkpoint string `json:"c,omitempty"`
 }
 
@@ -170,6 +170,9 @@
 type Progress struct {
 	State State          `json:"state"`
 	Tasks []TaskProgress `json:"tasks,omitempty"` // only tasks that were attempted or are done
+	// Incarnations holds, by runner, the earliest incarnation that one of the running attempts
+	// was meant for, as far as it is known.
+	Incarnations map[string]int64 `json:"born,omitempty"`
 }
 
 // Queue accepts jobs under one host name and path prefix.
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -34,7 +36,7 @@
 func (c *Core) NoteStartSent(o Order, now steady.Time) {
 	if run := c.runOf(o); run != nil {
 		run.openTries++
-		run.openUntil = now.Add(c.opts.EarlierOrders)
+		run.answered, run.openUntil = false, now.Add(c.opts.EarlierOrders)
 	}
 }
 
@@ -45,9 +47,34 @@
 		return
 	}
 	run.openTries--
-	if run.openTries == 0 {
-		run.openUntil = 0
+	if run.openTries > 0 {
+		return
+	}
+	run.answered, run.openUntil = true, 0
+	if j := run.unit.job; !j.answersDue {
+		j.answersDue = true
+		c.answered = append(c.answered, j)
+	}
+}
+
+// answersRecordInterval is the time between two passes that record which starts are answered.
+// The next scheduler waits longer for runs whose starts it doesn't know to be answered, if
+// their runners can't be reached.
+const answersRecordInterval = 500 * time.Millisecond
+
+// recordAnswers has the records of jobs written whose starts were answered since the last pass.
+func (c *Core) recordAnswers(now steady.Time) {
+	if now.Sub(c.answersRecordedAt) < answersRecordInterval {
+		return
+	}
+	c.answersRecordedAt = now
+	for _, j := range c.answered {
+		j.answersDue = false
+		if j.recordsOpenStart {
+			c.markChanged(j)
+		}
 	}
+	c.answered = c.answered[:0]
 }
 
 // runOf returns the run that an order is for; nil: it has ended.
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -14,6 +14,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
@@ -107,8 +108,11 @@
 	// or may name.
 	leaseEndRecorded map[string]bool
 
+	answersRecordedAt steady.Time
+
 	maxReportAge time.Duration           // greatest age of a runner's last report at which it may be given starts
 	reservations map[string]*reservation // by service
+	answered     []*job                  // jobs with starts that were answered since answersRecordedAt
 	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
 
 	// State of one scheduling pass: the slots found so far, and the number of
@@ -193,7 +197,9 @@
 	out := make([]Record, 0, n)
 	for _, j := range c.dirty[:n] {
 		j.recordQueued = false
-		out = append(out, Record{Job: j.spec.ID, Version: j.version, Progress: j.progress()})
+		p := j.progress()
+		j.recordsOpenStart = slices.ContainsFunc(p.Tasks, func(t batch.TaskProgress) bool { return t.Open })
+		out = append(out, Record{Job: j.spec.ID, Version: j.version, Progress: p})
 	}
 	c.dirty = c.dirty[n:]
 	return out
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -43,6 +43,7 @@
 // eligible. wall is the time of day that the due times of occurrences are
 // compared with.
 func (c *Core) Decide(now steady.Time, wall time.Time) {
+	c.recordAnswers(now)
 	c.expireLeases(now)
 	c.noteSilentDomains(now)
 	c.slotCache, c.waitingByShape = make(map[slotKey][]slot), make(map[shape]int)
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -19,10 +19,13 @@
 	version      int             // incremented with each change of the job's record
 	committed    int             // the version that is in the store
 	recordQueued bool            // is in Core.dirty
-	added        steady.Time
-	size         float64                 // declared core-seconds of one occurrence
-	adviceByStep map[stepKey]*stepAdvice // for the steps that need advice
-	work         map[stepKey]*stepWork
+	answersDue   bool            // is in Core.answered
+	// recordsOpenStart says that the record that was last taken has a start that isn't answered.
+	recordsOpenStart bool
+	added            steady.Time
+	size             float64                 // declared core-seconds of one occurrence
+	adviceByStep     map[stepKey]*stepAdvice // for the steps that need advice
+	work             map[stepKey]*stepWork
 }
 
 type stepKey struct{ occurrence, step int }
@@ -75,6 +78,7 @@
 	createdAt       steady.Time // when it was planned, or restored from a record
 	phaseSince      steady.Time // when it entered its phase
 	acceptedAt      steady.Time // when the runner accepted the last order; a report requested later lists the run unless it is gone
+	answered        bool        // its start is answered, and no try of it is open
 	openTries       int         // tries of its start that were sent and have no answer
 	openUntil       steady.Time // when all that its open tries may still start has ended; 0: it has none
 	beganBy         steady.Time // when its start was accepted or a report first listed it; a report requested later lists it unless it is gone
@@ -182,7 +186,10 @@
 			continue
 		}
 		if t.Runner != "" && !j.state.Final() {
-			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, born: t.Born, createdAt: now, phaseSince: now, resumed: true}
+			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, born: recorded.Incarnations[t.Runner], answered: !t.Open, createdAt: now, phaseSince: now, resumed: true}
+			if t.Open {
+				r.openUntil = now.Add(c.opts.EarlierOrders)
+			}
 			c.attach(r)
 		}
 	}
@@ -209,13 +216,33 @@
 
 // progress returns the progress of the job to be recorded.
 func (j *job) progress() batch.Progress {
-	p := batch.Progress{State: j.state}
+	p := batch.Progress{State: j.state, Incarnations: j.incarnations()}
 	for _, u := range j.units {
 		p.Tasks = u.appendProgress(p.Tasks)
 	}
 	return p
 }
 
+// incarnations returns, by runner, the earliest incarnation that one of the job's runs was
+// meant for.
+func (j *job) incarnations() map[string]int64 {
+	var out map[string]int64
+	for _, u := range j.units {
+		for _, r := range u.runs {
+			if r.born == 0 {
+				continue
+			}
+			if out == nil {
+				out = make(map[string]int64)
+			}
+			if born, known := out[r.runner.ID]; !known || r.born < born {
+				out[r.runner.ID] = r.born
+			}
+		}
+	}
+	return out
+}
+
 func (u *unit) appendProgress(rows []batch.TaskProgress) []batch.TaskProgress {
 	if u.attempt == 0 && !u.done {
 		return rows
@@ -232,7 +259,7 @@
 		return append(rows, row)
 	}
 	for _, r := range u.runs {
-		row.Index, row.Runner, row.Born = r.index, r.runner.ID, r.born
+		row.Index, row.Runner, row.Open = r.index, r.runner.ID, !r.answered
 		rows = append(rows, row)
 		row.Checkpoint = "" // only one row of a gang carries it
 	}
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -277,9 +277,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(lease), EarlierOrders: earlierOrders})
-			core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{
-				{Attempt: 1, Runner: "r", Born: test.recorded},
-			}}, now)
+			core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r"}},
+				Incarnations: map[string]int64{"r": test.recorded}}, now)
 			core.RunnerListed(incarnation(test.listed, "b"), now)
 			core.RunnerListed(incarnation(test.listed, "b"), now.Add(time.Second)) // the next heartbeat
 			core.Decide(now.Add(test.lostBy), time.Unix(0, int64(now)))
@@ -295,10 +294,75 @@
 func TestReportedRunOfARestartedRunnerIsKept(t *testing.T) {
 	const now = worldStart
 	core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(6 * time.Second), EarlierOrders: 18 * time.Second})
-	core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Born: 1}}}, now)
+	core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r"}}, Incarnations: map[string]int64{"r": 1}}, now)
 	core.RunnerListed(incarnation(2, "b"), now)
 	at := now.Add(8 * time.Second)
 	core.HandleReport("r", at, batch.Report{Born: 2, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, at)
 	core.Decide(at, time.Unix(0, int64(now)))
 	must.Len(t, 0, core.TakeRecords(1))
 }
+
+// Guards against a task that runs twice after a takeover: a start of the leader before may be
+// open, and no entry shows that its runner has restarted.
+func TestInheritedRunWithAnOpenStartOutlastsItsRunnersLease(t *testing.T) {
+	const now = worldStart
+	const earlierOrders, lease = 18 * time.Second, 6 * time.Second
+	for name, test := range map[string]struct {
+		answered bool
+		lostBy   time.Duration
+	}{"open": {false, earlierOrders}, "answered": {true, lease}} {
+		t.Run(name, func(t *testing.T) {
+			first, order, recorded := startOne(t, now)
+			first.NoteStartSent(order, now)
+			if test.answered {
+				first.NoteStartAnswered(order)
+				first.HandleAnswer(order, scheduler.Accepted, now)
+				first.Decide(now.Add(time.Second), time.Unix(0, int64(now)))
+				recorded = first.TakeRecords(1)[0].Progress
+			}
+			next := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(lease), EarlierOrders: earlierOrders})
+			next.AddJob(oneTaskJob(), &recorded, now)
+			next.Decide(now.Add(test.lostBy-time.Millisecond), time.Unix(0, int64(now)))
+			must.Len(t, 0, next.TakeRecords(1))
+			next.Decide(now.Add(test.lostBy+time.Second), time.Unix(0, int64(now)))
+			must.Len(t, 1, next.TakeRecords(1))
+		})
+	}
+}
+
+// A record that shows a start as open is written again once it is answered, also when nothing
+// else of its job changes.
+func TestAnsweredStartsAreRecorded(t *testing.T) {
+	now := worldStart
+	job := oneTaskJob()
+	job.Steps[0].Tasks = 2
+	core := scheduler.New(scheduler.Options{})
+	core.RunnerListed(batch.Runner{ID: "r", Service: "s", Capacity: batch.Resources{MilliCPU: 1000}}, now)
+	core.HandleReport("r", now, batch.Report{Born: 1}, now)
+	core.AddJob(job, nil, now)
+	core.Decide(now, time.Unix(0, int64(now)))
+	core.RecordCommitted("j", core.TakeRecords(1)[0].Version, now)
+	orders := core.TakeOrders()
+	must.Len(t, 2, orders)
+	open := func() (n int) {
+		for _, r := range core.TakeRecords(1) {
+			for _, row := range r.Progress.Tasks {
+				if row.Open {
+					n++
+				}
+			}
+			return n
+		}
+		return -1 // nothing is to be written
+	}
+	for i, o := range orders {
+		core.NoteStartSent(o, now)
+		core.NoteStartAnswered(o)
+		core.HandleAnswer(o, scheduler.Accepted, now)
+		now = now.Add(time.Second)
+		core.Decide(now, time.Unix(0, int64(now)))
+		must.Eq(t, 1-i, open())
+	}
+	core.Decide(now.Add(time.Second), time.Unix(0, int64(now)))
+	must.Eq(t, -1, open())
+}
