Dispatch: a start whose run has been settled is not sent

Change: the look, the lease extension and the token are one critical section. TestStartOfASettledRunIsNotSent sends one start without it.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -407,6 +407,10 @@
 	k := l.links[o.Runner.ID]
 	var deadline time.Duration
 	var token uint64
+	if !l.core.AwaitsStart(o) { // settled since the caller looked
+		l.mu.Unlock()
+		return Unanswered, false, errors.New("its run has been settled")
+	}
 	if k != nil {
 		deadline, token = l.extendLease(k), k.token
 	}
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// Guards against a start that goes out with the token of the next incarnation: its run was lost
+// with the restart of its runner just before.
+func TestStartOfASettledRunIsNotSent(t *testing.T) {
+	runners := &silentRunners{}
+	l, order := leaderOfOneRunner(t, runners, time.Second)
+	report(l, batch.Report{Born: 2})
+	l.links["r"].token = 2
+	l.core.RunnerFenced("r", 2)
+	report(l, batch.Report{Born: 2})
+	l.links["r"].clockAt = steady.Now()
+	_, sent, err := l.sendStart(t.Context(), order)
+	must.Error(t, err)
+	must.False(t, sent)
+	must.Eq(t, 0, runners.starts)
+}
+
 // A start whose job was cancelled before it was sent is not sent.
 func TestStartIsNotSentAfterItsJobWasCancelled(t *testing.T) {
 	runners := &silentRunners{}
