Scheduler: open starts end, stop their gang, and allow for later holds

- A row that is recorded as open began the wait anew with each leader, also where the record of lease ends names the runner, and a run that was accepted on a later try stayed open for its life.
The recorded end counts, and a run is recorded as answered once its open tries can't be carried out any more.
- When a runner left with one member's start open, the rest of the gang was not stopped and waited for the gang's timeout.
- A hold that is sent after the start may extend the lease of the run that the start begins on the next incarnation.
The wait counts from the last deadline that was sent, and the margin of other leases is added.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -167,6 +167,7 @@
 		return 0
 	}
 	l.core.NoteLeaseExtension(k.runner.ID, now.Add(maxLeaseDuration(lease)))
+	l.core.NoteDeadlineSent(k.runner.ID, now)
 	return k.clock + now.Sub(k.clockAt) + lease
 }
 
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -50,13 +50,29 @@
 	if run.openTries > 0 {
 		return
 	}
-	run.answered, run.openUntil = true, 0
-	if j := run.unit.job; !j.answersDue {
+	run.openUntil = 0
+	c.noteAnswered(run)
+}
+
+// noteAnswered notes that no try of a run's start is open any more.
+func (c *Core) noteAnswered(r *run) {
+	r.answered = true
+	if j := r.unit.job; !j.answersDue {
 		j.answersDue = true
 		c.answered = append(c.answered, j)
 	}
 }
 
+// endOpenStarts notes which runs have outlived their open starts.
+func (c *Core) endOpenStarts(u *unit, now steady.Time) {
+	for _, r := range u.runs {
+		if !r.answered && !r.openUntil.IsZero() && !now.Before(r.openUntil) {
+			r.openTries = 0
+			c.noteAnswered(r)
+		}
+	}
+}
+
 // answersRecordInterval is the time between two passes that record which starts are answered.
 // The next scheduler waits longer for runs whose starts it doesn't know to be answered, if
 // their runners can't be reached.
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -105,6 +105,7 @@
 	if len(u.runs) == 0 {
 		return
 	}
+	c.endOpenStarts(u, now)
 	if !u.memberEndedAt.IsZero() && now.Sub(u.memberEndedAt) > gangEndTimeout {
 		c.stopUnit(u, now, "another member ended")
 		return
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -188,7 +188,7 @@
 		if t.Runner != "" && !j.state.Final() {
 			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, born: recorded.Incarnations[t.Runner], answered: !t.Open, createdAt: now, phaseSince: now, resumed: true}
 			if t.Open {
-				r.openUntil = now.Add(c.opts.EarlierOrders)
+				r.openUntil = c.inheritedOpenEnd(t.Runner, now)
 			}
 			c.attach(r)
 		}
--- a/batch/scheduler/leaseends.go
+++ b/batch/scheduler/leaseends.go
@@ -41,6 +41,16 @@
 	return r != nil && r.reachable && c.leaseEndRecorded[id]
 }
 
+// inheritedOpenEnd returns the time by which all that open starts of earlier schedulers may
+// still start on a runner has ended. A recorded lease end allows for them already, so that a
+// series of schedulers doesn't wait anew each time.
+func (c *Core) inheritedOpenEnd(id string, now steady.Time) steady.Time {
+	if by, recorded := c.opts.RecordedLeaseEnds[id]; recorded {
+		return min(by, now.Add(c.opts.EarlierOrders))
+	}
+	return now.Add(c.opts.EarlierOrders)
+}
+
 // inheritedLeaseEnd returns the time by which all that earlier schedulers may have started on
 // a runner has ended. A recorded time may lie beyond InheritedLeaseEnd, as starts were open.
 func (c *Core) inheritedLeaseEnd(id string) steady.Time {
--- /dev/null
+++ b/batch/scheduler/openstart_test.go
@@ -0,0 +1,97 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/scheduler"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+const (
+	testEarlierOrders = 18 * time.Second
+	testLease         = 6 * time.Second
+)
+
+// Guards against a gang whose other members wait for the gang's timeout: a member's runner has
+// left while its start was open.
+func TestGangIsStoppedWhenARunnerLeavesWithAnOpenStart(t *testing.T) {
+	const now = worldStart
+	core := scheduler.New(scheduler.Options{EarlierOrders: testEarlierOrders})
+	for _, id := range []string{"r", "q"} {
+		core.RunnerListed(batch.Runner{ID: id, Service: "s", Born: 1, Capacity: batch.Resources{MilliCPU: 1000}}, now)
+		core.HandleReport(id, now, batch.Report{Born: 1}, now)
+	}
+	gang := batch.Step{Tasks: 2, Gang: true, Request: batch.Resources{MilliCPU: 1000}}
+	core.AddJob(&batch.Job{ID: "j", Service: "s", MaxAttempts: 3, Stretch: 1, Steps: []batch.Step{gang}}, nil, now)
+	core.Decide(now, time.Unix(0, int64(now)))
+	core.RecordCommitted("j", core.TakeRecords(1)[0].Version, now)
+	orders := core.TakeOrders()
+	must.Len(t, 2, orders)
+	for _, o := range orders {
+		core.NoteStartSent(o, now)
+	}
+	core.NoteStartAnswered(orders[1])
+	core.HandleAnswer(orders[1], scheduler.Accepted, now)
+	core.RunnerLeft(orders[0].Runner.ID, now)
+	stopped := make(map[string]bool)
+	for _, o := range core.TakeOrders() {
+		must.Eq(t, scheduler.StopRun, o.Kind)
+		stopped[o.Runner.ID] = true
+	}
+	must.Eq(t, map[string]bool{"r": true, "q": true}, stopped)
+}
+
+// Guards against a series of leaders each of which waits anew for an open start.
+func TestRecordedLeaseEndCountsForAnOpenStart(t *testing.T) {
+	const now = worldStart
+	core := scheduler.New(scheduler.Options{
+		Began: now, InheritedLeaseEnd: now.Add(testLease), EarlierOrders: testEarlierOrders,
+		RecordedLeaseEnds: map[string]steady.Time{"r": now.Add(10 * time.Second)},
+	})
+	open := batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Open: true}}}
+	core.AddJob(oneTaskJob(), &open, now)
+	core.Decide(now.Add(10*time.Second), time.Unix(0, int64(now)))
+	must.Len(t, 0, core.TakeRecords(1)) // the recorded time may be later than a usual lease
+	core.Decide(now.Add(11*time.Second), time.Unix(0, int64(now)))
+	must.Len(t, 1, core.TakeRecords(1))
+}
+
+// Guards against a task that runs twice: a hold that was sent after the start is carried out by
+// the next incarnation, and extends the lease of the run that the start began there.
+func TestHoldsExtendTheWaitForAnOpenStart(t *testing.T) {
+	const now = worldStart
+	core, order, _ := startOneWith(t, scheduler.Options{EarlierOrders: testEarlierOrders}, now)
+	core.NoteLeaseExtension("r", now.Add(testLease))
+	core.NoteStartSent(order, now)
+	core.NoteDeadlineSent("r", now.Add(2*time.Second))
+	core.Decide(now.Add(testEarlierOrders+1900*time.Millisecond), time.Unix(0, int64(now)))
+	must.Len(t, 0, core.TakeRecords(1))
+	core.Decide(now.Add(testEarlierOrders+3*time.Second), time.Unix(0, int64(now)))
+	must.Len(t, 1, core.TakeRecords(1))
+}
+
+// A run that was accepted on a later try is recorded as open until the earlier one can't be
+// carried out any more.
+func TestOpenStartOfARunningTaskEnds(t *testing.T) {
+	const now = worldStart
+	core, order, _ := startOneWith(t, scheduler.Options{EarlierOrders: testEarlierOrders}, now)
+	core.NoteStartSent(order, now)
+	core.NoteStartSent(order, now)
+	core.NoteStartAnswered(order)
+	core.HandleAnswer(order, scheduler.Accepted, now)
+	open := func(at time.Duration) bool {
+		core.NoteLeaseExtension("r", now.Add(at+testLease))
+		core.HandleReport("r", now.Add(at), batch.Report{Born: 1, Running: []batch.RunningTask{{Task: order.Task, Attempt: 1, Percent: int(at / time.Second)}}}, now.Add(at))
+		core.Decide(now.Add(at), time.Unix(0, int64(now)))
+		core.Decide(now.Add(at+time.Second), time.Unix(0, int64(now)))
+		records := core.TakeRecords(1)
+		must.Len(t, 1, records)
+		return records[0].Progress.Tasks[0].Open
+	}
+	must.True(t, open(time.Second))
+	must.False(t, open(testEarlierOrders))
+}
--- a/batch/scheduler/pending_test.go
+++ b/batch/scheduler/pending_test.go
@@ -14,7 +14,11 @@
 // startOne returns a core that has decided to start the only task of job "j", the order,
 // and the job's record.
 func startOne(t *testing.T, now steady.Time) (*scheduler.Core, scheduler.Order, batch.Progress) {
-	core := scheduler.New(scheduler.Options{})
+	return startOneWith(t, scheduler.Options{}, now)
+}
+
+func startOneWith(t *testing.T, o scheduler.Options, now steady.Time) (*scheduler.Core, scheduler.Order, batch.Progress) {
+	core := scheduler.New(o)
 	core.RunnerListed(batch.Runner{ID: "r", Service: "s", Capacity: batch.Resources{MilliCPU: 1000}}, now)
 	core.HandleReport("r", now, batch.Report{Born: 1}, now)
 	core.AddJob(oneTaskJob(), nil, now)
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -170,6 +170,20 @@
 	r.leaseEndsBy = max(r.leaseEndsBy, until)
 }
 
+// NoteDeadlineSent notes that an order with a deadline is about to be sent to a runner. It may
+// extend the lease of a run there that an open start begins later.
+func (c *Core) NoteDeadlineSent(id string, now steady.Time) {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	for _, run := range r.runs {
+		if run.openTries > 0 {
+			run.openUntil = max(run.openUntil, now.Add(c.opts.EarlierOrders))
+		}
+	}
+}
+
 // AcknowledgedEnd returns the sequence number up to which all ends of a runner are recorded,
 // or 0 if it has forgotten these already. A runner that restarts numbers its ends anew, and a
 // hold to the earlier incarnation that reaches the next one would drop ends that nobody has
@@ -249,8 +263,8 @@
 		switch {
 		case !now.Before(run.openUntil):
 			c.loseRun(run, now, reason)
-		case run.phase != stopping:
-			c.stopRun(run, now, reason)
+		default:
+			c.stopUnit(run.unit, now, reason)
 		}
 	}
 }
@@ -300,7 +314,7 @@
 // carry out.
 func (c *Core) loseRunsOfEndedLease(r *runner, now steady.Time) {
 	for _, run := range r.runs {
-		if now.Before(run.openUntil) {
+		if now.Before(run.openUntil.Add(leaseExpiryMargin)) {
 			continue
 		}
 		if run.phase == inherited || !run.createdAt.After(r.leaseCertainlyOver()) {
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -414,6 +414,7 @@
 	order := dispatch.HoldOrder{Token: k.token, Acknowledged: acknowledged}
 	if core.MayExtendLease(id, w.now) {
 		core.NoteLeaseExtension(id, w.now.Add(worldLeaseBound)) // whether it arrives or not
+		core.NoteDeadlineSent(id, w.now)
 		order.Deadline = w.now.Sub(k.clockStart) + worldLease
 	}
 	if w.rng.Float64() < w.faults.lateHolds {
