Soak: a run has a loopback address and a name of its own

Runs that started at once took each other's ports: the ports of the hosts were closed before the hosts listened on them, and other processes' listeners and connections could get them. Now a run reserves a random address of 127.64.0.0/10 by a listener that it holds until its end, listens only there, and chooses the hosts' ports after all ports that the system assigns. The host name and key of its requests are its own, so that a host of another run rejects them.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -46,6 +47,8 @@
 // deployment holds the stand-ins of the platform and the host processes.
 type deployment struct {
 	dir          string
+	name         string // differs from that of every other run; in the host name and the key of callers' requests
+	address      *runAddress
 	checker      *Checker
 	store        *keyspace.Store
 	storeAddress string
@@ -87,13 +90,15 @@
 }
 
 func newDeployment(dir string, hosts, runners int, checker *Checker) (*deployment, error) {
-	d := &deployment{dir: dir, checker: checker, specs: make(map[string]string), tasks: make(map[string]runner.Task)}
-	d.store = keyspace.New(keyspace.Options{Fault: d.storeOutcome, ApplyDelay: lateApply})
-	address, err := serveOnLoopback(standin.StoreHandler(d.store))
+	address, err := reserveAddress()
 	if err != nil {
 		return nil, err
 	}
-	d.storeAddress = address
+	d := &deployment{dir: dir, name: fmt.Sprintf("soak-%016x", rand.Uint64()), address: address, checker: checker, specs: make(map[string]string), tasks: make(map[string]runner.Task)}
+	d.store = keyspace.New(keyspace.Options{Fault: d.storeOutcome, ApplyDelay: lateApply})
+	if d.storeAddress, err = d.serve(standin.StoreHandler(d.store)); err != nil {
+		return nil, errors.CombineErrors(err, address.release())
+	}
 	d.runnerServer = &standin.RunnerServer{Pool: runner.New(runner.Options{
 		GangTimeout: 3 * time.Second, MaxLease: standin.RunnerLease, DescribeTask: d.describeTask,
 		OnStart: func(now steady.Time, runnerID string, task batch.TaskID, attempt int) {
@@ -110,27 +115,41 @@
 			checker.CheckNotRestarted(runnerID, end, lapsed)
 		},
 	}), Late: d.lateness}
+	if err := d.addAll(hosts, runners); err != nil {
+		return nil, errors.CombineErrors(err, d.close())
+	}
+	return d, nil
+}
+
+// addAll adds the runners and the hosts.
+func (d *deployment) addAll(hosts, runners int) error {
 	for i := range runners {
 		if err := d.addRunner(i); err != nil {
-			return nil, err
+			return err
+		}
+	}
+	for i := range hosts {
+		if err := d.addHost(i); err != nil {
+			return err
 		}
 	}
-	// All ports are reserved at once, since a port that was closed again may be
-	// assigned twice.
-	ports, err := freePorts(hosts * portsPerHost)
+	// The hosts' ports are chosen last and at once: the system may assign a port that was
+	// closed a second time.
+	ports, err := d.address.freePorts(hosts * portsPerHost)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	for i := range hosts {
-		if err := d.addHost(i, ports[i*portsPerHost:(i+1)*portsPerHost]); err != nil {
-			return nil, err
+	for i, h := range d.hosts {
+		if err := d.writeSettings(h, i, ports[i*portsPerHost:(i+1)*portsPerHost]); err != nil {
+			return err
 		}
 	}
-	return d, nil
+	return nil
 }
 
-func serveOnLoopback(handler http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// serve serves handler on a port of the run's address, and returns both.
+func (d *deployment) serve(handler http.Handler) (string, error) {
+	l, err := net.Listen("tcp", d.address.anyPort())
 	if err != nil {
 		return "", err
 	}
@@ -201,11 +220,11 @@
 
 func (d *deployment) addRunner(i int) error {
 	r := &proxiedRunner{id: fmt.Sprintf("i-%d", i), failureDomain: fmt.Sprintf("fd-%d", i/runnersPerRack%failureDomains), rack: fmt.Sprintf("rack-%d", i/runnersPerRack)}
-	address, err := serveOnLoopback(d.runnerServer.Handler(r.id))
+	address, err := d.serve(d.runnerServer.Handler(r.id))
 	if err != nil {
 		return err
 	}
-	if r.proxy, err = faultproxy.New(address); err != nil {
+	if r.proxy, err = faultproxy.NewAt(d.address.anyPort(), address); err != nil {
 		return err
 	}
 	d.runners = append(d.runners, r)
@@ -269,39 +288,30 @@
 	}
 }
 
-func (d *deployment) addHost(i int, ports []int) error {
-	proxy, err := faultproxy.New(d.storeAddress)
+func (d *deployment) addHost(i int) error {
+	proxy, err := faultproxy.NewAt(d.address.anyPort(), d.storeAddress)
 	if err != nil {
 		return err
 	}
-	h := &hostProcess{
-		name: fmt.Sprintf("host-%d", i), storeProxy: proxy, apiAddress: fmt.Sprintf("127.0.0.1:%d", ports[0]),
+	d.hosts = append(d.hosts, &hostProcess{
+		name: fmt.Sprintf("host-%d", i), storeProxy: proxy,
 		settingsPath: filepath.Join(d.dir, fmt.Sprintf("host-%d.yaml", i)), logPath: filepath.Join(d.dir, fmt.Sprintf("host-%d.log", i)),
-	}
-	settings := standin.HostSettings{
-		Name: h.name, FailureDomain: fmt.Sprintf("fd-%d", i%failureDomains), APIAddress: h.apiAddress,
-		ReadinessAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]), PeerPort: ports[2], StoreAddress: proxy.Addr(), HeartbeatInterval: heartbeatInterval, GracePeriod: gracePeriod,
-	}
-	if err := os.WriteFile(h.settingsPath, []byte(settings.YAML()), 0o600); err != nil {
-		return err
-	}
-	d.hosts = append(d.hosts, h)
+	})
 	return nil
 }
 
-func freePorts(n int) ([]int, error) {
-	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+// writeSettings writes the settings file of the host with the given number.
+func (d *deployment) writeSettings(h *hostProcess, number int, ports []int) error {
+	h.apiAddress = d.hostAddress(ports[0])
+	settings := standin.HostSettings{
+		Name: h.name, Address: d.address.ip, FailureDomain: fmt.Sprintf("fd-%d", number%failureDomains), APIAddress: h.apiAddress,
+		ReadinessAddress: d.hostAddress(ports[1]), PeerPort: ports[2], StoreAddress: h.storeProxy.Addr(), HeartbeatInterval: heartbeatInterval, GracePeriod: gracePeriod,
 	}
-	return ports, nil
+	return os.WriteFile(h.settingsPath, []byte(settings.YAML()), 0o600)
 }
 
+func (d *deployment) hostAddress(port int) string { return fmt.Sprintf("%s:%d", d.address.ip, port) }
+
 // start starts the host's process. It is restarted whenever it ends, until stop.
 func (h *hostProcess) start(binary string) error {
 	h.mu.Lock()
@@ -367,7 +377,8 @@
 	}
 }
 
-func (d *deployment) close() {
+// close ends the hosts and proxies, and lets other runs have the address.
+func (d *deployment) close() error {
 	for _, h := range d.hosts {
 		h.stop()
 		h.storeProxy.Close()
@@ -375,4 +386,5 @@
 	for _, r := range d.runners {
 		r.proxy.Close()
 	}
+	return d.address.release()
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,9 +52,6 @@
 	// must have ended. It covers a takeover, a runner's lease and the queued work.
 	settleTimeout = 60 * time.Second
 	cancelOdds    = 8 // one job in cancelOdds is cancelled
-
-	hostHeader         = "soak" // Host header of requests
-	organisationAPIKey = "k"
 )
 
 // soakRun is the state of one run.
@@ -82,7 +79,11 @@
 	if err != nil {
 		return nil, err
 	}
-	defer d.close()
+	defer func() {
+		if err := d.close(); err != nil {
+			o.Log("address not released: " + err.Error())
+		}
+	}()
 	r := &soakRun{
 		opts: o, deployment: d, checker: checker, cancelled: make(map[string]bool),
 		http: &http.Client{Timeout: callTimeout}, rng: rand.New(rand.NewPCG(o.Seed, 1)),
@@ -150,11 +151,11 @@
 	config := batch.Configuration{
 		Version:       int64(version),
 		Services:      []batch.Service{{Name: "s"}},
-		Organisations: []batch.Organisation{{Name: "one", Keys: []string{organisationAPIKey}, Guaranteed: batch.Resources{Accelerators: acceleratorsPerRunner}}},
+		Organisations: []batch.Organisation{{Name: "one", Keys: []string{r.deployment.name}, Guaranteed: batch.Resources{Accelerators: acceleratorsPerRunner}}},
 	}
 	for v := range version + 1 {
 		config.Queues = append(config.Queues, batch.Queue{
-			Name: fmt.Sprintf("q%d", v), Host: hostHeader, Prefix: fmt.Sprintf("/q%d/", v), Service: "s", Priority: v % 2,
+			Name: fmt.Sprintf("q%d", v), Host: r.deployment.name, Prefix: fmt.Sprintf("/q%d/", v), Service: "s", Priority: v % 2,
 			MaxAttempts: 9, Stretch: 3, TargetLatency: time.Second,
 		})
 	}
@@ -240,8 +241,8 @@
 	if err != nil {
 		return 0, err.Error()
 	}
-	req.Host = hostHeader
-	req.Header.Set(standin.APIKeyHeader, organisationAPIKey)
+	req.Host = r.deployment.name
+	req.Header.Set(standin.APIKeyHeader, r.deployment.name)
 	resp, err := r.http.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -61,8 +61,11 @@
 }
 
 // New listens on a free loopback port and forwards to target.
-func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Proxy, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt listens on address and forwards to target.
+func NewAt(address, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
