Soak: clients keep a connection until it or the process is gone, and no answer may be lost

The soak's callers used connections of a shared http.Client to random hosts. That one repeats a GET silently when its connection has ended, and a POST without an answer counted as unknown, so that a request that a stopping host read and then cut off was not noticed.

Now two clients of each host keep a connection open through SIGTERM, drain and restart, and send request after request on it, some with a body that arrives in parts. A request without an answer is a violation if its host and the store were not disrupted (SIGKILL, SIGSTOP, faults of the store or of its link; a SIGTERM is none) from 3 s before, the end came over 200 ms after the last byte, as in the users' rule, and the host has read it: an answer had begun, or the connection was ended without a reset (Linux resets a connection that is closed with unread bytes, or that gets bytes after it was closed). With scenarios, all hosts are also told to stop in series in calm.

--- a/soak/check.go
+++ b/soak/check.go
@@ -33,6 +33,9 @@
 	doneEnds            map[batch.TaskID]map[doneEnd]bool // ends done that aren't acknowledged; true: the task was started again since
 	cancelledAt         map[string]steady.Time            // by job, when a cancellation was answered
 	lostAt              map[batch.TaskID]steady.Time      // running when its runner crashed, and not started since
+	disruptions         map[string]disruptions            // by host
+	stoppedAt           map[string]steady.Time            // by host, the last SIGTERM
+	answers             int                               // to requests on open connections
 	violations          []string
 	starts              int
 }
@@ -52,6 +55,7 @@
 		drainingSince: make(map[string]steady.Time), newestConfiguration: make(map[string]int),
 		doneEnds:    make(map[batch.TaskID]map[doneEnd]bool),
 		cancelledAt: make(map[string]steady.Time), lostAt: make(map[batch.TaskID]steady.Time),
+		disruptions: make(map[string]disruptions), stoppedAt: make(map[string]steady.Time),
 	}
 }
 
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -81,10 +81,12 @@
 	apiAddress   string
 	storeProxy   *faultproxy.Proxy
 	logPath      string
+	checker      *Checker
 
 	mu          sync.Mutex
 	process     *exec.Cmd
 	incarnation int
+	paused      bool // by SIGSTOP
 	stopping    bool // stopped for good; it is not restarted
 	ended       chan struct{}
 }
@@ -170,6 +172,9 @@
 func (d *deployment) setFault(f func(keyspace.Call) keyspace.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if (f != nil) != (d.fault != nil) {
+		d.checker.RecordDisruption(allHosts, f != nil, steady.Now())
+	}
 	d.fault = f
 }
 
@@ -294,7 +299,7 @@
 		return err
 	}
 	d.hosts = append(d.hosts, &hostProcess{
-		name: fmt.Sprintf("host-%d", i), storeProxy: proxy,
+		name: fmt.Sprintf("host-%d", i), storeProxy: proxy, checker: d.checker,
 		settingsPath: filepath.Join(d.dir, fmt.Sprintf("host-%d.yaml", i)), logPath: filepath.Join(d.dir, fmt.Sprintf("host-%d.log", i)),
 	})
 	return nil
@@ -354,10 +359,34 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.process != nil {
+		h.recordSignal(s)
 		_ = h.process.Process.Signal(s) // it may have ended by itself
+		if s == syscall.SIGKILL {
+			h.disrupt(false)
+		}
 	}
 }
 
+// recordSignal records a signal that is about to be sent. The caller holds mu.
+func (h *hostProcess) recordSignal(s syscall.Signal) {
+	switch s {
+	case syscall.SIGTERM:
+		h.checker.RecordStop(h.name, steady.Now())
+	case syscall.SIGKILL:
+		h.disrupt(true)
+	case syscall.SIGSTOP, syscall.SIGCONT:
+		if pause := s == syscall.SIGSTOP; pause != h.paused {
+			h.paused = pause
+			h.disrupt(pause)
+		}
+	}
+}
+
+// disrupt records that an unplanned disruption of the host begins or ends.
+func (h *hostProcess) disrupt(begins bool) {
+	h.checker.RecordDisruption(h.name, begins, steady.Now())
+}
+
 func (h *hostProcess) incarnationName() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -33,7 +33,11 @@
 		h.signal(syscall.SIGSTOP)
 		return func() { h.signal(syscall.SIGCONT) }
 	})},
-	{"store link", onHost(func(h *hostProcess, rng *rand.Rand) func() { return injectLinkFault(h.storeProxy, rng) })},
+	{"store link", onHost(func(h *hostProcess, rng *rand.Rand) func() {
+		h.disrupt(true)
+		end := injectLinkFault(h.storeProxy, rng)
+		return func() { end(); h.disrupt(false) }
+	})},
 	{"runner link", onRunner(func(_ *deployment, r *proxiedRunner, rng *rand.Rand) func() { return injectLinkFault(r.proxy, rng) })},
 	{"runner crash", onRunner(crashRunner)},
 	{"runner leaves", onRunner(drainRunner)},
--- a/soak/scenarios.go
+++ b/soak/scenarios.go
@@ -336,6 +336,7 @@
 		return
 	}
 	for _, h := range d.hosts {
+		h.disrupt(true)
 		for _, direction := range []faultproxy.Direction{0, 1} {
 			h.storeProxy.SetFault(direction, faultproxy.Fault{CutAfterBytes: faultproxy.NoCut, Delay: slowStoreDelay})
 		}
@@ -350,6 +351,7 @@
 	submitted := r.checkJobEnds(ctx, "a takeover while the store was slow")
 	for _, h := range d.hosts {
 		h.storeProxy.ClearFaults()
+		h.disrupt(false)
 	}
 	submitted()
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,7 @@
 	Jobs       int
 	Accepted   int
 	Starts     int
+	Answers    int // to requests on connections that are kept open
 	Violations []string
 }
 
@@ -116,6 +117,7 @@
 	}
 	callers.Go(func() { r.runEvery(trafficCtx, submitInterval, func() { callers.Go(func() { r.submit(ctx) }) }) })
 	callers.Go(func() { r.runEvery(trafficCtx, pollInterval, r.poll) })
+	callers.Go(func() { r.keepConnections(trafficCtx) })
 	callers.Go(func() { r.runEvery(trafficCtx, 3*time.Second, r.writeConfiguration) })
 	<-trafficCtx.Done()
 	callers.Wait()
@@ -124,6 +126,7 @@
 		rng := rand.New(rand.NewPCG(r.opts.Seed, 4))
 		r.checkCalmTakeover(ctx, rng)
 		r.checkOddEntriesInCalm(ctx, rng)
+		r.checkStopsInCalm(ctx)
 	}
 	stopEntries()
 	err := background.Wait()
@@ -318,8 +321,9 @@
 	r.checker.mu.Lock()
 	starts := r.checker.starts
 	jobs := len(r.checker.jobs)
+	answers := r.checker.answers
 	r.checker.mu.Unlock()
-	return &Report{Seed: r.opts.Seed, Jobs: jobs, Accepted: len(r.jobs), Starts: starts, Violations: r.checker.Violations()}
+	return &Report{Seed: r.opts.Seed, Jobs: jobs, Accepted: len(r.jobs), Starts: starts, Answers: answers, Violations: r.checker.Violations()}
 }
 
 // TempDir creates a directory for the settings and logs of one run.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,6 +69,7 @@
 		must.SliceEmpty(t, report.Violations, must.Sprintf("seed %d: %q", c.seed, report.Violations))
 		must.Positive(t, report.Accepted)
 		must.Positive(t, report.Starts)
+		must.Positive(t, report.Answers)
 	}
 }
 
@@ -191,6 +192,35 @@
 				start(c, 20, 2)
 			},
 		},
+		"lost answer around a stop": {
+			func(c *soak.Checker) {
+				c.RecordDisruption("h", true, second(0))
+				c.RecordDisruption("h", false, second(1))
+				c.RecordDisruption("other", true, second(3))
+				c.RecordStop("h", second(5))
+				c.CheckLostAnswer("h", second(5), second(6))
+			},
+			func(c *soak.Checker) {
+				c.RecordDisruption("h", true, second(0))
+				c.RecordDisruption("h", true, second(1))
+				c.RecordDisruption("h", false, second(3))
+				c.RecordStop("h", second(5))
+				c.CheckLostAnswer("h", second(9), second(10)) // one disruption goes on
+				c.RecordDisruption("h", false, second(11))
+				c.CheckLostAnswer("h", second(12), second(13)) // and may still have effects
+				c.CheckLostAnswer("h", second(15), second(15)) // the connection was just closed
+				c.RecordDisruption("", true, second(19))
+				c.CheckLostAnswer("h", second(20), second(21)) // the store is away
+			},
+		},
+		"lost answer without a cause": {
+			func(c *soak.Checker) { c.CheckLostAnswer("h", second(5), second(6)) },
+			func(c *soak.Checker) {
+				c.RecordDisruption("h", true, second(5))
+				c.RecordDisruption("h", false, second(5))
+				c.CheckLostAnswer("h", second(4), second(6))
+			},
+		},
 		"cancelled and running": {
 			func(c *soak.Checker) { start(c, 1, 1); c.CheckCancelledJobs(map[string]bool{"j": true}) },
 			func(c *soak.Checker) {
