Soak: signals, restarts and changes in series that overlap

Random faults come one by one, with 0.2 to 2.2 s between them. A new scenario sends SIGTERM, SIGKILL, SIGSTOP (and SIGCONT later) and SIGHUP to all hosts in turn for 4 s, at most 120 ms apart, and writes configurations, evacuates and returns failure domains and restarts runners meanwhile; then it pauses. Configurations and evacuations may now come from two places at once, so each is written and recorded under a lock.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -55,6 +55,7 @@
 	runnerServer *standin.RunnerServer
 	hosts        []*hostProcess
 	runners      []*proxiedRunner
+	evacuations  sync.Mutex // held while one is requested or ended
 
 	mu    sync.Mutex
 	fault func(keyspace.Call) keyspace.Outcome // nil: none
@@ -82,6 +83,7 @@
 	storeProxy   *faultproxy.Proxy
 	logPath      string
 	checker      *Checker
+	log          func(string) // called with a line for each signal
 
 	mu          sync.Mutex
 	process     *exec.Cmd
@@ -369,6 +371,7 @@
 
 // recordSignal records a signal that is about to be sent. The caller holds mu.
 func (h *hostProcess) recordSignal(s syscall.Signal) {
+	h.log(fmt.Sprintf("%s: %s", h.name, s))
 	switch s {
 	case syscall.SIGTERM:
 		h.checker.RecordStop(h.name, steady.Now())
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -70,15 +70,27 @@
 		d.writeKey(key, [][]byte{{0, 255}, []byte("{}"), []byte(`{"address":7}`)}[rng.IntN(3)])
 		return func() { d.deleteKey(key) }
 	}},
-	{"evacuation", func(d *deployment, rng *rand.Rand) func() {
-		domain := fmt.Sprintf("fd-%d", rng.IntN(failureDomains))
+	{"evacuation", evacuate},
+}
+
+// evacuate takes a failure domain out of service until the end of the fault.
+func evacuate(d *deployment, rng *rand.Rand) func() {
+	domain := fmt.Sprintf("fd-%d", rng.IntN(failureDomains))
+	d.setEvacuation(domain, true)
+	return func() { d.setEvacuation(domain, false) }
+}
+
+// setEvacuation requests the evacuation of a failure domain, or its end. The checker learns
+// of changes in the order of the store.
+func (d *deployment) setEvacuation(domain string, out bool) {
+	d.evacuations.Lock()
+	defer d.evacuations.Unlock()
+	if out {
 		d.writeKey(standin.EvacuationKey(domain), []byte("{}"))
-		d.checker.RecordEvacuation(domain, true, steady.Now())
-		return func() {
-			d.deleteKey(standin.EvacuationKey(domain))
-			d.checker.RecordEvacuation(domain, false, steady.Now())
-		}
-	}},
+	} else {
+		d.deleteKey(standin.EvacuationKey(domain))
+	}
+	d.checker.RecordEvacuation(domain, out, steady.Now())
 }
 
 func onHost(f func(*hostProcess, *rand.Rand) func()) func(*deployment, *rand.Rand) func() {
--- a/soak/scenarios.go
+++ b/soak/scenarios.go
@@ -31,6 +31,7 @@
 	{"leaders end in series after a runner is lost", (*soakRun).endLeadersInSeries},
 	{"many ends wait while the store is away", (*soakRun).letEndsWait},
 	{"job is cancelled whose write is late", (*soakRun).cancelLateWrites},
+	{"signals, restarts and changes in series", (*soakRun).runSeries},
 	{"runners restart and are cut off soon after", func(r *soakRun, ctx context.Context, rng *rand.Rand) {
 		r.restartAndCutOff(ctx, rng, 0, platform.HoldPath)
 	}},
--- a/soak/series.go
+++ b/soak/series.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -27,3 +28,49 @@
 	clients.Wait()
 	r.checkJobEnds(ctx, "all hosts were told to stop")()
 }
+
+const (
+	seriesTime    = 4 * time.Second
+	maxSeriesGap  = 120 * time.Millisecond  // between two signals
+	maxSeriesHold = 1500 * time.Millisecond // until a pause, a crash or an evacuation of the series ends
+	seriesPause   = 3 * time.Second         // after a series
+	changeOdds    = 3                       // after one signal in changeOdds something else changes
+)
+
+// seriesSignals are sent to hosts in series; a host that was stopped goes on later.
+var seriesSignals = []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGHUP}
+
+// seriesChanges are made between the signals.
+var seriesChanges = []func(r *soakRun, rng *rand.Rand) (end func()){
+	func(r *soakRun, _ *rand.Rand) func() { r.writeConfiguration(); return noop },
+	func(r *soakRun, rng *rand.Rand) func() { return evacuate(r.deployment, rng) },
+	func(r *soakRun, rng *rand.Rand) func() { return onRunner(crashRunner)(r.deployment, rng) },
+}
+
+// runSeries sends signals to all hosts in turn, one soon after the other, and meanwhile writes
+// configurations, evacuates failure domains and returns them, and restarts runners. Each may
+// begin before the ones before it have ended or taken effect. Then nothing happens for a while.
+func (r *soakRun) runSeries(ctx context.Context, rng *rand.Rand) {
+	hosts := r.deployment.hosts
+	order := rng.Perm(len(hosts))
+	var ends sync.WaitGroup
+	endLater := func(end func()) {
+		hold := time.Duration(rng.Int64N(int64(maxSeriesHold)))
+		ends.Go(func() { sleep(ctx, hold); end() })
+	}
+	limit := time.Now().Add(seriesTime)
+	for i := 0; time.Now().Before(limit) && ctx.Err() == nil; i++ {
+		h := hosts[order[i%len(order)]]
+		s := seriesSignals[rng.IntN(len(seriesSignals))]
+		h.signal(s)
+		if s == syscall.SIGSTOP {
+			endLater(func() { h.signal(syscall.SIGCONT) })
+		}
+		if rng.IntN(changeOdds) == 0 {
+			endLater(seriesChanges[rng.IntN(len(seriesChanges))](r, rng))
+		}
+		sleep(ctx, time.Duration(rng.Int64N(int64(maxSeriesGap))))
+	}
+	ends.Wait()
+	sleep(ctx, seriesPause)
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,6 +61,7 @@
 	deployment *deployment
 	checker    *Checker
 	http       *http.Client
+	writing    sync.Mutex // held while a configuration is written
 
 	mu        sync.Mutex
 	rng       *rand.Rand // for jobs and requests
@@ -95,6 +96,7 @@
 	}
 	r.writeConfiguration()
 	for _, h := range d.hosts {
+		h.log = o.Log
 		if err := h.start(o.Binary); err != nil {
 			return nil, err
 		}
@@ -147,6 +149,8 @@
 // writeConfiguration writes a new version of the configuration with one more
 // queue, by which poll sees whether a host has that version.
 func (r *soakRun) writeConfiguration() {
+	r.writing.Lock()
+	defer r.writing.Unlock()
 	r.mu.Lock()
 	r.version++
 	version := r.version
