Host: each listener bounds its connections and the time of a request

What callers saw: with several hundred connections that sent nothing, a part of a header or a request with a body that stops short, other callers got no answer, as accepting and the host's own calls failed for want of descriptors. On the readiness endpoint and for metrics such connections stayed for ever, and the platform takes a host whose probe isn't answered out of rotation. When descriptors were short while a peer's connection was accepted, the process ended, whatever had used them up.

Cause: no listener bounded its connections; only the header had a time limit, and net/http waits for the rest of a body that the handler has not read, without one (no ReadTimeout); the peers' server took a failed accept for the end of its listener.

Each listener now has a limit of connections, from limits.max_fds and limits.memory_mb. A new connection is accepted at once, and the one is closed that has waited longest for a request or the rest of one. So new callers don't queue behind those that are silent, and a request that is being served is not cut. A failed accept of a peer is tried again.

--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/cyclamentray/cyclamentray/batch/intake"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
 	"github.com/cyclamentray/cyclamentray/batch/mechanism"
+	"github.com/cyclamentray/cyclamentray/internal/connlimit"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 	"github.com/cyclamentray/cyclamentray/kvstore"
@@ -79,6 +80,7 @@
 	Replica       *ledger.Replica
 	Dispatch      func() dispatch.Options // called at the start of each term
 	NewAPIHandler func(*intake.Intake) http.Handler
+	Limits        Limits // zero: those for a process of unknown size
 	Metrics       *metrics.Set
 
 	Off            mechanism.Set // mechanisms that an experiment switches off
@@ -95,7 +97,12 @@
 }
 
 // New returns a Host with the given options. Run starts it.
-func New(o Options) *Host { return &Host{Options: o} }
+func New(o Options) *Host {
+	if o.Limits == (Limits{}) {
+		o.Limits = LimitsFor(0, 0)
+	}
+	return &Host{Options: o}
+}
 
 // Run serves requests until ctx ends or a listener fails, then drains.
 func (h *Host) Run(ctx context.Context) error {
@@ -105,15 +112,16 @@
 		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
 		Metrics: h.Metrics, StoreUnreachable: h.storeKnownLost, Leader: h.leaderClient(),
 	})
-	apiServer := &http.Server{Handler: h.NewAPIHandler(jobs), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	readinessServer := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: readHeaderTimeout}
-	peerServer := peer.NewServer(peer.Options{Host: h.Name})
+	apiServer := newServer(h.NewAPIHandler(jobs))
+	readinessServer := newServer(http.HandlerFunc(h.serveReady))
+	peerServer := peer.NewServer(peer.Options{Host: h.Name, Logger: h.Log})
 	if err := h.registerPeerCalls(peerServer); err != nil {
 		return err
 	}
 	failed := make(chan error, 3)
-	if err := errors.CombineErrors(listenAndServe(h.APIAddress, apiServer.Serve, failed),
-		errors.CombineErrors(listenAndServe(h.ReadinessAddress, readinessServer.Serve, failed), listenAndServe(h.PeerAddress, peerServer.Serve, failed))); err != nil {
+	if err := errors.CombineErrors(h.listenAndServe("caller", h.APIAddress, h.Limits.APIConns, apiServer.Serve, failed),
+		errors.CombineErrors(h.listenAndServe("probe", h.ReadinessAddress, maxProbeConns, readinessServer.Serve, failed),
+			h.listenAndServe("peer", h.PeerAddress, h.Limits.PeerConns, peerServer.Serve, failed))); err != nil {
 		return err
 	}
 	metricsServer, err := h.serveMetrics(failed)
@@ -159,13 +167,14 @@
 	return err
 }
 
-// listenAndServe listens on address and serves in the background. A later
-// failure is sent to failed.
-func listenAndServe(address string, run func(net.Listener) error, failed chan<- error) error {
+// listenAndServe listens on address, with a limit of connections of clients of the given
+// kind, and serves in the background. A later failure is sent to failed.
+func (h *Host) listenAndServe(client, address string, maxConns int, run func(net.Listener) error, failed chan<- error) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s", address)
 	}
+	l = connlimit.Limit(l, maxConns, h.refusals(client+" connection").record)
 	go func() {
 		if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
@@ -174,6 +183,9 @@
 	return nil
 }
 
+// refusals returns the record of what is refused for the limit of the given name.
+func (h *Host) refusals(what string) *refusals { return newRefusals(what, h.Metrics, h.Log) }
+
 // metricsPath is the path of the metrics, in the Prometheus text format.
 const metricsPath = "/metrics"
 
@@ -185,11 +197,11 @@
 		h.Metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := newServer(mux)
 	if h.MetricsAddress == "" {
 		return server, nil
 	}
-	return server, listenAndServe(h.MetricsAddress, server.Serve, failed)
+	return server, h.listenAndServe("metrics", h.MetricsAddress, maxMetricsConns, server.Serve, failed)
 }
 
 // drain resigns the candidacy, reports the host as not ready, serves on until
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -135,6 +135,7 @@
 		ReadinessAddress: s.ReadinessAddress,
 		GracePeriod:      s.Bounds.Grace,
 		Cores:            s.Cores,
+		Limits:           host.LimitsFor(s.MemoryMB, s.MaxFDs),
 		Off:              off,
 		Store:            store,
 		DirectStore:      directStore,
--- /dev/null
+++ b/internal/connlimit/connlimit.go
@@ -0,0 +1,178 @@
+// Package connlimit bounds the open connections of a listener. A new connection is
+// accepted at once; if the limit is reached, the connection is closed that has waited
+// longest for a request or for the rest of one. Connections whose request is being
+// served are not closed. A Listener keeps its open connections in the order in which
+// they began to wait. The host's HTTP servers and the server of peers' calls use it.
+package connlimit
+
+import (
+	"container/list"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Listener is a net.Listener with a limit of open connections. It is safe for
+// concurrent use.
+type Listener struct {
+	net.Listener
+	limit   int
+	onClose func() // called for each connection that is closed for the limit
+
+	mu      sync.Mutex
+	open    int
+	waiting list.List // of *Conn; the one that has waited longest is at the front
+}
+
+// Limit returns l with a limit of open connections. onClose is called for each
+// connection that is closed for the limit.
+func Limit(l net.Listener, limit int, onClose func()) *Listener {
+	return &Listener{Listener: l, limit: limit, onClose: onClose}
+}
+
+// Conn is a connection that a Listener has accepted.
+type Conn struct {
+	net.Conn
+	listener *Listener
+
+	// The fields below are guarded by listener.mu.
+	closed bool
+	place  *list.Element // in listener.waiting; nil: its request is being served
+}
+
+// Accept implements net.Listener. If every connection is being served, the new one is
+// closed.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: conn, listener: l}
+		oldest, admitted := l.admit(c)
+		if oldest != nil {
+			_ = oldest.Close() // it is given up whether or not that succeeds
+			l.onClose()
+		}
+		if admitted {
+			return c, nil
+		}
+		_ = conn.Close() // it was not served yet
+		l.onClose()
+	}
+}
+
+// admit adds c to the open connections and returns the one to close for it, if any.
+func (l *Listener) admit(c *Conn) (oldest *Conn, admitted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.limit {
+		front := l.waiting.Front()
+		if front == nil {
+			return nil, false
+		}
+		oldest = front.Value.(*Conn)
+		oldest.leave()
+	}
+	l.open++
+	c.place = l.waiting.PushBack(c)
+	return oldest, true
+}
+
+// leave removes c from the open connections. The caller holds listener.mu.
+func (c *Conn) leave() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.listener.open--
+	c.serve()
+}
+
+// serve removes c from those that wait. The caller holds listener.mu.
+func (c *Conn) serve() {
+	if c.place != nil {
+		c.listener.waiting.Remove(c.place)
+		c.place = nil
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.mu.Lock()
+	c.leave()
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the answer while the request is still arriving; net/http calls it.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Serving states that a whole request was read and is being served.
+func (c *Conn) Serving() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.serve()
+}
+
+// Waiting states that the connection waits for a request from now on.
+func (c *Conn) Waiting() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.serve()
+	c.place = c.listener.waiting.PushBack(c)
+}
+
+type connKey struct{}
+
+// ConnContext is the ConnContext of an http.Server that serves a Listener. TrackRequests
+// needs it.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// TrackRequests returns next with a connection marked as being served from the end of a
+// request's body to the end of the handler.
+func TrackRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		defer conn.Waiting()
+		if r.ContentLength == 0 {
+			conn.Serving()
+		} else {
+			r.Body = &trackedBody{ReadCloser: r.Body, conn: conn}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// trackedBody marks the connection as being served when the body has ended.
+type trackedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.Serving()
+	}
+	return n, err
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -140,6 +140,7 @@
 type serverCodec struct {
 	stream
 	host    string          // name of the serving host, for spans
+	used    func()          // called after each request was read
 	ctx     context.Context // cancelled when the connection closes
 	cancel  context.CancelFunc
 	bodySeq uint64 // sequence number of the request whose body is read next
@@ -184,6 +185,7 @@
 	if err := c.dec.Decode(body); err != nil {
 		return err
 	}
+	c.used()
 	if setter, ok := body.(ContextSetter); ok {
 		c.mu.Lock()
 		ctx := c.calls[c.bodySeq].ctx
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamentray/cyclamentray/internal/connlimit"
 	"github.com/cyclamentray/cyclamentray/internal/countedconn"
 )
 
@@ -47,12 +50,25 @@
 			if s.isClosed() {
 				return nil
 			}
+			if isShortage(err) {
+				s.opts.Logger.Warn("a peer's connection was not accepted", "err", err)
+				time.Sleep(acceptRetryInterval)
+				continue
+			}
 			return errors.Wrap(err, "accepting a peer's connection")
 		}
 		s.accept(conn)
 	}
 }
 
+// acceptRetryInterval is the time between two tries when descriptors or memory are short.
+const acceptRetryInterval = 200 * time.Millisecond
+
+// isShortage reports whether a failed accept may succeed later.
+func isShortage(err error) bool {
+	return errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED)
+}
+
 // addListener adds l to the listeners that Close closes. It returns false if the server
 // is closed already.
 func (s *Server) addListener(l net.Listener) bool {
@@ -72,6 +88,10 @@
 }
 
 func (s *Server) accept(conn net.Conn) {
+	used := func() {}
+	if limited, ok := conn.(*connlimit.Conn); ok {
+		used = limited.Waiting
+	}
 	if s.opts.TLS != nil {
 		conn = tls.Server(conn, s.opts.TLS)
 	}
@@ -84,12 +104,15 @@
 	}
 	s.conns[conn] = true
 	s.serving.Add(1)
-	go s.serveConn(conn)
+	go s.serveConn(conn, used)
 }
 
-func (s *Server) serveConn(conn net.Conn) {
+// serveConn serves the calls on conn; used is called after each request was read.
+func (s *Server) serveConn(conn net.Conn, used func()) {
 	defer s.serving.Done()
-	s.rpc.ServeCodec(newServerCodec(conn, s.opts.Host))
+	codec := newServerCodec(conn, s.opts.Host)
+	codec.used = used
+	s.rpc.ServeCodec(codec)
 	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
