Host: a request's header is limited to 8 KiB

What callers saw: nothing; the process could be ended for its memory. By default net/http reads headers of up to 1 MiB, and each connection keeps what has arrived until the header's time limit. Requests to a host have a path, a key and a few short fields.

--- a/batch/host/limits.go
+++ b/batch/host/limits.go
@@ -19,6 +19,10 @@
 	// longer than the platform's handler takes for the most patient caller.
 	writeTimeout = time.Minute
 
+	// maxHeaderBytes is the size of a request's header, beyond what net/http adds. Requests
+	// to a host have a path, a key and a few short fields.
+	maxHeaderBytes = 8 << 10
+
 	// refusalLogInterval is the time between two log lines on refusals of one kind.
 	refusalLogInterval = 10 * time.Second
 )
@@ -60,7 +64,7 @@
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: connlimit.TrackRequests(handler), ConnContext: connlimit.ConnContext,
-		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
