Host: the bodies that are read at once share a budget of memory

What callers saw: with many large bodies at once, whole or piece by piece, most of which stopped just short of their end and stayed open, the process could be ended for its memory, and every request in it was lost.

Cause: each body was read whole, with a limit for one body and none for all of them.

All bodies now share a sixteenth of limits.memory_mb. A byte counts when memory is taken for it, not when it is announced. When the budget is used up, the unfinished body that holds most is answered with 503 and Retry-After, and its connection closed: nothing of it was passed on, so the job never runs. The many small bodies of other callers never hold most, so that they don't wait behind large ones that don't end. A body whose end has been read is not given up. Holds that were given up count until their memory is released, up to twice the budget. A job that is being stored counts with about what it takes, not with the size of its body.

--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/cyclamentray/cyclamentray/batch/intake"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
 	"github.com/cyclamentray/cyclamentray/batch/mechanism"
+	"github.com/cyclamentray/cyclamentray/internal/bytebudget"
 	"github.com/cyclamentray/cyclamentray/internal/connlimit"
 	"github.com/cyclamentray/cyclamentray/internal/pause"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
@@ -79,7 +80,7 @@
 	Conditions    Conditions
 	Replica       *ledger.Replica
 	Dispatch      func() dispatch.Options // called at the start of each term
-	NewAPIHandler func(*intake.Intake) http.Handler
+	NewAPIHandler func(*intake.Intake, *bytebudget.Budget) http.Handler
 	Limits        Limits // zero: those for a process of unknown size
 	Metrics       *metrics.Set
 
@@ -112,7 +113,7 @@
 		Store: h.Store, Replica: h.Replica, Configuration: h.Conditions.Configuration, Now: time.Now, Log: h.Log,
 		Metrics: h.Metrics, StoreUnreachable: h.storeKnownLost, Leader: h.leaderClient(),
 	})
-	apiServer := newServer(h.NewAPIHandler(jobs))
+	apiServer := newServer(h.NewAPIHandler(jobs, newBudget(h.Limits.BodyBytes, h.refusals("body"))))
 	readinessServer := newServer(http.HandlerFunc(h.serveReady))
 	peerServer := peer.NewServer(peer.Options{Host: h.Name, Logger: h.Log})
 	if err := h.registerPeerCalls(peerServer); err != nil {
--- a/batch/host/limits.go
+++ b/batch/host/limits.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"github.com/cyclamentray/cyclamentray/internal/bytebudget"
 	"github.com/cyclamentray/cyclamentray/internal/connlimit"
 	"github.com/cyclamentray/cyclamentray/internal/seldom"
 )
@@ -33,7 +34,8 @@
 	defaultMaxFDs   = 1024
 	fileFDs         = 200 // of the descriptors, kept for files
 
-	connMemoryShare = 8 // one part in so many of the memory: connections of callers, and of peers
+	bodyMemoryShare = 16 // one part in so many of the memory: bodies of callers
+	connMemoryShare = 8  // the same: connections of callers, and of peers
 	connBytes       = 20 << 10
 	connFDShare     = 4 // one part in so many of the descriptors for sockets: connections of callers, and of peers
 
@@ -44,6 +46,7 @@
 // Limits bounds what requests may use of the process's memory and descriptors.
 type Limits struct {
 	APIConns, PeerConns int
+	BodyBytes           int64 // of all bodies that are being read or served
 }
 
 // LimitsFor returns the limits for a process that may use memoryMB of memory and maxFDs
@@ -57,7 +60,7 @@
 	}
 	memory := memoryMB << 20
 	conns := min((maxFDs-fileFDs)/connFDShare, int(memory/connMemoryShare/connBytes))
-	return Limits{APIConns: conns, PeerConns: conns}
+	return Limits{APIConns: conns, PeerConns: conns, BodyBytes: memory / bodyMemoryShare}
 }
 
 // newServer returns an HTTP server with limits for each request.
@@ -90,3 +93,8 @@
 		r.log.Warn("limit reached", "what", r.what, "total", r.counter.Get())
 	}
 }
+
+// newBudget returns a budget of bytes whose refusals are counted.
+func newBudget(bytes int64, r *refusals) *bytebudget.Budget {
+	return bytebudget.New(bytes, r.record)
+}
--- a/cmd/cyclamentray-batchd/main.go
+++ b/cmd/cyclamentray-batchd/main.go
@@ -25,6 +25,7 @@
 	"github.com/cyclamentray/cyclamentray/batch/intake"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
 	"github.com/cyclamentray/cyclamentray/batch/mechanism"
+	"github.com/cyclamentray/cyclamentray/internal/bytebudget"
 	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/peer"
 	"github.com/cyclamentray/cyclamentray/platform"
@@ -143,9 +144,11 @@
 		Adviser:          adviser,
 		Conditions:       currentConditions,
 		Replica:          replica,
-		NewAPIHandler:    func(in *intake.Intake) http.Handler { return &platform.APIHandler{Intake: in} },
-		Log:              logger,
-		Metrics:          set,
+		NewAPIHandler: func(in *intake.Intake, bodies *bytebudget.Budget) http.Handler {
+			return &platform.APIHandler{Intake: in, Bodies: bodies}
+		},
+		Log:     logger,
+		Metrics: set,
 		Dispatch: func() dispatch.Options {
 			bounds := settingsWatcher.Current().Bounds
 			return dispatch.Options{
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -430,10 +430,9 @@
 	h.checkHolds()
 }
 
-// Guards against a limit that refuses a request inside the pages' limits.
-func TestOneLargestLegalJobIsServed(t *testing.T) {
+// largestJob returns a legal job of maxBodyBytes that is as large as a job can be.
+func largestJob() string {
 	const steps, specBytes = 200, 4000
-	h := startHost(t)
 	var job, after strings.Builder
 	fmt.Fprintf(&job, `{"spec":%q,"phases":[`, strings.Repeat("s", specBytes))
 	for i := range steps {
@@ -444,8 +443,23 @@
 		fmt.Fprintf(&after, "%d,", i)
 	}
 	job.WriteString("]}")
-	body := paddedJob(job.String())
+	return paddedJob(job.String())
+}
+
+// Guards against a limit that refuses a request inside the pages' limits.
+func TestOneLargestLegalJobIsServed(t *testing.T) {
+	h := startHost(t)
+	body := largestJob()
 	must.EqOp(t, maxBodyBytes, len(body))
 	must.Eq(t, []int{http.StatusOK}, gatherWholeBodies(t, h, 1, body))
 	h.checkHolds()
 }
+
+// Guards against a process that runs out of memory on the jobs that it has accepted.
+func TestManyLargestLegalJobs(t *testing.T) {
+	h := startHost(t)
+	body := largestJob()
+	statuses := gatherWholeBodies(t, h, bodyCrowd, body)
+	h.checkHolds()
+	h.checkRefusedAreNotStored(statuses)
+}
