--- a/batch/intake/intake.go
+++ b/batch/intake/intake.go
@@ -33,12 +33,14 @@
 	responseShare         = 0.2                    // the same as a share of the timeout: the last retries of a caller have little time
 
 	// Limits of one job; a larger one does not fit in one store record.
-	maxSteps       = 200
 	maxTasks       = 10_000
 	maxOccurrences = 2_000
 	maxSpecBytes   = 4_000
 )
 
+// MaxSteps is the highest number of steps of one job.
+const MaxSteps = 200
+
 // Kind classifies why a request failed.
 type Kind string
 
@@ -184,8 +186,8 @@
 	if len(job.Spec) > maxSpecBytes {
 		return malformed("spec has %d bytes; the limit is %d", len(job.Spec), maxSpecBytes)
 	}
-	if len(job.Steps) == 0 || len(job.Steps) > maxSteps {
-		return malformed("job has %d steps; it must have 1 to %d", len(job.Steps), maxSteps)
+	if len(job.Steps) == 0 || len(job.Steps) > MaxSteps {
+		return malformed("job has %d steps; it must have 1 to %d", len(job.Steps), MaxSteps)
 	}
 	if s := job.Schedule; s != nil && (s.Occurrences > maxOccurrences || s.Interval < 0) {
 		return malformed("schedule has %d occurrences at an interval of %s; the limit is %d occurrences and the interval must not be negative", s.Occurrences, s.Interval, maxOccurrences)
