Peer: the messages that a host reads at once share a budget of memory

What callers saw: nothing; the process could be ended for its memory by connections to the port for other hosts. gob reads a message of whatever length is announced, up to 8 GiB, and there was no time limit.

The host now follows the lengths in the stream, and counts a message over 4 KiB in a budget of a sixteenth of limits.memory_mb before the decoder takes memory for it. The largest of a connection counts until the connection closes, as the decoder keeps its buffer. When the budget is used up, the connection with the largest is closed. The rest of a message that has begun must arrive within 10 s.

--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -115,7 +115,7 @@
 	})
 	apiServer := newServer(h.NewAPIHandler(jobs, newBudget(h.Limits.BodyBytes, h.refusals("body"))))
 	readinessServer := newServer(http.HandlerFunc(h.serveReady))
-	peerServer := peer.NewServer(peer.Options{Host: h.Name, Logger: h.Log})
+	peerServer := peer.NewServer(peer.Options{Host: h.Name, Logger: h.Log, Messages: newBudget(h.Limits.MessageBytes, h.refusals("peer message"))})
 	if err := h.registerPeerCalls(peerServer); err != nil {
 		return err
 	}
--- a/batch/host/limits.go
+++ b/batch/host/limits.go
@@ -34,7 +34,7 @@
 	defaultMaxFDs   = 1024
 	fileFDs         = 200 // of the descriptors, kept for files
 
-	bodyMemoryShare = 16 // one part in so many of the memory: bodies of callers
+	bodyMemoryShare = 16 // one part in so many of the memory: bodies of callers, and messages of peers
 	connMemoryShare = 8  // the same: connections of callers, and of peers
 	connBytes       = 20 << 10
 	connFDShare     = 4 // one part in so many of the descriptors for sockets: connections of callers, and of peers
@@ -45,8 +45,8 @@
 
 // Limits bounds what requests may use of the process's memory and descriptors.
 type Limits struct {
-	APIConns, PeerConns int
-	BodyBytes           int64 // of all bodies that are being read or served
+	APIConns, PeerConns     int
+	BodyBytes, MessageBytes int64 // of all bodies, and all messages of peers, that are being read or served
 }
 
 // LimitsFor returns the limits for a process that may use memoryMB of memory and maxFDs
@@ -60,7 +60,7 @@
 	}
 	memory := memoryMB << 20
 	conns := min((maxFDs-fileFDs)/connFDShare, int(memory/connMemoryShare/connBytes))
-	return Limits{APIConns: conns, PeerConns: conns, BodyBytes: memory / bodyMemoryShare}
+	return Limits{APIConns: conns, PeerConns: conns, BodyBytes: memory / bodyMemoryShare, MessageBytes: memory / bodyMemoryShare}
 }
 
 // newServer returns an HTTP server with limits for each request.
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -30,6 +30,12 @@
 	peerBytes        = 8 << 20 // sent of each message
 	onePeerBytes     = 512 << 20
 
+	moderatePeerCrowd = 90
+	moderatePeerBytes = 2 << 20 // of each message
+
+	submitters    = 8    // at once
+	submittedJobs = 1000 // largest legal jobs, one after the other
+
 	pieceBytes      = 16 << 10
 	largeChunkBytes = 64 << 10
 	lastBytes       = 100     // of a whole body, sent when all connections have sent the rest
@@ -411,6 +417,16 @@
 	h.checkHolds()
 }
 
+// Guards against many messages of peers each of which is small enough by itself.
+func TestPeerMessagesOfModerateSizeThatStopShort(t *testing.T) {
+	h := startHost(t)
+	message := strings.Repeat("x", moderatePeerBytes-1)
+	gather(t, h.peers, moderatePeerCrowd, func(_ int, c net.Conn) error {
+		return sendInPieces(c, gobLength(moderatePeerBytes)+message, pieceBytes)
+	})
+	h.checkHolds()
+}
+
 // Guards against a process that runs out of memory on one message of a peer.
 func TestOneLargePeerMessage(t *testing.T) {
 	h := startHost(t)
--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -71,14 +71,14 @@
 		return ErrGivenUp
 	}
 	more := bytes - h.bytes
-	for more > 0 && b.used-b.leaving+more > b.limit {
+	for more > 0 && more > b.limit-(b.used-b.leaving) {
 		if victim := b.largest(h, bytes); victim == nil || victim == h {
 			return b.refuse(h)
 		} else if !b.drop(victim) {
 			return b.refuse(h)
 		}
 	}
-	if more > 0 && b.used+more > firmFactor*b.limit {
+	if more > 0 && more > firmFactor*b.limit-b.used {
 		return b.refuse(h)
 	}
 	b.used += more
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -1,6 +1,7 @@
 package bytebudget_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -81,3 +82,12 @@
 	must.True(t, first.givenUp)
 	must.False(t, second.givenUp)
 }
+
+// Guards against a size that overflows the sum.
+func TestHugeSizeIsRefused(t *testing.T) {
+	b := bytebudget.New(100, func() {})
+	other, huge := open(b), open(b)
+	must.NoError(t, other.Resize(50))
+	must.ErrorIs(t, huge.Resize(math.MaxInt64), bytebudget.ErrGivenUp)
+	must.False(t, other.givenUp)
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/gob"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -48,9 +49,9 @@
 	buf  *bufio.Writer
 }
 
-func newStream(conn net.Conn) stream {
+func newStream(conn net.Conn, in io.Reader) stream {
 	buf := bufio.NewWriter(conn)
-	return stream{conn: conn, dec: gob.NewDecoder(bufio.NewReader(conn)), enc: gob.NewEncoder(buf), buf: buf}
+	return stream{conn: conn, dec: gob.NewDecoder(bufio.NewReader(in)), enc: gob.NewEncoder(buf), buf: buf}
 }
 
 // send writes a header and a body by the deadline. On an error it closes the
@@ -139,8 +140,9 @@
 // serialises writes with a lock of its own; mu guards calls, which both use.
 type serverCodec struct {
 	stream
-	host    string          // name of the serving host, for spans
+	in      *messageReader
 	used    func()          // called after each request was read
+	host    string          // name of the serving host, for spans
 	ctx     context.Context // cancelled when the connection closes
 	cancel  context.CancelFunc
 	bodySeq uint64 // sequence number of the request whose body is read next
@@ -149,9 +151,10 @@
 	calls map[uint64]serverCall // by sequence number
 }
 
-func newServerCodec(conn net.Conn, host string) *serverCodec {
+func newServerCodec(conn net.Conn, o Options) *serverCodec {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &serverCodec{stream: newStream(conn), host: host, ctx: ctx, cancel: cancel, calls: make(map[uint64]serverCall)}
+	in := newMessageReader(conn, o.Messages)
+	return &serverCodec{stream: newStream(conn, in), in: in, host: o.Host, ctx: ctx, cancel: cancel, calls: make(map[uint64]serverCall)}
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
@@ -221,5 +224,6 @@
 // Close implements rpc.ServerCodec.
 func (c *serverCodec) Close() error {
 	c.cancel()
+	c.in.close()
 	return c.conn.Close()
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamentray/cyclamentray/internal/bytebudget"
 	"github.com/cyclamentray/cyclamentray/internal/defaults"
 )
 
@@ -40,11 +41,12 @@
 
 // Options configures a Server or a Pool. The zero value works without TLS.
 type Options struct {
-	Host    string        // name of this host, for spans; may be empty
-	TLS     *tls.Config   // nil: plain TCP
-	Timeout time.Duration // of dials and of calls without a deadline; 0: DefaultTimeout
-	Logger  *log.Logger
-	Metrics *metrics.Set
+	Host     string        // name of this host, for spans; may be empty
+	TLS      *tls.Config   // nil: plain TCP
+	Timeout  time.Duration // of dials and of calls without a deadline; 0: DefaultTimeout
+	Logger   *log.Logger
+	Metrics  *metrics.Set
+	Messages *bytebudget.Budget // of the messages that a Server reads at once; nil: no bound
 }
 
 func (o Options) withDefaults() Options {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -174,7 +174,7 @@
 	if err == nil {
 		conn = countedconn.New(conn, p.opts.Metrics, "cyclamentray_peer_bytes_total")
 		onFailure := func() { p.retire(address, pc) }
-		pc.client = rpc.NewClientWithCodec(&clientCodec{stream: newStream(conn), onFailure: onFailure})
+		pc.client = rpc.NewClientWithCodec(&clientCodec{stream: newStream(conn, conn), onFailure: onFailure})
 	} else {
 		p.retire(address, pc)
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -110,7 +110,7 @@
 // serveConn serves the calls on conn; used is called after each request was read.
 func (s *Server) serveConn(conn net.Conn, used func()) {
 	defer s.serving.Done()
-	codec := newServerCodec(conn, s.opts.Host)
+	codec := newServerCodec(conn, s.opts)
 	codec.used = used
 	s.rpc.ServeCodec(codec)
 	_ = conn.Close()
