--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -479,3 +479,21 @@
 	h.checkHolds()
 	h.checkRefusedAreNotStored(statuses)
 }
+
+// Guards against a process that runs out of memory on the jobs that it accepts over time.
+func TestLargestLegalJobsOneAfterTheOther(t *testing.T) {
+	h := startHost(t)
+	body := []byte(largestJob())
+	statuses := make([]int, submittedJobs)
+	var all sync.WaitGroup
+	for first := range submitters {
+		all.Go(func() {
+			for i := first; i < submittedJobs; i += submitters {
+				statuses[i], _ = h.callAPI(http.MethodPost, jobID(i), body) // 0: the host closed the connection
+			}
+		})
+	}
+	all.Wait()
+	h.checkRefusedAreNotStored(statuses)
+	h.checkHolds()
+}
