Host: a connection that has just come is not closed for a new one

With clients that open a new connection whenever one is closed, a connection could be closed before its request arrived. It is now kept for 100 ms at least; if all have come within that time, the new one is closed at once.

TestConnectionThatHasJustComeIsNotClosed is new.

--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s", address)
 	}
-	l = connlimit.Limit(l, maxConns, h.refusals(client+" connection").record)
+	l = connlimit.Limit(l, maxConns, minConnWait, h.refusals(client+" connection").record)
 	go func() {
 		if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
--- a/batch/host/limits.go
+++ b/batch/host/limits.go
@@ -20,6 +20,10 @@
 	// longer than the platform's handler takes for the most patient caller.
 	writeTimeout = time.Minute
 
+	// minConnWait is how long a connection may wait for its request before it can be closed
+	// for a new one: a few round trips within a region.
+	minConnWait = 100 * time.Millisecond
+
 	// maxHeaderBytes is the size of a request's header, beyond what net/http adds. Requests
 	// to a host have a path, a key and a few short fields.
 	maxHeaderBytes = 8 << 10
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,7 +1,8 @@
 // Package connlimit bounds the open connections of a listener. A new connection is
 // accepted at once; if the limit is reached, the connection is closed that has waited
 // longest for a request or for the rest of one. Connections whose request is being
-// served are not closed. A Listener keeps its open connections in the order in which
+// served are not closed, nor are those that have waited for less than the time that a
+// request needs to arrive: the new one is closed then. A Listener keeps its open connections in the order in which
 // they began to wait. The host's HTTP servers and the server of peers' calls use it.
 package connlimit
 
@@ -12,8 +13,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
 // Listener is a net.Listener with a limit of open connections. It is safe for
@@ -21,6 +25,7 @@
 type Listener struct {
 	net.Listener
 	limit   int
+	minWait time.Duration
 	onClose func() // called for each connection that is closed for the limit
 
 	mu      sync.Mutex
@@ -28,10 +33,11 @@
 	waiting list.List // of *Conn; the one that has waited longest is at the front
 }
 
-// Limit returns l with a limit of open connections. onClose is called for each
-// connection that is closed for the limit.
-func Limit(l net.Listener, limit int, onClose func()) *Listener {
-	return &Listener{Listener: l, limit: limit, onClose: onClose}
+// Limit returns l with a limit of open connections. A connection that has waited for less
+// than minWait is not closed for a new one. onClose is called for each connection that is
+// closed for the limit.
+func Limit(l net.Listener, limit int, minWait time.Duration, onClose func()) *Listener {
+	return &Listener{Listener: l, limit: limit, minWait: minWait, onClose: onClose}
 }
 
 // Conn is a connection that a Listener has accepted.
@@ -41,10 +47,11 @@
 
 	// The fields below are guarded by listener.mu.
 	closed bool
+	since  steady.Time   // it has waited from then on
 	place  *list.Element // in listener.waiting; nil: its request is being served
 }
 
-// Accept implements net.Listener. If every connection is being served, the new one is
+// Accept implements net.Listener. If no connection can be closed for a new one, that one is
 // closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -76,10 +83,13 @@
 			return nil, false
 		}
 		oldest = front.Value.(*Conn)
+		if steady.Now().Sub(oldest.since) < l.minWait {
+			return nil, false
+		}
 		oldest.leave()
 	}
 	l.open++
-	c.place = l.waiting.PushBack(c)
+	c.wait()
 	return oldest, true
 }
 
@@ -101,6 +111,12 @@
 	}
 }
 
+// wait adds c to those that wait. The caller holds listener.mu.
+func (c *Conn) wait() {
+	c.since = steady.Now()
+	c.place = c.listener.waiting.PushBack(c)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.listener.mu.Lock()
@@ -132,7 +148,7 @@
 		return
 	}
 	c.serve()
-	c.place = c.listener.waiting.PushBack(c)
+	c.wait()
 }
 
 type connKey struct{}
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -16,11 +16,11 @@
 const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 // serve starts an HTTP server with a limit of connections and returns its address.
-func serve(t *testing.T, limit int, handler http.HandlerFunc) string {
+func serve(t *testing.T, limit int, minWait time.Duration, handler http.HandlerFunc) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	server := &http.Server{Handler: connlimit.TrackRequests(handler), ConnContext: connlimit.ConnContext, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(connlimit.Limit(l, limit, func() {})) }()
+	go func() { _ = server.Serve(connlimit.Limit(l, limit, minWait, func() {})) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
 }
@@ -53,7 +53,7 @@
 
 // Guards against callers that wait behind connections on which no request comes.
 func TestConnectionThatWaitedLongestIsClosed(t *testing.T) {
-	address := serve(t, 2, func(http.ResponseWriter, *http.Request) {})
+	address := serve(t, 2, 0, func(http.ResponseWriter, *http.Request) {})
 	used, unused := dial(t, address), dial(t, address)
 	send(t, unused, request)
 	mustBeAnswered(t, unused)
@@ -71,7 +71,7 @@
 // Guards against requests that are cut off while they are served.
 func TestConnectionBeingServedIsNotClosed(t *testing.T) {
 	began, end := make(chan struct{}), make(chan struct{})
-	address := serve(t, 1, func(_ http.ResponseWriter, r *http.Request) {
+	address := serve(t, 1, 0, func(_ http.ResponseWriter, r *http.Request) {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -85,3 +85,12 @@
 	close(end)
 	mustBeAnswered(t, served)
 }
+
+// Guards against a connection that is closed for a new one before its request can arrive.
+func TestConnectionThatHasJustComeIsNotClosed(t *testing.T) {
+	address := serve(t, 1, time.Hour, func(http.ResponseWriter, *http.Request) {})
+	first := dial(t, address)
+	mustBeClosed(t, dial(t, address))
+	send(t, first, request)
+	mustBeAnswered(t, first)
+}
