Scheduler: an open start ends although its runner is held

Found by reading the diff: each hold moved the end of a run's open start on, also long after the start could be carried out, so that a task that was accepted on its second try stayed open for its life, and waited 18 s at its runner's loss instead of 7.

Change: deadlines count only while the start may still be carried out. TestOpenStartOfARunningTaskEnds sends holds now, and fails without it.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -181,6 +181,7 @@
 		RemoteFactor:      l.RemoteFactor,
 		InheritedLeaseEnd: now.Add(maxLeaseDuration(l.RunnerLease)),
 		EarlierOrders:     lateOrderLimit + maxLeaseDuration(l.RunnerLease),
+		LateOrders:        lateOrderLimit,
 		LearnedSpeeds:     found.speeds,
 		Off:               l.Off,
 		Observe:           l.logDecision,
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -36,7 +36,7 @@
 func (c *Core) NoteStartSent(o Order, now steady.Time) {
 	if run := c.runOf(o); run != nil {
 		run.openTries++
-		run.answered, run.openUntil = false, now.Add(c.opts.EarlierOrders)
+		run.answered, run.openSince, run.openUntil = false, now, now.Add(c.opts.EarlierOrders)
 	}
 }
 
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -36,6 +36,8 @@
 	// EarlierOrders is how long after a restart of a runner a lease may last that orders to
 	// its earlier incarnation extend, while the new one doesn't refuse them.
 	EarlierOrders time.Duration
+	// LateOrders is how long after it was sent a runner may carry out an order.
+	LateOrders    time.Duration
 	Began         steady.Time   // when this scheduler began
 	LearnedSpeeds batch.Speeds  // runner speeds learned by earlier schedulers
 	Off           mechanism.Set // mechanisms that an experiment switches off
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -80,6 +80,7 @@
 	acceptedAt      steady.Time // when the runner accepted the last order; a report requested later lists the run unless it is gone
 	answered        bool        // its start is answered, and no try of it is open
 	openTries       int         // tries of its start that were sent and have no answer
+	openSince       steady.Time // when the last of them was sent
 	openUntil       steady.Time // when all that its open tries may still start has ended; 0: it has none
 	beganBy         steady.Time // when its start was accepted or a report first listed it; a report requested later lists it unless it is gone
 	startedAt       steady.Time // when it was first known to run
--- a/batch/scheduler/openstart_test.go
+++ b/batch/scheduler/openstart_test.go
@@ -13,6 +13,7 @@
 
 const (
 	testEarlierOrders = 18 * time.Second
+	testLateOrders    = 12 * time.Second
 	testLease         = 6 * time.Second
 )
 
@@ -64,7 +65,7 @@
 // the next incarnation, and extends the lease of the run that the start began there.
 func TestHoldsExtendTheWaitForAnOpenStart(t *testing.T) {
 	const now = worldStart
-	core, order, _ := startOneWith(t, scheduler.Options{EarlierOrders: testEarlierOrders}, now)
+	core, order, _ := startOneWith(t, scheduler.Options{EarlierOrders: testEarlierOrders, LateOrders: testLateOrders}, now)
 	core.NoteLeaseExtension("r", now.Add(testLease))
 	core.NoteStartSent(order, now)
 	core.NoteDeadlineSent("r", now.Add(2*time.Second))
@@ -78,7 +79,7 @@
 // carried out any more.
 func TestOpenStartOfARunningTaskEnds(t *testing.T) {
 	const now = worldStart
-	core, order, _ := startOneWith(t, scheduler.Options{EarlierOrders: testEarlierOrders}, now)
+	core, order, _ := startOneWith(t, scheduler.Options{EarlierOrders: testEarlierOrders, LateOrders: testLateOrders}, now)
 	core.NoteStartSent(order, now)
 	core.NoteStartSent(order, now)
 	core.NoteStartAnswered(order)
@@ -92,8 +93,13 @@
 		must.Len(t, 1, records)
 		return records[0].Progress.Tasks[0].Open
 	}
-	must.True(t, open(time.Second))
-	must.False(t, open(testEarlierOrders))
+	for held := time.Duration(0); held < testLateOrders+testEarlierOrders; held += time.Second {
+		core.NoteDeadlineSent("r", now.Add(held))
+		if held == time.Second {
+			must.True(t, open(held))
+		}
+	}
+	must.False(t, open(testLateOrders+testEarlierOrders+time.Second))
 }
 
 // Guards against a task that is started again after its last permitted attempt: that attempt was
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -171,14 +171,15 @@
 }
 
 // NoteDeadlineSent notes that an order with a deadline is about to be sent to a runner. It may
-// extend the lease of a run there that an open start begins later.
+// extend the lease of a run there that an open start begins later. A start that can't be
+// carried out any more begins none: the runner still reports its earlier incarnation.
 func (c *Core) NoteDeadlineSent(id string, now steady.Time) {
 	r := c.runners[id]
 	if r == nil {
 		return
 	}
 	for _, run := range r.runs {
-		if run.openTries > 0 {
+		if run.openTries > 0 && now.Sub(run.openSince) <= c.opts.LateOrders {
 			run.openUntil = max(run.openUntil, now.Add(c.opts.EarlierOrders))
 		}
 	}
@@ -260,12 +261,11 @@
 func (c *Core) loseAllRuns(r *runner, now steady.Time, reason string) {
 	r.leaseEndsBy = min(r.leaseEndsBy, now)
 	for _, run := range r.runs {
-		switch {
-		case !now.Before(run.openUntil):
-			c.loseRun(run, now, reason)
-		default:
+		if now.Before(run.openUntil) {
 			c.stopUnit(run.unit, now, reason)
+			continue
 		}
+		c.loseRun(run, now, reason)
 	}
 }
 
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -206,7 +206,7 @@
 	w.token = w.nextToken()
 	w.links = make(map[string]link)
 	core := scheduler.New(scheduler.Options{
-		EarlierOrders: worldLateness + worldLeaseBound,
+		EarlierOrders: worldLateness + worldLeaseBound, LateOrders: worldLateness,
 		ObserveRestart: func(id string, _, _, _ int64) {
 			k := w.linkTo(id)
 			k.tokenAtRestart = k.token
