Scheduler: a failed end counts once, whoever reads it

Cause: since the failed end of a run that is gone counts, and only the number of the last counted attempt, in memory, kept it from counting again. An end that is recorded and not acknowledged is listed to the next leader, which counted it anew. Change: the record of a task names the attempts that are counted.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -159,9 +159,10 @@
 	Index      int    `json:"i,omitempty"`
 	Done       bool   `json:"d,omitempty"`
 	Failures   int    `json:"f,omitempty"`
-	Attempt    int    `json:"a,omitempty"` // highest attempt that may have started
-	Runner     string `json:"r,omitempty"` // runner on which that attempt may be running; empty: it has ended
-	Open       bool   `json:"o,omitempty"` // its start may be under way: it isn't answered, or not known to be
+	Failed     []int  `json:"fa,omitempty"` // the attempts that are counted in Failures; none for long-running tasks
+	Attempt    int    `json:"a,omitempty"`  // highest attempt that may have started
+	Runner     string `json:"r,omitempty"`  // runner on which that attempt may be running; empty: it has ended
+	Open       bool   `json:"o,omitempty"`  // its start may be under way: it isn't answered, or not known to be
 	Checkpoint string `json:"c,omitempty"`
 }
 
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -40,7 +40,7 @@
 	tasks             int
 	done              bool
 	failures          int
-	lastFailedAttempt int // the last attempt that was counted as a failure
+	failedAttempts    []int // the attempts that are counted in failures; none for long-running tasks
 	attempt           int
 	checkpoint        string
 	checkpointAttempt int            // the attempt that made the checkpoint
@@ -178,7 +178,7 @@
 			continue
 		}
 		u.attempt = max(u.attempt, t.Attempt)
-		u.failures = max(u.failures, t.Failures)
+		u.failures, u.failedAttempts = max(u.failures, t.Failures), t.Failed
 		if t.Checkpoint != "" {
 			u.checkpoint = t.Checkpoint
 		}
@@ -250,7 +250,7 @@
 	}
 	row := batch.TaskProgress{
 		Occurrence: u.occurrence, Step: u.step, Index: u.first,
-		Done: u.done, Failures: u.failures, Attempt: u.attempt,
+		Done: u.done, Failures: u.failures, Failed: slices.Clone(u.failedAttempts), Attempt: u.attempt,
 	}
 	if u.done {
 		return append(rows, row)
--- a/batch/scheduler/openstart_test.go
+++ b/batch/scheduler/openstart_test.go
@@ -127,3 +127,34 @@
 	state, _ := core.JobState("j")
 	must.Eq(t, batch.Failed, state)
 }
+
+// Guards against a job that fails although no task has failed so often: a failed end that was
+// recorded and not acknowledged is listed again to the next scheduler, or after that of a later
+// attempt.
+func TestFailedEndThatIsListedAgainCountsOnce(t *testing.T) {
+	now := worldStart
+	job := oneTaskJob()
+	job.MaxAttempts = 2
+	first := batch.EndedTask{Sequence: 1, Task: batch.TaskID{Job: "j"}, Attempt: 1, Reason: batch.EndFailed}
+	failed := func(core *scheduler.Core) (batch.State, batch.Progress) {
+		core.RunnerListed(incarnation(1, "b"), now)
+		core.HandleReport("r", now, batch.Report{Born: 1, Ended: []batch.EndedTask{first}}, now)
+		state, _ := core.JobState("j")
+		records := core.TakeRecords(1)
+		if len(records) == 0 {
+			return state, batch.Progress{}
+		}
+		return state, records[0].Progress
+	}
+	core, order, _ := startOne(t, now)
+	core.HandleAnswer(order, scheduler.Accepted, now)
+	state, recorded := failed(core)
+	must.Eq(t, batch.Running, state)
+	for range 3 { // schedulers that follow one another before the end is acknowledged
+		core = scheduler.New(scheduler.Options{})
+		core.AddJob(job, &recorded, now)
+		now = now.Add(time.Second)
+		state, _ = failed(core)
+		must.Eq(t, batch.Running, state)
+	}
+}
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cyclamentray/cyclamentray/batch"
@@ -209,10 +210,12 @@
 // countUnitFailure counts the failure of an attempt once, and ends the job when the unit has
 // used up its attempts.
 func (c *Core) countUnitFailure(u *unit, attempt int, now steady.Time) {
-	if u.lastFailedAttempt == attempt {
+	if slices.Contains(u.failedAttempts, attempt) {
 		return
 	}
-	u.lastFailedAttempt = attempt
+	if !u.spec().LongRunning {
+		u.failedAttempts = append(u.failedAttempts, attempt)
+	}
 	u.failures++
 	if u.failures >= u.job.spec.MaxAttempts && !u.spec().LongRunning && !u.job.state.Final() {
 		c.endJob(u.job, batch.Failed, now)
