--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -180,8 +180,8 @@
 		MaxEarlyStart:     l.MaxEarlyStart,
 		RemoteFactor:      l.RemoteFactor,
 		InheritedLeaseEnd: now.Add(maxLeaseDuration(l.RunnerLease)),
-		EarlierOrders:     lateOrderLimit + maxLeaseDuration(l.RunnerLease),
-		LateOrders:        lateOrderLimit,
+		EarlierOrders:     startTimeout + lateOrderLimit + maxLeaseDuration(l.RunnerLease),
+		LateOrders:        startTimeout + lateOrderLimit,
 		LearnedSpeeds:     found.speeds,
 		Off:               l.Off,
 		Observe:           l.logDecision,
@@ -263,6 +263,15 @@
 	l.Log.Info("runner restarted", "runner", runner, "born", born, "earlier", earlier, "entry-born", described, "token", l.term.Token)
 }
 
+// noteFenced logs that a restarted runner has seen a higher token than any order of before, and
+// how long after its start it did: until then it carries such orders out. The caller holds mu.
+func (l *Leader) noteFenced(runner string, token uint64, report batch.Report) {
+	l.Log.Info("runner fenced", "runner", runner, "born", report.Born, "after", report.Clock, "with", token, "token", l.term.Token)
+	if l.Metrics != nil {
+		l.Metrics.GetOrCreateHistogram("cyclamentray_batch_fence_seconds").Update(report.Clock.Seconds())
+	}
+}
+
 func (l *Leader) countDecision(d scheduler.Decision) {
 	if l.Metrics == nil {
 		return
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -38,11 +38,14 @@
 	// runner with unacknowledged ends answers at once. This costs two calls a second.
 	unrecordedHoldPause = 400 * time.Millisecond
 
-	maxStartTries     = 3
-	startTimeout      = 450 * time.Millisecond // three tries end before the rest of a gang has waited too long
-	stopTimeout       = 500 * time.Millisecond // time for a hundred round trips within a region
-	stopRetryDelay    = 100 * time.Millisecond // doubles up to stopRetryDelayMax
-	stopRetryDelayMax = time.Second            // a cancelled task must be gone within three seconds of a network partition's end
+	maxStartTries = 3
+
+	// repeatRecordTimeout bounds how long a start waits for its record before it is sent again.
+	repeatRecordTimeout = 500 * time.Millisecond
+	startTimeout        = 450 * time.Millisecond // three tries end before the rest of a gang has waited too long
+	stopTimeout         = 500 * time.Millisecond // time for a hundred round trips within a region
+	stopRetryDelay      = 100 * time.Millisecond // doubles up to stopRetryDelayMax
+	stopRetryDelayMax   = time.Second            // a cancelled task must be gone within three seconds of a network partition's end
 )
 
 // runnerLink is what the leader keeps about one runner that it holds. Its fields
@@ -177,7 +180,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+holdGrace)
 	defer cancel()
 	l.mu.Lock()
-	if k := l.links[to.ID]; k != nil {
+	if k := l.links[to.ID]; k != nil && o.Wait > 0 {
 		k.cancelHold = cancel
 	}
 	l.mu.Unlock()
@@ -201,7 +204,7 @@
 	}
 	l.core.EndsForgotten(to.ID, o.Acknowledged)
 	l.handleReport(to.ID, o.Token, asked, report, now)
-	if k := l.links[to.ID]; k != nil && !l.core.AwaitsReport(to.ID) {
+	if k := l.links[to.ID]; k != nil && l.core.ReportedLast(to.ID, report.Born) {
 		k.clock, k.clockAt = report.Clock, now
 	}
 	if len(report.Ended) > 0 || o.Deadline == 0 {
@@ -210,6 +213,20 @@
 	return true
 }
 
+// askForReport has a runner report at once, beside the hold that may be waiting there. It
+// returns false when the runner did not.
+func (l *Leader) askForReport(ctx context.Context, id string) bool {
+	l.mu.Lock()
+	k := l.links[id]
+	if k == nil {
+		l.mu.Unlock()
+		return false
+	}
+	to, o := k.runner, HoldOrder{Token: k.token, Deadline: l.extendLease(k), NewConnection: true}
+	l.mu.Unlock()
+	return l.sendHold(ctx, to, o)
+}
+
 // handleReport passes the report on a hold with the given token to the core. Until a
 // restarted runner is fenced, an order to an earlier incarnation may have extended its lease
 // to the longest one, counted from when it was carried out. The caller holds mu.
@@ -219,6 +236,9 @@
 		l.core.RunnerFenced(id, report.Born)
 	}
 	l.core.HandleReport(id, asked, report, now)
+	if unfenced && !l.core.AwaitsFence(id) {
+		l.noteFenced(id, token, report)
+	}
 	if unfenced || l.core.AwaitsFence(id) {
 		l.core.NoteLeaseExtension(id, now.Add(maxLeaseDuration(l.RunnerLease)))
 	}
@@ -326,7 +346,7 @@
 // startRun sends a start order until it is answered or the run has been reported or
 // stopped meanwhile, at most maxStartTries times. Once a try may have been sent
 // without an answer, only Accepted is conclusive: the runner may still carry out the
-// earlier try.
+// earlier try. Another one is sent only if the runner reports and doesn't list the run.
 func (l *Leader) startRun(ctx context.Context, o scheduler.Order) scheduler.Answer {
 	ambiguous := false
 	for try := range maxStartTries {
@@ -349,6 +369,9 @@
 		}
 		if answer == Unanswered {
 			ambiguous = ambiguous || sent
+			if sent && !(l.askForReport(ctx, o.Runner.ID) && l.mayRepeatStart(ctx, o)) {
+				break
+			}
 			continue
 		}
 		l.Log.Info("start refused", "job", o.Task.Job, "step", o.Task.Step, "task", o.Task.Index,
@@ -374,6 +397,29 @@
 	}
 }
 
+// mayRepeatStart waits until the record of a start's run says that it may have been sent more
+// than once. It returns false if that takes too long or the run has been reported or stopped.
+func (l *Leader) mayRepeatStart(ctx context.Context, o scheduler.Order) bool {
+	limit := time.NewTimer(repeatRecordTimeout)
+	defer limit.Stop()
+	for {
+		l.mu.Lock()
+		recorded, awaited, committed := l.core.RepeatStart(o), l.core.AwaitsStart(o), l.committed
+		l.mu.Unlock()
+		if recorded || !awaited {
+			return recorded && awaited
+		}
+		signal(l.recordsDirty)
+		select {
+		case <-committed:
+		case <-limit.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // awaitsStart reports whether the core still waits for the outcome of a start order.
 func (l *Leader) awaitsStart(o scheduler.Order) bool {
 	l.mu.Lock()
@@ -431,10 +477,12 @@
 		l.giveUpTerm("a runner has seen a later term", nil)
 	}
 	sent = !errors.Is(err, ErrNotSent)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if answer != Unanswered || !sent {
-		l.mu.Lock()
 		l.core.NoteStartAnswered(o)
-		l.mu.Unlock()
+	} else {
+		l.core.NoteStartUnanswered(o)
 	}
 	return answer, sent, err
 }
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -37,6 +37,32 @@
 	return Unanswered, errors.New("no answer")
 }
 
+// Hold reports that nothing runs.
+func (r *silentRunners) Hold(context.Context, batch.Runner, HoldOrder) (batch.Report, Answer, error) {
+	return batch.Report{Born: 1}, Accepted, nil
+}
+
+// commitRecords commits the leader's records until the test ends.
+func commitRecords(t *testing.T, l *Leader) {
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-l.recordsDirty:
+			}
+			l.mu.Lock()
+			for _, record := range l.core.TakeRecords(1) {
+				l.core.RecordCommitted(record.Job, record.Version, steady.Now())
+			}
+			l.notifyCommitted()
+			l.mu.Unlock()
+		}
+	}()
+}
+
 // leaderOfOneRunner returns a leader whose term is valid for the given time, and the
 // start order of a task that it has decided to run on its only runner.
 func leaderOfOneRunner(t *testing.T, runners Runners, validFor time.Duration) (*Leader, scheduler.Order) {
@@ -48,6 +74,8 @@
 		links:        map[string]*runnerLink{r.ID: {runner: r, token: 1, clock: time.Second, clockAt: now}},
 		raisedTokens: make(map[string]uint64),
 		decisionDue:  make(chan struct{}, 1),
+		recordsDirty: make(chan struct{}, 1),
+		committed:    make(chan struct{}),
 	}
 	core := scheduler.New(scheduler.Options{ObserveRestart: l.noteRestart, EarlierOrders: lateOrderLimit})
 	core.RunnerListed(r, now)
@@ -86,6 +114,7 @@
 func TestStartIsRetriedDuringTheTerm(t *testing.T) {
 	runners := &silentRunners{}
 	l, order := leaderOfOneRunner(t, runners, time.Second)
+	commitRecords(t, l)
 	answer := l.startRun(t.Context(), order)
 	must.Eq(t, maxStartTries, runners.starts)
 	must.Eq(t, scheduler.OutcomeUnknown, answer)
@@ -206,3 +235,14 @@
 		})
 	}
 }
+
+// Guards against copies of a start that its record doesn't allow for: the next leader would take
+// a run that is listed for the only one that its start can begin.
+func TestStartIsNotRepeatedBeforeItsRecordSaysSo(t *testing.T) {
+	runners := &silentRunners{}
+	l, order := leaderOfOneRunner(t, runners, time.Second)
+	answer := l.startRun(t.Context(), order)
+	must.Eq(t, 1, runners.starts)
+	must.Eq(t, scheduler.OutcomeUnknown, answer)
+	must.True(t, l.core.TakeRecords(1)[0].Progress.Tasks[0].Repeated)
+}
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -30,49 +30,6 @@
 // the run was planned for. A later one may be of another kind.
 func (r *run) mayStart() bool { return r.born == r.runner.Born && r.runner.described() }
 
-// NoteStartSent notes that a try of a start order is about to be sent. Until it is answered,
-// the runner may still carry it out, and so may its next incarnation, which knows nothing of
-// the lease, the stops and the ends of the one before.
-func (c *Core) NoteStartSent(o Order, now steady.Time) {
-	if run := c.runOf(o); run != nil {
-		run.openTries++
-		run.answered, run.openSince, run.openUntil = false, now, now.Add(c.opts.EarlierOrders)
-	}
-}
-
-// NoteStartAnswered notes that a try of a start order was answered, or was not sent after all.
-func (c *Core) NoteStartAnswered(o Order) {
-	run := c.runOf(o)
-	if run == nil || run.openTries == 0 {
-		return
-	}
-	run.openTries--
-	if run.openTries > 0 {
-		return
-	}
-	run.openUntil = 0
-	c.noteAnswered(run)
-}
-
-// noteAnswered notes that no try of a run's start is open any more.
-func (c *Core) noteAnswered(r *run) {
-	r.answered = true
-	if j := r.unit.job; !j.answersDue {
-		j.answersDue = true
-		c.answered = append(c.answered, j)
-	}
-}
-
-// endOpenStarts notes which runs have outlived their open starts.
-func (c *Core) endOpenStarts(u *unit, now steady.Time) {
-	for _, r := range u.runs {
-		if !r.answered && !r.openUntil.IsZero() && !now.Before(r.openUntil) {
-			r.openTries = 0
-			c.noteAnswered(r)
-		}
-	}
-}
-
 // answersRecordInterval is the time between two passes that record which starts are answered.
 // The next scheduler waits longer for runs whose starts it doesn't know to be answered, if
 // their runners can't be reached.
@@ -119,6 +76,9 @@
 
 func (c *Core) handleStartAnswer(r *run, a Answer, now steady.Time) {
 	if r.phase != ordered {
+		if a == Accepted {
+			r.starts.begun = true
+		}
 		if a == Accepted && r.phase == running { // a report listed the run before the answer arrived
 			r.acceptedAt, r.beganBy = now, now
 		}
@@ -128,6 +88,7 @@
 	switch a {
 	case Accepted:
 		r.phase, r.phaseSince, r.acceptedAt, r.beganBy, r.startedAt, r.progressedAt = running, now, now, now, now, now
+		r.starts.begun = true
 		c.noteBegun(u.job)
 	case NotExecuted, Unhealthy:
 		if a == Unhealthy {
@@ -137,11 +98,45 @@
 		if u.needsAdvice() {
 			delete(u.stepAdvice().byRunner, r.runner.ID) // the ticket may be the reason for the refusal
 		}
+		if r.starts.any() {
+			c.stopUnit(u, now, "start refused while an earlier try is under way")
+			return
+		}
 		c.detach(r)
 		c.markChanged(u.job)
 		c.stopUnit(u, now, "another member was not started")
 	case OutcomeUnknown:
 		r.runner.backOff(now)
-		c.stopUnit(u, now, "start without an answer")
+		r.unansweredAt = now
+		r.rounds++
+	}
+}
+
+// maxStartRounds is how often a start is sent in as many tries as the caller makes.
+const maxStartRounds = 2
+
+// maxUnanswered is how long a start that has no answer waits to be sent again to a runner that
+// can be reached.
+const maxUnanswered = 4 * time.Second
+
+// maxUnansweredGang is how long the members of a gang wait for one whose start has no answer: the
+// time for a report that may list it.
+const maxUnansweredGang = 300 * time.Millisecond
+
+// handleUnansweredStarts has starts sent again that have no answer, and stops a unit if one of
+// its starts was left without an answer too often, or if others wait for its task.
+func (c *Core) handleUnansweredStarts(u *unit, now steady.Time) {
+	for _, r := range u.runs {
+		if r.phase != ordered || r.unansweredAt.IsZero() {
+			continue
+		}
+		waited := now.Sub(r.unansweredAt)
+		if r.rounds >= maxStartRounds || u.tasks > 1 && waited > maxUnansweredGang || r.runner.reachable && waited > maxUnanswered {
+			c.stopUnit(u, now, "start without an answer")
+			return
+		}
+		if r.mayStart() && r.runner.acceptsStarts(c, now) && !c.suspended(r.runner, now) && u.permitted(r.runner, now, startLatency) {
+			c.planRepeat(r, now)
+		}
 	}
 }
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -116,6 +116,7 @@
 	reservations map[string]*reservation // by service
 	answered     []*job                  // jobs with starts that were answered since answersRecordedAt
 	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
+	heldEnds     []*unit                 // done, which is kept back while starts of them are under way
 
 	// State of one scheduling pass: the slots found so far, and the number of
 	// waiting units of each shape.
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -43,6 +43,7 @@
 // eligible. wall is the time of day that the due times of occurrences are
 // compared with.
 func (c *Core) Decide(now steady.Time, wall time.Time) {
+	c.completeHeldEnds(now)
 	c.recordAnswers(now)
 	c.expireLeases(now)
 	c.noteSilentDomains(now)
@@ -105,7 +106,9 @@
 	if len(u.runs) == 0 {
 		return
 	}
-	c.endOpenStarts(u, now)
+	c.endStartsByTime(u, now)
+	c.handleUnansweredStarts(u, now)
+	c.resendWithdrawn(u, now)
 	if !u.memberEndedAt.IsZero() && now.Sub(u.memberEndedAt) > gangEndTimeout {
 		c.stopUnit(u, now, "another member ended")
 		return
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -39,6 +39,7 @@
 	first             int // index of its first task
 	tasks             int
 	done              bool
+	endHeld           bool // a run has ended done, and that is kept back while starts are under way
 	failures          int
 	failedAttempts    []int // the attempts that are counted in failures; none for long-running tasks
 	attempt           int
@@ -64,6 +65,7 @@
 	inherited              // recorded by an earlier scheduler; its runner has not reported yet
 	running
 	stopping
+	withdrawn // not there, but its start may be under way; reserves nothing
 )
 
 // run is one attempt of one task on one runner.
@@ -78,10 +80,10 @@
 	createdAt       steady.Time // when it was planned, or restored from a record
 	phaseSince      steady.Time // when it entered its phase
 	acceptedAt      steady.Time // when the runner accepted the last order; a report requested later lists the run unless it is gone
-	answered        bool        // its start is answered, and no try of it is open
-	openTries       int         // tries of its start that were sent and have no answer
-	openSince       steady.Time // when the last of them was sent
-	openUntil       steady.Time // when all that its open tries may still start has ended; 0: it has none
+	starts          startsUnderWay
+	unansweredAt    steady.Time // when the caller gave up waiting for an answer to its start; 0: it has not
+	rounds          int         // how often it did
+	stopSent        bool        // its runner may refuse its start from now on
 	beganBy         steady.Time // when its start was accepted or a report first listed it; a report requested later lists it unless it is gone
 	startedAt       steady.Time // when it was first known to run
 	percent         int
@@ -106,7 +108,7 @@
 	)
 }
 
-func (u *unit) waiting() bool { return !u.done && len(u.runs) == 0 }
+func (u *unit) waiting() bool { return !u.done && !u.endHeld && len(u.runs) == 0 }
 
 func (r *run) task() batch.TaskID {
 	return batch.TaskID{Job: r.unit.job.spec.ID, Occurrence: r.unit.occurrence, Step: r.unit.step, Index: r.index}
@@ -187,9 +189,10 @@
 			continue
 		}
 		if t.Runner != "" && !j.state.Final() {
-			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, born: recorded.Incarnations[t.Runner], answered: !t.Open, createdAt: now, phaseSince: now, resumed: true}
+			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, born: recorded.Incarnations[t.Runner], createdAt: now, phaseSince: now, resumed: true}
+			r.starts.settled = !t.Open
 			if t.Open {
-				r.openUntil = c.inheritedOpenEnd(t.Runner, now)
+				r.starts.noteInherited(t.Repeated, now, c.inheritedOpenEnd(t.Runner, now))
 			}
 			c.attach(r)
 		}
@@ -260,7 +263,7 @@
 		return append(rows, row)
 	}
 	for _, r := range u.runs {
-		row.Index, row.Runner, row.Open = r.index, r.runner.ID, !r.answered
+		row.Index, row.Runner, row.Open, row.Repeated = r.index, r.runner.ID, !r.starts.settled, r.starts.repeated && !r.starts.settled
 		rows = append(rows, row)
 		row.Checkpoint = "" // only one row of a gang carries it
 	}
@@ -338,11 +341,11 @@
 // once.
 func (c *Core) stopUnit(u *unit, now steady.Time, reason string) {
 	for _, r := range slices.Clone(u.runs) {
-		switch r.phase {
-		case planned:
+		switch {
+		case r.phase == planned && !r.starts.any():
 			c.detach(r)
 			c.markChanged(u.job)
-		case stopping:
+		case r.phase == stopping, r.phase == withdrawn:
 		default:
 			c.stopRun(r, now, reason)
 		}
@@ -350,7 +353,7 @@
 }
 
 func (c *Core) stopRun(r *run, now steady.Time, reason string) {
-	r.phase, r.phaseSince, r.acceptedAt = stopping, now, 0
+	r.phase, r.phaseSince, r.acceptedAt, r.stopSent = stopping, now, 0, true
 	c.notifyObserver("stop", r, reason)
 	c.orders = append(c.orders, r.stopOrder())
 }
@@ -359,6 +362,11 @@
 func (c *Core) attach(r *run) {
 	r.unit.runs = append(r.unit.runs, r)
 	r.runner.runs[runKey{r.task(), r.attempt}] = r
+	r.reserve()
+}
+
+// reserve reserves the run's resources on its runner.
+func (r *run) reserve() {
 	r.runner.reserved = r.runner.reserved.Plus(r.unit.spec().ReservedResources())
 	if r.unit.job.spec.Priority == 0 {
 		r.runner.reservedUrgent = r.runner.reservedUrgent.Plus(r.unit.spec().ReservedResources())
@@ -366,6 +374,15 @@
 	}
 }
 
+// release undoes reserve.
+func (r *run) release() {
+	r.runner.reserved = r.runner.reserved.Minus(r.unit.spec().ReservedResources())
+	if r.unit.job.spec.Priority == 0 {
+		r.runner.reservedUrgent = r.runner.reservedUrgent.Minus(r.unit.spec().ReservedResources())
+		r.runner.urgentRuns = slices.DeleteFunc(r.runner.urgentRuns, func(o *run) bool { return o == r })
+	}
+}
+
 // detach removes a run that has ended, and releases its resources.
 func (c *Core) detach(r *run) {
 	key := runKey{r.task(), r.attempt}
@@ -373,10 +390,8 @@
 		return
 	}
 	delete(r.runner.runs, key)
-	r.runner.reserved = r.runner.reserved.Minus(r.unit.spec().ReservedResources())
-	if r.unit.job.spec.Priority == 0 {
-		r.runner.reservedUrgent = r.runner.reservedUrgent.Minus(r.unit.spec().ReservedResources())
-		r.runner.urgentRuns = slices.DeleteFunc(r.runner.urgentRuns, func(o *run) bool { return o == r })
+	if r.phase != withdrawn {
+		r.release()
 	}
 	u := r.unit
 	u.runs = slices.DeleteFunc(u.runs, func(o *run) bool { return o == r })
--- a/batch/scheduler/openstart_test.go
+++ b/batch/scheduler/openstart_test.go
@@ -158,3 +158,32 @@
 		must.Eq(t, batch.Running, state)
 	}
 }
+
+// Guards against a task that runs twice: a run is listed while the answer to a later try of its
+// start is waited for, and the earlier try is taken for carried out.
+func TestEarlierTryStaysUnderWayWhenALaterOneBeginsTheRun(t *testing.T) {
+	now := worldStart
+	for name, test := range map[string]struct {
+		answered, open bool
+	}{"the later try is answered": {true, true}, "neither is answered": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			core, order, _ := startOneWith(t, scheduler.Options{EarlierOrders: testEarlierOrders, LateOrders: testLateOrders}, now)
+			core.NoteStartSent(order, now)
+			core.NoteStartUnanswered(order)
+			core.NoteStartSent(order, now)
+			running := batch.Report{Born: 1, Running: []batch.RunningTask{{Task: order.Task, Attempt: 1}}}
+			core.HandleReport("r", now, running, now)
+			if test.answered {
+				core.NoteStartAnswered(order)
+				core.HandleAnswer(order, scheduler.Accepted, now)
+			} else {
+				core.NoteStartUnanswered(order)
+			}
+			core.HandleReport("r", now.Add(time.Second), running, now.Add(time.Second))
+			core.Decide(now.Add(2*time.Second), time.Unix(0, int64(now)))
+			records := core.TakeRecords(1)
+			must.Len(t, 1, records)
+			must.Eq(t, test.open, records[0].Progress.Tasks[0].Open)
+		})
+	}
+}
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -288,7 +288,7 @@
 func (r *runner) preemptibleBy(u *unit, now steady.Time) batch.Resources {
 	var sum batch.Resources
 	for _, run := range r.runs {
-		if run.isStopping(now) || run.phase != stopping && run.unit.yieldsTo(u) {
+		if run.isStopping(now) || run.phase != stopping && run.phase != withdrawn && run.unit.yieldsTo(u) {
 			sum = sum.Plus(run.unit.spec().ReservedResources())
 		}
 	}
@@ -319,7 +319,7 @@
 		switch {
 		case run.isStopping(now):
 			free = free.Plus(run.unit.spec().ReservedResources())
-		case run.phase != stopping && run.unit.yieldsTo(u) && !slices.Contains(candidates, run.unit):
+		case run.phase != stopping && run.phase != withdrawn && run.unit.yieldsTo(u) && !slices.Contains(candidates, run.unit):
 			candidates = append(candidates, run.unit)
 		}
 	}
@@ -350,7 +350,7 @@
 func (u *unit) heldOn(r *runner) batch.Resources {
 	var sum batch.Resources
 	for _, run := range u.runs {
-		if run.runner == r {
+		if run.runner == r && run.phase != withdrawn {
 			sum = sum.Plus(u.spec().ReservedResources())
 		}
 	}
--- a/batch/scheduler/prospect.go
+++ b/batch/scheduler/prospect.go
@@ -102,6 +102,9 @@
 func (c *Core) expectedEnds(r *runner, now steady.Time) []expectedEnd {
 	var out []expectedEnd
 	for _, run := range r.runs {
+		if run.phase == withdrawn {
+			continue
+		}
 		out = append(out, expectedEnd{now.Add(c.expectedTimeLeft(run, now)), run.unit.spec().ReservedResources()})
 	}
 	slices.SortFunc(out, func(a, b expectedEnd) int { return cmp.Compare(a.at, b.at) })
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -20,6 +20,9 @@
 	if report.Born != 0 {
 		r.Born = report.Born
 	}
+	if !r.reachable {
+		r.reachableSince = asked
+	}
 	r.reportRequestedAt, r.reportReceivedAt, r.reportDueBy, r.reachable = asked, now, 0, true
 	if r.fence == unfenced {
 		return
@@ -36,6 +39,13 @@
 	c.handleRunning(r, asked, report.Running, now)
 }
 
+// ReportedLast reports whether the given incarnation of a runner is the one that reported last,
+// and no entry shows a later one.
+func (c *Core) ReportedLast(id string, born int64) bool {
+	r := c.runners[id]
+	return r != nil && r.Born == born && !r.awaitsReport()
+}
+
 // endEarlierOrders notes that a runner which restarted before this term has seen the term's
 // token. What it has carried out of earlier orders until then holds the lease that they gave it.
 func (r *runner) endEarlierOrders() {
@@ -102,8 +112,8 @@
 		reported[runKey{e.Task, e.Attempt}] = true
 	}
 	for key, run := range r.runs {
-		if !reported[key] && run.phase != planned {
-			c.loseRun(run, now, "runner restarted")
+		if !reported[key] && (run.phase != planned || run.starts.any()) {
+			c.giveUp(run, now, "runner restarted")
 		}
 	}
 }
@@ -121,6 +131,7 @@
 		if j != nil {
 			c.handleEnd(r, j, e, now)
 			pending.job, pending.version = j, j.version
+			pending.unit = j.unitWithTask(e.Task.Occurrence, e.Task.Step, e.Task.Index)
 		}
 		r.pendingEnds = append(r.pendingEnds, pending)
 	}
@@ -139,13 +150,16 @@
 	c.notifyObserver("end", ended, string(e.Reason))
 	c.noteBegun(j)
 	u.keepCheckpoint(e.Checkpoint, ended)
-	c.detach(ended)
+	c.noteCarriedOut(ended)
+	c.settleEnded(ended, now)
 	c.markChanged(j)
 	switch e.Reason {
 	case batch.EndDone:
 		c.speeds.learnEnd(ended, now)
 		r.failures = 0
-		c.completeUnit(u, now)
+		if !c.holdEnd(u) {
+			c.completeUnit(u, now)
+		}
 	case batch.EndFailed:
 		c.countFailure(u, ended, now)
 	}
@@ -168,7 +182,9 @@
 		return
 	}
 	c.markChanged(j)
-	c.completeUnit(u, now)
+	if !c.holdEnd(u) {
+		c.completeUnit(u, now)
+	}
 	c.stopUnit(u, now, "an earlier attempt is done")
 }
 
@@ -228,10 +244,11 @@
 		key := runKey{row.Task, row.Attempt}
 		reported[key] = true
 		run := r.runs[key]
-		if run == nil {
+		if run == nil && !c.attachFound(r, key, now) {
 			c.stopOrphan(r, key, now)
 			continue
 		}
+		run = r.runs[key]
 		c.handleProgress(run, row, now)
 	}
 	for key := range r.orphans {
@@ -243,8 +260,11 @@
 		return // an unreported run may be among the ends that were left out
 	}
 	for key, run := range r.runs {
+		if run.starts.any() && c.startsOver(run, asked) {
+			c.noteStartsOver(run)
+		}
 		if !reported[key] && run.lostIfUnreported(asked) {
-			c.loseRun(run, now, "not listed by its runner")
+			c.giveUp(run, now, "not listed by its runner")
 		}
 	}
 }
@@ -253,7 +273,7 @@
 // it still exists.
 func (r *run) lostIfUnreported(asked steady.Time) bool {
 	switch r.phase {
-	case inherited:
+	case inherited, withdrawn:
 		return true
 	case running, stopping:
 		return !r.acceptedAt.IsZero() && asked.After(r.acceptedAt)
@@ -263,13 +283,21 @@
 }
 
 func (c *Core) handleProgress(r *run, row batch.RunningTask, now steady.Time) {
-	if r.phase == ordered || r.phase == inherited {
-		r.phase, r.phaseSince = running, now
+	if !r.starts.begun { // the order that began it has extended the lease
+		r.runner.leaseEndsBy = max(r.runner.leaseEndsBy, now.Add(c.opts.EarlierOrders-c.opts.LateOrders))
+	}
+	c.noteCarriedOut(r)
+	reappeared := r.phase == withdrawn
+	if reappeared || r.phase == ordered || r.phase == inherited || r.phase == planned {
+		c.reinstate(r, running, now)
 		if r.beganBy.IsZero() {
 			r.acceptedAt, r.beganBy = now, now
 		}
 	}
 	c.noteBegun(r.unit.job)
+	if u := r.unit; reappeared && (u.done || u.endHeld || u.spec().Gang || u.job.state.Final()) {
+		c.stopUnit(u, now, "start was carried out after its run was withdrawn")
+	}
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 		r.progressedAt = now
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -46,6 +46,7 @@
 	reportDueBy       steady.Time     // when the report that it owes should have arrived; 0: it owes none
 	domainSilent      bool            // its failure domain seems to be cut off
 	reachable         bool            // it answered the last hold
+	reachableSince    steady.Time     // when the first hold was sent that it has answered since it last left one without an answer
 	leaseEndsBy       steady.Time     // when its lease has certainly run out, unless earlier orders extend it
 	earlierOrdersBy   steady.Time     // until it is fenced: when leases that orders to its earlier incarnation may extend have run out
 	reserved          batch.Resources // by its runs
@@ -80,6 +81,7 @@
 type pendingEnd struct {
 	sequence int64
 	job      *job
+	unit     *unit
 	version  int
 }
 
@@ -170,21 +172,6 @@
 	r.leaseEndsBy = max(r.leaseEndsBy, until)
 }
 
-// NoteDeadlineSent notes that an order with a deadline is about to be sent to a runner. It may
-// extend the lease of a run there that an open start begins later. A start that can't be
-// carried out any more begins none: the runner still reports its earlier incarnation.
-func (c *Core) NoteDeadlineSent(id string, now steady.Time) {
-	r := c.runners[id]
-	if r == nil {
-		return
-	}
-	for _, run := range r.runs {
-		if run.openTries > 0 && now.Sub(run.openSince) <= c.opts.LateOrders {
-			run.openUntil = max(run.openUntil, now.Add(c.opts.EarlierOrders))
-		}
-	}
-}
-
 // AcknowledgedEnd returns the sequence number up to which all ends of a runner are recorded,
 // or 0 if it has forgotten these already. A runner that restarts numbers its ends anew, and a
 // hold to the earlier incarnation that reaches the next one would drop ends that nobody has
@@ -214,7 +201,7 @@
 func (r *runner) acknowledge() {
 	n := 0
 	for _, e := range r.pendingEnds {
-		if e.job != nil && e.version > e.job.committed {
+		if e.job != nil && (e.version > e.job.committed || e.unit != nil && e.unit.endHeld) {
 			break
 		}
 		r.ackedEnd = max(r.ackedEnd, e.sequence)
@@ -261,7 +248,7 @@
 func (c *Core) loseAllRuns(r *runner, now steady.Time, reason string) {
 	r.leaseEndsBy = min(r.leaseEndsBy, now)
 	for _, run := range r.runs {
-		if now.Before(run.openUntil) {
+		if run.starts.any() && now.Before(run.starts.overBy) {
 			c.stopUnit(run.unit, now, reason)
 			continue
 		}
@@ -303,7 +290,7 @@
 func (r *runner) allRunsOverBy() steady.Time {
 	by := r.leaseCertainlyOver()
 	for _, run := range r.runs {
-		by = max(by, run.openUntil)
+		by = max(by, run.starts.overBy)
 	}
 	return by
 }
@@ -314,7 +301,7 @@
 // carry out.
 func (c *Core) loseRunsOfEndedLease(r *runner, now steady.Time) {
 	for _, run := range r.runs {
-		if now.Before(run.openUntil.Add(leaseExpiryMargin)) {
+		if run.starts.any() && now.Before(run.starts.overBy.Add(leaseExpiryMargin)) {
 			continue
 		}
 		if run.phase == inherited || !run.createdAt.After(r.leaseCertainlyOver()) {
--- /dev/null
+++ b/batch/scheduler/startsunderway.go
@@ -0,0 +1,316 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+// A start without an answer is under way: its runner may carry it out until
+// Options.LateOrders after it was sent, and so may the runner's next incarnation, which has
+// seen no token, no stop and no end. Evidence from one incarnation therefore settles a start
+// for that incarnation alone. While a start is under way,
+//
+//   - its task stays on the runner: the run is withdrawn and not lost when it is not there;
+//   - the start may be sent there again as the same attempt, as no incarnation runs one attempt
+//     twice;
+//   - an end of the task is kept back.
+
+// startsUnderWay is what is known of the tries of a run's start.
+type startsUnderWay struct {
+	tries    int         // sent and not known to be carried out or refused
+	awaited  int         // of these, the ones whose answer is waited for
+	seen     bool        // the run was listed while an answer was waited for, so that it isn't known which try began it
+	repeated bool        // more than one may have been sent, or is about to be
+	sentAt   steady.Time // when the last was sent
+	begun    bool        // one has begun the run
+	settled  bool        // none is under way
+	overBy   steady.Time // when all that they may begin has ended, if the runner can't be reached; 0: none is under way
+}
+
+func (s *startsUnderWay) any() bool { return s.tries > 0 }
+
+// noteSettled notes that n tries were carried out or refused, or were not sent after all. It
+// reports whether none is under way any more.
+func (s *startsUnderWay) noteSettled(n int) bool {
+	if s.tries == 0 {
+		return false
+	}
+	s.tries = max(0, s.tries-n)
+	if s.tries > 0 {
+		return false
+	}
+	s.settled, s.overBy = true, 0
+	return true
+}
+
+// noteInherited notes that a start of an earlier scheduler may be under way.
+func (s *startsUnderWay) noteInherited(repeated bool, now, overBy steady.Time) {
+	s.tries, s.repeated, s.sentAt, s.overBy = 1, repeated, now, overBy
+	if repeated {
+		s.tries = 2 // one may be known to have begun the run, and another be under way
+	}
+}
+
+// carriedOutBy returns when the run's start can't be carried out any more.
+func (c *Core) carriedOutBy(r *run) steady.Time {
+	if !r.starts.any() {
+		return 0
+	}
+	return r.starts.sentAt.Add(c.opts.LateOrders)
+}
+
+// NoteStartSent notes that a try of a start order is about to be sent.
+func (c *Core) NoteStartSent(o Order, now steady.Time) {
+	run := c.runOf(o)
+	if run == nil {
+		return
+	}
+	s := &run.starts
+	s.tries++
+	s.awaited++
+	s.settled, s.sentAt, s.overBy = false, now, max(s.overBy, now.Add(c.opts.EarlierOrders))
+}
+
+// NoteStartAnswered notes that a try of a start order was answered, or was not sent after all.
+func (c *Core) NoteStartAnswered(o Order) {
+	if run := c.runOf(o); run != nil {
+		run.starts.awaited, run.starts.seen = max(0, run.starts.awaited-1), false
+		c.noteStartsSettled(run, 1)
+	}
+}
+
+// NoteStartUnanswered notes that the answer to a try of a start order is not waited for any more.
+func (c *Core) NoteStartUnanswered(o Order) {
+	run := c.runOf(o)
+	if run == nil {
+		return
+	}
+	s := &run.starts
+	s.awaited = max(0, s.awaited-1)
+	if s.seen && s.awaited == 0 {
+		s.seen = false
+		c.noteStartsSettled(run, 1)
+	}
+}
+
+// RepeatStart notes that a start without an answer is to be sent again. It reports whether it
+// may be: the run's record says so.
+func (c *Core) RepeatStart(o Order) bool {
+	run := c.runOf(o)
+	if run == nil || run.phase != ordered {
+		return false
+	}
+	if !run.starts.repeated {
+		run.starts.repeated = true
+		c.markChanged(run.unit.job)
+		run.requiredVersion = run.unit.job.version
+	}
+	return run.requiredVersion <= run.unit.job.committed
+}
+
+// noteCarriedOut notes that a try has begun the run, as its runner lists it or its end.
+func (c *Core) noteCarriedOut(r *run) {
+	if r.starts.begun {
+		return
+	}
+	r.starts.begun = true
+	if r.starts.awaited > 0 {
+		r.starts.seen = true
+		return
+	}
+	c.noteStartsSettled(r, 1)
+}
+
+// noteStartsOver notes that no try can be carried out any more.
+func (c *Core) noteStartsOver(r *run) { c.noteStartsSettled(r, r.starts.tries) }
+
+func (c *Core) noteStartsSettled(r *run, tries int) {
+	if !r.starts.noteSettled(tries) {
+		return
+	}
+	if j := r.unit.job; !j.answersDue {
+		j.answersDue = true
+		c.answered = append(c.answered, j)
+	}
+}
+
+// endStartsByTime notes which starts are over whatever has become of their runners.
+func (c *Core) endStartsByTime(u *unit, now steady.Time) {
+	for _, r := range u.runs {
+		if r.starts.any() && !now.Before(r.starts.overBy) {
+			c.noteStartsOver(r)
+		}
+	}
+}
+
+// NoteDeadlineSent notes that an order with a deadline is about to be sent to a runner. It may
+// extend the lease of a run there that a start under way begins later. A start that can't be
+// carried out any more begins none: the runner still reports its earlier incarnation.
+func (c *Core) NoteDeadlineSent(id string, now steady.Time) {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	for _, run := range r.runs {
+		if run.starts.any() && !now.After(c.carriedOutBy(run)) {
+			run.starts.overBy = max(run.starts.overBy, now.Add(c.opts.EarlierOrders))
+		}
+	}
+}
+
+// resumptionTime is how long after a partition what it has kept arrives at the latest.
+const resumptionTime = 2 * time.Second
+
+// startsOver reports whether a report of the run's runner, requested at asked, shows all that the
+// run's start has begun.
+func (c *Core) startsOver(r *run, asked steady.Time) bool {
+	return asked.After(c.carriedOutBy(r)) && asked.Sub(r.runner.reachableSince) >= resumptionTime
+}
+
+// giveUp treats a run as lost that is not on its runner any more, or withdraws it if its start
+// is under way there.
+func (c *Core) giveUp(r *run, now steady.Time, reason string) {
+	switch {
+	case !r.starts.any():
+		c.loseRun(r, now, reason)
+	case r.phase != withdrawn:
+		c.notifyObserver("withdraw", r, reason)
+		c.withdraw(r, now)
+	}
+}
+
+// withdraw releases what a run reserves, and keeps the run, so that its task is started nowhere
+// else.
+func (c *Core) withdraw(r *run, now steady.Time) {
+	if r.phase != withdrawn {
+		r.release()
+	}
+	r.phase, r.phaseSince, r.acceptedAt, r.startedAt, r.percent, r.pace = withdrawn, now, 0, 0, 0, 0
+	if u := r.unit; r.starts.begun && len(u.runs) > 1 && u.memberEndedAt.IsZero() {
+		u.memberEndedAt = now
+	}
+}
+
+// reinstate undoes withdraw.
+func (c *Core) reinstate(r *run, to phase, now steady.Time) {
+	if r.phase == withdrawn {
+		r.reserve()
+	}
+	r.phase, r.phaseSince = to, now
+}
+
+// settleEnded removes a run that has ended, or withdraws it if a try of its start is under way.
+func (c *Core) settleEnded(r *run, now steady.Time) {
+	if r.starts.any() {
+		c.withdraw(r, now)
+		return
+	}
+	c.detach(r)
+}
+
+// resendWithdrawn has the starts of a unit's withdrawn runs sent again that have not begun and
+// were not stopped, if all of the unit's runs are there or may be.
+func (c *Core) resendWithdrawn(u *unit, now steady.Time) {
+	if u.endHeld || !u.memberEndedAt.IsZero() || len(u.runs) != u.tasks {
+		return
+	}
+	var due []*run
+	for _, r := range u.runs {
+		switch {
+		case r.phase == stopping || r.phase == withdrawn && !c.mayResend(r, now):
+			return
+		case r.phase == withdrawn:
+			due = append(due, r)
+		}
+	}
+	for _, r := range due {
+		r.born = r.runner.Born
+		c.planRepeat(r, now)
+	}
+}
+
+// planRepeat has a run's start sent again once the run's record says so.
+func (c *Core) planRepeat(r *run, now steady.Time) {
+	c.reinstate(r, planned, now)
+	r.unansweredAt, r.starts.repeated = 0, true
+	c.markChanged(r.unit.job)
+	r.requiredVersion = r.unit.job.version
+	c.notifyObserver("repeat", r, "its start may be under way, and is sent again")
+}
+
+// mayResend reports whether a withdrawn run's start may be sent again.
+func (c *Core) mayResend(r *run, now steady.Time) bool {
+	u, on := r.unit, r.runner
+	step := u.spec()
+	return !r.starts.begun && !r.stopSent && on.acceptsStarts(c, now) && !c.suspended(on, now) && len(on.orphans) == 0 &&
+		on.Service == u.job.spec.Service && on.hasLabel(step.Label) && u.permitted(on, now, ticketMargin) &&
+		step.ReservedResources().Fits(on.freeFor(u, now))
+}
+
+// attachFound adds a run to its task that a runner lists and that no record names there, unless
+// the task has another run. It reports whether it did.
+func (c *Core) attachFound(r *runner, key runKey, now steady.Time) bool {
+	j := c.jobs[key.task.Job]
+	if j == nil || j.state.Final() {
+		return false
+	}
+	u := j.unitWithTask(key.task.Occurrence, key.task.Step, key.task.Index)
+	if u == nil || !u.waiting() || key.attempt > u.attempt {
+		return false
+	}
+	found := &run{
+		unit: u, index: key.task.Index, runner: r, attempt: key.attempt, phase: running, born: r.Born,
+		starts: startsUnderWay{begun: true, settled: true}, createdAt: now, phaseSince: now, acceptedAt: now, beganBy: now, resumed: true,
+	}
+	c.attach(found)
+	c.markChanged(j)
+	c.notifyObserver("found run", found, "its runner lists it, and its task has no other run")
+	if u.spec().Gang {
+		c.stopUnit(u, now, "the rest of its gang is not there")
+	}
+	return true
+}
+
+// holdEnd keeps the end of a unit that is done back if starts of it are under way, and reports
+// whether it does.
+func (c *Core) holdEnd(u *unit) bool {
+	held := slices.ContainsFunc(u.runs, func(r *run) bool { return r.starts.any() })
+	if held && !u.endHeld {
+		u.endHeld = true
+		c.heldEnds = append(c.heldEnds, u)
+		c.notifyObserver("end kept back", u.runs[0], "a start of the task is under way")
+	}
+	return u.endHeld
+}
+
+// completeHeldEnds completes the units whose ends were kept back, once no start of them can be
+// carried out any more.
+func (c *Core) completeHeldEnds(now steady.Time) {
+	c.heldEnds = slices.DeleteFunc(c.heldEnds, func(u *unit) bool {
+		if slices.ContainsFunc(u.runs, func(r *run) bool { return r.starts.any() }) {
+			return false
+		}
+		c.completeHeldEnd(u, now)
+		return true
+	})
+}
+
+func (c *Core) completeHeldEnd(u *unit, now steady.Time) {
+	u.endHeld = false
+	for _, r := range slices.Clone(u.runs) {
+		if r.phase == withdrawn {
+			c.detach(r)
+		}
+	}
+	c.completeUnit(u, now)
+	c.markChanged(u.job)
+	for _, r := range c.allRunners {
+		for i := range r.pendingEnds {
+			if r.pendingEnds[i].unit == u {
+				r.pendingEnds[i].version = u.job.version
+			}
+		}
+	}
+}
--- /dev/null
+++ b/batch/scheduler/startsunderway_test.go
@@ -0,0 +1,258 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/scheduler"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+// twoRunners drives a core with a job of one task and the runners "r" and "q". Time passes by at.
+type twoRunners struct {
+	*scheduler.Core
+	now steady.Time
+}
+
+func newTwoRunners(t *testing.T, recorded *batch.Progress) (w *twoRunners, start scheduler.Order) {
+	w = &twoRunners{Core: scheduler.New(scheduler.Options{
+		Began: worldStart, InheritedLeaseEnd: worldStart.Add(testLease), EarlierOrders: testEarlierOrders, LateOrders: testLateOrders,
+	}), now: worldStart}
+	w.AddJob(oneTaskJob(), recorded, w.now)
+	for _, id := range []string{"r", "q"} {
+		w.RunnerListed(batch.Runner{ID: id, Service: "s", Born: 1, Capacity: batch.Resources{MilliCPU: 1000}}, w.now)
+	}
+	if recorded != nil {
+		return w, scheduler.Order{}
+	}
+	w.report("r", batch.Report{Born: 1})
+	orders := w.decide()
+	must.Len(t, 1, orders)
+	w.report("q", batch.Report{Born: 1})
+	return w, orders[0]
+}
+
+// at sets the time, counted from the first decision.
+func (w *twoRunners) at(d time.Duration) { w.now = worldStart.Add(d) }
+
+func (w *twoRunners) report(id string, r batch.Report) {
+	w.NoteLeaseExtension(id, w.now.Add(testLease))
+	w.HandleReport(id, w.now, r, w.now)
+}
+
+// decide makes a pass, commits the records and returns the orders.
+func (w *twoRunners) decide() []scheduler.Order {
+	w.Decide(w.now, time.Unix(0, int64(w.now)))
+	for _, record := range w.TakeRecords(10) {
+		w.RecordCommitted(record.Job, record.Version, w.now)
+	}
+	return w.TakeOrders()
+}
+
+// restart has the runner "r" report as its next incarnation, which has seen a higher token.
+func (w *twoRunners) restart(born int64, r batch.Report) {
+	r.Born = born
+	w.RunnerListed(batch.Runner{ID: "r", Service: "s", Born: born, Capacity: batch.Resources{MilliCPU: 1000}}, w.now)
+	w.report("r", batch.Report{Born: born})
+	w.RunnerFenced("r", born)
+	w.report("r", r)
+}
+
+func starts(orders []scheduler.Order) (on []string) {
+	for _, o := range orders {
+		if o.Kind == scheduler.StartRun {
+			on = append(on, o.Runner.ID)
+		}
+	}
+	return on
+}
+
+// Guards against a task that runs twice: its start has no answer, the runner has answered a stop
+// and doesn't list it, and the next incarnation carries the start out.
+func TestStoppedTaskStaysOnItsRunnerWhileItsStartIsUnderWay(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartUnanswered(order)
+	for range 2 { // the rounds that a start gets
+		w.HandleAnswer(order, scheduler.OutcomeUnknown, w.now)
+		w.at(2 * time.Second)
+		w.report("r", batch.Report{Born: 1})
+		w.decide()
+	}
+	order.Kind = scheduler.StopRun
+	w.HandleAnswer(order, scheduler.Accepted, w.now)
+	for second := 3 * time.Second; second <= testLateOrders; second += time.Second {
+		w.at(second)
+		w.report("r", batch.Report{Born: 1})
+		w.report("q", batch.Report{Born: 1})
+		must.SliceEmpty(t, starts(w.decide()))
+	}
+	w.at(testLateOrders + time.Second)
+	w.report("r", batch.Report{Born: 1})
+	must.Len(t, 1, starts(w.decide()))
+}
+
+// The next incarnation has carried the start out: its run is the task's run.
+func TestStartThatTheNextIncarnationCarriesOutIsTheTasksRun(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartUnanswered(order)
+	w.HandleAnswer(order, scheduler.OutcomeUnknown, w.now)
+	w.at(5 * time.Second)
+	w.restart(2, batch.Report{Running: []batch.RunningTask{{Task: order.Task, Attempt: 1}}})
+	w.at(20 * time.Second)
+	w.report("r", batch.Report{Born: 2, Running: []batch.RunningTask{{Task: order.Task, Attempt: 1, Percent: 50}}})
+	must.SliceEmpty(t, w.decide())
+	w.report("r", batch.Report{Born: 2, Ended: []batch.EndedTask{{Sequence: 1, Task: order.Task, Attempt: 1, Reason: batch.EndDone}}})
+	state, _ := w.JobState("j")
+	must.Eq(t, batch.Completed, state)
+}
+
+// A start that was under way when its runner restarted is sent to the next incarnation, as the
+// same attempt, once that one refuses the earlier order.
+func TestStartUnderWayIsSentAgainToTheNextIncarnation(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartUnanswered(order)
+	w.at(5 * time.Second)
+	w.report("q", batch.Report{Born: 1})
+	w.restart(2, batch.Report{})
+	again := w.decide()
+	must.Eq(t, []string{"r"}, starts(again))
+	must.Eq(t, order.Attempt, again[0].Attempt)
+}
+
+// A run whose start was answered is lost with its incarnation at once.
+func TestRunWithAnAnsweredStartIsLostWithItsIncarnation(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartAnswered(order)
+	w.HandleAnswer(order, scheduler.Accepted, w.now)
+	w.at(time.Second)
+	w.restart(2, batch.Report{})
+	w.report("q", batch.Report{Born: 1})
+	again := w.decide()
+	must.Len(t, 1, starts(again))
+	must.Eq(t, order.Attempt+1, again[0].Attempt)
+}
+
+// Guards against a task that runs after its end was recorded: one try of its start has begun the
+// run that is done, and another is under way.
+func TestEndIsKeptBackWhileAnotherTryIsUnderWay(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartUnanswered(order)
+	must.False(t, w.RepeatStart(order)) // its record doesn't say so yet
+	w.decide()
+	must.True(t, w.RepeatStart(order))
+	w.NoteStartSent(order, w.now)
+	w.NoteStartAnswered(order)
+	w.HandleAnswer(order, scheduler.Accepted, w.now)
+	done := batch.Report{Born: 1, Ended: []batch.EndedTask{{Sequence: 1, Task: order.Task, Attempt: 1, Reason: batch.EndDone}}}
+	state := func() batch.State {
+		w.report("r", done)
+		must.SliceEmpty(t, starts(w.decide()))
+		s, _ := w.JobState("j")
+		return s
+	}
+	for second := 3 * time.Second; second <= testLateOrders; second += time.Second {
+		w.at(second)
+		must.Eq(t, batch.Running, state())
+	}
+	w.at(testLateOrders + time.Second)
+	state()
+	must.Eq(t, batch.Completed, state())
+	must.Eq(t, 1, w.AcknowledgedEnd("r"))
+}
+
+// The task of an end that was kept back is not started again when its runner restarts.
+func TestEndThatIsKeptBackOutlastsItsIncarnation(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartUnanswered(order)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartAnswered(order)
+	w.HandleAnswer(order, scheduler.Accepted, w.now)
+	w.at(3 * time.Second)
+	w.report("r", batch.Report{Born: 1, Ended: []batch.EndedTask{{Sequence: 1, Task: order.Task, Attempt: 1, Reason: batch.EndDone}}})
+	w.at(4 * time.Second)
+	w.restart(2, batch.Report{Running: []batch.RunningTask{{Task: order.Task, Attempt: 1}}}) // the other try
+	var stops int
+	for second := 5 * time.Second; second <= testLateOrders+2*time.Second; second += time.Second {
+		w.at(second)
+		w.report("r", batch.Report{Born: 2})
+		for _, o := range w.decide() {
+			must.Eq(t, scheduler.StopRun, o.Kind)
+			stops++
+		}
+	}
+	must.Positive(t, stops)
+	state, _ := w.JobState("j")
+	must.Eq(t, batch.Completed, state)
+}
+
+// inherited is the record of a task whose start may be under way on the runner "r".
+func inherited(repeated bool) *batch.Progress {
+	return &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Open: true, Repeated: repeated}}, Incarnations: map[string]int64{"r": 1}}
+}
+
+// Guards against a task that runs twice after a takeover: the first report doesn't list a run
+// whose start may be under way, and the next incarnation carries it out.
+func TestInheritedStartUnderWayIsSentAgainToItsRunner(t *testing.T) {
+	w, _ := newTwoRunners(t, inherited(false))
+	w.report("q", batch.Report{Born: 1})
+	must.SliceEmpty(t, w.decide())
+	w.report("r", batch.Report{Born: 1})
+	again := w.decide()
+	must.Eq(t, []string{"r"}, starts(again))
+	must.Eq(t, 1, again[0].Attempt)
+}
+
+// A listed run settles an inherited start, unless it was sent more than once.
+func TestListedRunSettlesAnInheritedStartThatWasSentOnce(t *testing.T) {
+	for repeated, want := range map[bool]batch.State{false: batch.Completed, true: batch.Running} {
+		w, _ := newTwoRunners(t, inherited(repeated))
+		task := batch.TaskID{Job: "j"}
+		w.report("r", batch.Report{Born: 1, Running: []batch.RunningTask{{Task: task, Attempt: 1}}})
+		w.at(2 * time.Second)
+		w.report("r", batch.Report{Born: 1, Ended: []batch.EndedTask{{Sequence: 1, Task: task, Attempt: 1, Reason: batch.EndDone}}})
+		state, _ := w.JobState("j")
+		must.Eq(t, want, state)
+	}
+}
+
+// Guards against a task that runs twice: the run that a report shows first holds a lease that an
+// earlier leader's start gave it, and is given up by the lease that the leader before had noted.
+func TestLeaseOfAnInheritedRunLastsFromItsFirstReport(t *testing.T) {
+	w, _ := newTwoRunners(t, inherited(false))
+	w.at(testLease + time.Second)
+	w.HandleReport("r", w.now, batch.Report{Born: 1, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, w.now)
+	w.report("q", batch.Report{Born: 1})
+	must.SliceEmpty(t, w.decide())
+}
+
+// A task without a run is not started elsewhere while a runner lists a run of it.
+func TestRunThatItsRunnerListsIsTakenOver(t *testing.T) {
+	w, _ := newTwoRunners(t, &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 2}}})
+	w.report("r", batch.Report{Born: 1, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}})
+	w.report("q", batch.Report{Born: 1})
+	must.SliceEmpty(t, w.decide())
+	w.report("r", batch.Report{Born: 1, Ended: []batch.EndedTask{{Sequence: 1, Task: batch.TaskID{Job: "j"}, Attempt: 1, Reason: batch.EndDone}}})
+	state, _ := w.JobState("j")
+	must.Eq(t, batch.Completed, state)
+}
+
+// A withdrawn run holds no room: in this incarnation its start is refused.
+func TestWithdrawnRunReservesNothing(t *testing.T) {
+	w, _ := newTwoRunners(t, &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Open: true}}})
+	w.CancelJob("j", w.now)
+	w.report("r", batch.Report{Born: 1}) // refuses the order of the leader before
+	must.SliceEmpty(t, starts(w.decide()))
+	other := oneTaskJob()
+	other.ID, other.Steps[0].Request = "k", batch.Resources{MilliCPU: 1000}
+	w.AddJob(other, nil, w.now)
+	must.Eq(t, []string{"r"}, starts(w.decide()))
+}
