Scheduler: no end is acknowledged while a start is under way

Callers saw a task run again after its end. Cause: a hold acknowledges ends up to a number, and each incarnation of a runner numbers them anew. One that was carried out late by the next incarnation dropped the end of a run that a late start had begun there, which nobody had read; the task was started again. Change: no end is acknowledged to a runner while a start is under way to it. A start is sent only with a higher token than each acknowledgement that has no answer: the token is raised by the next commit of the term, as after a restart. Holds that acknowledge don't wait for an end, as starts wait for their answer. Why this works: an incarnation that carries the start out has seen its token, and refuses the acknowledgement. TestHoldAcknowledgesEndsOnce settles its leader's start first: until then its ends are not acknowledged.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -34,6 +34,10 @@
 	// many commits.
 	endRecordTimeout = 250 * time.Millisecond
 
+	// withheldPollInterval is the time between two looks at whether the starts are answered
+	// that keep ends from being acknowledged. Most are within a round trip.
+	withheldPollInterval = 10 * time.Millisecond
+
 	// unrecordedHoldPause is the pause between holds while ends can't be recorded: a
 	// runner with unacknowledged ends answers at once. This costs two calls a second.
 	unrecordedHoldPause = 400 * time.Millisecond
@@ -152,8 +156,12 @@
 	}
 	o = HoldOrder{Token: k.token, Acknowledged: l.core.AcknowledgedEnd(id), Wait: wait}
 	o.NewConnection = l.core.AwaitsReport(id) || l.core.AwaitsFence(id)
+	if o.Acknowledged > 0 {
+		o.Wait = 0 // starts wait for the answer
+		l.core.NoteAcknowledgementSent(id)
+	}
 	o.Deadline = l.extendLease(k)
-	l.core.ReportDue(id, steady.Now().Add(wait+reportMargin))
+	l.core.ReportDue(id, steady.Now().Add(o.Wait+reportMargin))
 	return k.runner, o, true
 }
 
@@ -198,6 +206,9 @@
 		if ctx.Err() == nil {
 			l.Log.Debug("hold failed", "runner", to.ID, "answer", int(answer), "err", err)
 		}
+		if o.Acknowledged > 0 {
+			l.noteUnacknowledged(to.ID, answer, err)
+		}
 		l.core.RunnerUnreachable(to.ID, answer == OtherIncarnation, now)
 		signal(l.decisionDue)
 		return false
@@ -207,12 +218,22 @@
 	if k := l.links[to.ID]; k != nil && l.core.ReportedLast(to.ID, report.Born) {
 		k.clock, k.clockAt = report.Clock, now
 	}
-	if len(report.Ended) > 0 || o.Deadline == 0 {
+	if len(report.Ended) > 0 || o.Deadline == 0 || o.Acknowledged > 0 {
 		signal(l.decisionDue)
 	}
 	return true
 }
 
+// noteUnacknowledged passes the outcome of a hold that acknowledged ends, and was not answered
+// with a report, to the core. The caller holds mu.
+func (l *Leader) noteUnacknowledged(id string, answer Answer, err error) {
+	if answer == Unanswered && !errors.Is(err, ErrNotSent) {
+		l.core.NoteAcknowledgementUnanswered(id)
+		return
+	}
+	l.core.NoteAcknowledgementRefused(id)
+}
+
 // askForReport has a runner report at once, beside the hold that may be waiting there. It
 // returns false when the runner did not.
 func (l *Leader) askForReport(ctx context.Context, id string) bool {
@@ -250,22 +271,23 @@
 
 // tokensDue reports whether the token of any runner is to be raised. The caller holds mu.
 func (l *Leader) tokensDue() bool {
-	for _, k := range l.links {
-		if k.awaitsToken() {
+	for id, k := range l.links {
+		if k.awaitsToken() || l.core.AwaitsToken(id) {
 			return true
 		}
 	}
 	return false
 }
 
-// raiseTokens raises the tokens of the runners that have restarted, to the revision of a
-// commit of this term. Only this term uses that revision, as the commit is conditional on
+// raiseTokens raises the tokens of the runners that have restarted, or have left an
+// acknowledgement without an answer, to the revision of a commit of this term. Only this term uses that revision, as the commit is conditional on
 // the term, and the token of each later term is higher. The caller holds mu.
 func (l *Leader) raiseTokens(revision uint64) {
 	for id, k := range l.links {
-		if k.awaitsToken() && revision > k.token {
+		if (k.awaitsToken() || l.core.AwaitsToken(id)) && revision > k.token {
 			l.Log.Info("runner's token raised", "runner", id, "from", k.token, "to", revision, "token", l.term.Token)
 			k.token, l.raisedTokens[id] = revision, revision
+			l.core.TokenRaised(id)
 		}
 	}
 }
@@ -298,6 +320,7 @@
 		awaitsCommit := l.core.AwaitsLeaseRecord(id) || l.links[id].awaitsToken()
 		atOnce := clockOnly || l.core.AwaitsFence(id) // extends the lease, or fences the runner
 		awaitsReport := l.core.AwaitsReport(id)
+		withheld := l.core.WithholdsAcknowledgement(id)
 		l.mu.Unlock()
 		if awaitsReport {
 			pause.For(ctx, holdRetryDelay)
@@ -306,11 +329,16 @@
 		if !awaitsCommit && atOnce {
 			return 0
 		}
-		if !awaitsCommit && !unacknowledged {
+		if !awaitsCommit && !unacknowledged && !withheld {
 			return l.holdWait()
 		}
+		var answersDue <-chan time.Time
+		if withheld {
+			answersDue = time.After(withheldPollInterval)
+		}
 		select {
 		case <-committed:
+		case <-answersDue:
 		case <-ctx.Done():
 			return 0
 		case <-limit.C:
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -177,9 +177,30 @@
 // the runner has forgotten them, holds acknowledge nothing.
 func TestHoldAcknowledgesEndsOnce(t *testing.T) {
 	runner := &tokenRunner{born: 1, ended: []batch.EndedTask{{Sequence: 7, Task: batch.TaskID{Job: "unknown"}, Attempt: 1}}}
-	l, _ := leaderOfOneRunner(t, runner, time.Minute)
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
 	must.Eq(t, 0, hold(t, l).Acknowledged)
+	must.Eq(t, 0, hold(t, l).Acknowledged) // a start is about to be sent
+	l.core.HandleAnswer(order, scheduler.Accepted, steady.Now())
 	must.Eq(t, 7, hold(t, l).Acknowledged)
 	must.Len(t, 0, runner.ended)
 	must.Eq(t, 0, hold(t, l).Acknowledged)
 }
+
+// Guards against an end that nobody has read and a runner forgets: a hold that acknowledges ends
+// has no answer, and is carried out by the next incarnation after a start that was sent later.
+func TestStartAfterAnUnansweredAcknowledgementHasAHigherToken(t *testing.T) {
+	runner := &tokenRunner{born: 1, ended: []batch.EndedTask{{Sequence: 7, Task: batch.TaskID{Job: "unknown"}, Attempt: 1}}}
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
+	l.core.HandleAnswer(order, scheduler.Accepted, steady.Now())
+	hold(t, l)
+	to, o, _ := l.nextHold("r", time.Second)
+	must.Eq(t, 7, o.Acknowledged)
+	must.Eq(t, 0, o.Wait) // starts wait for its answer
+	runner.waits = true
+	must.False(t, l.sendHold(t.Context(), to, o))
+	must.True(t, l.core.AwaitsToken("r"))
+	must.True(t, l.tokensDue())
+	l.raiseTokens(7)
+	must.False(t, l.core.AwaitsToken("r"))
+	must.Eq(t, 7, l.links["r"].token)
+}
--- /dev/null
+++ b/batch/scheduler/acknowledgement.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import "github.com/cyclamentray/cyclamentray/internal/steady"
+
+// A hold that acknowledges ends drops those up to a number, and each incarnation of a runner
+// numbers them anew. One that is carried out late by the next incarnation could drop the end of
+// a run that a late start has begun there, which nobody has read. Therefore no end is
+// acknowledged while starts are under way to the runner, and a start is sent only with a higher
+// token than each acknowledgement that may still be under way: the incarnation that carries the
+// start out then refuses the acknowledgement.
+
+// acknowledgement is the state of the holds that acknowledge a runner's ends.
+type acknowledgement int
+
+const (
+	noneUnderWay  acknowledgement = iota
+	inFlight                      // one was sent, and its answer is waited for
+	withoutAnswer                 // one has no answer; a start needs a higher token
+)
+
+// WithholdsAcknowledgement reports whether ends of a runner are recorded and can't be
+// acknowledged yet, as starts are under way to it.
+func (c *Core) WithholdsAcknowledgement(id string) bool {
+	r := c.runners[id]
+	if r == nil {
+		return false
+	}
+	r.acknowledge()
+	return r.ackedEnd > r.forgottenEnd && r.startsUnderWay()
+}
+
+// NoteAcknowledgementSent notes that a hold is about to be sent that acknowledges ends.
+func (c *Core) NoteAcknowledgementSent(id string) {
+	if r := c.runners[id]; r != nil && r.acknowledgement == noneUnderWay {
+		r.acknowledgement = inFlight
+	}
+}
+
+// NoteAcknowledgementRefused notes that a hold that acknowledges ends was not carried out.
+func (c *Core) NoteAcknowledgementRefused(id string) {
+	if r := c.runners[id]; r != nil && r.acknowledgement == inFlight {
+		r.acknowledgement = noneUnderWay
+	}
+}
+
+// NoteAcknowledgementUnanswered notes that a hold that acknowledges ends has no answer.
+func (c *Core) NoteAcknowledgementUnanswered(id string) {
+	if r := c.runners[id]; r != nil {
+		r.acknowledgement = withoutAnswer
+	}
+}
+
+// AwaitsToken reports whether starts to the runner wait until the token of its orders has been
+// raised.
+func (c *Core) AwaitsToken(id string) bool {
+	r := c.runners[id]
+	return r != nil && r.acknowledgement == withoutAnswer
+}
+
+// TokenRaised notes that later orders to the runner have a higher token than all before.
+func (c *Core) TokenRaised(id string) {
+	if r := c.runners[id]; r != nil && r.acknowledgement == withoutAnswer {
+		r.acknowledgement = noneUnderWay
+	}
+}
+
+// releaseDeferred issues the starts that waited for an acknowledgement.
+func (c *Core) releaseDeferred(now steady.Time) {
+	deferred := c.deferred
+	c.deferred = nil
+	for _, u := range deferred {
+		c.releaseStarts(u, now)
+	}
+}
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -102,9 +102,9 @@
 	evacuated  map[string]bool
 	silent     map[string]bool // failure domains that seem to be cut off
 
-	// removedBorn holds the last incarnation of each runner that was removed: its next one
-	// may still carry out orders that were sent to it.
-	removedBorn map[string]int64
+	// removed holds what is known of orders to each runner that was removed: it may come back,
+	// and its next incarnation may still carry out orders that were sent to it.
+	removed map[string]removedRunner
 
 	// leaseEndRecorded holds the IDs of the runners that the record of lease ends names,
 	// or may name.
@@ -117,6 +117,7 @@
 	answered     []*job                  // jobs with starts that were answered since answersRecordedAt
 	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
 	heldEnds     []*unit                 // done, which is kept back while starts of them are under way
+	deferred     []*unit                 // with starts that wait for an acknowledgement to a runner
 
 	// State of one scheduling pass: the slots found so far, and the number of
 	// waiting units of each shape.
@@ -153,7 +154,7 @@
 		speeds:       newSpeeds(o.LearnedSpeeds),
 		evacuated:    make(map[string]bool),
 		silent:       make(map[string]bool),
-		removedBorn:  make(map[string]int64),
+		removed:      make(map[string]removedRunner),
 		reservations: make(map[string]*reservation),
 		maxReportAge: defaultMaxReportAge,
 	}
@@ -228,6 +229,10 @@
 		if r.phase != planned || r.requiredVersion > u.job.committed {
 			continue
 		}
+		if r.runner.acknowledgement != noneUnderWay {
+			c.deferred = append(c.deferred, u)
+			return
+		}
 		if !r.runner.acceptsStarts(c, now) || !r.mayStart() || !u.permitted(r.runner, now, startLatency) {
 			c.stopUnit(u, now, "runner became unavailable before the start was sent")
 			return
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -58,6 +58,7 @@
 	ackedEnd          int64                  // highest sequence number of a recorded end
 	forgottenEnd      int64                  // the same, of an end that the runner has forgotten
 	pendingEnds       []pendingEnd
+	acknowledgement   acknowledgement
 	endsTruncated     bool // its last report leaves ends out
 	fence             fence
 	failures          int // consecutive
@@ -85,6 +86,12 @@
 	version  int
 }
 
+// removedRunner is what is kept of a runner that was removed.
+type removedRunner struct {
+	born            int64
+	acknowledgement acknowledgement
+}
+
 // ensureRunner returns the runner called id, and adds it if it isn't known yet.
 func (c *Core) ensureRunner(id string) *runner {
 	r := c.runners[id]
@@ -95,7 +102,8 @@
 			orphans:     make(map[runKey]steady.Time),
 			leaseEndsBy: c.inheritedLeaseEnd(id),
 		}
-		r.Born = c.removedBorn[id]
+		before := c.removed[id]
+		r.Born, r.acknowledgement = before.born, before.acknowledgement
 		c.runners[id] = r
 		c.allRunners = append(c.allRunners, r)
 	}
@@ -179,7 +187,7 @@
 // incarnation.
 func (c *Core) AcknowledgedEnd(id string) int64 {
 	r := c.runners[id]
-	if r == nil || !r.reachable || r.awaitsReport() {
+	if r == nil || !r.reachable || r.awaitsReport() || r.startsUnderWay() {
 		return 0
 	}
 	r.acknowledge()
@@ -190,10 +198,15 @@
 }
 
 // EndsForgotten notes that a runner has answered a hold that acknowledged its ends up to a
-// sequence number.
+// sequence number; 0: it acknowledged none.
 func (c *Core) EndsForgotten(id string, upTo int64) {
-	if r := c.runners[id]; r != nil {
-		r.forgottenEnd = max(r.forgottenEnd, upTo)
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	r.forgottenEnd = max(r.forgottenEnd, upTo)
+	if upTo > 0 && r.acknowledgement == inFlight {
+		r.acknowledgement = noneUnderWay
 	}
 }
 
@@ -276,7 +289,7 @@
 		}
 		if !r.listed && len(r.runs) == 0 {
 			delete(c.runners, id)
-			c.removedBorn[id] = r.Born
+			c.removed[id] = removedRunner{r.Born, r.acknowledgement}
 			c.allRunners = slices.DeleteFunc(c.allRunners, func(o *runner) bool { return o == r })
 		}
 	}
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -15,7 +15,9 @@
 //   - its task stays on the runner: the run is withdrawn and not lost when it is not there;
 //   - the start may be sent there again as the same attempt, as no incarnation runs one attempt
 //     twice;
-//   - an end of the task is kept back.
+//   - an end of the task is kept back;
+//   - no end is acknowledged to the runner, as a hold that does so might reach the next
+//     incarnation and drop the end of the run that the start began there.
 
 // startsUnderWay is what is known of the tries of a run's start.
 type startsUnderWay struct {
@@ -169,6 +171,16 @@
 	return asked.After(c.carriedOutBy(r)) && asked.Sub(r.runner.reachableSince) >= resumptionTime
 }
 
+// startsUnderWay reports whether the runner may still carry out starts.
+func (r *runner) startsUnderWay() bool {
+	for _, run := range r.runs {
+		if run.starts.any() || run.phase == ordered && !run.starts.settled {
+			return true
+		}
+	}
+	return false
+}
+
 // giveUp treats a run as lost that is not on its runner any more, or withdraws it if its start
 // is under way there.
 func (c *Core) giveUp(r *run, now steady.Time, reason string) {
--- a/batch/scheduler/startsunderway_test.go
+++ b/batch/scheduler/startsunderway_test.go
@@ -161,6 +161,7 @@
 	for second := 3 * time.Second; second <= testLateOrders; second += time.Second {
 		w.at(second)
 		must.Eq(t, batch.Running, state())
+		must.Eq(t, 0, w.AcknowledgedEnd("r"))
 	}
 	w.at(testLateOrders + time.Second)
 	state()
@@ -194,6 +195,45 @@
 	must.Eq(t, batch.Completed, state)
 }
 
+// Guards against an end that nobody has read and a runner forgets: a hold that acknowledges ends
+// reaches the next incarnation after a start that was under way.
+func TestNoEndIsAcknowledgedWhileAStartIsUnderWay(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	end := batch.Report{Born: 1, Ended: []batch.EndedTask{{Sequence: 1, Task: batch.TaskID{Job: "unknown"}, Attempt: 1}}}
+	w.report("r", end)
+	must.Eq(t, 0, w.AcknowledgedEnd("r")) // the start is about to be sent
+	w.NoteStartSent(order, w.now)
+	must.Eq(t, 0, w.AcknowledgedEnd("r"))
+	must.True(t, w.WithholdsAcknowledgement("r"))
+	w.NoteStartAnswered(order)
+	w.HandleAnswer(order, scheduler.Accepted, w.now)
+	must.False(t, w.WithholdsAcknowledgement("r"))
+	must.Eq(t, 1, w.AcknowledgedEnd("r"))
+}
+
+// Guards against the same, when the acknowledgement was sent before the start.
+func TestStartWaitsForAnAcknowledgementToItsRunner(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartAnswered(order)
+	w.HandleAnswer(order, scheduler.NotExecuted, w.now)
+	for _, id := range []string{"r", "q"} {
+		w.NoteAcknowledgementSent(id)
+	}
+	must.SliceEmpty(t, w.decide())
+	w.EndsForgotten("r", 0) // an answer to another hold
+	must.SliceEmpty(t, w.decide())
+	for _, id := range []string{"r", "q"} {
+		w.NoteAcknowledgementUnanswered(id)
+		must.True(t, w.AwaitsToken(id))
+	}
+	must.SliceEmpty(t, w.decide())
+	for _, id := range []string{"r", "q"} {
+		w.TokenRaised(id)
+	}
+	must.Len(t, 1, starts(w.decide()))
+}
+
 // inherited is the record of a task whose start may be under way on the runner "r".
 func inherited(repeated bool) *batch.Progress {
 	return &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Open: true, Repeated: repeated}}, Incarnations: map[string]int64{"r": 1}}
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -262,9 +262,10 @@
 // each commit.
 func (w *world) raiseTokens() {
 	for id, k := range w.links {
-		if k.token == k.tokenAtRestart && !w.skipFence {
+		if k.token == k.tokenAtRestart && !w.skipFence || w.core != nil && w.core.AwaitsToken(id) {
 			k.token = w.nextToken()
 			w.links[id] = k
+			w.core.TokenRaised(id)
 			delete(w.lastHold, id) // the next hold is sent at once
 		}
 	}
@@ -389,8 +390,8 @@
 }
 
 func (w *world) tokensDue() bool {
-	for _, k := range w.links {
-		if k.token == k.tokenAtRestart {
+	for id, k := range w.links {
+		if k.token == k.tokenAtRestart || w.core.AwaitsToken(id) {
 			return true
 		}
 	}
@@ -406,13 +407,22 @@
 		acknowledged = 1 << 40
 	}
 	due := w.now.Sub(w.lastHold[id]) >= holdInterval ||
-		w.pool.HasUnacknowledgedEnds(id, acknowledged) && w.now.Sub(w.lastHold[id]) >= 2*worldTick
+		w.pool.HasUnacknowledgedEnds(id, acknowledged) && !core.WithholdsAcknowledgement(id) && w.now.Sub(w.lastHold[id]) >= 2*worldTick
 	if !due {
 		return
 	}
 	w.lastHold[id] = w.now
 	k := w.linkTo(id)
 	order := dispatch.HoldOrder{Token: k.token, Acknowledged: acknowledged}
+	noAnswer := func() {
+		if acknowledged > 0 {
+			core.NoteAcknowledgementUnanswered(id)
+		}
+		core.RunnerUnreachable(id, false, w.now)
+	}
+	if acknowledged > 0 {
+		core.NoteAcknowledgementSent(id)
+	}
 	if core.MayExtendLease(id, w.now) {
 		core.NoteLeaseExtension(id, w.now.Add(worldLeaseBound)) // whether it arrives or not
 		core.NoteDeadlineSent(id, w.now)
@@ -420,19 +430,19 @@
 	}
 	if w.rng.Float64() < w.faults.lateHolds {
 		w.after(w.lateness(), func() { w.pool.Hold(w.now, id, order) })
-		core.RunnerUnreachable(id, false, w.now)
+		noAnswer()
 		return
 	}
 	if !w.reachable(id) {
 		if w.faults.keptHolds && w.keepsOrders(id) {
 			w.whenReachable(id, func() { w.pool.Hold(w.now, id, order) })
 		}
-		core.RunnerUnreachable(id, false, w.now)
+		noAnswer()
 		return
 	}
 	report, answer := w.pool.Hold(w.now, id, order)
 	if answer != dispatch.Accepted {
-		core.RunnerUnreachable(id, false, w.now)
+		noAnswer()
 		return
 	}
 	w.noteAcknowledged()
