Scheduler: a runner that is removed unfenced comes back unfenced

Cause: only the incarnation of a removed runner was kept. Change: what is known of orders to it is kept too. TestRunnerThatIsRemovedUnfencedComesBackUnfenced fails before.

--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -367,3 +367,23 @@
 	core.Decide(now.Add(time.Second), time.Unix(0, int64(now)))
 	must.Eq(t, -1, open())
 }
+
+// Guards against a start on a runner that still carries out orders to its earlier incarnation: it
+// was removed and came back before it had seen a higher token.
+func TestRunnerThatIsRemovedUnfencedComesBackUnfenced(t *testing.T) {
+	now := worldStart
+	core := scheduler.New(scheduler.Options{})
+	core.RunnerListed(incarnation(1, "b"), now)
+	core.HandleReport("r", now, batch.Report{Born: 1}, now)
+	core.HandleReport("r", now.Add(time.Second), batch.Report{Born: 2}, now.Add(time.Second))
+	must.True(t, core.AwaitsFence("r"))
+	core.RunnerUnlisted("r")
+	core.Decide(now.Add(2*time.Second), time.Unix(0, int64(now)))
+	must.False(t, core.RunnerNeeded("r"))
+	core.RunnerListed(incarnation(2, "b"), now.Add(3*time.Second))
+	must.True(t, core.AwaitsFence("r"))
+	core.AddJob(labelledJob(), nil, now)
+	core.HandleReport("r", now.Add(3*time.Second), batch.Report{Born: 2}, now.Add(3*time.Second))
+	core.Decide(now.Add(3*time.Second), time.Unix(0, int64(now)))
+	must.Len(t, 0, core.TakeRecords(1))
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -89,9 +89,18 @@
 // removedRunner is what is kept of a runner that was removed.
 type removedRunner struct {
 	born            int64
+	fence           fence
 	acknowledgement acknowledgement
 }
 
+func (r *runner) asRemoved() removedRunner {
+	out := removedRunner{r.Born, r.fence, r.acknowledgement}
+	if out.fence == raised {
+		out.fence = unfenced // the report that would have decided was not handled
+	}
+	return out
+}
+
 // ensureRunner returns the runner called id, and adds it if it isn't known yet.
 func (c *Core) ensureRunner(id string) *runner {
 	r := c.runners[id]
@@ -103,7 +112,7 @@
 			leaseEndsBy: c.inheritedLeaseEnd(id),
 		}
 		before := c.removed[id]
-		r.Born, r.acknowledgement = before.born, before.acknowledgement
+		r.Born, r.fence, r.acknowledgement = before.born, before.fence, before.acknowledgement
 		c.runners[id] = r
 		c.allRunners = append(c.allRunners, r)
 	}
@@ -289,7 +298,7 @@
 		}
 		if !r.listed && len(r.runs) == 0 {
 			delete(c.runners, id)
-			c.removed[id] = removedRunner{r.Born, r.acknowledgement}
+			c.removed[id] = r.asRemoved()
 			c.allRunners = slices.DeleteFunc(c.allRunners, func(o *runner) bool { return o == r })
 		}
 	}
