--- a/batch/batch.go
+++ b/batch/batch.go
@@ -163,7 +163,8 @@
 	Attempt    int    `json:"a,omitempty"`  // highest attempt that may have started
 	Runner     string `json:"r,omitempty"`  // runner on which that attempt may be running; empty: it has ended
 	Open       bool   `json:"o,omitempty"`  // its start may be under way: it isn't answered, or not known to be
-	Repeated   bool   `json:"n,omitempty"`  // an open start may have been sent more than once
+	SentOnce   bool   `json:"n,omitempty"`  // an open start was sent once at most
+	RunAttempt int    `json:"ra,omitempty"` // the attempt that may be running, if it is an earlier one
 	Checkpoint string `json:"c,omitempty"`
 }
 
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -381,7 +381,7 @@
 		if !l.term.Valid() {
 			break // the next leader decides about the run, also if this host was paused between two tries
 		}
-		if !l.awaitsStart(o) {
+		if !l.awaitsStart(o) || try > 0 && !l.takesStarts(o) {
 			l.Log.Info("start not sent; its run was reported or stopped", "job", o.Task.Job, "step", o.Task.Step,
 				"task", o.Task.Index, "attempt", o.Attempt, "runner", o.Runner.ID, "tries", try)
 			l.countStartTry("dropped")
@@ -455,6 +455,13 @@
 	return l.core.AwaitsStart(o)
 }
 
+// takesStarts reports whether a start order's runner may be given starts.
+func (l *Leader) takesStarts(o scheduler.Order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.TakesStarts(o)
+}
+
 // startTryOutcome returns the label under which one try of a start is counted.
 func startTryOutcome(a Answer, sent bool) string {
 	switch {
@@ -507,10 +514,13 @@
 	sent = !errors.Is(err, ErrNotSent)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if answer != Unanswered || !sent {
+	switch {
+	case answer != Unanswered:
 		l.core.NoteStartAnswered(o)
-	} else {
+	case sent:
 		l.core.NoteStartUnanswered(o)
+	default:
+		l.core.NoteStartNotSent(o)
 	}
 	return answer, sent, err
 }
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -244,5 +244,5 @@
 	answer := l.startRun(t.Context(), order)
 	must.Eq(t, 1, runners.starts)
 	must.Eq(t, scheduler.OutcomeUnknown, answer)
-	must.True(t, l.core.TakeRecords(1)[0].Progress.Tasks[0].Repeated)
+	must.False(t, l.core.TakeRecords(1)[0].Progress.Tasks[0].SentOnce)
 }
--- a/batch/scheduler/acknowledgement.go
+++ b/batch/scheduler/acknowledgement.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "github.com/cyclamentray/cyclamentray/internal/steady"
+import (
+	"slices"
+	"time"
+
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
 
 // A hold that acknowledges ends drops those up to a number, and each incarnation of a runner
 // numbers them anew. One that is carried out late by the next incarnation could drop the end of
@@ -26,12 +31,17 @@
 		return false
 	}
 	r.acknowledge()
-	return r.ackedEnd > r.forgottenEnd && r.startsUnderWay()
+	return r.ackedEnd > r.forgottenEnd && r.hasStartsUnderWay()
 }
 
 // NoteAcknowledgementSent notes that a hold is about to be sent that acknowledges ends.
 func (c *Core) NoteAcknowledgementSent(id string) {
-	if r := c.runners[id]; r != nil && r.acknowledgement == noneUnderWay {
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	r.acknowledgedBorn = r.Born
+	if r.acknowledgement == noneUnderWay {
 		r.acknowledgement = inFlight
 	}
 }
@@ -64,6 +74,45 @@
 	}
 }
 
+// maxAcknowledgementDelay is how long starts that follow one another keep ends from being
+// acknowledged: several times as long as most answers take.
+const maxAcknowledgementDelay = 200 * time.Millisecond
+
+// defersStarts reports whether starts to the runner wait: for the answer to an acknowledgement,
+// or for the answers to the starts before, so that ends that have waited are acknowledged.
+func (r *runner) defersStarts(now steady.Time) bool {
+	if r.acknowledgement != noneUnderWay {
+		return true
+	}
+	r.acknowledge()
+	if r.ackedEnd <= r.forgottenEnd || !r.startsAwaited() {
+		return false
+	}
+	if r.unacknowledgedSince.IsZero() {
+		r.unacknowledgedSince = now
+	}
+	return now.Sub(r.unacknowledgedSince) > maxAcknowledgementDelay
+}
+
+// startsAwaited reports whether all starts under way to the runner may still be answered.
+func (r *runner) startsAwaited() bool {
+	awaited := false
+	for _, run := range r.runs {
+		if run.starts.tries > run.starts.awaited {
+			return false
+		}
+		awaited = awaited || run.starts.any() || run.phase == ordered && !run.starts.settled
+	}
+	return awaited
+}
+
+// deferStarts keeps the starts of a unit for releaseDeferred.
+func (c *Core) deferStarts(u *unit) {
+	if !slices.Contains(c.deferred, u) {
+		c.deferred = append(c.deferred, u)
+	}
+}
+
 // releaseDeferred issues the starts that waited for an acknowledgement.
 func (c *Core) releaseDeferred(now steady.Time) {
 	deferred := c.deferred
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -17,13 +17,20 @@
 	OutcomeUnknown        // the order may have been carried out, or may be later
 )
 
+// TakesStarts reports whether an order's runner may be given starts, but for whether it can be
+// reached now.
+func (c *Core) TakesStarts(o Order) bool {
+	r := c.runners[o.Runner.ID]
+	return r != nil && r.takesStarts(c)
+}
+
 // AwaitsStart reports whether a start order may be sent. The outcome must be open: its run
 // was neither listed nor ended by a report, nor stopped. A start whose outcome is known must
 // not be sent again, since a runner that has restarted doesn't know that the run ended. The
 // runner must be the incarnation that the run was planned for.
 func (c *Core) AwaitsStart(o Order) bool {
 	run := c.runOf(o)
-	return run != nil && run.phase == ordered && run.mayStart()
+	return run != nil && run.phase == ordered && run.mayStart() && !run.unit.done && !run.unit.endHeld
 }
 
 // mayStart reports whether the run's runner is, as far as is known, the incarnation that
@@ -113,7 +120,7 @@
 }
 
 // maxStartRounds is how often a start is sent in as many tries as the caller makes.
-const maxStartRounds = 2
+const maxStartRounds = 3
 
 // maxUnanswered is how long a start that has no answer waits to be sent again to a runner that
 // can be reached.
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -57,7 +57,7 @@
 
 // Decision is one decision of the core, for logs and counters.
 type Decision struct {
-	What            string // "place", "reserve", "refused", "stop", "end" or "unrecorded run"
+	What            string // "place", "reserve", "refused", "stop", "end", "withdraw", "repeat", "end kept back", "found run" or "unrecorded run"
 	Job             string
 	Task            batch.TaskID
 	Attempt         int
@@ -229,15 +229,17 @@
 		if r.phase != planned || r.requiredVersion > u.job.committed {
 			continue
 		}
-		if r.runner.acknowledgement != noneUnderWay {
-			c.deferred = append(c.deferred, u)
-			return
-		}
 		if !r.runner.acceptsStarts(c, now) || !r.mayStart() || !u.permitted(r.runner, now, startLatency) {
 			c.stopUnit(u, now, "runner became unavailable before the start was sent")
 			return
 		}
 	}
+	for _, r := range u.runs {
+		if r.phase == planned && r.requiredVersion <= u.job.committed && r.runner.defersStarts(now) {
+			c.deferStarts(u)
+			return
+		}
+	}
 	for _, r := range u.runs {
 		if r.phase == planned && r.requiredVersion <= u.job.committed {
 			r.phase = ordered
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -107,7 +107,6 @@
 	if len(u.runs) == 0 {
 		return
 	}
-	c.endStartsByTime(u, now)
 	c.handleUnansweredStarts(u, now)
 	c.resendWithdrawn(u, now)
 	if !u.memberEndedAt.IsZero() && now.Sub(u.memberEndedAt) > gangEndTimeout {
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -189,10 +189,10 @@
 			continue
 		}
 		if t.Runner != "" && !j.state.Final() {
-			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: t.Attempt, phase: inherited, born: recorded.Incarnations[t.Runner], createdAt: now, phaseSince: now, resumed: true}
+			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: cmp.Or(t.RunAttempt, t.Attempt), phase: inherited, born: recorded.Incarnations[t.Runner], createdAt: now, phaseSince: now, resumed: true}
 			r.starts.settled = !t.Open
 			if t.Open {
-				r.starts.noteInherited(t.Repeated, now, c.inheritedOpenEnd(t.Runner, now))
+				r.starts.noteInherited(t.SentOnce, now, c.inheritedOpenEnd(t.Runner, now))
 			}
 			c.attach(r)
 		}
@@ -263,7 +263,10 @@
 		return append(rows, row)
 	}
 	for _, r := range u.runs {
-		row.Index, row.Runner, row.Open, row.Repeated = r.index, r.runner.ID, !r.starts.settled, r.starts.repeated && !r.starts.settled
+		row.Index, row.Runner, row.Open, row.SentOnce, row.RunAttempt = r.index, r.runner.ID, !r.starts.settled, !r.starts.repeated && !r.starts.settled, 0
+		if r.attempt != u.attempt {
+			row.RunAttempt = r.attempt
+		}
 		rows = append(rows, row)
 		row.Checkpoint = "" // only one row of a gang carries it
 	}
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -256,13 +256,15 @@
 			delete(r.orphans, key)
 		}
 	}
+	for _, run := range r.runs {
+		if run.starts.any() && c.startsOver(run, asked) {
+			c.noteStartsOver(run)
+		}
+	}
 	if r.endsTruncated {
 		return // an unreported run may be among the ends that were left out
 	}
 	for key, run := range r.runs {
-		if run.starts.any() && c.startsOver(run, asked) {
-			c.noteStartsOver(run)
-		}
 		if !reported[key] && run.lostIfUnreported(asked) {
 			c.giveUp(run, now, "not listed by its runner")
 		}
@@ -275,6 +277,8 @@
 	switch r.phase {
 	case inherited, withdrawn:
 		return true
+	case ordered:
+		return !r.unansweredAt.IsZero() && !r.starts.any()
 	case running, stopping:
 		return !r.acceptedAt.IsZero() && asked.After(r.acceptedAt)
 	default:
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -59,12 +59,16 @@
 	forgottenEnd      int64                  // the same, of an end that the runner has forgotten
 	pendingEnds       []pendingEnd
 	acknowledgement   acknowledgement
-	endsTruncated     bool // its last report leaves ends out
-	fence             fence
-	failures          int // consecutive
-	suspendedUntil    steady.Time
-	leavesAt          steady.Time // when it may end, while it is draining
-	nominations       []nomination
+	acknowledgedBorn  int64 // the incarnation to which the last acknowledgement was sent; 0: none was
+	// unacknowledgedSince is when a start was first sent although ends could have been
+	// acknowledged; 0: none was since the last acknowledgement.
+	unacknowledgedSince steady.Time
+	endsTruncated       bool // its last report leaves ends out
+	fence               fence
+	failures            int // consecutive
+	suspendedUntil      steady.Time
+	leavesAt            steady.Time // when it may end, while it is draining
+	nominations         []nomination
 }
 
 // fence is what is known of orders to a runner's earlier incarnations. Until the present
@@ -95,6 +99,9 @@
 
 func (r *runner) asRemoved() removedRunner {
 	out := removedRunner{r.Born, r.fence, r.acknowledgement}
+	if out.acknowledgement == inFlight {
+		out.acknowledgement = withoutAnswer // its answer finds no runner
+	}
 	if out.fence == raised {
 		out.fence = unfenced // the report that would have decided was not handled
 	}
@@ -196,7 +203,7 @@
 // incarnation.
 func (c *Core) AcknowledgedEnd(id string) int64 {
 	r := c.runners[id]
-	if r == nil || !r.reachable || r.awaitsReport() || r.startsUnderWay() {
+	if r == nil || !r.reachable || r.awaitsReport() || r.hasStartsUnderWay() {
 		return 0
 	}
 	r.acknowledge()
@@ -213,10 +220,13 @@
 	if r == nil {
 		return
 	}
-	r.forgottenEnd = max(r.forgottenEnd, upTo)
 	if upTo > 0 && r.acknowledgement == inFlight {
 		r.acknowledgement = noneUnderWay
 	}
+	if r.acknowledgedBorn == 0 || r.acknowledgedBorn == r.Born { // a report of the next incarnation may overtake the answer
+		r.forgottenEnd = max(r.forgottenEnd, upTo)
+		r.unacknowledgedSince = 0
+	}
 }
 
 // acknowledge advances ackedEnd up to the first end that is not recorded yet.
@@ -265,8 +275,8 @@
 	r.suspendedUntil = max(r.suspendedUntil, now.Add(pause))
 }
 
-// loseAllRuns treats the runs on a runner that has ended as lost. Those with open tries wait
-// until its next incarnation can't carry these out any more, or refuses them.
+// loseAllRuns gives up the runs on a runner that has ended. Those with starts under way wait
+// until its next incarnation refuses these or can't carry them out any more.
 func (c *Core) loseAllRuns(r *runner, now steady.Time, reason string) {
 	r.leaseEndsBy = min(r.leaseEndsBy, now)
 	for _, run := range r.runs {
@@ -274,7 +284,8 @@
 			c.stopUnit(run.unit, now, reason)
 			continue
 		}
-		c.loseRun(run, now, reason)
+		c.noteStartsOver(run)
+		c.giveUp(run, now, reason)
 	}
 }
 
@@ -293,6 +304,7 @@
 // and removes runners that are no longer needed.
 func (c *Core) expireLeases(now steady.Time) {
 	for id, r := range c.runners {
+		c.endStartsByTime(r, now)
 		if now.After(r.leaseCertainlyOver().Add(leaseExpiryMargin)) {
 			c.loseRunsOfEndedLease(r, now)
 		}
@@ -326,8 +338,9 @@
 		if run.starts.any() && now.Before(run.starts.overBy.Add(leaseExpiryMargin)) {
 			continue
 		}
+		c.noteStartsOver(run)
 		if run.phase == inherited || !run.createdAt.After(r.leaseCertainlyOver()) {
-			c.loseRun(run, now, "lease of the runner ran out")
+			c.giveUp(run, now, "lease of the runner ran out")
 		}
 	}
 }
@@ -364,11 +377,15 @@
 
 // acceptsStarts reports whether runs may be started on the runner now.
 func (r *runner) acceptsStarts(c *Core, now steady.Time) bool {
-	return r.listed && r.described() && r.fence == fenced && r.reachable && !c.leaseEndRecorded[r.ID] && !r.Draining && !c.seemsCutOff(r, now) &&
-		!c.evacuated[r.FailureDomain] &&
+	return r.takesStarts(c) && r.reachable && !c.leaseEndRecorded[r.ID] && !c.seemsCutOff(r, now) &&
 		now.Sub(r.reportReceivedAt) <= c.maxReportAge
 }
 
+// takesStarts reports whether runs may be started on the runner while it can be reached.
+func (r *runner) takesStarts(c *Core) bool {
+	return r.listed && r.described() && r.fence == fenced && !r.Draining && !c.evacuated[r.FailureDomain]
+}
+
 func (r *runner) free() batch.Resources { return r.Capacity.Minus(r.reserved) }
 
 func (r *runner) hasLabel(label string) bool { return label == "" || slices.Contains(r.Labels, label) }
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -48,9 +48,9 @@
 }
 
 // noteInherited notes that a start of an earlier scheduler may be under way.
-func (s *startsUnderWay) noteInherited(repeated bool, now, overBy steady.Time) {
-	s.tries, s.repeated, s.sentAt, s.overBy = 1, repeated, now, overBy
-	if repeated {
+func (s *startsUnderWay) noteInherited(once bool, now, overBy steady.Time) {
+	s.tries, s.repeated, s.sentAt, s.overBy = 1, !once, now, overBy
+	if s.repeated {
 		s.tries = 2 // one may be known to have begun the run, and another be under way
 	}
 }
@@ -75,7 +75,20 @@
 	s.settled, s.sentAt, s.overBy = false, now, max(s.overBy, now.Add(c.opts.EarlierOrders))
 }
 
-// NoteStartAnswered notes that a try of a start order was answered, or was not sent after all.
+// NoteStartNotSent notes that a try of a start order was not sent after all.
+func (c *Core) NoteStartNotSent(o Order) {
+	run := c.runOf(o)
+	if run == nil {
+		return
+	}
+	s := &run.starts
+	s.tries, s.awaited = max(0, s.tries-1), max(0, s.awaited-1)
+	if s.tries == 0 {
+		s.overBy = 0
+	}
+}
+
+// NoteStartAnswered notes that a try of a start order was answered.
 func (c *Core) NoteStartAnswered(o Order) {
 	if run := c.runOf(o); run != nil {
 		run.starts.awaited, run.starts.seen = max(0, run.starts.awaited-1), false
@@ -101,7 +114,7 @@
 // may be: the run's record says so.
 func (c *Core) RepeatStart(o Order) bool {
 	run := c.runOf(o)
-	if run == nil || run.phase != ordered {
+	if run == nil || run.phase != ordered || !run.runner.takesStarts(c) {
 		return false
 	}
 	if !run.starts.repeated {
@@ -138,11 +151,11 @@
 	}
 }
 
-// endStartsByTime notes which starts are over whatever has become of their runners.
-func (c *Core) endStartsByTime(u *unit, now steady.Time) {
-	for _, r := range u.runs {
-		if r.starts.any() && !now.Before(r.starts.overBy) {
-			c.noteStartsOver(r)
+// endStartsByTime notes which starts are over whatever has become of their runner.
+func (c *Core) endStartsByTime(r *runner, now steady.Time) {
+	for _, run := range r.runs {
+		if run.starts.any() && !now.Before(run.starts.overBy) {
+			c.noteStartsOver(run)
 		}
 	}
 }
@@ -171,8 +184,8 @@
 	return asked.After(c.carriedOutBy(r)) && asked.Sub(r.runner.reachableSince) >= resumptionTime
 }
 
-// startsUnderWay reports whether the runner may still carry out starts.
-func (r *runner) startsUnderWay() bool {
+// hasStartsUnderWay reports whether the runner may still carry out starts.
+func (r *runner) hasStartsUnderWay() bool {
 	for _, run := range r.runs {
 		if run.starts.any() || run.phase == ordered && !run.starts.settled {
 			return true
@@ -230,16 +243,33 @@
 	}
 	var due []*run
 	for _, r := range u.runs {
-		switch {
-		case r.phase == stopping || r.phase == withdrawn && !c.mayResend(r, now):
+		if r.phase == stopping {
 			return
-		case r.phase == withdrawn:
+		}
+		if r.phase == withdrawn {
 			due = append(due, r)
 		}
 	}
+	reserved := 0
 	for _, r := range due {
-		r.born = r.runner.Born
-		c.planRepeat(r, now)
+		if !c.mayResend(r, now) {
+			break
+		}
+		r.reserve()
+		reserved++
+	}
+	for _, r := range due[:reserved] {
+		r.release()
+	}
+	if reserved == len(due) {
+		for _, r := range due {
+			r.born = r.runner.Born
+			c.planRepeat(r, now)
+		}
+		return
+	}
+	if missing := due[reserved]; len(due) < len(u.runs) && now.Sub(missing.phaseSince) > maxUnansweredGang {
+		c.stopUnit(u, now, "the start of another member can't be sent again")
 	}
 }
 
@@ -247,6 +277,7 @@
 func (c *Core) planRepeat(r *run, now steady.Time) {
 	c.reinstate(r, planned, now)
 	r.unansweredAt, r.starts.repeated = 0, true
+	r.starts.settled = false
 	c.markChanged(r.unit.job)
 	r.requiredVersion = r.unit.job.version
 	c.notifyObserver("repeat", r, "its start may be under way, and is sent again")
@@ -288,6 +319,11 @@
 // holdEnd keeps the end of a unit that is done back if starts of it are under way, and reports
 // whether it does.
 func (c *Core) holdEnd(u *unit) bool {
+	if u.spec().Gang { // it is done only if each member has begun
+		for _, r := range u.runs {
+			c.noteCarriedOut(r)
+		}
+	}
 	held := slices.ContainsFunc(u.runs, func(r *run) bool { return r.starts.any() })
 	if held && !u.endHeld {
 		u.endHeld = true
--- a/batch/scheduler/startsunderway_test.go
+++ b/batch/scheduler/startsunderway_test.go
@@ -76,7 +76,7 @@
 	w, order := newTwoRunners(t, nil)
 	w.NoteStartSent(order, w.now)
 	w.NoteStartUnanswered(order)
-	for range 2 { // the rounds that a start gets
+	for range 3 { // the rounds that a start gets
 		w.HandleAnswer(order, scheduler.OutcomeUnknown, w.now)
 		w.at(2 * time.Second)
 		w.report("r", batch.Report{Born: 1})
@@ -235,14 +235,14 @@
 }
 
 // inherited is the record of a task whose start may be under way on the runner "r".
-func inherited(repeated bool) *batch.Progress {
-	return &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Open: true, Repeated: repeated}}, Incarnations: map[string]int64{"r": 1}}
+func inherited(sentOnce bool) *batch.Progress {
+	return &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r", Open: true, SentOnce: sentOnce}}, Incarnations: map[string]int64{"r": 1}}
 }
 
 // Guards against a task that runs twice after a takeover: the first report doesn't list a run
 // whose start may be under way, and the next incarnation carries it out.
 func TestInheritedStartUnderWayIsSentAgainToItsRunner(t *testing.T) {
-	w, _ := newTwoRunners(t, inherited(false))
+	w, _ := newTwoRunners(t, inherited(true))
 	w.report("q", batch.Report{Born: 1})
 	must.SliceEmpty(t, w.decide())
 	w.report("r", batch.Report{Born: 1})
@@ -253,8 +253,8 @@
 
 // A listed run settles an inherited start, unless it was sent more than once.
 func TestListedRunSettlesAnInheritedStartThatWasSentOnce(t *testing.T) {
-	for repeated, want := range map[bool]batch.State{false: batch.Completed, true: batch.Running} {
-		w, _ := newTwoRunners(t, inherited(repeated))
+	for sentOnce, want := range map[bool]batch.State{true: batch.Completed, false: batch.Running} {
+		w, _ := newTwoRunners(t, inherited(sentOnce))
 		task := batch.TaskID{Job: "j"}
 		w.report("r", batch.Report{Born: 1, Running: []batch.RunningTask{{Task: task, Attempt: 1}}})
 		w.at(2 * time.Second)
@@ -267,7 +267,7 @@
 // Guards against a task that runs twice: the run that a report shows first holds a lease that an
 // earlier leader's start gave it, and is given up by the lease that the leader before had noted.
 func TestLeaseOfAnInheritedRunLastsFromItsFirstReport(t *testing.T) {
-	w, _ := newTwoRunners(t, inherited(false))
+	w, _ := newTwoRunners(t, inherited(true))
 	w.at(testLease + time.Second)
 	w.HandleReport("r", w.now, batch.Report{Born: 1, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, w.now)
 	w.report("q", batch.Report{Born: 1})
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -70,6 +70,8 @@
 	entriesNameIncarnations bool
 	acknowledgeUnrecorded   bool // injected fault: ends are acknowledged before they are recorded
 	nextFaults              []orderFault
+	unguarded               bool // runners start what exceeds their capacity, which is a violation
+	repeats                 bool // a start without an answer is sent once more, if its record allows it
 
 	completedAt map[string]steady.Time       // when a job's record first showed it completed
 	doneAt      map[batch.TaskID]steady.Time // when an end "done" was acknowledged
@@ -180,6 +182,7 @@
 	}
 	for i, s := range j.Steps {
 		task := runner.Task{Request: s.ReservedResources(), Work: work, Fails: fails, ChecksCapacity: true}
+		task.ChecksCapacity = !w.unguarded
 		if s.Gang {
 			task.GangSize = s.Tasks
 		}
@@ -582,6 +585,19 @@
 func (w *world) handleNoAnswer(core *scheduler.Core, o scheduler.Order) {
 	if o.Kind == scheduler.StartRun {
 		core.NoteStartUnanswered(o)
+		if w.repeats && core.RepeatStart(o) || w.repeats && core.AwaitsStart(o) {
+			w.after(5*worldTick, func() { // once its record says so
+				if w.core != core {
+					return
+				}
+				if core.RepeatStart(o) && core.AwaitsStart(o) && w.rng.IntN(2) == 0 {
+					w.sendOrder(o)
+					return
+				}
+				core.HandleAnswer(o, scheduler.OutcomeUnknown, w.now)
+			})
+			return
+		}
 		core.HandleAnswer(o, scheduler.OutcomeUnknown, w.now)
 		return
 	}
@@ -626,6 +642,9 @@
 	if n := w.pool.CountTaskRuns(task); n != 1 {
 		w.reportViolation("%d runs of %v at %v, attempt %d on %s", n, task, now, attempt, on)
 	}
+	if used := w.pool.Runner(on).Used(); w.unguarded && !used.Fits(w.pool.Runner(on).Capacity) {
+		w.reportViolation("%v runs on %s at %v, beyond its capacity, with %v attempt %d", used, on, now, task, attempt)
+	}
 	if _, again := w.doneAt[task]; again {
 		w.reportViolation("%v started on %s after its end was recorded, attempt %d", task, on, attempt)
 	}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -165,6 +165,9 @@
 
 func (r *Runner) clock(now steady.Time) time.Duration { return now.Sub(r.bootedAt) }
 
+// Used returns the resources of all runs.
+func (r *Runner) Used() batch.Resources { return r.usedResources() }
+
 func (r *Runner) usedResources() batch.Resources {
 	var sum batch.Resources
 	for _, running := range r.runs {
