Scheduler: a departure ends the runs of its incarnation only

Callers may have seen a task run twice: the deletion of the entry of a runner's earlier incarnation is read after the next one has reported, and lost the runs of that one, which go on. Change: a departure counts for the incarnation that the entry described. TestDepartureOfAnEarlierIncarnationLeavesRunsOfTheNextOneAlone fails before.

--- a/batch/scheduler/givenup_test.go
+++ b/batch/scheduler/givenup_test.go
@@ -322,6 +322,30 @@
 	must.False(t, d.core.AwaitsStart(b))
 }
 
+// Guards against a task that runs twice: the deletion of the entry of a runner's earlier
+// incarnation is read after the next one has listed the run, which it carried out late.
+func TestDepartureOfAnEarlierIncarnationLeavesRunsOfTheNextOneAlone(t *testing.T) {
+	d := newDriver()
+	d.addRunner("r", 1000)
+	d.core.AddJob(&batch.Job{ID: "j", Service: "s", MaxAttempts: 3, Stretch: 1, Steps: []batch.Step{{Tasks: 1, Request: batch.Resources{MilliCPU: 1000}}}}, nil, d.now)
+	d.step()
+	must.Len(t, 1, d.starts)
+	d.leaveUnanswered(d.starts[0])
+	d.addRunner("q", 1000)
+	lists := batch.Report{Born: 2, Running: []batch.RunningTask{{Task: d.starts[0].Task, Attempt: 1}}}
+	d.now = d.now.Add(time.Second)
+	d.core.HandleReport("r", d.now, lists, d.now)
+	d.core.RunnerFenced("r", 2)
+	d.core.HandleReport("r", d.now, lists, d.now)
+	d.core.RunnerLeft("r", d.now) // the entry named incarnation 1
+	for range 20 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.step()
+		d.core.HandleReport("r", d.now, lists, d.now)
+	}
+	must.Len(t, 1, d.starts)
+}
+
 // Guards against a member of a gang that waits until the gang's timeout, after a leader has given
 // up its term to another one: the start of the other member was not sent, and can't be now.
 func TestInheritedGangIsStoppedWhenAMemberCannotBeSentAgain(t *testing.T) {
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -164,7 +164,11 @@
 	if r == nil {
 		return
 	}
-	r.listed, r.reachable = false, false
+	r.listed = false
+	if r.describedBorn != 0 && r.Born > r.describedBorn {
+		return // the next incarnation has reported already
+	}
+	r.reachable = false
 	c.loseAllRuns(r, now, "runner left")
 }
 
