--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -158,6 +158,19 @@
 	return n
 }
 
+// ReceivedAt returns when the proxy received the last bytes from the client of the connection
+// that the target sees as remote; the zero time: there is none.
+func (p *Proxy) ReceivedAt(remote string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.connections {
+		if l.server.LocalAddr().String() == remote {
+			return l.receivedAt
+		}
+	}
+	return time.Time{}
+}
+
 // Close stops listening, closes every connection and waits for the goroutines
 // that serve them.
 func (p *Proxy) Close() {
@@ -175,10 +188,11 @@
 // connection is one proxied connection; frozen and forwarded are indexed by
 // Direction. Proxy.mu guards both.
 type connection struct {
-	client    net.Conn
-	server    net.Conn
-	frozen    [2]bool
-	forwarded [2]int64
+	client     net.Conn
+	server     net.Conn
+	frozen     [2]bool
+	forwarded  [2]int64
+	receivedAt time.Time // of the last bytes from the client; guarded as well
 }
 
 func (l *connection) close() {
@@ -261,6 +275,11 @@
 // forward applies the direction's fault to a chunk and writes what remains. It
 // reports whether the connection stays open.
 func (p *Proxy) forward(l *connection, d Direction, dst net.Conn, chunk []byte) bool {
+	if d == ClientToTarget {
+		p.mu.Lock()
+		l.receivedAt = time.Now()
+		p.mu.Unlock()
+	}
 	p.waitForStall(d)
 	p.mu.Lock()
 	f := p.faults[d]
--- /dev/null
+++ b/standin/faultproxy/received_test.go
@@ -0,0 +1,40 @@
+package faultproxy_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
+)
+
+// Bytes that a stall keeps are received before it, and at the target after it.
+func TestReceivedAtIsTheTimeBeforeAStall(t *testing.T) {
+	const stalled = 100 * time.Millisecond
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer target.Close()
+	proxy, err := faultproxy.New(target.Addr().String())
+	must.NoError(t, err)
+	defer proxy.Close()
+	proxy.SetFault(faultproxy.ClientToTarget, faultproxy.Fault{CutAfterBytes: faultproxy.NoCut, Stall: true})
+	client, err := net.Dial("tcp", proxy.Addr())
+	must.NoError(t, err)
+	defer client.Close()
+	_, err = client.Write([]byte("kept"))
+	must.NoError(t, err)
+	conn, err := target.Accept()
+	must.NoError(t, err)
+	defer conn.Close()
+	time.Sleep(stalled)
+	proxy.SetFault(faultproxy.ClientToTarget, faultproxy.NoFault)
+	ended := time.Now()
+	_, err = conn.Read(make([]byte, 16))
+	must.NoError(t, err)
+	received := proxy.ReceivedAt(conn.RemoteAddr().String())
+	must.False(t, received.IsZero())
+	must.True(t, received.Before(ended))
+	must.True(t, proxy.ReceivedAt("unknown").IsZero())
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -41,6 +41,9 @@
 	// OnAcknowledge, if set, is called for each ended task that a scheduler has
 	// acknowledged. lapsed says whether the runner's lease ran out between the two.
 	OnAcknowledge func(now steady.Time, runner string, end batch.EndedTask, lapsed bool)
+	// OnFence, if set, is called for the first hold of each incarnation but a runner's first
+	// whose token is higher than each that an earlier one has seen.
+	OnFence func(now steady.Time, runner string, sinceBoot time.Duration)
 }
 
 type runKey struct {
@@ -67,6 +70,8 @@
 
 	bootedAt       steady.Time
 	highestToken   uint64
+	earlierToken   uint64      // the highest one that an earlier incarnation has seen
+	fenced         bool        // it has seen a higher one than that
 	leaseEnd       steady.Time // 0: no lease yet
 	runs           map[runKey]*run
 	highestAttempt map[batch.TaskID]int // highest attempt that was stopped or has ended here
@@ -103,6 +108,8 @@
 }
 
 func (p *Pool) boot(r *Runner, now steady.Time) {
+	r.fenced = r.bootedAt.IsZero()
+	r.earlierToken = max(r.earlierToken, r.highestToken)
 	r.bootedAt = now
 	r.Born = int64(now)/int64(time.Millisecond) + 1
 	r.highestToken, r.leaseEnd, r.endedTasks, r.lastSequence = 0, 0, nil, 0
@@ -149,6 +156,9 @@
 	return n
 }
 
+// BootedAt returns when the runner's incarnation booted.
+func (r *Runner) BootedAt() steady.Time { return r.bootedAt }
+
 // CountRuns returns how many runs the runner has.
 func (r *Runner) CountRuns() int { return len(r.runs) }
 
@@ -278,6 +288,7 @@
 		return batch.Report{}, dispatch.Fenced
 	}
 	r.highestToken = o.Token
+	p.noteFence(now, r)
 	if o.Deadline > r.clock(now) {
 		p.extendLease(now, r, o.Deadline)
 	}
@@ -294,6 +305,17 @@
 	return report, dispatch.Accepted
 }
 
+// noteFence notes whether the runner has seen a higher token than its earlier incarnations.
+func (p *Pool) noteFence(now steady.Time, r *Runner) {
+	if r.fenced || r.highestToken <= r.earlierToken {
+		return
+	}
+	r.fenced = true
+	if p.opts.OnFence != nil {
+		p.opts.OnFence(now, r.ID, r.clock(now))
+	}
+}
+
 func (p *Pool) dropAcknowledgedEnds(now steady.Time, r *Runner, until int64) {
 	r.endedTasks = slices.DeleteFunc(r.endedTasks, func(e batch.EndedTask) bool {
 		if e.Sequence > until {
--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -54,3 +54,24 @@
 	p.Advance(now.Add(6100 * time.Millisecond))
 	must.Eq(t, 0, p.Runner("r").CountRuns())
 }
+
+// An incarnation is fenced by the first hold with a token above those of the earlier ones.
+func TestFirstHoldWithARaisedTokenIsNotedOnceForEachIncarnation(t *testing.T) {
+	now := steady.Time(1000 * time.Second)
+	var noted []time.Duration
+	p := runner.New(runner.Options{OnFence: func(_ steady.Time, _ string, sinceBoot time.Duration) { noted = append(noted, sinceBoot) }})
+	p.Add(now, batch.Runner{ID: "r"}, 1)
+	hold := func(after time.Duration, token uint64) {
+		_, answer := p.Hold(now.Add(after), "r", dispatch.HoldOrder{Token: token})
+		must.Eq(t, dispatch.Accepted, answer)
+	}
+	hold(time.Second, 7) // the first incarnation follows no other
+	p.Reboot(now.Add(2*time.Second), "r")
+	hold(3*time.Second, 7)
+	p.Reboot(now.Add(4*time.Second), "r")
+	hold(5*time.Second, 7)
+	must.SliceEmpty(t, noted)
+	hold(6*time.Second, 8)
+	hold(7*time.Second, 9)
+	must.Eq(t, []time.Duration{2 * time.Second}, noted)
+}
