--- a/cmd/cyclamentray-soak/main.go
+++ b/cmd/cyclamentray-soak/main.go
@@ -70,7 +70,7 @@
 		fmt.Fprintln(os.Stderr, "cyclamentray-soak:", err)
 		return false
 	}
-	fmt.Printf("seed %d: %d jobs, %d accepted, %d starts, %d answers on open connections, %d violations\n", seed, report.Jobs, report.Accepted, report.Starts, report.Answers, len(report.Violations))
+	fmt.Println(report)
 	for _, v := range report.Violations {
 		fmt.Println("  " + v)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -17,6 +17,7 @@
 	maxDrainDelay      = 9 * time.Second  // 2 s, and at most 5 s without a connection to the store
 	maxVisibilityDelay = 3 * time.Second
 	maxCancelDelay     = 9 * time.Second  // 3 s, and at most 6 s that a start is under way
+	maxCompletedDelay  = time.Second      // after a job was shown as completed
 	maxRestartDelay    = 25 * time.Second // a lease, takeovers that follow one another, and an outage of the store
 )
 
@@ -35,13 +36,21 @@
 	lostAt              map[batch.TaskID]steady.Time      // running when its runner crashed, and not started since
 	disruptions         map[string]disruptions            // by host
 	stoppedAt           map[string]steady.Time            // by host, the last SIGTERM
-	answers             int                               // to requests on open connections
+	completedAt         map[string]steady.Time            // by job, when it was first shown as completed
+	doneTasks           map[string]map[batch.TaskID]bool  // by job, its tasks that have ended done
+	orders              map[startKey]Order                // starts that are being carried out
+	startsOf            map[startKey]int
+	answers             int // to requests on open connections
 	violations          []string
 	starts              int
+	lateStarts          int // carried out by a later incarnation than they were sent to
+	restarts            int // of runners
+	fenceTimes          []time.Duration
 }
 
 type observedJob struct {
 	spec        string
+	tasks       int
 	acceptedAt  steady.Time // first answer with status 200; 0: none
 	onlyRefused bool        // every answer so far had status 429 or 503
 	started     bool
@@ -56,6 +65,8 @@
 		doneEnds:    make(map[batch.TaskID]map[doneEnd]bool),
 		cancelledAt: make(map[string]steady.Time), lostAt: make(map[batch.TaskID]steady.Time),
 		disruptions: make(map[string]disruptions), stoppedAt: make(map[string]steady.Time),
+		completedAt: make(map[string]steady.Time), doneTasks: make(map[string]map[batch.TaskID]bool), orders: make(map[startKey]Order),
+		startsOf: make(map[startKey]int),
 	}
 }
 
@@ -77,12 +88,12 @@
 	return append([]string(nil), c.violations...)
 }
 
-// RecordSubmission records that a job is about to be submitted.
-func (c *Checker) RecordSubmission(id, spec string) {
+// RecordSubmission records that a job of so many tasks is about to be submitted.
+func (c *Checker) RecordSubmission(id, spec string, tasks int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.jobs[id] == nil {
-		c.jobs[id] = &observedJob{spec: spec, onlyRefused: true}
+		c.jobs[id] = &observedJob{spec: spec, tasks: tasks, onlyRefused: true}
 	}
 }
 
@@ -152,6 +163,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.drainingSince, runner)
+	c.restarts++
 	for _, ends := range c.doneEnds {
 		maps.DeleteFunc(ends, func(e doneEnd, _ bool) bool { return e.runner == runner })
 	}
@@ -170,16 +182,15 @@
 	if c.doneAcknowledged[task] {
 		c.addViolation("task %v started on %s as attempt %d after its end was acknowledged", task, runner, attempt)
 	}
-	if since, out := c.evacuatedSince[domain]; out && now.Sub(since) > maxEvacuationDelay {
-		c.addViolation("task %v started in %s, %s after it was taken out", task, domain, now.Sub(since))
+	key := startKey{runner, task, attempt}
+	order := c.orders[key]
+	c.startsOf[key]++
+	if order.Earlier {
+		c.lateStarts++
 	}
-	if since, leaving := c.drainingSince[runner]; leaving && now.Sub(since) > maxDrainDelay {
-		c.addViolation("task %v started on %s, %s after it said that it leaves", task, runner, now.Sub(since))
+	if !order.Late {
+		c.checkStartTime(now, runner, domain, task, attempt)
 	}
-	if at, cancelled := c.cancelledAt[task.Job]; cancelled && now.Sub(at) > maxCancelDelay {
-		c.addViolation("task %v started on %s as attempt %d, %s after its job's cancellation was answered", task, runner, attempt, now.Sub(at))
-	}
-	c.checkRestartDelay(task, now)
 	delete(c.lostAt, task)
 	for end := range c.doneEnds[task] {
 		c.doneEnds[task][end] = true
@@ -190,6 +201,23 @@
 	c.running[task][runner] = attempt
 }
 
+// checkStartTime checks the rules with a time bound. The caller holds mu.
+func (c *Checker) checkStartTime(now steady.Time, runner, domain string, task batch.TaskID, attempt int) {
+	if since, out := c.evacuatedSince[domain]; out && now.Sub(since) > maxEvacuationDelay {
+		c.addViolation("task %v started in %s, %s after it was taken out", task, domain, now.Sub(since))
+	}
+	if since, leaving := c.drainingSince[runner]; leaving && now.Sub(since) > maxDrainDelay {
+		c.addViolation("task %v started on %s, %s after it said that it leaves", task, runner, now.Sub(since))
+	}
+	if at, cancelled := c.cancelledAt[task.Job]; cancelled && now.Sub(at) > maxCancelDelay {
+		c.addViolation("task %v started on %s as attempt %d, %s after its job's cancellation was answered", task, runner, attempt, now.Sub(at))
+	}
+	if at, completed := c.completedAt[task.Job]; completed && now.Sub(at) > maxCompletedDelay {
+		c.addViolation("task %v started on %s as attempt %d, %s after its job was shown as completed", task, runner, attempt, now.Sub(at))
+	}
+	c.checkRestartDelay(task, now)
+}
+
 func (c *Checker) checkSubmitted(task batch.TaskID, spec string) {
 	j := c.jobs[task.Job]
 	switch {
@@ -223,6 +251,62 @@
 		c.doneEnds[task] = make(map[doneEnd]bool)
 	}
 	c.doneEnds[task][doneEnd{runner, attempt}] = false
+	if c.doneTasks[task.Job] == nil {
+		c.doneTasks[task.Job] = make(map[batch.TaskID]bool)
+	}
+	c.doneTasks[task.Job][task] = true
+}
+
+// CheckCompleted checks that each task of a job that is shown as completed has ended done.
+func (c *Checker) CheckCompleted(id string, now steady.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, shown := c.completedAt[id]; shown {
+		return
+	}
+	c.completedAt[id] = now
+	if j := c.jobs[id]; j != nil && len(c.doneTasks[id]) < j.tasks {
+		c.addViolation("job %s is shown as completed, and %d of its %d tasks have ended done", id, len(c.doneTasks[id]), j.tasks)
+	}
+}
+
+// startKey names a start at a runner.
+type startKey struct {
+	runner  string
+	task    batch.TaskID
+	attempt int
+}
+
+// Order is a start that a runner is about to carry out.
+type Order struct {
+	Runner  string
+	Task    batch.TaskID
+	Attempt int
+	Late    bool // the runner has kept it; then rules with a time bound don't apply
+	Earlier bool // it was sent to an earlier incarnation
+}
+
+// RecordOrder records how a start came that is about to be carried out. The function that it
+// returns is called after that, and returns whether a run has begun.
+func (c *Checker) RecordOrder(o Order) (begun func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := startKey{o.Runner, o.Task, o.Attempt}
+	c.orders[key] = o
+	before := c.startsOf[key]
+	return func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.orders, key)
+		return c.startsOf[key] > before
+	}
+}
+
+// RecordFence records after how long an incarnation has seen a higher token than those before it.
+func (c *Checker) RecordFence(sinceBoot time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fenceTimes = append(c.fenceTimes, sinceBoot)
 }
 
 // CheckNotRestarted checks that a task whose end done is acknowledged was not started after
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -87,7 +87,7 @@
 	id, spec, _, _ := r.newJob()
 	task := runner.Task{Work: 200 * time.Millisecond, Request: batch.Resources{MilliCPU: 10}}
 	body := r.stepBody(spec, batch.Step{Tasks: 1, Request: task.Request, Estimate: task.Work})
-	r.checker.RecordSubmission(id, spec)
+	r.checker.RecordSubmission(id, spec, 1)
 	r.deployment.setJob(id, spec, task)
 	pause := time.Duration(0)
 	if rng.IntN(slowBodyOdds) == 0 {
@@ -114,7 +114,7 @@
 	asked := steady.Now()
 	answer := c.request("GET", r.deployment.name, "/q0/"+id, "", 0)
 	if id != "" {
-		r.checker.CheckStateAnswer(id, answer.status, asked)
+		r.checkStateAnswer(id, answer.status, answer.body, asked)
 	}
 	return answer
 }
@@ -136,7 +136,8 @@
 
 // clientAnswer is the outcome of one request on a connection.
 type clientAnswer struct {
-	status int         // 0: no complete answer was received
+	status int // 0: no complete answer was received
+	body   string
 	lost   bool        // the host has read the whole request, and didn't answer it before the end
 	sent   steady.Time // when the last byte was sent; 0: it wasn't
 	ended  steady.Time // when the answer was complete, the connection ended, or the caller gave up
@@ -150,8 +151,8 @@
 		return clientAnswer{ended: steady.Now()}
 	}
 	answer := clientAnswer{sent: steady.Now()}
-	status, err := c.receive()
-	answer.status, answer.ended = status, steady.Now()
+	status, body, err := c.receive()
+	answer.status, answer.body, answer.ended = status, body, steady.Now()
 	if err != nil {
 		answer.lost = c.wasRead(err)
 		c.ended = true
@@ -176,24 +177,25 @@
 	return err
 }
 
-// receive reads an answer. It returns its status once it is complete.
-func (c *connectionClient) receive() (int, error) {
+// receive reads an answer. It returns its status and its body once it is complete.
+func (c *connectionClient) receive() (int, string, error) {
 	if err := c.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	if _, err := c.reader.Peek(1); err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	resp, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return 0, errors.Mark(err, errAnswerBegun)
+		return 0, "", errors.Mark(err, errAnswerBegun)
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0, errors.Mark(err, errAnswerBegun)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, "", errors.Mark(err, errAnswerBegun)
 	}
 	c.ended = resp.Close
-	return resp.StatusCode, nil
+	return resp.StatusCode, string(body), nil
 }
 
 // errAnswerBegun marks errors after the first byte of an answer.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -55,7 +55,8 @@
 	runnerServer *standin.RunnerServer
 	hosts        []*hostProcess
 	runners      []*proxiedRunner
-	evacuations  sync.Mutex // held while one is requested or ended
+	evacuations  sync.Mutex   // held while one is requested or ended
+	log          func(string) // called with a line for each start that was kept
 
 	mu    sync.Mutex
 	fault func(keyspace.Call) keyspace.Outcome // nil: none
@@ -118,7 +119,8 @@
 			checker.RecordAcknowledgement(end)
 			checker.CheckNotRestarted(runnerID, end, lapsed)
 		},
-	}), Late: d.lateness}
+		OnFence: func(_ steady.Time, _ string, sinceBoot time.Duration) { checker.RecordFence(sinceBoot) },
+	}), Late: d.latenessOfOthers}
 	if err := d.addAll(hosts, runners); err != nil {
 		return nil, errors.CombineErrors(err, d.close())
 	}
@@ -219,6 +221,14 @@
 	return 0
 }
 
+// latenessOfOthers returns the lateness of orders that startHandler doesn't serve.
+func (d *deployment) latenessOfOthers(id, path string) time.Duration {
+	if path == platform.StartPath {
+		return 0
+	}
+	return d.lateness(id, path)
+}
+
 func (d *deployment) setOrdersLate(r *proxiedRunner, f func(path string) time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -227,7 +237,7 @@
 
 func (d *deployment) addRunner(i int) error {
 	r := &proxiedRunner{id: fmt.Sprintf("i-%d", i), failureDomain: fmt.Sprintf("fd-%d", i/runnersPerRack%failureDomains), rack: fmt.Sprintf("rack-%d", i/runnersPerRack)}
-	address, err := d.serve(d.runnerServer.Handler(r.id))
+	address, err := d.serve(&startHandler{deployment: d, runner: r, api: d.runnerServer.Handler(r.id)})
 	if err != nil {
 		return err
 	}
--- a/soak/scenarios.go
+++ b/soak/scenarios.go
@@ -147,7 +147,7 @@
 // submitStep submits a job of one step until a host accepts it. It returns whether one did.
 func (r *soakRun) submitStep(ctx context.Context, task runner.Task, step batch.Step) bool {
 	id, spec, _, _ := r.newJob()
-	r.checker.RecordSubmission(id, spec)
+	r.checker.RecordSubmission(id, spec, step.Tasks)
 	r.deployment.setJob(id, spec, task)
 	for range maxSubmitAttempts {
 		status, _ := r.call(ctx, "POST", r.randomHost(), "/q0/"+id, r.stepBody(spec, step))
@@ -295,7 +295,7 @@
 // answer, and cancels it at any host until that is answered.
 func (r *soakRun) cancelLateWrites(ctx context.Context, _ *rand.Rand) {
 	id, spec, task, _ := r.newJob()
-	r.checker.RecordSubmission(id, spec)
+	r.checker.RecordSubmission(id, spec, task.GangSize)
 	r.deployment.setJob(id, spec, task)
 	r.deployment.setFault(func(c keyspace.Call) keyspace.Outcome {
 		if c.Write && c.Key == ledger.JobKey(id) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -40,9 +41,26 @@
 	Accepted   int
 	Starts     int
 	Answers    int // to requests on connections that are kept open
+	LateStarts int // carried out by a later incarnation than they were sent to
+	Restarts   int // of runners
+	// FenceTimes are the times from the restarts of runners to the first holds with a token
+	// above those of earlier incarnations, in ascending order.
+	FenceTimes []time.Duration
 	Violations []string
 }
 
+// String returns the figures of the run.
+func (r *Report) String() string {
+	fences := "no incarnation fenced"
+	if n := len(r.FenceTimes); n > 0 {
+		fences = fmt.Sprintf("%d fenced after min %s, median %s, max %s", n, rounded(r.FenceTimes[0]), rounded(r.FenceTimes[n/2]), rounded(r.FenceTimes[n-1]))
+	}
+	return fmt.Sprintf("seed %d: %d jobs, %d accepted, %d starts, %d late in a later incarnation, %d restarts of runners, %s, %d answers on open connections, %d violations",
+		r.Seed, r.Jobs, r.Accepted, r.Starts, r.LateStarts, r.Restarts, fences, r.Answers, len(r.Violations))
+}
+
+func rounded(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
+
 const (
 	startupTime       = 3 * time.Second
 	submitInterval    = 250 * time.Millisecond
@@ -91,6 +109,8 @@
 		http: &http.Client{Timeout: callTimeout}, rng: rand.New(rand.NewPCG(o.Seed, 1)),
 	}
 	defer r.http.CloseIdleConnections()
+	d.log = o.Log
+	// Of holds and stops; startHandler writes such lines of starts.
 	d.runnerServer.CarriedOutLate = func(id, order string, earlier bool) {
 		o.Log(fmt.Sprintf("late at %s, sent to an earlier incarnation %t: %s", id, earlier, order))
 	}
@@ -176,7 +196,7 @@
 
 func (r *soakRun) submit(ctx context.Context) {
 	id, body, task, cancel := r.newJob()
-	r.checker.RecordSubmission(id, body)
+	r.checker.RecordSubmission(id, body, task.GangSize)
 	r.deployment.setJob(id, body, task)
 	accepted := false
 	for range maxSubmitAttempts {
@@ -275,8 +295,8 @@
 	r.mu.Unlock()
 	if id != "" {
 		asked := steady.Now()
-		status, _ := r.call(context.Background(), "GET", h, "/q0/"+id, "")
-		r.checker.CheckStateAnswer(id, status, asked)
+		status, text := r.call(context.Background(), "GET", h, "/q0/"+id, "")
+		r.checkStateAnswer(id, status, text, asked)
 	}
 	incarnation := h.incarnationName()
 	status, _ := r.call(context.Background(), "GET", h, fmt.Sprintf("/q%d/", version), "")
@@ -312,22 +332,37 @@
 	r.checker.CheckRefusedJobs()
 }
 
-func (r *soakRun) jobState(ctx context.Context, id string) string {
-	status, text := r.call(ctx, "GET", r.randomHost(), "/q0/"+id, "")
+// checkStateAnswer checks the answer to a request for a job's state, and returns the state;
+// empty: there is none.
+func (r *soakRun) checkStateAnswer(id string, status int, text string, asked steady.Time) string {
+	r.checker.CheckStateAnswer(id, status, asked)
 	var body struct{ State string }
 	if status != http.StatusOK || json.Unmarshal([]byte(text), &body) != nil {
-		return fmt.Sprintf("unknown (%d)", status)
+		return ""
+	}
+	if batch.State(body.State) == batch.Completed {
+		r.checker.CheckCompleted(id, steady.Now())
 	}
 	return body.State
 }
 
+func (r *soakRun) jobState(ctx context.Context, id string) string {
+	asked := steady.Now()
+	status, text := r.call(ctx, "GET", r.randomHost(), "/q0/"+id, "")
+	if state := r.checkStateAnswer(id, status, text, asked); state != "" {
+		return state
+	}
+	return fmt.Sprintf("unknown (%d)", status)
+}
+
 func (r *soakRun) report() *Report {
-	r.checker.mu.Lock()
-	starts := r.checker.starts
-	jobs := len(r.checker.jobs)
-	answers := r.checker.answers
-	r.checker.mu.Unlock()
-	return &Report{Seed: r.opts.Seed, Jobs: jobs, Accepted: len(r.jobs), Starts: starts, Answers: answers, Violations: r.checker.Violations()}
+	c := r.checker
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &Report{
+		Seed: r.opts.Seed, Jobs: len(c.jobs), Accepted: len(r.jobs), Starts: c.starts, Answers: c.answers, LateStarts: c.lateStarts,
+		Restarts: c.restarts, FenceTimes: slices.Sorted(slices.Values(c.fenceTimes)), Violations: slices.Clone(c.violations),
+	}
 }
 
 // TempDir creates a directory for the settings and logs of one run.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -92,7 +92,7 @@
 	task := batch.TaskID{Job: "j"}
 	second := func(n int) steady.Time { return steady.Time(time.Duration(1000+n) * time.Second) }
 	accept := func(c *soak.Checker) {
-		c.RecordSubmission("j", "spec")
+		c.RecordSubmission("j", "spec", 1)
 		c.RecordSubmissionAnswer("j", 200, second(0))
 	}
 	start := func(c *soak.Checker, at int, attempt int) {
@@ -139,14 +139,14 @@
 		},
 		"refused and run": {
 			func(c *soak.Checker) {
-				c.RecordSubmission("r", "spec")
+				c.RecordSubmission("r", "spec", 1)
 				c.RecordSubmissionAnswer("r", 503, second(1))
 				c.RecordStart(second(2), "i-1", "fd", batch.TaskID{Job: "r"}, 1, "spec")
 				c.RecordSubmissionAnswer("r", 429, second(3))
 				c.CheckRefusedJobs()
 			},
 			func(c *soak.Checker) {
-				c.RecordSubmission("r", "spec")
+				c.RecordSubmission("r", "spec", 1)
 				c.RecordSubmissionAnswer("r", 503, second(1))
 				c.RecordStart(second(2), "i-1", "fd", batch.TaskID{Job: "r"}, 1, "spec")
 				c.RecordSubmissionAnswer("r", 200, second(3))
@@ -191,6 +191,61 @@
 			func(c *soak.Checker) { c.RecordCancellation("j", second(0)); start(c, 10, 1) },
 			func(c *soak.Checker) { c.RecordCancellation("j", second(0)); start(c, 2, 1) },
 		},
+		"start after the job was shown as completed": {
+			func(c *soak.Checker) {
+				start(c, 1, 1)
+				c.RecordEnd("i-1", task)
+				c.RecordDone("i-1", task, 1)
+				c.CheckCompleted("j", second(2))
+				c.CheckCompleted("j", second(9)) // the first time counts
+				start(c, 10, 2)
+			},
+			func(c *soak.Checker) {
+				start(c, 1, 1)
+				c.RecordEnd("i-1", task)
+				c.RecordDone("i-1", task, 1)
+				c.CheckCompleted("j", second(2))
+				start(c, 3, 2) // ordered before
+			},
+		},
+		"job shown as completed before its tasks have ended": {
+			func(c *soak.Checker) { start(c, 1, 1); c.RecordEnd("i-1", task); c.CheckCompleted("j", second(2)) },
+			func(c *soak.Checker) {
+				start(c, 1, 1)
+				c.RecordEnd("i-1", task)
+				c.RecordDone("i-1", task, 1)
+				c.CheckCompleted("j", second(2))
+			},
+		},
+		"start that a runner has kept": {
+			func(c *soak.Checker) {
+				start(c, 1, 1)
+				c.RecordOrder(soak.Order{Runner: "i-2", Task: task, Attempt: 2, Late: true})
+				c.RecordStart(second(2), "i-2", "fd", task, 2, "spec") // two runs at once: no rule with a time bound
+			},
+			func(c *soak.Checker) {
+				c.RecordEvacuation("fd", true, second(0))
+				c.RecordDrain("i-1", second(0))
+				c.RecordCancellation("j", second(0))
+				c.RecordDone("i-2", task, 1)
+				c.CheckCompleted("j", second(0))
+				begun := c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Late: true})
+				start(c, 20, 1)
+				must.True(t, begun())
+			},
+		},
+		"start that the network has kept": {
+			func(c *soak.Checker) {
+				c.RecordEvacuation("fd", true, second(0))
+				c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true})
+				start(c, 20, 1)
+			},
+			func(c *soak.Checker) {
+				begun := c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true})
+				must.False(t, begun())
+				start(c, 1, 1)
+			},
+		},
 		"lost task is started late": {
 			func(c *soak.Checker) {
 				start(c, 1, 1)
