Soak: a scenario of runners that restart while orders are late and links are cut

It draws from the whole class of orders that outlive the state they were meant for, not one case: which runners, which shares of starts, stops and holds they carry out up to 12 s late, restarts once or in series, cuts of either direction before, during or after them, departures, leaders that are killed, stopped and paused, long and short tasks and gangs.

--- a/cmd/cyclamentray-soak/main.go
+++ b/cmd/cyclamentray-soak/main.go
@@ -30,6 +30,7 @@
 	Runners   int           `long:"runners" default:"12" description:"stand-in runners"`
 	Scenarios bool          `long:"scenarios" description:"also run the scenarios, beside the random faults and after them"`
 	Scenario  string        `long:"scenario" description:"run only the scenario of this name, and those after the faults"`
+	Without   string        `long:"without" description:"with --scenarios, leave out the scenario of this name"`
 	Verbose   bool          `long:"verbose" description:"print each fault"`
 }
 
@@ -61,7 +62,7 @@
 		return false
 	}
 	startedAt := time.Now()
-	options := soak.Options{Binary: o.Binary, Dir: dir, Seed: seed, FaultPeriod: o.Length, Hosts: o.Hosts, Runners: o.Runners, Scenarios: o.Scenarios || o.Scenario != "", Scenario: o.Scenario}
+	options := soak.Options{Binary: o.Binary, Dir: dir, Seed: seed, FaultPeriod: o.Length, Hosts: o.Hosts, Runners: o.Runners, Scenarios: o.Scenarios || o.Scenario != "", Scenario: o.Scenario, Without: o.Without}
 	if o.Verbose {
 		options.Log = func(text string) { fmt.Printf("%8.2f  %s\n", time.Since(startedAt).Seconds(), text) }
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -56,6 +56,7 @@
 	hosts        []*hostProcess
 	runners      []*proxiedRunner
 	evacuations  sync.Mutex   // held while one is requested or ended
+	lives        sync.Mutex   // held while a runner announces that it drains, or reboots
 	log          func(string) // called with a line for each start that was kept
 
 	mu    sync.Mutex
@@ -74,6 +75,7 @@
 	draining      bool
 	downSince     time.Time                       // when its state last changed
 	ordersLate    func(path string) time.Duration // how much later it carries an order out; nil: no order is late
+	stalls        [2]int                          // by direction, scenarios that keep its bytes
 }
 
 // hostProcess is one host's process. It reaches the store through a proxy.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -135,9 +135,7 @@
 // drainRunner has a runner announce that it drains. The end of the fault removes
 // the runner and reboots it.
 func drainRunner(d *deployment, r *proxiedRunner, _ *rand.Rand) func() {
-	d.setRunnerState(r, false, true)
-	d.checker.RecordDrain(r.id, steady.Now())
-	if err := d.writeRunnerEntry(r); err != nil {
+	if err := d.announceDrain(r); err != nil {
 		return noop // the drain was not announced, so the runner stays
 	}
 	return func() {
@@ -148,6 +146,14 @@
 	}
 }
 
+func (d *deployment) announceDrain(r *proxiedRunner) error {
+	d.lives.Lock()
+	defer d.lives.Unlock()
+	d.setRunnerState(r, false, true)
+	d.checker.RecordDrain(r.id, steady.Now())
+	return d.writeRunnerEntry(r)
+}
+
 func (d *deployment) setRunnerState(r *proxiedRunner, down, draining bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -155,7 +161,16 @@
 	r.downSince = time.Now()
 }
 
+// setRunnerDown stops a runner's heartbeats or has them go on.
+func (d *deployment) setRunnerDown(r *proxiedRunner, down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.down, r.downSince = down, time.Now()
+}
+
 func (d *deployment) rebootRunner(r *proxiedRunner) {
+	d.lives.Lock()
+	defer d.lives.Unlock()
 	d.runnerServer.WithPool(func(now steady.Time, p *runner.Pool) { p.Reboot(now, r.id) })
 	d.checker.RecordBoot(r.id)
 	d.setRunnerState(r, false, false)
--- a/soak/scenarios.go
+++ b/soak/scenarios.go
@@ -35,6 +35,7 @@
 	{"runners restart and are cut off soon after", func(r *soakRun, ctx context.Context, rng *rand.Rand) {
 		r.restartAndCutOff(ctx, rng, 0, platform.HoldPath)
 	}},
+	{"runners restart while orders are late and links are cut", (*soakRun).restartAmongLateOrders},
 }
 
 // namedScenarios run only by name: orders reach other incarnations than they were sent to in them
@@ -52,7 +53,7 @@
 // scenarios returns the scenarios to run.
 func (o Options) scenarios() []scenario {
 	if o.Scenario == "" {
-		return scenarios
+		return slices.DeleteFunc(slices.Clone(scenarios), func(s scenario) bool { return s.name == o.Without })
 	}
 	return slices.DeleteFunc(slices.Concat(scenarios, namedScenarios), func(s scenario) bool { return s.name != o.Scenario })
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,7 @@
 	Runners     int
 	Scenarios   bool         // runs the scenarios, beside the random faults and after them
 	Scenario    string       // with Scenarios: the only one to run beside the random faults; empty: all
+	Without     string       // with Scenarios: the one of all that is left out; empty: none
 	Log         func(string) // called with a line for each fault; nil: no log
 }
 
