--- a/soak/check.go
+++ b/soak/check.go
@@ -24,6 +24,8 @@
 // Checker records what callers and runners observe and collects violations of
 // the guarantees that must always hold. It is safe for concurrent use.
 type Checker struct {
+	log func(string) // called with each violation; nil: it isn't
+
 	mu                  sync.Mutex
 	jobs                map[string]*observedJob
 	running             map[batch.TaskID]map[string]int // by task, attempts by runner
@@ -71,7 +73,11 @@
 }
 
 func (c *Checker) addViolation(format string, args ...any) {
-	c.violations = append(c.violations, fmt.Sprintf(format, args...))
+	text := fmt.Sprintf(format, args...)
+	c.violations = append(c.violations, text)
+	if c.log != nil {
+		c.log("violation: " + text)
+	}
 }
 
 // addCalmViolation adds a violation that was found while nothing else happened.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -174,6 +174,7 @@
 	d.runnerServer.WithPool(func(now steady.Time, p *runner.Pool) { p.Reboot(now, r.id) })
 	d.checker.RecordBoot(r.id)
 	d.setRunnerState(r, false, false)
+	d.log("restarted: " + r.id)
 }
 
 // injectFaults injects random faults, which may overlap, until ctx ends. Then it
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -110,7 +110,7 @@
 		http: &http.Client{Timeout: callTimeout}, rng: rand.New(rand.NewPCG(o.Seed, 1)),
 	}
 	defer r.http.CloseIdleConnections()
-	d.log = o.Log
+	d.log, checker.log = o.Log, o.Log
 	// Of holds and stops; startHandler writes such lines of starts.
 	d.runnerServer.CarriedOutLate = func(id, order string, earlier bool) {
 		o.Log(fmt.Sprintf("late at %s, sent to an earlier incarnation %t: %s", id, earlier, order))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,11 +58,37 @@
 
 // Runs host processes under random faults. No check of what callers and runners
 // observe may fail.
-func TestHostsKeepGuaranteesUnderRandomFaults(t *testing.T) { runCases(t, soakCases) }
+func TestHostsKeepGuaranteesUnderRandomFaults(t *testing.T) {
+	t.Parallel()
+	runCases(t, soakCases)
+}
+
+// lateOrderCases are seeds on which tasks ran twice, as orders reached later incarnations than
+// they were sent to.
+var lateOrderCases = []soakCase{
+	// Of two orders of one start one is carried out and ends done, and the next incarnation carries
+	// the other out.
+	{seed: 861, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: "runners restart, starts are late"},
+	{seed: 863, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: "runners restart, starts are late"},
+	// A run was given up as its runner had restarted, and the incarnation after the next carried its start out.
+	{seed: 9851, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: amongLateOrders},
+	// A run was given up as its runner, told to stop it, didn't list it, and the next incarnation
+	// carried out one of its starts.
+	{seed: 9852, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: amongLateOrders},
+	// The same, and the next attempt was placed on that runner: the next incarnation carried both out.
+	{seed: 9853, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: amongLateOrders},
+}
+
+// Guards against tasks that run twice when orders reach runners that have restarted since.
+func TestNothingRunsTwiceWhenLateOrdersReachRestartedRunners(t *testing.T) {
+	t.Parallel()
+	runCases(t, lateOrderCases)
+}
 
 // Guards against tasks that run twice when holds to runners that have restarted are carried
 // out late, and the runners are cut off soon after.
 func TestHostsKeepGuaranteesWhenRunnersRestartAndAreCutOff(t *testing.T) {
+	t.Parallel()
 	runCases(t, []soakCase{
 		{seed: 823, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: "runners restart and are cut off soon after"},
 	})
