Soak: the checks after the faults wait for the last late order

A start of a cancelled job that a runner carries out late, shortly before the end, may run for contact_ms and the time of a stop; and nothing else is to happen in the checks in calm.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -59,10 +59,11 @@
 	lives        sync.Mutex   // held while a runner announces that it drains, or reboots
 	log          func(string) // called with a line for each start that was kept
 
-	mu    sync.Mutex
-	fault func(keyspace.Call) keyspace.Outcome // nil: none
-	specs map[string]string                    // by job
-	tasks map[string]runner.Task               // by job
+	mu        sync.Mutex
+	fault     func(keyspace.Call) keyspace.Outcome // nil: none
+	specs     map[string]string                    // by job
+	tasks     map[string]runner.Task               // by job
+	lateUntil time.Time                            // when the last late order is carried out
 }
 
 // proxiedRunner is a stand-in runner that hosts reach through a proxy.
@@ -217,12 +218,23 @@
 	defer d.mu.Unlock()
 	for _, r := range d.runners {
 		if r.id == id && r.ordersLate != nil {
-			return r.ordersLate(path)
+			late := r.ordersLate(path)
+			if at := time.Now().Add(late); late > 0 && at.After(d.lateUntil) {
+				d.lateUntil = at
+			}
+			return late
 		}
 	}
 	return 0
 }
 
+// lastLateOrder returns when the last late order is carried out.
+func (d *deployment) lastLateOrder() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lateUntil
+}
+
 // latenessOfOthers returns the lateness of orders that startHandler doesn't serve.
 func (d *deployment) latenessOfOthers(id, path string) time.Duration {
 	if path == platform.StartPath {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -307,7 +307,8 @@
 }
 
 // checkAfterFaults waits until every accepted job has ended, for settleTimeout at
-// most, and runs the checks that need all faults to be over.
+// most, and until the last late order was carried out contactTime ago. Then it runs the
+// checks that need all faults to be over.
 func (r *soakRun) checkAfterFaults(ctx context.Context) {
 	states := make(map[string]string)
 	for deadline := time.Now().Add(settleTimeout); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(pollInterval) {
@@ -325,6 +326,7 @@
 			break
 		}
 	}
+	sleep(ctx, time.Until(r.deployment.lastLateOrder())+contactTime)
 	time.Sleep(2 * time.Second) // for stop orders in flight
 	for _, id := range r.jobs {
 		r.checker.CheckFinalState(id, states[id], r.cancelled[id])
