--- a/soak/soak.go
+++ b/soak/soak.go
@@ -56,7 +56,7 @@
 	if n := len(r.FenceTimes); n > 0 {
 		fences = fmt.Sprintf("%d fenced after min %s, median %s, max %s", n, rounded(r.FenceTimes[0]), rounded(r.FenceTimes[n/2]), rounded(r.FenceTimes[n-1]))
 	}
-	return fmt.Sprintf("seed %d: %d jobs, %d accepted, %d starts, %d late in a later incarnation, %d restarts of runners, %s, %d answers on open connections, %d violations",
+	return fmt.Sprintf("seed %d: %d jobs, %d accepted, %d starts, %d of them in a later incarnation, %d restarts of runners, %s, %d answers on open connections, %d violations",
 		r.Seed, r.Jobs, r.Accepted, r.Starts, r.LateStarts, r.Restarts, fences, r.Answers, len(r.Violations))
 }
 
