--- a/batch/batch.go
+++ b/batch/batch.go
@@ -163,7 +163,7 @@
 	Attempt    int    `json:"a,omitempty"`  // highest attempt that may have started
 	Runner     string `json:"r,omitempty"`  // runner on which that attempt may be running; empty: it has ended
 	Open       bool   `json:"o,omitempty"`  // its start may be under way: it isn't answered, or not known to be
-	SentOnce   bool   `json:"n,omitempty"`  // an open start was sent once at most
+	SentOnce   bool   `json:"n,omitempty"`  // its start, which may be under way, was sent once at most
 	RunAttempt int    `json:"ra,omitempty"` // the attempt that may be running, if it is an earlier one
 	Checkpoint string `json:"c,omitempty"`
 }
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -192,7 +192,7 @@
 			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: cmp.Or(t.RunAttempt, t.Attempt), phase: inherited, born: recorded.Incarnations[t.Runner], createdAt: now, phaseSince: now, resumed: true}
 			r.starts.settled = !t.Open
 			if t.Open {
-				r.starts.noteInherited(t.SentOnce, now, c.inheritedOpenEnd(t.Runner, now))
+				r.starts.noteInherited(t.SentOnce, now, c.inheritedStartsEnd(t.Runner, now))
 			}
 			c.attach(r)
 		}
--- a/batch/scheduler/leaseends.go
+++ b/batch/scheduler/leaseends.go
@@ -41,10 +41,10 @@
 	return r != nil && r.reachable && c.leaseEndRecorded[id]
 }
 
-// inheritedOpenEnd returns the time by which all that open starts of earlier schedulers may
-// still start on a runner has ended. A recorded lease end allows for them already, so that a
-// series of schedulers doesn't wait anew each time.
-func (c *Core) inheritedOpenEnd(id string, now steady.Time) steady.Time {
+// inheritedStartsEnd returns the time by which all has ended that starts of earlier schedulers
+// may still begin on a runner. A recorded lease end allows for them already, so that a series of
+// schedulers doesn't wait anew each time.
+func (c *Core) inheritedStartsEnd(id string, now steady.Time) steady.Time {
 	if by, recorded := c.opts.RecordedLeaseEnds[id]; recorded {
 		return min(by, now.Add(c.opts.EarlierOrders))
 	}
@@ -52,7 +52,7 @@
 }
 
 // inheritedLeaseEnd returns the time by which all that earlier schedulers may have started on
-// a runner has ended. A recorded time may lie beyond InheritedLeaseEnd, as starts were open.
+// a runner has ended. A recorded time may lie beyond InheritedLeaseEnd, as starts were under way.
 func (c *Core) inheritedLeaseEnd(id string) steady.Time {
 	if by, recorded := c.opts.RecordedLeaseEnds[id]; recorded {
 		return min(by, max(c.opts.InheritedLeaseEnd, c.opts.Began.Add(c.opts.EarlierOrders)))
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -154,7 +154,7 @@
 // endStartsByTime notes which starts are over whatever has become of their runner.
 func (c *Core) endStartsByTime(r *runner, now steady.Time) {
 	for _, run := range r.runs {
-		if run.starts.any() && !now.Before(run.starts.overBy) {
+		if run.starts.any() && !now.Before(run.starts.overBy.Add(leaseExpiryMargin)) {
 			c.noteStartsOver(run)
 		}
 	}
