Scheduler: a run that is stopped is stopped in the next incarnation too

Callers could see a task of a cancelled job go on, or a preempted one: the runner had answered its stop and restarted before its next report, and the next incarnation carried the start out late. The run was listed, and no stop was sent again. Change: the report that shows what a restarted runner has carried out has stops sent again for what is to be stopped. TestStartOfACancelledJobThatIsCarriedOutLateIsStopped fails before. Further tests for what planted faults outlived: kept starts after a partition, an end that is kept back without its runner, the clock of an earlier incarnation.

--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -204,3 +204,35 @@
 	must.False(t, l.core.AwaitsToken("r"))
 	must.Eq(t, 7, l.links["r"].token)
 }
+
+// lateRunner answers holds as its first incarnation once it is let go.
+type lateRunner struct {
+	Runners
+	letGo chan struct{}
+}
+
+func (r lateRunner) Hold(context.Context, batch.Runner, HoldOrder) (batch.Report, Answer, error) {
+	<-r.letGo
+	return batch.Report{Born: 1, Clock: time.Hour}, Accepted, nil
+}
+
+// Guards against a deadline that lies far ahead on a runner's clock: an answer of the earlier
+// incarnation arrives after a report of the next one.
+func TestClockOfAnEarlierIncarnationIsNotUsed(t *testing.T) {
+	runner := &tokenRunner{born: 1}
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
+	hold(t, l)
+	late := lateRunner{letGo: make(chan struct{})}
+	l.Runners = late
+	answered := make(chan bool)
+	go func() { answered <- l.sendHold(t.Context(), order.Runner, HoldOrder{Token: 1}) }()
+	time.Sleep(50 * time.Millisecond) // until it was sent
+	l.Runners = runner
+	runner.restart()
+	hold(t, l)
+	l.raiseTokens(7)
+	hold(t, l)
+	close(late.letGo)
+	must.True(t, <-answered)
+	must.Eq(t, time.Minute, l.links["r"].clock)
+}
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -96,11 +96,16 @@
 	}
 }
 
-// loseEarlierRuns treats the runs of a runner's earlier incarnations as lost. The report is
+// loseEarlierRuns gives up the runs of a runner's earlier incarnations. The report is
 // the first one since its present incarnation refuses orders to them: it lists those of
 // them that the incarnation has carried out, or their ends. Runs whose start was not sent
 // are left to releaseStarts. If the report leaves ends out, a later one decides.
 func (c *Core) loseEarlierRuns(r *runner, report batch.Report, now steady.Time) {
+	for _, row := range report.Running {
+		if run := r.runs[runKey{row.Task, row.Attempt}]; run != nil && run.phase == stopping {
+			c.stopRun(run, now, "start was carried out after a restart") // the stop may have reached the incarnation before
+		}
+	}
 	if report.EndsTruncated {
 		return
 	}
--- a/batch/scheduler/startsunderway_test.go
+++ b/batch/scheduler/startsunderway_test.go
@@ -52,6 +52,14 @@
 	return w.TakeOrders()
 }
 
+// born returns the incarnation of a runner that reported last.
+func (w *twoRunners) born(id string) (born int64) {
+	for !w.ReportedLast(id, born) {
+		born++
+	}
+	return born
+}
+
 // restart has the runner "r" report as its next incarnation, which has seen a higher token.
 func (w *twoRunners) restart(born int64, r batch.Report) {
 	r.Born = born
@@ -296,3 +304,64 @@
 	w.AddJob(other, nil, w.now)
 	must.Eq(t, []string{"r"}, starts(w.decide()))
 }
+
+// Guards against a task that runs twice: a partition has kept its start for longer than a runner
+// keeps one, and lets it go a little after the first report.
+func TestStartThatAPartitionHasKeptIsUnderWayAfterIt(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartUnanswered(order)
+	w.CancelJob("j", w.now) // so that it isn't sent again
+	order.Kind = scheduler.StopRun
+	w.RunnerUnreachable("r", false, w.now)
+	w.HandleAnswer(order, scheduler.Accepted, w.now)
+	w.at(testLateOrders + time.Second)
+	for reachableFor, needed := range []bool{true, true, false} {
+		w.RunnerUnlisted("r")
+		w.report("r", batch.Report{Born: 1})
+		w.decide()
+		must.Eq(t, needed, w.RunnerNeeded("r"), must.Sprintf("%d s after the partition", reachableFor))
+		w.at(testLateOrders + time.Duration(2+reachableFor)*time.Second)
+	}
+}
+
+// An end that is kept back counts although its runner has not come back.
+func TestEndThatIsKeptBackCountsWithoutItsRunner(t *testing.T) {
+	w, order := newTwoRunners(t, nil)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartUnanswered(order)
+	w.NoteStartSent(order, w.now)
+	w.NoteStartAnswered(order)
+	w.HandleAnswer(order, scheduler.Accepted, w.now)
+	w.report("r", batch.Report{Born: 1, Ended: []batch.EndedTask{{Sequence: 1, Task: order.Task, Attempt: 1, Reason: batch.EndDone}}})
+	w.RunnerUnreachable("r", false, w.now)
+	for _, test := range []struct {
+		at   time.Duration
+		want batch.State
+	}{{testEarlierOrders, batch.Running}, {testEarlierOrders + time.Second, batch.Completed}} {
+		w.at(test.at)
+		must.SliceEmpty(t, w.decide())
+		w.decide()
+		state, _ := w.JobState("j")
+		must.Eq(t, test.want, state)
+	}
+}
+
+// Guards against a task of a cancelled job that goes on: the next incarnation has carried its start
+// out, which was under way.
+func TestStartOfACancelledJobThatIsCarriedOutLateIsStopped(t *testing.T) {
+	w, _ := newTwoRunners(t, inherited(true))
+	w.CancelJob("j", w.now)
+	stop := w.decide()[0]
+	for _, listedBefore := range []bool{false, true} { // by the incarnation that answered the stop
+		w.HandleAnswer(stop, scheduler.Accepted, w.now)
+		w.at(time.Second)
+		if !listedBefore {
+			w.report("r", batch.Report{Born: 1})
+		}
+		w.restart(w.born("r")+1, batch.Report{Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}})
+		orders := w.decide()
+		must.Len(t, 1, orders)
+		must.Eq(t, scheduler.StopRun, orders[0].Kind)
+	}
+}
