--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -46,6 +46,7 @@
 
 	// repeatRecordTimeout bounds how long a start waits for its record before it is sent again.
 	repeatRecordTimeout = 500 * time.Millisecond
+	reportTimeout       = 150 * time.Millisecond // of a report between two tries of a start; most arrive within a few round trips
 	startTimeout        = 450 * time.Millisecond // three tries end before the rest of a gang has waited too long
 	stopTimeout         = 500 * time.Millisecond // time for a hundred round trips within a region
 	stopRetryDelay      = 100 * time.Millisecond // doubles up to stopRetryDelayMax
@@ -234,18 +235,19 @@
 	l.core.NoteAcknowledgementRefused(id)
 }
 
-// askForReport has a runner report at once, beside the hold that may be waiting there. It
-// returns false when the runner did not.
-func (l *Leader) askForReport(ctx context.Context, id string) bool {
+// askForReport has a runner report at once, beside the hold that may be waiting there.
+func (l *Leader) askForReport(ctx context.Context, id string) {
 	l.mu.Lock()
 	k := l.links[id]
 	if k == nil {
 		l.mu.Unlock()
-		return false
+		return
 	}
 	to, o := k.runner, HoldOrder{Token: k.token, Deadline: l.extendLease(k), NewConnection: true}
 	l.mu.Unlock()
-	return l.sendHold(ctx, to, o)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	l.sendHold(ctx, to, o)
 }
 
 // handleReport passes the report on a hold with the given token to the core. Until a
@@ -374,7 +376,7 @@
 // startRun sends a start order until it is answered or the run has been reported or
 // stopped meanwhile, at most maxStartTries times. Once a try may have been sent
 // without an answer, only Accepted is conclusive: the runner may still carry out the
-// earlier try. Another one is sent only if the runner reports and doesn't list the run.
+// earlier try. The runner is asked for a report before another one, as it may list the run.
 func (l *Leader) startRun(ctx context.Context, o scheduler.Order) scheduler.Answer {
 	ambiguous := false
 	for try := range maxStartTries {
@@ -397,7 +399,11 @@
 		}
 		if answer == Unanswered {
 			ambiguous = ambiguous || sent
-			if sent && !(l.askForReport(ctx, o.Runner.ID) && l.mayRepeatStart(ctx, o)) {
+			if !sent {
+				continue
+			}
+			l.askForReport(ctx, o.Runner.ID)
+			if !l.mayRepeatStart(ctx, o) {
 				break
 			}
 			continue
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,13 +206,18 @@
 	must.Eq(t, 7, l.links["r"].token)
 }
 
-// lateRunner answers holds as its first incarnation once it is let go.
+// lateRunner answers one hold as its first incarnation once it is let go, and the others at once.
 type lateRunner struct {
 	Runners
-	letGo chan struct{}
+	late        atomic.Bool // the next hold is answered late
+	sent, letGo chan struct{}
 }
 
-func (r lateRunner) Hold(context.Context, batch.Runner, HoldOrder) (batch.Report, Answer, error) {
+func (r *lateRunner) Hold(ctx context.Context, to batch.Runner, o HoldOrder) (batch.Report, Answer, error) {
+	if !r.late.CompareAndSwap(true, false) {
+		return r.Runners.Hold(ctx, to, o)
+	}
+	close(r.sent)
 	<-r.letGo
 	return batch.Report{Born: 1, Clock: time.Hour}, Accepted, nil
 }
@@ -221,13 +227,13 @@
 func TestClockOfAnEarlierIncarnationIsNotUsed(t *testing.T) {
 	runner := &tokenRunner{born: 1}
 	l, order := leaderOfOneRunner(t, runner, time.Minute)
-	hold(t, l)
-	late := lateRunner{letGo: make(chan struct{})}
+	late := &lateRunner{Runners: runner, sent: make(chan struct{}), letGo: make(chan struct{})}
 	l.Runners = late
+	hold(t, l)
+	late.late.Store(true)
 	answered := make(chan bool)
 	go func() { answered <- l.sendHold(t.Context(), order.Runner, HoldOrder{Token: 1}) }()
-	time.Sleep(50 * time.Millisecond) // until it was sent
-	l.Runners = runner
+	<-late.sent
 	runner.restart()
 	hold(t, l)
 	l.raiseTokens(7)
--- a/batch/scheduler/acknowledgement.go
+++ b/batch/scheduler/acknowledgement.go
@@ -31,7 +31,7 @@
 		return false
 	}
 	r.acknowledge()
-	return r.ackedEnd > r.forgottenEnd && r.hasStartsUnderWay()
+	return r.ackedEnd > r.forgottenEnd && (r.hasStartsUnderWay() || r.startsDeferred && !r.acknowledgementOverdue)
 }
 
 // NoteAcknowledgementSent notes that a hold is about to be sent that acknowledges ends.
@@ -85,13 +85,14 @@
 		return true
 	}
 	r.acknowledge()
-	if r.ackedEnd <= r.forgottenEnd || !r.startsAwaited() {
+	if r.ackedEnd <= r.forgottenEnd || !r.startsAwaited() && !r.startsDeferred {
 		return false
 	}
 	if r.unacknowledgedSince.IsZero() {
 		r.unacknowledgedSince = now
 	}
-	return now.Sub(r.unacknowledgedSince) > maxAcknowledgementDelay
+	r.acknowledgementOverdue = now.Sub(r.unacknowledgedSince) > maxAcknowledgementDelay
+	return r.acknowledgementOverdue
 }
 
 // startsAwaited reports whether all starts under way to the runner may still be answered.
@@ -106,17 +107,33 @@
 	return awaited
 }
 
+// maxUnacknowledgedEnds is how many ends may wait on a runner that can't be acknowledged before it
+// gets no more starts: fewer than a report lists.
+const maxUnacknowledgedEnds = 400
+
+// reportsNearlyFull reports whether the runner's reports will soon leave ends out, as starts under
+// way keep them from being acknowledged.
+func (r *runner) reportsNearlyFull() bool {
+	return r.lastEndSeen-r.forgottenEnd > maxUnacknowledgedEnds && r.hasStartsUnderWay()
+}
+
 // deferStarts keeps the starts of a unit for releaseDeferred.
 func (c *Core) deferStarts(u *unit) {
 	if !slices.Contains(c.deferred, u) {
 		c.deferred = append(c.deferred, u)
 	}
+	for _, r := range u.runs {
+		r.runner.startsDeferred = true
+	}
 }
 
 // releaseDeferred issues the starts that waited for an acknowledgement.
 func (c *Core) releaseDeferred(now steady.Time) {
 	deferred := c.deferred
 	c.deferred = nil
+	for _, r := range c.allRunners {
+		r.startsDeferred = false
+	}
 	for _, u := range deferred {
 		c.releaseStarts(u, now)
 	}
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -105,6 +105,10 @@
 		if u.needsAdvice() {
 			delete(u.stepAdvice().byRunner, r.runner.ID) // the ticket may be the reason for the refusal
 		}
+		if r.starts.any() && a == Unhealthy && u.tasks == 1 {
+			c.withdraw(r, now) // nothing was done: it may be sent again
+			return
+		}
 		if r.starts.any() {
 			c.stopUnit(u, now, "start refused while an earlier try is under way")
 			return
@@ -126,9 +130,9 @@
 // can be reached.
 const maxUnanswered = 4 * time.Second
 
-// maxUnansweredGang is how long the members of a gang wait for one whose start has no answer: the
-// time for a report that may list it.
-const maxUnansweredGang = 300 * time.Millisecond
+// maxGangStart is how long a gang waits for a member whose start has no answer. Its other members
+// end by themselves a second later.
+const maxGangStart = 2 * time.Second
 
 // handleUnansweredStarts has starts sent again that have no answer, and stops a unit if one of
 // its starts was left without an answer too often, or if others wait for its task.
@@ -137,12 +141,12 @@
 		if r.phase != ordered || r.unansweredAt.IsZero() {
 			continue
 		}
-		waited := now.Sub(r.unansweredAt)
-		if r.rounds >= maxStartRounds || u.tasks > 1 && waited > maxUnansweredGang || r.runner.reachable && waited > maxUnanswered {
+		gangWaits := u.tasks > 1 && now.Sub(r.createdAt) > maxGangStart
+		if r.rounds >= maxStartRounds || gangWaits || r.runner.reachable && now.Sub(r.unansweredAt) > maxUnanswered {
 			c.stopUnit(u, now, "start without an answer")
 			return
 		}
-		if r.mayStart() && r.runner.acceptsStarts(c, now) && !c.suspended(r.runner, now) && u.permitted(r.runner, now, startLatency) {
+		if r.mayStart() && r.runner.acceptsStarts(c, now) && u.permitted(r.runner, now, startLatency) {
 			c.planRepeat(r, now)
 		}
 	}
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -43,6 +43,7 @@
 	failures          int
 	failedAttempts    []int // the attempts that are counted in failures; none for long-running tasks
 	attempt           int
+	endedAttempt      int // the last attempt of which a runner has reported an end
 	checkpoint        string
 	checkpointAttempt int            // the attempt that made the checkpoint
 	checkpointPercent int            // progress of the member that made it
--- a/batch/scheduler/move.go
+++ b/batch/scheduler/move.go
@@ -25,7 +25,7 @@
 // shouldMove reports whether a unit is going to be late where it runs and would
 // be in time elsewhere. If so, it counts the move.
 func (c *Core) shouldMove(u *unit, now steady.Time) bool {
-	if u.done || u.timesMoved >= maxMoves || u.spec().LongRunning {
+	if u.done || u.timesMoved >= maxMoves || u.spec().LongRunning || u.waitsIfStopped() {
 		return false
 	}
 	here, known := u.measuredTimeLeft(now)
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -121,7 +121,7 @@
 		if r.Service != u.job.spec.Service || !r.hasLabel(step.Label) || !r.acceptsStarts(c, now) {
 			continue
 		}
-		if c.suspended(r, now) || len(r.orphans) > 0 || r.conflictsWith(step) {
+		if c.suspended(r, now) || len(r.orphans) > 0 || r.conflictsWith(step) || r.reportsNearlyFull() {
 			continue
 		}
 		if reserved.holds(r, u) {
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -297,9 +297,9 @@
 
 // yieldsTo reports whether u may be preempted for o. A long-running unit is
 // never preempted, and may preempt every unit that isn't long-running or
-// urgent.
+// urgent. One that couldn't start again soon isn't preempted either.
 func (u *unit) yieldsTo(o *unit) bool {
-	if u.spec().LongRunning {
+	if u.spec().LongRunning || u.waitsIfStopped() {
 		return false
 	}
 	if o.spec().LongRunning {
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -156,6 +156,7 @@
 	c.noteBegun(j)
 	u.keepCheckpoint(e.Checkpoint, ended)
 	c.noteCarriedOut(ended)
+	u.endedAttempt = e.Attempt
 	c.settleEnded(ended, now)
 	c.markChanged(j)
 	switch e.Reason {
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -37,29 +37,30 @@
 
 // runner is a runner with the runs that may exist on it.
 type runner struct {
-	batch.Runner                      // as its entry describes it, but Born: the incarnation that reported last
-	describedBorn     int64           // the incarnation that its entry describes; 0: unknown
-	restartedBorn     int64           // the last incarnation whose restart was passed to the observer
-	listed            bool            // its entry in the store exists
-	reportRequestedAt steady.Time     // when the last report was requested
-	reportReceivedAt  steady.Time     // when the last report arrived
-	reportDueBy       steady.Time     // when the report that it owes should have arrived; 0: it owes none
-	domainSilent      bool            // its failure domain seems to be cut off
-	reachable         bool            // it answered the last hold
-	reachableSince    steady.Time     // when the first hold was sent that it has answered since it last left one without an answer
-	leaseEndsBy       steady.Time     // when its lease has certainly run out, unless earlier orders extend it
-	earlierOrdersBy   steady.Time     // until it is fenced: when leases that orders to its earlier incarnation may extend have run out
-	reserved          batch.Resources // by its runs
-	reservedUrgent    batch.Resources // by urgentRuns
-	urgentRuns        []*run          // those of its runs that nothing may preempt
-	runs              map[runKey]*run
-	orphans           map[runKey]steady.Time // runs that no record names, and when they were last ordered to stop
-	lastEndSeen       int64                  // highest sequence number of a handled end
-	ackedEnd          int64                  // highest sequence number of a recorded end
-	forgottenEnd      int64                  // the same, of an end that the runner has forgotten
-	pendingEnds       []pendingEnd
-	acknowledgement   acknowledgement
-	acknowledgedBorn  int64 // the incarnation to which the last acknowledgement was sent; 0: none was
+	batch.Runner                                           // as its entry describes it, but Born: the incarnation that reported last
+	describedBorn                          int64           // the incarnation that its entry describes; 0: unknown
+	restartedBorn                          int64           // the last incarnation whose restart was passed to the observer
+	listed                                 bool            // its entry in the store exists
+	reportRequestedAt                      steady.Time     // when the last report was requested
+	reportReceivedAt                       steady.Time     // when the last report arrived
+	reportDueBy                            steady.Time     // when the report that it owes should have arrived; 0: it owes none
+	domainSilent                           bool            // its failure domain seems to be cut off
+	reachable                              bool            // it answered the last hold
+	reachableSince                         steady.Time     // when the first hold was sent that it has answered since it last left one without an answer
+	leaseEndsBy                            steady.Time     // when its lease has certainly run out, unless earlier orders extend it
+	earlierOrdersBy                        steady.Time     // until it is fenced: when leases that orders to its earlier incarnation may extend have run out
+	reserved                               batch.Resources // by its runs
+	reservedUrgent                         batch.Resources // by urgentRuns
+	urgentRuns                             []*run          // those of its runs that nothing may preempt
+	runs                                   map[runKey]*run
+	orphans                                map[runKey]steady.Time // runs that no record names, and when they were last ordered to stop
+	lastEndSeen                            int64                  // highest sequence number of a handled end
+	ackedEnd                               int64                  // highest sequence number of a recorded end
+	forgottenEnd                           int64                  // the same, of an end that the runner has forgotten
+	pendingEnds                            []pendingEnd
+	acknowledgement                        acknowledgement
+	startsDeferred, acknowledgementOverdue bool
+	acknowledgedBorn                       int64 // the incarnation to which the last acknowledgement was sent; 0: none was
 	// unacknowledgedSince is when a start was first sent although ends could have been
 	// acknowledged; 0: none was since the last acknowledgement.
 	unacknowledgedSince steady.Time
@@ -207,7 +208,7 @@
 // incarnation.
 func (c *Core) AcknowledgedEnd(id string) int64 {
 	r := c.runners[id]
-	if r == nil || !r.reachable || r.awaitsReport() || r.hasStartsUnderWay() {
+	if r == nil || !r.reachable || r.awaitsReport() || r.hasStartsUnderWay() || r.startsDeferred && !r.acknowledgementOverdue {
 		return 0
 	}
 	r.acknowledge()
@@ -229,7 +230,9 @@
 	}
 	if r.acknowledgedBorn == 0 || r.acknowledgedBorn == r.Born { // a report of the next incarnation may overtake the answer
 		r.forgottenEnd = max(r.forgottenEnd, upTo)
-		r.unacknowledgedSince = 0
+		if upTo > 0 {
+			r.unacknowledgedSince, r.acknowledgementOverdue = 0, false
+		}
 	}
 }
 
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -184,6 +184,12 @@
 	return asked.After(c.carriedOutBy(r)) && asked.Sub(r.runner.reachableSince) >= resumptionTime
 }
 
+// waitsIfStopped reports whether the unit could not start elsewhere soon if it was stopped now:
+// a try of one of its starts has no answer, and is not waited for any more.
+func (u *unit) waitsIfStopped() bool {
+	return slices.ContainsFunc(u.runs, func(r *run) bool { return r.starts.tries > r.starts.awaited })
+}
+
 // hasStartsUnderWay reports whether the runner may still carry out starts.
 func (r *runner) hasStartsUnderWay() bool {
 	for _, run := range r.runs {
@@ -235,6 +241,10 @@
 	c.detach(r)
 }
 
+// maxWithdrawnMember is how long the members of a gang that are there wait for one whose start
+// can't be sent again.
+const maxWithdrawnMember = 300 * time.Millisecond
+
 // resendWithdrawn has the starts of a unit's withdrawn runs sent again that have not begun and
 // were not stopped, if all of the unit's runs are there or may be.
 func (c *Core) resendWithdrawn(u *unit, now steady.Time) {
@@ -268,7 +278,7 @@
 		}
 		return
 	}
-	if missing := due[reserved]; len(due) < len(u.runs) && now.Sub(missing.phaseSince) > maxUnansweredGang {
+	if missing := due[reserved]; len(due) < len(u.runs) && now.Sub(missing.phaseSince) > maxWithdrawnMember {
 		c.stopUnit(u, now, "the start of another member can't be sent again")
 	}
 }
@@ -293,14 +303,14 @@
 }
 
 // attachFound adds a run to its task that a runner lists and that no record names there, unless
-// the task has another run. It reports whether it did.
+// the task has another run or the run's end was read already. It reports whether it did.
 func (c *Core) attachFound(r *runner, key runKey, now steady.Time) bool {
 	j := c.jobs[key.task.Job]
 	if j == nil || j.state.Final() {
 		return false
 	}
 	u := j.unitWithTask(key.task.Occurrence, key.task.Step, key.task.Index)
-	if u == nil || !u.waiting() || key.attempt > u.attempt {
+	if u == nil || !u.waiting() || key.attempt > u.attempt || key.attempt == u.endedAttempt {
 		return false
 	}
 	found := &run{
