Scheduler: a done end counts at once, and is acknowledged later

Callers heard of the end of a task up to 12 s late when another try of its start was under way: the end was kept back. Cause: it was taken for noted once it was recorded. Change: a done task is recorded at once; its run stays withdrawn on its runner, so that no end is acknowledged there until no try is under way, also by the next leader. What the next incarnation carries out meanwhile is stopped.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -282,8 +282,9 @@
 }
 
 // raiseTokens raises the tokens of the runners that have restarted, or have left an
-// acknowledgement without an answer, to the revision of a commit of this term. Only this term uses that revision, as the commit is conditional on
-// the term, and the token of each later term is higher. The caller holds mu.
+// acknowledgement without an answer, to the revision of a commit of this term. Only this term
+// uses that revision, as the commit is conditional on the term, and the token of each later term
+// is higher. The caller holds mu.
 func (l *Leader) raiseTokens(revision uint64) {
 	for id, k := range l.links {
 		if (k.awaitsToken() || l.core.AwaitsToken(id)) && revision > k.token {
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -30,7 +30,7 @@
 // runner must be the incarnation that the run was planned for.
 func (c *Core) AwaitsStart(o Order) bool {
 	run := c.runOf(o)
-	return run != nil && run.phase == ordered && run.mayStart() && !run.unit.done && !run.unit.endHeld
+	return run != nil && run.phase == ordered && run.mayStart() && !run.unit.done
 }
 
 // mayStart reports whether the run's runner is, as far as is known, the incarnation that
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -57,7 +57,7 @@
 
 // Decision is one decision of the core, for logs and counters.
 type Decision struct {
-	What            string // "place", "reserve", "refused", "stop", "end", "withdraw", "repeat", "end kept back", "found run" or "unrecorded run"
+	What            string // "place", "reserve", "refused", "stop", "end", "withdraw", "repeat", "found run" or "unrecorded run"
 	Job             string
 	Task            batch.TaskID
 	Attempt         int
@@ -116,7 +116,6 @@
 	reservations map[string]*reservation // by service
 	answered     []*job                  // jobs with starts that were answered since answersRecordedAt
 	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
-	heldEnds     []*unit                 // done, which is kept back while starts of them are under way
 	deferred     []*unit                 // with starts that wait for an acknowledgement to a runner
 
 	// State of one scheduling pass: the slots found so far, and the number of
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -44,7 +44,6 @@
 // compared with.
 func (c *Core) Decide(now steady.Time, wall time.Time) {
 	c.releaseDeferred(now)
-	c.completeHeldEnds(now)
 	c.recordAnswers(now)
 	c.expireLeases(now)
 	c.noteSilentDomains(now)
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -39,7 +39,6 @@
 	first             int // index of its first task
 	tasks             int
 	done              bool
-	endHeld           bool // a run has ended done, and that is kept back while starts are under way
 	failures          int
 	failedAttempts    []int // the attempts that are counted in failures; none for long-running tasks
 	attempt           int
@@ -109,7 +108,7 @@
 	)
 }
 
-func (u *unit) waiting() bool { return !u.done && !u.endHeld && len(u.runs) == 0 }
+func (u *unit) waiting() bool { return !u.done && len(u.runs) == 0 }
 
 func (r *run) task() batch.TaskID {
 	return batch.TaskID{Job: r.unit.job.spec.ID, Occurrence: r.unit.occurrence, Step: r.unit.step, Index: r.index}
@@ -187,14 +186,16 @@
 		}
 		if t.Done {
 			j.markDone(u)
-			continue
 		}
-		if t.Runner != "" && !j.state.Final() {
+		if t.Runner != "" && (t.Open || !t.Done && !j.state.Final()) {
 			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: cmp.Or(t.RunAttempt, t.Attempt), phase: inherited, born: recorded.Incarnations[t.Runner], createdAt: now, phaseSince: now, resumed: true}
 			r.starts.settled = !t.Open
 			if t.Open {
 				r.starts.noteInherited(t.SentOnce, now, c.inheritedStartsEnd(t.Runner, now))
 			}
+			if t.Done || j.state.Final() {
+				r.phase = withdrawn
+			}
 			c.attach(r)
 		}
 	}
@@ -256,10 +257,9 @@
 		Occurrence: u.occurrence, Step: u.step, Index: u.first,
 		Done: u.done, Failures: u.failures, Failed: slices.Clone(u.failedAttempts), Attempt: u.attempt,
 	}
-	if u.done {
-		return append(rows, row)
+	if !u.done {
+		row.Checkpoint = u.checkpoint
 	}
-	row.Checkpoint = u.checkpoint
 	if len(u.runs) == 0 {
 		return append(rows, row)
 	}
@@ -366,7 +366,9 @@
 func (c *Core) attach(r *run) {
 	r.unit.runs = append(r.unit.runs, r)
 	r.runner.runs[runKey{r.task(), r.attempt}] = r
-	r.reserve()
+	if r.phase != withdrawn {
+		r.reserve()
+	}
 }
 
 // reserve reserves the run's resources on its runner.
--- a/batch/scheduler/openstart_test.go
+++ b/batch/scheduler/openstart_test.go
@@ -46,7 +46,7 @@
 	must.Eq(t, map[string]bool{"r": true, "q": true}, stopped)
 }
 
-// Guards against a series of leaders each of which waits anew for an open start.
+// Guards against a series of leaders each of which waits anew for a start under way.
 func TestRecordedLeaseEndCountsForAnOpenStart(t *testing.T) {
 	const now = worldStart
 	core := scheduler.New(scheduler.Options{
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -136,7 +136,6 @@
 		if j != nil {
 			c.handleEnd(r, j, e, now)
 			pending.job, pending.version = j, j.version
-			pending.unit = j.unitWithTask(e.Task.Occurrence, e.Task.Step, e.Task.Index)
 		}
 		r.pendingEnds = append(r.pendingEnds, pending)
 	}
@@ -163,9 +162,7 @@
 	case batch.EndDone:
 		c.speeds.learnEnd(ended, now)
 		r.failures = 0
-		if !c.holdEnd(u) {
-			c.completeUnit(u, now)
-		}
+		c.completeUnit(u, now)
 	case batch.EndFailed:
 		c.countFailure(u, ended, now)
 	}
@@ -188,9 +185,7 @@
 		return
 	}
 	c.markChanged(j)
-	if !c.holdEnd(u) {
-		c.completeUnit(u, now)
-	}
+	c.completeUnit(u, now)
 	c.stopUnit(u, now, "an earlier attempt is done")
 }
 
@@ -205,6 +200,11 @@
 		return // it is started again
 	}
 	j.markDone(u)
+	if u.spec().Gang { // it is done only if each member has begun
+		for _, r := range u.runs {
+			c.noteCarriedOut(r)
+		}
+	}
 	if !u.spec().Gang { // the members of a gang end together
 		c.stopUnit(u, now, "another copy is done")
 	}
@@ -305,7 +305,7 @@
 		}
 	}
 	c.noteBegun(r.unit.job)
-	if u := r.unit; reappeared && (u.done || u.endHeld || u.spec().Gang || u.job.state.Final()) {
+	if u := r.unit; reappeared && (u.done || u.spec().Gang || u.job.state.Final()) {
 		c.stopUnit(u, now, "start was carried out after its run was withdrawn")
 	}
 	if r.startedAt.IsZero() {
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -87,7 +87,6 @@
 type pendingEnd struct {
 	sequence int64
 	job      *job
-	unit     *unit
 	version  int
 }
 
@@ -240,7 +239,7 @@
 func (r *runner) acknowledge() {
 	n := 0
 	for _, e := range r.pendingEnds {
-		if e.job != nil && (e.version > e.job.committed || e.unit != nil && e.unit.endHeld) {
+		if e.job != nil && e.version > e.job.committed {
 			break
 		}
 		r.ackedEnd = max(r.ackedEnd, e.sequence)
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -15,9 +15,10 @@
 //   - its task stays on the runner: the run is withdrawn and not lost when it is not there;
 //   - the start may be sent there again as the same attempt, as no incarnation runs one attempt
 //     twice;
-//   - an end of the task is kept back;
-//   - no end is acknowledged to the runner, as a hold that does so might reach the next
-//     incarnation and drop the end of the run that the start began there.
+//   - no end is acknowledged to the runner. A start of a task whose end was acknowledged would
+//     run the task again, and a hold that acknowledges ends might reach the next incarnation and
+//     drop the end of the run that the start began there. An end that isn't acknowledged is gone
+//     with its incarnation; if the task is done already, what the next one carries out is stopped.
 
 // startsUnderWay is what is known of the tries of a run's start.
 type startsUnderWay struct {
@@ -204,6 +205,9 @@
 // is under way there.
 func (c *Core) giveUp(r *run, now steady.Time, reason string) {
 	switch {
+	case !r.starts.any() && r.unit.done:
+		c.detach(r)
+		c.markChanged(r.unit.job)
 	case !r.starts.any():
 		c.loseRun(r, now, reason)
 	case r.phase != withdrawn:
@@ -248,7 +252,7 @@
 // resendWithdrawn has the starts of a unit's withdrawn runs sent again that have not begun and
 // were not stopped, if all of the unit's runs are there or may be.
 func (c *Core) resendWithdrawn(u *unit, now steady.Time) {
-	if u.endHeld || !u.memberEndedAt.IsZero() || len(u.runs) != u.tasks {
+	if u.done || !u.memberEndedAt.IsZero() || len(u.runs) != u.tasks {
 		return
 	}
 	var due []*run
@@ -325,50 +329,3 @@
 	}
 	return true
 }
-
-// holdEnd keeps the end of a unit that is done back if starts of it are under way, and reports
-// whether it does.
-func (c *Core) holdEnd(u *unit) bool {
-	if u.spec().Gang { // it is done only if each member has begun
-		for _, r := range u.runs {
-			c.noteCarriedOut(r)
-		}
-	}
-	held := slices.ContainsFunc(u.runs, func(r *run) bool { return r.starts.any() })
-	if held && !u.endHeld {
-		u.endHeld = true
-		c.heldEnds = append(c.heldEnds, u)
-		c.notifyObserver("end kept back", u.runs[0], "a start of the task is under way")
-	}
-	return u.endHeld
-}
-
-// completeHeldEnds completes the units whose ends were kept back, once no start of them can be
-// carried out any more.
-func (c *Core) completeHeldEnds(now steady.Time) {
-	c.heldEnds = slices.DeleteFunc(c.heldEnds, func(u *unit) bool {
-		if slices.ContainsFunc(u.runs, func(r *run) bool { return r.starts.any() }) {
-			return false
-		}
-		c.completeHeldEnd(u, now)
-		return true
-	})
-}
-
-func (c *Core) completeHeldEnd(u *unit, now steady.Time) {
-	u.endHeld = false
-	for _, r := range slices.Clone(u.runs) {
-		if r.phase == withdrawn {
-			c.detach(r)
-		}
-	}
-	c.completeUnit(u, now)
-	c.markChanged(u.job)
-	for _, r := range c.allRunners {
-		for i := range r.pendingEnds {
-			if r.pendingEnds[i].unit == u {
-				r.pendingEnds[i].version = u.job.version
-			}
-		}
-	}
-}
