Logs: how a runner's entry was when it was removed, and how old a run is that is given up

'runner left' didn't say which incarnation the entry described, nor whether it announced a departure; a removal that counts for no departure had no line; 'end' didn't say how long before the runner had accepted the run. The account of a job left the lines out that say what was believed of its runners, but for two: its test fails without them.

--- a/batch/account/account.go
+++ b/batch/account/account.go
@@ -43,6 +43,12 @@
 	Read  int    // number of lines read, of any job
 }
 
+// runnerMessages are the lines about a runner that belong to the account of a job that ran there.
+var runnerMessages = map[string]bool{
+	"runner": true, "runner left": true, "runner's entry removed": true, "runner gone": true,
+	"runner restarted": true, "runner fenced": true,
+}
+
 // clusterMessages lists the messages of cluster events, which may affect any job.
 var clusterMessages = map[string]bool{
 	"term acquired": true, "term ended": true, "term lost: its lease has ended": true, "term lost: another host leads": true,
@@ -81,7 +87,7 @@
 			case about:
 				a.Lines = append(a.Lines, line)
 				jobRunners[line.Get("runner")] = true
-			case line.What == "runner" || line.What == "runner gone":
+			case runnerMessages[line.What]:
 				runnerLines = append(runnerLines, line)
 			case clusterMessages[line.What]:
 				clusterLines = append(clusterLines, line)
--- a/batch/account/account_test.go
+++ b/batch/account/account_test.go
@@ -39,6 +39,27 @@
 	must.Eq(t, 9, a.Read)
 }
 
+// Guards against an account that doesn't show why the runs on a runner were given up.
+func TestAccountShowsWhatWasBelievedOfTheJobsRunners(t *testing.T) {
+	at := func(second int, text string) string {
+		return fmt.Sprintf("time=2026-01-01T00:00:%02d.000Z level=info msg=%s\n", second, text)
+	}
+	log := at(1, "place host=b job=00ff task=1 runner=i-7")
+	want := []string{"place"}
+	for i, what := range []string{"runner restarted", "runner fenced", "runner's entry removed", "runner left", "runner gone"} {
+		log += at(2+i, fmt.Sprintf("%q host=b runner=i-7", what)) + at(2+i, fmt.Sprintf("%q host=b runner=i-8", what))
+		want = append(want, what)
+	}
+	log += at(9, "end host=b job=00ff task=1 runner=i-7 reason=stopped")
+	a, err := account.Read("00ff", []io.Reader{strings.NewReader(log)}, nil)
+	must.NoError(t, err)
+	var got []string
+	for _, l := range a.Lines {
+		got = append(got, l.What)
+	}
+	must.Eq(t, append(want, "end"), got)
+}
+
 func TestAccountOfUnknownJobAsksForLogsOfEveryHost(t *testing.T) {
 	a, err := account.Read("0bad", []io.Reader{strings.NewReader(hostA)}, nil)
 	must.NoError(t, err)
--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -176,7 +176,9 @@
 // soon after a heartbeat, otherwise as unlisted after unlistGrace.
 func (l *runnerList) entryDeleted(id string, now steady.Time) {
 	beat, seen := l.lastHeartbeat[id]
-	if !seen || now.Sub(beat) > l.departureWindow {
+	left := seen && now.Sub(beat) <= l.departureWindow
+	l.logDeletion(id, left, now)
+	if !left {
 		l.unlistAfterGrace(id)
 		return
 	}
@@ -185,10 +187,25 @@
 	l.endAbsence(id)
 	delete(l.runners, id)
 	delete(l.lastHeartbeat, id)
-	l.log.Info("runner left", "runner", id, "heartbeat-age", now.Sub(beat).Round(time.Millisecond))
 	l.events.Left(id)
 }
 
+// logDeletion logs that a runner's entry was deleted, with the entry that was read last.
+func (l *runnerList) logDeletion(id string, left bool, now steady.Time) {
+	what := "runner's entry removed"
+	if left {
+		what = "runner left"
+	}
+	l.mu.Lock()
+	last, listed := l.runners[id]
+	l.mu.Unlock()
+	age := "unknown"
+	if beat, seen := l.lastHeartbeat[id]; seen {
+		age = now.Sub(beat).Round(time.Millisecond).String()
+	}
+	l.log.Info(what, "runner", id, "heartbeat-age", age, "listed", listed, "draining", last.Draining, "born", last.Born)
+}
+
 // unlistAfterGrace reports a runner as unlisted unless its entry comes back within
 // unlistGrace.
 func (l *runnerList) unlistAfterGrace(id string) {
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -229,7 +229,8 @@
 	l.countDecision(d)
 	l.Log.Info(d.What, "job", d.Job, "occurrence", d.Task.Occurrence, "step", d.Task.Step, "task", d.Task.Index,
 		"attempt", d.Attempt, "runner", d.Runner, "reason", d.Reason, "token", l.term.Token, "waited", d.Waited.Round(time.Millisecond),
-		"factor", math.Round(d.TimeFactor*100)/100, "work", d.Work.Round(time.Millisecond), "remote", d.Remote)
+		"factor", math.Round(d.TimeFactor*100)/100, "work", d.Work.Round(time.Millisecond), "remote", d.Remote,
+		"since-accepted", d.SinceAccepted.Round(time.Millisecond))
 }
 
 // logDomain logs that a failure domain fell silent, or that it reports again.
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -65,6 +65,7 @@
 	Reason          string
 	Waited          time.Duration
 	SincePreemption time.Duration // placements: time since others were preempted for it; 0: none were
+	SinceAccepted   time.Duration // runs that are given up: time since the runner accepted or first listed it; 0: it did neither
 	TimeFactor      float64       // placements: expected time relative to an average runner
 	Work            time.Duration // placements: expected duration on an average runner
 	Remote          bool          // placements: away from its data, or from the rest of its gang
@@ -261,7 +262,18 @@
 }
 
 func (c *Core) notifyObserver(what string, r *run, reason string) {
-	c.opts.Observe(Decision{
-		What: what, Job: r.unit.job.spec.ID, Task: r.task(), Attempt: r.attempt, Runner: r.runner.ID, Reason: reason,
-	})
+	c.opts.Observe(r.decision(what, reason))
+}
+
+// notifyGivenUp passes the decision to give up a run to the observer.
+func (c *Core) notifyGivenUp(what string, r *run, now steady.Time, reason string) {
+	d := r.decision(what, reason)
+	if !r.beganBy.IsZero() {
+		d.SinceAccepted = now.Sub(r.beganBy)
+	}
+	c.opts.Observe(d)
+}
+
+func (r *run) decision(what, reason string) Decision {
+	return Decision{What: what, Job: r.unit.job.spec.ID, Task: r.task(), Attempt: r.attempt, Runner: r.runner.ID, Reason: reason}
 }
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -297,7 +297,7 @@
 
 // loseRun removes a run that is gone without a reported end.
 func (c *Core) loseRun(r *run, now steady.Time, reason string) {
-	c.notifyObserver("end", r, reason)
+	c.notifyGivenUp("end", r, now, reason)
 	u := r.unit
 	c.detach(r)
 	c.markChanged(u.job)
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -211,7 +211,7 @@
 	case !r.starts.any():
 		c.loseRun(r, now, reason)
 	case r.phase != withdrawn:
-		c.notifyObserver("withdraw", r, reason)
+		c.notifyGivenUp("withdraw", r, now, reason)
 		c.withdraw(r, now)
 	}
 }
