--- a/soak/address_test.go
+++ b/soak/address_test.go
@@ -21,7 +21,7 @@
 func TestRunsAtOnceHaveDifferentPorts(t *testing.T) {
 	users := make(map[string]string)
 	for run := range runsAtOnce {
-		d, err := newDeployment(t.TempDir(), hostsOfARun, runnersOfARun, NewChecker())
+		d, err := newDeployment(t.TempDir(), hostsOfARun, runnersOfARun, 1, NewChecker())
 		must.NoError(t, err)
 		t.Cleanup(func() { must.NoError(t, d.close()) })
 		for user, address := range listenAddresses(t, d) {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -59,11 +59,13 @@
 	lives        sync.Mutex   // held while a runner announces that it drains, or reboots
 	log          func(string) // called with a line for each start that was kept
 
-	mu        sync.Mutex
-	fault     func(keyspace.Call) keyspace.Outcome // nil: none
-	specs     map[string]string                    // by job
-	tasks     map[string]runner.Task               // by job
-	lateUntil time.Time                            // when the last late order is carried out
+	mu              sync.Mutex
+	removals        *rand.Rand                           // decides which restarts are followed by a removal of the entry
+	earlierRemovals bool                                 // there are any
+	fault           func(keyspace.Call) keyspace.Outcome // nil: none
+	specs           map[string]string                    // by job
+	tasks           map[string]runner.Task               // by job
+	lateUntil       time.Time                            // when the last late order is carried out
 }
 
 // proxiedRunner is a stand-in runner that hosts reach through a proxy.
@@ -75,6 +77,7 @@
 	down          bool // crashed, left or cut off; its heartbeats have stopped
 	draining      bool
 	downSince     time.Time                       // when its state last changed
+	lastHeartbeat time.Time                       // when its entry was last written
 	ordersLate    func(path string) time.Duration // how much later it carries an order out; nil: no order is late
 	stalls        [2]int                          // by direction, scenarios that keep its bytes
 }
@@ -97,12 +100,12 @@
 	ended       chan struct{}
 }
 
-func newDeployment(dir string, hosts, runners int, checker *Checker) (*deployment, error) {
+func newDeployment(dir string, hosts, runners int, seed uint64, checker *Checker) (*deployment, error) {
 	address, err := reserveAddress()
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, name: fmt.Sprintf("soak-%016x", rand.Uint64()), address: address, checker: checker, specs: make(map[string]string), tasks: make(map[string]runner.Task)}
+	d := &deployment{dir: dir, name: fmt.Sprintf("soak-%016x", rand.Uint64()), address: address, checker: checker, removals: rand.New(rand.NewPCG(seed, 5)), specs: make(map[string]string), tasks: make(map[string]runner.Task)}
 	d.store = keyspace.New(keyspace.Options{Fault: d.storeOutcome, ApplyDelay: lateApply})
 	if d.storeAddress, err = d.serve(standin.StoreHandler(d.store)); err != nil {
 		return nil, errors.CombineErrors(err, address.release())
@@ -281,9 +284,29 @@
 		return err
 	}
 	d.writeKey(platform.RunnerPrefix+r.id, entry)
+	d.mu.Lock()
+	r.lastHeartbeat = time.Now()
+	d.mu.Unlock()
 	return nil
 }
 
+// entryRemovalOdds: after one restart in entryRemovalOdds, the entry is removed by the clock of
+// the incarnation that crashed.
+const entryRemovalOdds = 2
+
+// removeEntryByEarlierClock removes a runner's entry entryTimeout after the last heartbeat of its
+// present incarnation, whatever later ones write. It does so after some of the restarts.
+func (d *deployment) removeEntryByEarlierClock(r *proxiedRunner) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	due := r.lastHeartbeat.Add(entryTimeout)
+	if !d.earlierRemovals || d.removals.IntN(entryRemovalOdds) != 0 {
+		return
+	}
+	d.log("entry to be removed by the clock of the incarnation that crashed: " + r.id)
+	time.AfterFunc(time.Until(due), func() { d.deleteKey(platform.RunnerPrefix + r.id) })
+}
+
 // writeKey writes a key without faults, since the platform's own writes always
 // take effect.
 func (d *deployment) writeKey(key string, value []byte) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -127,6 +127,7 @@
 
 // crashRunner crashes a runner; the end of the fault reboots it under its id.
 func crashRunner(d *deployment, r *proxiedRunner, _ *rand.Rand) func() {
+	d.removeEntryByEarlierClock(r)
 	d.setRunnerState(r, true, false)
 	d.runnerServer.WithPool(func(now steady.Time, p *runner.Pool) { p.Crash(now, r.id) })
 	return func() { d.rebootRunner(r) }
