Conditions: a deletion shows only a departure that the incarnation announced

Cause: the deletion of a runner's entry soon after a heartbeat counted for the departure of the runner. A deletion names no incarnation. An entry is also removed three heartbeat intervals after the last one of an incarnation that crashed, when the next one has written its own; then all runs that the next one had accepted were given up and their tasks placed elsewhere.

Change: a deletion is a departure only if the entry read last drains, its announced time is over, a heartbeat was read shortly before, and the incarnation has been known for longer than the one before may be taken for silent. An entry that is read together with its deletion counts. Left and RunnerLeft name the incarnation. The log gives the reason. All else that a deletion may mean is covered by the runner's lease.

Such removals are part of all runs of the soak now. Each condition taken out by itself fails a row or two of the new table. The rows of TestDepartedRunnerIsDistinguishedFromSilentRunner keep their times; the incarnation has been known for a minute in them, since a deletion of one that is known for less may concern the one before.

--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -56,7 +56,7 @@
 
 func (r *eventCounter) Listed(batch.Runner) { r.mu.Lock(); r.listed++; r.mu.Unlock() }
 func (r *eventCounter) Unlisted(string)     { r.mu.Lock(); r.unlisted++; r.mu.Unlock() }
-func (r *eventCounter) Left(string)         { r.mu.Lock(); r.left++; r.mu.Unlock() }
+func (r *eventCounter) Left(string, int64)  { r.mu.Lock(); r.left++; r.mu.Unlock() }
 
 // counts returns the numbers of listed, unlisted and left events.
 func (r *eventCounter) counts() [3]int {
@@ -115,7 +115,7 @@
 			l.readDone()
 			l.apply([]kvstore.Event{{Item: own}}) // a heartbeat, so that a deletion would be a departure
 			if name == "after an absence" {
-				clear(l.lastHeartbeat)
+				clear(l.described)
 			}
 			replace(l)
 			must.Eq(t, [3]int{1, 1, 0}, events.counts())
@@ -141,6 +141,10 @@
 	must.Eq(t, [3]int{2, 1, 0}, events.counts())
 }
 
+// knownFor is how long an incarnation has been known whose entry may be removed for its own
+// silence only.
+const knownFor = time.Minute
+
 // storeRead is one read of the store: when it was sent and what it returned.
 type storeRead struct {
 	sent      time.Duration
@@ -176,7 +180,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			l := newRunnerList(ctx, jsonFormat, test.heartbeat, discardLogger(), events)
-			began := steady.Now()
+			began := steady.Now().Add(knownFor) // so that the incarnation is known for long
 			l.reset([]kvstore.Item{runnerItem("i-1", true, 1)})
 			for i, read := range test.reads {
 				l.readStarted(began.Add(read.sent))
@@ -198,6 +202,51 @@
 	}
 }
 
+// Guards against tasks that run twice: an entry is deleted soon after a heartbeat, as the runner's
+// earlier incarnation is silent, and the present one is taken for one that has left.
+func TestDeletionThatMayConcernAnEarlierIncarnationIsNoDeparture(t *testing.T) {
+	const heartbeat = 1500 * time.Millisecond
+	item := func(born int64, draining bool, remaining time.Duration) kvstore.Event {
+		text := fmt.Appendf(nil, `{"ID":"i-1","Service":"s","Draining":%t,"DrainRemaining":%d,"Born":%d}`, draining, remaining, born)
+		return kvstore.Event{Item: kvstore.Item{Key: "runner/i-1", Value: text}}
+	}
+	for name, test := range map[string]struct {
+		knownFor time.Duration   // how long the first incarnation has been known
+		read     []kvstore.Event // one second before the deletion
+		last     []kvstore.Event // in the same read as the deletion, and before it
+		left     int
+	}{
+		"announced":                       {knownFor, []kvstore.Event{item(1, true, 0)}, nil, 1},
+		"announced in the same read":      {knownFor, nil, []kvstore.Event{item(1, true, 0)}, 1},
+		"not announced":                   {knownFor, []kvstore.Event{item(1, false, 0)}, nil, 0},
+		"before the announced time":       {knownFor, []kvstore.Event{item(1, true, 5*time.Second)}, nil, 0},
+		"restarted":                       {knownFor, []kvstore.Event{item(2, false, 0)}, nil, 0},
+		"restarted, and announced":        {knownFor, []kvstore.Event{item(2, true, 0)}, nil, 0},
+		"restarted in the same read":      {knownFor, []kvstore.Event{item(1, true, 0)}, []kvstore.Event{item(2, false, 0)}, 0},
+		"known since shortly":             {2 * time.Second, []kvstore.Event{item(1, true, 0)}, nil, 0},
+		"another incarnation in between":  {knownFor, []kvstore.Event{item(2, true, 0), item(1, true, 0)}, nil, 1},
+		"removed and back, and announced": {knownFor, []kvstore.Event{deleted("i-1"), item(1, true, 0)}, nil, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events := &eventCounter{}
+			l := newRunnerList(t.Context(), jsonFormat, heartbeat, discardLogger(), events)
+			l.reset([]kvstore.Item{item(1, false, 0).Item})
+			began := steady.Now().Add(test.knownFor)
+			for i, read := range [][]kvstore.Event{nil, test.read, test.last} {
+				sent := began.Add(time.Duration(i) * time.Second)
+				l.now = func() steady.Time { return sent }
+				l.readStarted(sent)
+				l.apply(read)
+				if i < 2 {
+					l.readDone()
+				}
+			}
+			l.entryDeleted("i-1", began.Add(2*time.Second))
+			must.Eq(t, test.left, events.counts()[2])
+		})
+	}
+}
+
 // The configuration in force stays when an older one or one that can't be decoded
 // is read.
 func TestConfigurationIsNotReplacedByOlderOrUnreadableOne(t *testing.T) {
--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -54,13 +54,15 @@
 	format Format
 	log    *log.Logger
 	events dispatch.RunnerEventHandler
+	now    func() steady.Time
 
 	departureWindow time.Duration // departureWindowHeartbeats as a duration
+	earlierRemovals time.Duration // earlierRemovalHeartbeats as a duration
 
-	readSent      steady.Time            // when the read of the store in progress was sent
-	changesAfter  steady.Time            // the changes in this read happened after this time; 0: unknown
-	truncated     bool                   // the read in progress leaves changes out
-	lastHeartbeat map[string]steady.Time // by runner ID: a lower bound on the time of its last heartbeat
+	readSent     steady.Time            // when the read of the store in progress was sent
+	changesAfter steady.Time            // the changes in this read happened after this time; 0: unknown
+	truncated    bool                   // the read in progress leaves changes out
+	described    map[string]incarnation // by runner ID: the one that its entry described last
 
 	mu       sync.Mutex              // guards the maps below, and orders the events
 	runners  map[string]batch.Runner // listed runners by ID
@@ -69,17 +71,34 @@
 
 func newRunnerList(ctx context.Context, format Format, heartbeat time.Duration, logger *log.Logger, events dispatch.RunnerEventHandler) *runnerList {
 	return &runnerList{
-		ctx: ctx, format: format, log: logger, events: events, departureWindow: time.Duration(departureWindowHeartbeats * float64(heartbeat)),
-		lastHeartbeat: make(map[string]steady.Time), runners: make(map[string]batch.Runner),
+		ctx: ctx, format: format, log: logger, events: events, now: steady.Now,
+		departureWindow: time.Duration(departureWindowHeartbeats * float64(heartbeat)),
+		earlierRemovals: earlierRemovalHeartbeats * heartbeat,
+		described:       make(map[string]incarnation), runners: make(map[string]batch.Runner),
 		absences: make(map[string]*time.Timer),
 	}
 }
 
-// departureWindowHeartbeats is how soon after a heartbeat, in heartbeat intervals, an
-// entry must be deleted for its runner to count as having left on its own. The entry
-// of a silent runner is deleted after three intervals, and entries are deleted for no
-// other reason. The margin between 2.8 and 3 allows for clock differences.
-const departureWindowHeartbeats = 2.8
+// incarnation is an incarnation of a runner, as the runner's entry described it.
+type incarnation struct {
+	born          int64
+	knownBy       steady.Time // when an entry of it was first read
+	lastHeartbeat steady.Time // a lower bound on the time of its last heartbeat; 0: unknown
+}
+
+const (
+	// departureWindowHeartbeats is how soon after a heartbeat, in heartbeat intervals, an
+	// entry must be deleted for its runner to count as having left on its own. The entry
+	// of a silent runner is deleted after three intervals. The margin between 2.8 and 3
+	// allows for clock differences.
+	departureWindowHeartbeats = 2.8
+
+	// earlierRemovalHeartbeats is how long, in heartbeat intervals, an incarnation must
+	// have been known for a deletion to concern it and not the incarnation before: that
+	// one may be taken for silent three intervals after its last heartbeat, and the entry
+	// then names the next one. One more interval allows for a late deletion.
+	earlierRemovalHeartbeats = 4
+)
 
 // readStarted notes that a read of the store is about to be sent.
 func (l *runnerList) readStarted(now steady.Time) { l.readSent = now }
@@ -104,24 +123,30 @@
 		present[l.format.RunnerID(item.Key)] = true
 		l.putEntry(item)
 	}
-	for _, id := range l.missingFrom(present) {
-		l.unlistAfterGrace(id)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.runners {
+		if !present[id] {
+			l.unlistAfterGrace(id)
+		}
 	}
 }
 
 // apply applies only the last change of each entry, since heartbeats change entries
-// often.
+// often, and before a deletion the last entry: it tells what was deleted.
 func (l *runnerList) apply(events []kvstore.Event) {
-	last := make(map[string]int, len(events))
+	last, lastPut := make(map[string]int, len(events)), make(map[string]int, len(events))
 	for i, e := range events {
 		last[e.Key] = i
+		if !e.Deleted {
+			lastPut[e.Key] = i
+		}
 	}
 	for i, e := range events {
 		switch {
-		case last[e.Key] != i:
-		case e.Deleted:
-			l.entryDeleted(l.format.RunnerID(e.Key), steady.Now())
-		default:
+		case e.Deleted && last[e.Key] == i:
+			l.entryDeleted(l.format.RunnerID(e.Key), l.now())
+		case !e.Deleted && lastPut[e.Key] == i:
 			if l.putEntry(e.Item) {
 				l.noteHeartbeat(l.format.RunnerID(e.Key))
 			}
@@ -134,7 +159,9 @@
 // detect that a runner is silent.
 func (l *runnerList) noteHeartbeat(id string) {
 	if !l.changesAfter.IsZero() {
-		l.lastHeartbeat[id] = l.changesAfter
+		i := l.described[id]
+		i.lastHeartbeat = l.changesAfter
+		l.described[id] = i
 	}
 }
 
@@ -150,6 +177,9 @@
 		return false
 	}
 	l.endAbsence(r.ID)
+	if i, found := l.described[r.ID]; !found || i.born != r.Born {
+		l.described[r.ID] = incarnation{born: r.Born, knownBy: l.now()}
+	}
 	old, known := l.runners[r.ID]
 	l.runners[r.ID] = r
 	old.DrainRemaining = r.DrainRemaining // decreases with each heartbeat
@@ -168,52 +198,68 @@
 func (l *runnerList) entryReplaced(id string) {
 	l.endAbsence(id)
 	delete(l.runners, id)
-	delete(l.lastHeartbeat, id)
+	delete(l.described, id)
 	l.events.Unlisted(id)
 }
 
-// entryDeleted reports a runner whose entry was deleted: as left if the deletion came
-// soon after a heartbeat, otherwise as unlisted after unlistGrace.
+// entryDeleted reports a runner whose entry was deleted: as left if nothing but the end of the
+// incarnation that the entry describes explains the deletion, otherwise as unlisted after
+// unlistGrace.
 func (l *runnerList) entryDeleted(id string, now steady.Time) {
-	beat, seen := l.lastHeartbeat[id]
-	left := seen && now.Sub(beat) <= l.departureWindow
-	l.logDeletion(id, left, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, listed := l.runners[id]
+	if !listed {
+		return // unlisted already, or its absence is timed
+	}
+	left, reason := l.hasLeft(entry, now)
+	l.logDeletion(entry, left, reason, now)
 	if !left {
 		l.unlistAfterGrace(id)
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.endAbsence(id)
 	delete(l.runners, id)
-	delete(l.lastHeartbeat, id)
-	l.events.Left(id)
+	delete(l.described, id)
+	l.events.Left(id, entry.Born)
+}
+
+// hasLeft reports whether the deletion of a runner's entry shows that the incarnation it
+// describes has left, and why. A deletion names no incarnation: the entry of a silent runner is
+// deleted too, also after its next incarnation has written its own. The caller holds mu.
+func (l *runnerList) hasLeft(entry batch.Runner, now steady.Time) (left bool, reason string) {
+	described := l.described[entry.ID]
+	beat := described.lastHeartbeat
+	switch {
+	case !entry.Draining:
+		return false, "no departure was announced"
+	case beat.IsZero() || now.Sub(beat) > l.departureWindow:
+		return false, "silent"
+	case now.Before(beat.Add(entry.DrainRemaining)):
+		return false, "before the announced time"
+	case l.changesAfter.IsZero() || l.changesAfter.Sub(described.knownBy) <= l.earlierRemovals:
+		return false, "may concern an earlier incarnation"
+	}
+	return true, "announced"
 }
 
-// logDeletion logs that a runner's entry was deleted, with the entry that was read last.
-func (l *runnerList) logDeletion(id string, left bool, now steady.Time) {
+// logDeletion logs that a runner's entry was deleted, with the entry that was read last. The
+// caller holds mu.
+func (l *runnerList) logDeletion(entry batch.Runner, left bool, reason string, now steady.Time) {
 	what := "runner's entry removed"
 	if left {
 		what = "runner left"
 	}
-	l.mu.Lock()
-	last, listed := l.runners[id]
-	l.mu.Unlock()
 	age := "unknown"
-	if beat, seen := l.lastHeartbeat[id]; seen {
+	if beat := l.described[entry.ID].lastHeartbeat; !beat.IsZero() {
 		age = now.Sub(beat).Round(time.Millisecond).String()
 	}
-	l.log.Info(what, "runner", id, "heartbeat-age", age, "listed", listed, "draining", last.Draining, "born", last.Born)
+	l.log.Info(what, "runner", entry.ID, "reason", reason, "heartbeat-age", age, "draining", entry.Draining,
+		"drain-remaining", entry.DrainRemaining, "born", entry.Born)
 }
 
-// unlistAfterGrace reports a runner as unlisted unless its entry comes back within
-// unlistGrace.
+// unlistAfterGrace reports a listed runner as unlisted unless its entry comes back within
+// unlistGrace. The caller holds mu.
 func (l *runnerList) unlistAfterGrace(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, listed := l.runners[id]; !listed {
-		return // unlisted already, or its absence is timed
-	}
 	delete(l.runners, id)
 	var timer *time.Timer
 	timer = time.AfterFunc(unlistGrace, func() {
@@ -236,16 +282,3 @@
 		delete(l.absences, id)
 	}
 }
-
-// missingFrom returns the listed runners that are not in present.
-func (l *runnerList) missingFrom(present map[string]bool) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []string
-	for id := range l.runners {
-		if !present[id] {
-			out = append(out, id)
-		}
-	}
-	return out
-}
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -51,7 +51,8 @@
 type RunnerEventHandler interface {
 	Listed(r batch.Runner) // the runner is new or its entry has changed
 	Unlisted(id string)    // it sends no heartbeats or its entry is invalid; it may still run tasks
-	Left(id string)        // it has ended, and so have all its tasks
+	// Left reports that an incarnation has ended, and so have all its tasks.
+	Left(id string, born int64)
 }
 
 // Options are the dependencies and limits of a Leader.
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -120,10 +120,10 @@
 }
 
 // Left implements RunnerEventHandler.
-func (l runnerEventHandler) Left(id string) {
+func (l runnerEventHandler) Left(id string, born int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.core.RunnerLeft(id, steady.Now())
+	l.core.RunnerLeft(id, born, steady.Now())
 	signal(l.decisionDue)
 }
 
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -158,7 +158,7 @@
 		t.Run(name, func(t *testing.T) {
 			l, order := leaderOfOneRunner(t, &silentRunners{err: test.err}, time.Second)
 			l.startRun(t.Context(), order)
-			l.core.RunnerLeft(order.Runner.ID, steady.Now())
+			l.core.RunnerLeft(order.Runner.ID, 0, steady.Now())
 			must.Eq(t, test.kept, l.core.RunnerNeeded(order.Runner.ID))
 		})
 	}
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -113,7 +113,7 @@
 	l.raiseTokens(7)
 	hold(t, l)
 	now := steady.Now()
-	l.core.RunnerLeft("r", now)
+	l.core.RunnerLeft("r", 0, now)
 	l.core.Decide(now, time.Now())
 	_, _, needed := l.nextHold("r", 0)
 	must.False(t, needed)
--- a/batch/scheduler/allfaults_test.go
+++ b/batch/scheduler/allfaults_test.go
@@ -85,7 +85,7 @@
 		left := rng.IntN(4) == 0
 		w.after(300*time.Millisecond, func() {
 			if left && w.core != nil {
-				w.core.RunnerLeft(id, w.now)
+				w.core.RunnerLeft(id, w.listedBorn[id], w.now)
 			}
 		})
 		w.after(600*time.Millisecond, func() { w.pool.Reboot(w.now, id) })
--- a/batch/scheduler/givenup_test.go
+++ b/batch/scheduler/givenup_test.go
@@ -337,7 +337,7 @@
 	d.core.HandleReport("r", d.now, lists, d.now)
 	d.core.RunnerFenced("r", 2)
 	d.core.HandleReport("r", d.now, lists, d.now)
-	d.core.RunnerLeft("r", d.now) // the entry named incarnation 1
+	d.core.RunnerLeft("r", 1, d.now)
 	for range 20 {
 		d.now = d.now.Add(100 * time.Millisecond)
 		d.step()
--- a/batch/scheduler/openstart_test.go
+++ b/batch/scheduler/openstart_test.go
@@ -37,7 +37,7 @@
 	}
 	core.NoteStartAnswered(orders[1])
 	core.HandleAnswer(orders[1], scheduler.Accepted, now)
-	core.RunnerLeft(orders[0].Runner.ID, now)
+	core.RunnerLeft(orders[0].Runner.ID, 1, now)
 	stopped := make(map[string]bool)
 	for _, o := range core.TakeOrders() {
 		must.Eq(t, scheduler.StopRun, o.Kind)
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -194,7 +194,7 @@
 func TestRunWithAnOpenStartIsLostOnlyOnceNoIncarnationCanCarryItOut(t *testing.T) {
 	const now = worldStart
 	const earlierOrders, lease = 18 * time.Second, 6 * time.Second
-	left := func(c *scheduler.Core) { c.RunnerLeft("r", now) }
+	left := func(c *scheduler.Core) { c.RunnerLeft("r", 1, now) }
 	for name, test := range map[string]struct {
 		open    bool
 		happens func(*scheduler.Core)
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -158,14 +158,14 @@
 	}
 }
 
-// RunnerLeft notes that a runner has ended, with all its runs.
-func (c *Core) RunnerLeft(id string, now steady.Time) {
+// RunnerLeft notes that an incarnation of a runner has ended, with all its runs.
+func (c *Core) RunnerLeft(id string, born int64, now steady.Time) {
 	r := c.runners[id]
-	if r == nil {
-		return
+	if r == nil || r.describedBorn != born {
+		return // another incarnation is listed
 	}
 	r.listed = false
-	if r.describedBorn != 0 && r.Born > r.describedBorn {
+	if born != 0 && r.Born > born {
 		return // the next incarnation has reported already
 	}
 	r.reachable = false
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -68,7 +68,8 @@
 	// entriesNameIncarnations says that the runners' entries name their incarnations. A restart
 	// is then passed to the scheduler by listRestarted.
 	entriesNameIncarnations bool
-	acknowledgeUnrecorded   bool // injected fault: ends are acknowledged before they are recorded
+	listedBorn              map[string]int64 // by runner, the incarnation that its entry names
+	acknowledgeUnrecorded   bool             // injected fault: ends are acknowledged before they are recorded
 	nextFaults              []orderFault
 	carriesOutLate          bool // the order that is being delivered was kept by its runner or a partition
 	unguarded               bool // runners start what exceeds their capacity, which is a violation
@@ -129,8 +130,8 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: worldStart, faults: f,
 		jobs: make(map[string]*batch.Job), stepTasks: make(map[string]runner.Task),
 		store: make(map[string]batch.Progress), unreachableUntil: make(map[string]steady.Time),
-		unreachableSince: make(map[string]steady.Time),
-		lastHold:         make(map[string]steady.Time), doneAt: make(map[batch.TaskID]steady.Time),
+		unreachableSince: make(map[string]steady.Time), listedBorn: make(map[string]int64),
+		lastHold: make(map[string]steady.Time), doneAt: make(map[batch.TaskID]steady.Time),
 		cancelledAt: make(map[string]steady.Time), completedAt: make(map[string]steady.Time),
 		submittedAt: make(map[string]steady.Time), startedAt: make(map[runID]steady.Time),
 	}
@@ -242,6 +243,7 @@
 		if !w.entriesNameIncarnations {
 			r.Born = 0
 		}
+		w.listedBorn[id] = r.Born
 		core.RunnerListed(r, w.now)
 	}
 	w.core = core
@@ -278,7 +280,9 @@
 // listRestarted passes a runner's entry to the scheduler.
 func (w *world) listRestarted(id string) {
 	if w.core != nil {
-		w.core.RunnerListed(w.pool.Runner(id).Runner, w.now)
+		r := w.pool.Runner(id).Runner
+		w.listedBorn[id] = r.Born
+		w.core.RunnerListed(r, w.now)
 	}
 }
 
--- a/cmd/cyclamentray-soak/main.go
+++ b/cmd/cyclamentray-soak/main.go
@@ -31,7 +31,6 @@
 	Scenarios bool          `long:"scenarios" description:"also run the scenarios, beside the random faults and after them"`
 	Scenario  string        `long:"scenario" description:"run only the scenario of this name, and those after the faults"`
 	Without   string        `long:"without" description:"with --scenarios, leave out the scenario of this name"`
-	Removals  bool          `long:"earlier-removals" description:"after some restarts, remove the runner's entry by the clock of the incarnation that crashed"`
 	Verbose   bool          `long:"verbose" description:"print each fault"`
 }
 
@@ -63,7 +62,7 @@
 		return false
 	}
 	startedAt := time.Now()
-	options := soak.Options{Binary: o.Binary, Dir: dir, Seed: seed, FaultPeriod: o.Length, Hosts: o.Hosts, Runners: o.Runners, Scenarios: o.Scenarios || o.Scenario != "", Scenario: o.Scenario, Without: o.Without, EarlierRemovals: o.Removals}
+	options := soak.Options{Binary: o.Binary, Dir: dir, Seed: seed, FaultPeriod: o.Length, Hosts: o.Hosts, Runners: o.Runners, Scenarios: o.Scenarios || o.Scenario != "", Scenario: o.Scenario, Without: o.Without}
 	if o.Verbose {
 		options.Log = func(text string) { fmt.Printf("%8.2f  %s\n", time.Since(startedAt).Seconds(), text) }
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -59,13 +59,12 @@
 	lives        sync.Mutex   // held while a runner announces that it drains, or reboots
 	log          func(string) // called with a line for each start that was kept
 
-	mu              sync.Mutex
-	removals        *rand.Rand                           // decides which restarts are followed by a removal of the entry
-	earlierRemovals bool                                 // there are any
-	fault           func(keyspace.Call) keyspace.Outcome // nil: none
-	specs           map[string]string                    // by job
-	tasks           map[string]runner.Task               // by job
-	lateUntil       time.Time                            // when the last late order is carried out
+	mu        sync.Mutex
+	removals  *rand.Rand                           // decides which restarts are followed by a removal of the entry
+	fault     func(keyspace.Call) keyspace.Outcome // nil: none
+	specs     map[string]string                    // by job
+	tasks     map[string]runner.Task               // by job
+	lateUntil time.Time                            // when the last late order is carried out
 }
 
 // proxiedRunner is a stand-in runner that hosts reach through a proxy.
@@ -300,7 +299,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	due := r.lastHeartbeat.Add(entryTimeout)
-	if !d.earlierRemovals || d.removals.IntN(entryRemovalOdds) != 0 {
+	if d.removals.IntN(entryRemovalOdds) != 0 {
 		return
 	}
 	d.log("entry to be removed by the clock of the incarnation that crashed: " + r.id)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,13 +29,10 @@
 	FaultPeriod time.Duration // how long faults are injected and jobs submitted; time without faults follows
 	Hosts       int
 	Runners     int
-	Scenarios   bool   // runs the scenarios, beside the random faults and after them
-	Scenario    string // with Scenarios: the only one to run beside the random faults; empty: all
-	Without     string // with Scenarios: the one of all that is left out; empty: none
-	// EarlierRemovals has a runner's entry removed by the clock of the incarnation that crashed,
-	// after some of the restarts.
-	EarlierRemovals bool
-	Log             func(string) // called with a line for each fault; nil: no log
+	Scenarios   bool         // runs the scenarios, beside the random faults and after them
+	Scenario    string       // with Scenarios: the only one to run beside the random faults; empty: all
+	Without     string       // with Scenarios: the one of all that is left out; empty: none
+	Log         func(string) // called with a line for each fault; nil: no log
 }
 
 // Report is the result of a run. Violations is empty if all checks passed.
@@ -113,7 +110,7 @@
 		http: &http.Client{Timeout: callTimeout}, rng: rand.New(rand.NewPCG(o.Seed, 1)),
 	}
 	defer r.http.CloseIdleConnections()
-	d.log, checker.log, d.earlierRemovals = o.Log, o.Log, o.EarlierRemovals
+	d.log, checker.log = o.Log, o.Log
 	// Of holds and stops; startHandler writes such lines of starts.
 	d.runnerServer.CarriedOutLate = func(id, order string, earlier bool) {
 		o.Log(fmt.Sprintf("late at %s, sent to an earlier incarnation %t: %s", id, earlier, order))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,7 +23,6 @@
 	scenarios      bool
 	scenario       string // the only one to run; empty: all
 	without        string // the one of all that is left out; empty: none
-	removals       bool   // entries are removed by the clocks of earlier incarnations
 }
 
 // shortCase returns a run of the usual size in CI.
@@ -101,7 +100,7 @@
 	t.Parallel()
 	var cases []soakCase
 	for _, seed := range []uint64{902, 903, 904} {
-		cases = append(cases, soakCase{seed: seed, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: "runners restart and are cut off soon after", removals: true})
+		cases = append(cases, soakCase{seed: seed, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: "runners restart and are cut off soon after"})
 	}
 	runCases(t, cases)
 }
@@ -120,7 +119,7 @@
 
 func runCase(t *testing.T, binary string, c soakCase) {
 	report, err := soak.Run(context.Background(), soak.Options{
-		Binary: binary, Dir: t.TempDir(), Seed: c.seed, FaultPeriod: c.faultPeriod, Hosts: c.hosts, Runners: c.runners, Scenarios: c.scenarios, Scenario: c.scenario, Without: c.without, EarlierRemovals: c.removals, Log: func(text string) { t.Log(text) },
+		Binary: binary, Dir: t.TempDir(), Seed: c.seed, FaultPeriod: c.faultPeriod, Hosts: c.hosts, Runners: c.runners, Scenarios: c.scenarios, Scenario: c.scenario, Without: c.without, Log: func(text string) { t.Log(text) },
 	})
 	must.NoError(t, err)
 	must.SliceEmpty(t, report.Violations, must.Sprintf("seed %d: %q", c.seed, report.Violations))
