Conditions: the age of an incarnation is also read from its reports

What callers would have seen: when a leader ends while runners leave, the next one has known their incarnations for less than an earlier one may be silent before its entry is removed, so no departure counted, and the tasks of the runners that had left waited for a lease.

Change: the clock in a runner's reports starts with its incarnation, so the leader tells how old the incarnation is at least; an age that was read from one incarnation doesn't count for another.

--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -52,12 +52,20 @@
 type eventCounter struct {
 	mu                     sync.Mutex
 	listed, unlisted, left int
+	reportedAge            time.Duration // of incarnation 1
 }
 
 func (r *eventCounter) Listed(batch.Runner) { r.mu.Lock(); r.listed++; r.mu.Unlock() }
 func (r *eventCounter) Unlisted(string)     { r.mu.Lock(); r.unlisted++; r.mu.Unlock() }
 func (r *eventCounter) Left(string, int64)  { r.mu.Lock(); r.left++; r.mu.Unlock() }
 
+func (r *eventCounter) Age(_ string, born int64, _ steady.Time) time.Duration {
+	if born == 1 {
+		return r.reportedAge
+	}
+	return 0
+}
+
 // counts returns the numbers of listed, unlisted and left events.
 func (r *eventCounter) counts() [3]int {
 	r.mu.Lock()
@@ -212,23 +220,27 @@
 	}
 	for name, test := range map[string]struct {
 		knownFor time.Duration   // how long the first incarnation has been known
+		age      time.Duration   // of the first incarnation, by its reports
 		read     []kvstore.Event // one second before the deletion
 		last     []kvstore.Event // in the same read as the deletion, and before it
 		left     int
 	}{
-		"announced":                       {knownFor, []kvstore.Event{item(1, true, 0)}, nil, 1},
-		"announced in the same read":      {knownFor, nil, []kvstore.Event{item(1, true, 0)}, 1},
-		"not announced":                   {knownFor, []kvstore.Event{item(1, false, 0)}, nil, 0},
-		"before the announced time":       {knownFor, []kvstore.Event{item(1, true, 5*time.Second)}, nil, 0},
-		"restarted":                       {knownFor, []kvstore.Event{item(2, false, 0)}, nil, 0},
-		"restarted, and announced":        {knownFor, []kvstore.Event{item(2, true, 0)}, nil, 0},
-		"restarted in the same read":      {knownFor, []kvstore.Event{item(1, true, 0)}, []kvstore.Event{item(2, false, 0)}, 0},
-		"known since shortly":             {2 * time.Second, []kvstore.Event{item(1, true, 0)}, nil, 0},
-		"another incarnation in between":  {knownFor, []kvstore.Event{item(2, true, 0), item(1, true, 0)}, nil, 1},
-		"removed and back, and announced": {knownFor, []kvstore.Event{deleted("i-1"), item(1, true, 0)}, nil, 1},
+		"announced":                       {knownFor, 0, []kvstore.Event{item(1, true, 0)}, nil, 1},
+		"announced in the same read":      {knownFor, 0, nil, []kvstore.Event{item(1, true, 0)}, 1},
+		"not announced":                   {knownFor, 0, []kvstore.Event{item(1, false, 0)}, nil, 0},
+		"before the announced time":       {knownFor, 0, []kvstore.Event{item(1, true, 5*time.Second)}, nil, 0},
+		"restarted":                       {knownFor, 0, []kvstore.Event{item(2, false, 0)}, nil, 0},
+		"restarted, and announced":        {knownFor, 0, []kvstore.Event{item(2, true, 0)}, nil, 0},
+		"restarted in the same read":      {knownFor, 0, []kvstore.Event{item(1, true, 0)}, []kvstore.Event{item(2, false, 0)}, 0},
+		"known since shortly":             {2 * time.Second, 0, []kvstore.Event{item(1, true, 0)}, nil, 0},
+		"another incarnation in between":  {knownFor, 0, []kvstore.Event{item(2, true, 0), item(1, true, 0)}, nil, 1},
+		"removed and back, and announced": {knownFor, 0, []kvstore.Event{deleted("i-1"), item(1, true, 0)}, nil, 1},
+		"known since shortly, and old":    {2 * time.Second, time.Minute, []kvstore.Event{item(1, true, 0)}, nil, 1},
+		"known since shortly, and young":  {2 * time.Second, 3 * time.Second, []kvstore.Event{item(1, true, 0)}, nil, 0},
+		"an old one restarted":            {knownFor, time.Minute, []kvstore.Event{item(2, true, 0)}, nil, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			events := &eventCounter{}
+			events := &eventCounter{reportedAge: test.age}
 			l := newRunnerList(t.Context(), jsonFormat, heartbeat, discardLogger(), events)
 			l.reset([]kvstore.Item{item(1, false, 0).Item})
 			began := steady.Now().Add(test.knownFor)
--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -93,9 +93,8 @@
 	// allows for clock differences.
 	departureWindowHeartbeats = 2.8
 
-	// earlierRemovalHeartbeats is how long, in heartbeat intervals, an incarnation must
-	// have been known for a deletion to concern it and not the incarnation before: that
-	// one may be taken for silent three intervals after its last heartbeat, and the entry
+	// earlierRemovalHeartbeats is how old, in heartbeat intervals, an incarnation must be
+	// for a deletion to concern it and not the incarnation before: that one may be taken for silent three intervals after its last heartbeat, and the entry
 	// then names the next one. One more interval allows for a late deletion.
 	earlierRemovalHeartbeats = 4
 )
@@ -236,12 +235,18 @@
 		return false, "silent"
 	case now.Before(beat.Add(entry.DrainRemaining)):
 		return false, "before the announced time"
-	case l.changesAfter.IsZero() || l.changesAfter.Sub(described.knownBy) <= l.earlierRemovals:
+	case l.changesAfter.IsZero() || l.ageOf(entry, described) <= l.earlierRemovals:
 		return false, "may concern an earlier incarnation"
 	}
 	return true, "announced"
 }
 
+// ageOf returns how old the described incarnation was at least when the changes in this read
+// began. The caller holds mu.
+func (l *runnerList) ageOf(entry batch.Runner, described incarnation) time.Duration {
+	return max(l.changesAfter.Sub(described.knownBy), l.events.Age(entry.ID, entry.Born, l.changesAfter))
+}
+
 // logDeletion logs that a runner's entry was deleted, with the entry that was read last. The
 // caller holds mu.
 func (l *runnerList) logDeletion(entry batch.Runner, left bool, reason string, now steady.Time) {
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -127,6 +127,18 @@
 	signal(l.decisionDue)
 }
 
+// Age implements RunnerEventHandler. The clock of a runner starts with its incarnation, and may be
+// slow.
+func (l runnerEventHandler) Age(id string, born int64, at steady.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.links[id]
+	if k == nil || k.clockAt.IsZero() || !l.core.ReportedLast(id, born) {
+		return 0
+	}
+	return max(0, k.clock+at.Sub(k.clockAt))
+}
+
 // holdLoop sends holds to a runner until it is neither listed nor may run tasks.
 func (l *Leader) holdLoop(ctx context.Context, id string) {
 	wait := time.Duration(0) // the first hold only reads the clock
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -242,3 +242,24 @@
 	must.True(t, <-answered)
 	must.Eq(t, time.Minute, l.links["r"].clock)
 }
+
+// Guards against a departure that is taken for the silence of an earlier incarnation, and the
+// reverse: an age that was read from one incarnation doesn't count for another.
+func TestAgeIsThatOfTheIncarnationThatReportedLast(t *testing.T) {
+	runner := &tokenRunner{born: 1}
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
+	h := runnerEventHandler{t.Context(), l}
+	l.links["r"].clockAt = 0
+	must.Eq(t, 0, h.Age("r", 1, steady.Now())) // its clock is unknown
+	hold(t, l)
+	at := l.links["r"].clockAt
+	must.Eq(t, time.Minute-time.Second, h.Age("r", 1, at.Add(-time.Second)))
+	must.Eq(t, time.Minute+time.Second, h.Age("r", 1, at.Add(time.Second)))
+	must.Eq(t, 0, h.Age("r", 2, at))
+	must.Eq(t, 0, h.Age("q", 1, at))
+	entry := order.Runner
+	entry.Born = 2
+	h.Listed(entry)
+	must.Eq(t, 0, h.Age("r", 1, steady.Now()))
+	must.Eq(t, 0, h.Age("r", 2, steady.Now()))
+}
