Conditions: an outage of the store is not counted as the age of an incarnation

What callers would have seen: a task that runs twice after a restart, an outage of the store and an announced drain of the next incarnation, one soon after the other. By reading; the case was not played.

Cause: while the store is away, the time until it removes the entry of a silent incarnation may stand still. The entry may then be removed for the earlier incarnation when the present one is older than that time.

Change: the follower of the documents notes when the store was away last. For as long after an outage as an entry may last, a deletion shows a departure only if the incarnation was old enough before the outage. Outages that follow one another count as one. A host that has just started knows of no time before.

--- a/batch/conditions/conditions.go
+++ b/batch/conditions/conditions.go
@@ -16,6 +16,7 @@
 
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/dispatch"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
 	"github.com/cyclamentray/cyclamentray/kvstore"
 )
 
@@ -55,6 +56,8 @@
 
 	heartbeat time.Duration // interval between two writes of a runner's entry
 
+	outages outages
+
 	configuration atomic.Pointer[batch.Configuration]
 
 	mu        sync.Mutex
@@ -64,7 +67,9 @@
 // New returns Conditions that don't follow the store yet. heartbeat is the interval
 // at which runners write their entries.
 func New(store kvstore.Keyspace, format Format, heartbeat time.Duration, logger *log.Logger) *Conditions {
-	return &Conditions{store: store, format: format, heartbeat: heartbeat, log: logger}
+	c := &Conditions{store: store, format: format, heartbeat: heartbeat, log: logger}
+	c.outages.gap = earlierRemovalHeartbeats * heartbeat
+	return c
 }
 
 var _ dispatch.Conditions = (*Conditions)(nil)
@@ -89,6 +94,7 @@
 		Apply:  c.applyDocuments,
 	}
 	c.logStoreLoss(&f)
+	c.outages.observe(&f, steady.Now)
 	f.Run(ctx)
 }
 
--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -52,18 +52,22 @@
 type eventCounter struct {
 	mu                     sync.Mutex
 	listed, unlisted, left int
-	reportedAge            time.Duration // of incarnation 1
+	reportedAge            time.Duration // of incarnation 1, at reportedAt
+	reportedAt             steady.Time   // 0: at any time
 }
 
 func (r *eventCounter) Listed(batch.Runner) { r.mu.Lock(); r.listed++; r.mu.Unlock() }
 func (r *eventCounter) Unlisted(string)     { r.mu.Lock(); r.unlisted++; r.mu.Unlock() }
 func (r *eventCounter) Left(string, int64)  { r.mu.Lock(); r.left++; r.mu.Unlock() }
 
-func (r *eventCounter) Age(_ string, born int64, _ steady.Time) time.Duration {
-	if born == 1 {
+func (r *eventCounter) Age(_ string, born int64, at steady.Time) time.Duration {
+	switch {
+	case born != 1:
+		return 0
+	case r.reportedAt.IsZero():
 		return r.reportedAge
 	}
-	return 0
+	return max(0, r.reportedAge+at.Sub(r.reportedAt))
 }
 
 // counts returns the numbers of listed, unlisted and left events.
@@ -210,14 +214,17 @@
 	}
 }
 
+// runnerItemOf returns the entry of an incarnation of i-1, as it is written.
+func runnerItemOf(born int64, draining bool, remaining time.Duration) kvstore.Event {
+	text := fmt.Appendf(nil, `{"ID":"i-1","Service":"s","Draining":%t,"DrainRemaining":%d,"Born":%d}`, draining, remaining, born)
+	return kvstore.Event{Item: kvstore.Item{Key: "runner/i-1", Value: text}}
+}
+
 // Guards against tasks that run twice: an entry is deleted soon after a heartbeat, as the runner's
 // earlier incarnation is silent, and the present one is taken for one that has left.
 func TestDeletionThatMayConcernAnEarlierIncarnationIsNoDeparture(t *testing.T) {
 	const heartbeat = 1500 * time.Millisecond
-	item := func(born int64, draining bool, remaining time.Duration) kvstore.Event {
-		text := fmt.Appendf(nil, `{"ID":"i-1","Service":"s","Draining":%t,"DrainRemaining":%d,"Born":%d}`, draining, remaining, born)
-		return kvstore.Event{Item: kvstore.Item{Key: "runner/i-1", Value: text}}
-	}
+	item := runnerItemOf
 	for name, test := range map[string]struct {
 		knownFor time.Duration   // how long the first incarnation has been known
 		age      time.Duration   // of the first incarnation, by its reports
@@ -259,6 +266,82 @@
 	}
 }
 
+// Guards against the same after the store was away: the time until it removes the entry of an
+// earlier incarnation stood still meanwhile.
+func TestDeletionSoonAfterTheStoreWasAwayMayConcernAnEarlierIncarnation(t *testing.T) {
+	const heartbeat = 1500 * time.Millisecond
+	began := steady.Now().Add(knownFor)
+	for name, test := range map[string]struct {
+		since, until time.Duration // before the deletion; until 0: it still is away
+		age          time.Duration // of the incarnation at the deletion
+		left         int
+	}{
+		"long ago":                            {20 * time.Second, 7 * time.Second, 10 * time.Second, 1},
+		"a moment ago":                        {20 * time.Second, 5 * time.Second, 10 * time.Second, 0},
+		"a moment ago, and old before":        {20 * time.Second, 5 * time.Second, 30 * time.Second, 1},
+		"a moment ago, and a little older":    {20 * time.Second, 5 * time.Second, 23 * time.Second, 0},
+		"still":                               {20 * time.Second, 0, 10 * time.Second, 0},
+		"since before anything was known":     {24 * time.Hour, 5 * time.Second, 10 * time.Second, 0},
+		"a long time ago, known since before": {24 * time.Hour, 23 * time.Hour, 10 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events := &eventCounter{reportedAge: test.age, reportedAt: began}
+			l := newRunnerList(t.Context(), jsonFormat, heartbeat, discardLogger(), events)
+			l.now = func() steady.Time { return began }
+			l.storeAway = func() (since, until steady.Time) {
+				if test.until > 0 {
+					until = began.Add(-test.until)
+				}
+				return began.Add(-test.since), until
+			}
+			l.readStarted(began)
+			l.reset([]kvstore.Item{runnerItemOf(1, true, 0).Item})
+			l.readDone()
+			l.apply([]kvstore.Event{runnerItemOf(1, true, 0)})
+			l.entryDeleted("i-1", began)
+			must.Eq(t, test.left, events.counts()[2])
+		})
+	}
+}
+
+// Outages that follow one another soon count as one.
+func TestOutagesOfTheStoreAreNotedByReads(t *testing.T) {
+	now := steady.Time(time.Hour)
+	f := &kvstore.Follower{Lost: func(error) {}, Regained: func() {}}
+	o := &outages{gap: 6 * time.Second}
+	o.observe(f, func() steady.Time { return now })
+	read := func(lost, regained bool) {
+		f.ReadStarted()
+		now = now.Add(time.Second)
+		switch {
+		case lost:
+			f.Lost(nil)
+			return
+		case regained:
+			f.Regained()
+		}
+		f.ReadDone()
+	}
+	check := func(since, until time.Duration) {
+		gotSince, gotUntil := o.last()
+		must.Eq(t, [2]steady.Time{steady.Time(since), steady.Time(until)}, [2]steady.Time{gotSince, gotUntil})
+	}
+	check(0, 0)
+	read(false, true)
+	check(0, time.Hour+time.Second)
+	for range 10 {
+		read(false, false)
+	}
+	read(true, false)
+	check(time.Hour+10*time.Second, 0)
+	read(false, true)
+	check(time.Hour+10*time.Second, time.Hour+13*time.Second)
+	read(true, false) // soon after
+	check(time.Hour+10*time.Second, 0)
+	read(false, true)
+	check(time.Hour+10*time.Second, time.Hour+15*time.Second)
+}
+
 // The configuration in force stays when an older one or one that can't be decoded
 // is read.
 func TestConfigurationIsNotReplacedByOlderOrUnreadableOne(t *testing.T) {
--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -29,6 +29,7 @@
 // FollowRunners implements dispatch.Conditions.
 func (c *Conditions) FollowRunners(ctx context.Context, events dispatch.RunnerEventHandler) {
 	l := newRunnerList(ctx, c.format, c.heartbeat, c.log, events)
+	l.storeAway = c.outages.last
 	f := kvstore.Follower{
 		Store:  c.store,
 		Prefix: c.format.RunnerPrefix,
@@ -55,6 +56,8 @@
 	log    *log.Logger
 	events dispatch.RunnerEventHandler
 	now    func() steady.Time
+	// storeAway returns when the store was away last; until 0: it still is.
+	storeAway func() (since, until steady.Time)
 
 	departureWindow time.Duration // departureWindowHeartbeats as a duration
 	earlierRemovals time.Duration // earlierRemovalHeartbeats as a duration
@@ -72,6 +75,7 @@
 func newRunnerList(ctx context.Context, format Format, heartbeat time.Duration, logger *log.Logger, events dispatch.RunnerEventHandler) *runnerList {
 	return &runnerList{
 		ctx: ctx, format: format, log: logger, events: events, now: steady.Now,
+		storeAway:       func() (since, until steady.Time) { return 0, 1 }, // long ago
 		departureWindow: time.Duration(departureWindowHeartbeats * float64(heartbeat)),
 		earlierRemovals: earlierRemovalHeartbeats * heartbeat,
 		described:       make(map[string]incarnation), runners: make(map[string]batch.Runner),
@@ -226,8 +230,7 @@
 // describes has left, and why. A deletion names no incarnation: the entry of a silent runner is
 // deleted too, also after its next incarnation has written its own. The caller holds mu.
 func (l *runnerList) hasLeft(entry batch.Runner, now steady.Time) (left bool, reason string) {
-	described := l.described[entry.ID]
-	beat := described.lastHeartbeat
+	beat := l.described[entry.ID].lastHeartbeat
 	switch {
 	case !entry.Draining:
 		return false, "no departure was announced"
@@ -235,16 +238,24 @@
 		return false, "silent"
 	case now.Before(beat.Add(entry.DrainRemaining)):
 		return false, "before the announced time"
-	case l.changesAfter.IsZero() || l.ageOf(entry, described) <= l.earlierRemovals:
+	case l.changesAfter.IsZero() || !l.outlivesEarlierRemovals(entry, l.changesAfter):
 		return false, "may concern an earlier incarnation"
 	}
+	// While the store is away, the time until it removes an entry may stand still.
+	since, until := l.storeAway()
+	recent := until.IsZero() || l.changesAfter.Sub(until) <= l.earlierRemovals
+	if recent && !l.outlivesEarlierRemovals(entry, since) {
+		return false, "may concern an earlier incarnation, as the store was away"
+	}
 	return true, "announced"
 }
 
-// ageOf returns how old the described incarnation was at least when the changes in this read
-// began. The caller holds mu.
-func (l *runnerList) ageOf(entry batch.Runner, described incarnation) time.Duration {
-	return max(l.changesAfter.Sub(described.knownBy), l.events.Age(entry.ID, entry.Born, l.changesAfter))
+// outlivesEarlierRemovals reports whether the incarnation that an entry describes was so old at
+// the given time that the entry can't be removed any more for the silence of the one before. The
+// caller holds mu.
+func (l *runnerList) outlivesEarlierRemovals(entry batch.Runner, at steady.Time) bool {
+	age := max(at.Sub(l.described[entry.ID].knownBy), l.events.Age(entry.ID, entry.Born, at))
+	return age > l.earlierRemovals
 }
 
 // logDeletion logs that a runner's entry was deleted, with the entry that was read last. The
