Conditions: an entry of another incarnation, or a silence, may still remove it

What callers may see: tasks that must run once run twice.

Cause: an incarnation counted as known since it was first read. (1) A heartbeat of the incarnation before that is written late, and read together with the next one's or hidden by a new list, begins another time of silence, after which the entry may be removed. (2) So does a silence of the incarnation itself: a removal that is due may come just after the heartbeat that ends it. In both cases a runner that drains, beyond its announced time, was taken for departed.

Change: an incarnation is known since the last entry of another one, the last new list, or the last gap of a departure window between its heartbeats. All entries of a read count for that.

--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -1,6 +1,7 @@
 package conditions
 
 import (
+	"cmp"
 	"context"
 	"reflect"
 	"sync"
@@ -64,8 +65,10 @@
 
 	readSent     steady.Time            // when the read of the store in progress was sent
 	changesAfter steady.Time            // the changes in this read happened after this time; 0: unknown
+	listed       bool                   // the entries have been listed before
 	truncated    bool                   // the read in progress leaves changes out
 	described    map[string]incarnation // by runner ID: the one that its entry described last
+	lastSilence  map[string]steady.Time // by runner ID: an upper bound on when its last silence began, or that of another incarnation
 
 	mu       sync.Mutex              // guards the maps below, and orders the events
 	runners  map[string]batch.Runner // listed runners by ID
@@ -78,8 +81,8 @@
 		storeAway:       func() (since, until steady.Time) { return 0, 1 }, // long ago
 		departureWindow: time.Duration(departureWindowHeartbeats * float64(heartbeat)),
 		earlierRemovals: earlierRemovalHeartbeats * heartbeat,
-		described:       make(map[string]incarnation), runners: make(map[string]batch.Runner),
-		absences: make(map[string]*time.Timer),
+		described:       make(map[string]incarnation), lastSilence: make(map[string]steady.Time),
+		runners: make(map[string]batch.Runner), absences: make(map[string]*time.Timer),
 	}
 }
 
@@ -98,8 +101,10 @@
 	departureWindowHeartbeats = 2.8
 
 	// earlierRemovalHeartbeats is how old, in heartbeat intervals, an incarnation must be
-	// for a deletion to concern it and not the incarnation before: that one may be taken for silent three intervals after its last heartbeat, and the entry
-	// then names the next one. One more interval allows for a late deletion.
+	// for a deletion to concern it and not the incarnation before: that one may be taken
+	// for silent three intervals after its last heartbeat, and the entry then names the
+	// next one. One more interval allows for a late deletion. As long ago must its last
+	// silence have begun.
 	earlierRemovalHeartbeats = 4
 )
 
@@ -119,8 +124,10 @@
 // next read returns them late.
 func (l *runnerList) readTruncated() { l.truncated = true }
 
-// reset replaces the list by the entries of the whole prefix.
+// reset replaces the list by the entries of the whole prefix. It isn't known which entries were
+// there since the read before.
 func (l *runnerList) reset(items []kvstore.Item) {
+	clear(l.described)
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[l.format.RunnerID(item.Key)] = true
@@ -133,6 +140,7 @@
 			l.unlistAfterGrace(id)
 		}
 	}
+	l.listed = true
 }
 
 // apply applies only the last change of each entry, since heartbeats change entries
@@ -149,10 +157,11 @@
 		switch {
 		case e.Deleted && last[e.Key] == i:
 			l.entryDeleted(l.format.RunnerID(e.Key), l.now())
-		case !e.Deleted && lastPut[e.Key] == i:
-			if l.putEntry(e.Item) {
-				l.noteHeartbeat(l.format.RunnerID(e.Key))
-			}
+		case e.Deleted:
+		case lastPut[e.Key] != i:
+			l.noteEntry(e.Item)
+		case l.putEntry(e.Item):
+			l.noteHeartbeat(l.format.RunnerID(e.Key))
 		}
 	}
 }
@@ -168,6 +177,31 @@
 	}
 }
 
+// noteEntry notes which incarnation an entry describes that was replaced since.
+func (l *runnerList) noteEntry(item kvstore.Item) {
+	r, err := l.format.DecodeRunner(item)
+	if err != nil {
+		return // its replacement counts
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.describe(r)
+}
+
+// describe notes the incarnation that an entry describes. Unless it continues what was read before,
+// a silence may just have ended. The caller holds mu.
+func (l *runnerList) describe(r batch.Runner) {
+	i, found := l.described[r.ID]
+	now := l.now()
+	known := found && i.born == r.Born
+	if l.listed && !(known && now.Sub(cmp.Or(i.lastHeartbeat, i.knownBy)) <= l.departureWindow) {
+		l.lastSilence[r.ID] = now
+	}
+	if !known {
+		l.described[r.ID] = incarnation{born: r.Born, knownBy: now}
+	}
+}
+
 // putEntry reports a runner as listed when its entry is new or has changed. For an
 // invalid entry it reports the runner as unlisted and returns false.
 func (l *runnerList) putEntry(item kvstore.Item) bool {
@@ -180,9 +214,7 @@
 		return false
 	}
 	l.endAbsence(r.ID)
-	if i, found := l.described[r.ID]; !found || i.born != r.Born {
-		l.described[r.ID] = incarnation{born: r.Born, knownBy: l.now()}
-	}
+	l.describe(r)
 	old, known := l.runners[r.ID]
 	l.runners[r.ID] = r
 	old.DrainRemaining = r.DrainRemaining // decreases with each heartbeat
@@ -251,11 +283,11 @@
 }
 
 // outlivesEarlierRemovals reports whether the incarnation that an entry describes was so old at
-// the given time that the entry can't be removed any more for the silence of the one before. The
-// caller holds mu.
+// the given time, and its last silence so long over, that the entry can't be removed any more for
+// that or for the silence of the one before. The caller holds mu.
 func (l *runnerList) outlivesEarlierRemovals(entry batch.Runner, at steady.Time) bool {
 	age := max(at.Sub(l.described[entry.ID].knownBy), l.events.Age(entry.ID, entry.Born, at))
-	return age > l.earlierRemovals
+	return min(age, at.Sub(l.lastSilence[entry.ID])) > l.earlierRemovals
 }
 
 // logDeletion logs that a runner's entry was deleted, with the entry that was read last. The
