Scheduler: a line says why a task or gang that could run waits

Change: the line "wait", with the reason of the last refusal, what room there is, and how many runners are barred and why; or where its starts may be under way, and when that is over. Five lines a second and one in 10 s for each unit at most. openSlots and the line share one list of what bars a runner.

--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -57,7 +57,7 @@
 
 // Decision is one decision of the core, for logs and counters.
 type Decision struct {
-	What            string // "place", "reserve", "refused", "stop", "end", "withdraw", "repeat", "found run" or "unrecorded run"
+	What            string // "place", "reserve", "wait", "refused", "stop", "end", "withdraw", "repeat", "found run" or "unrecorded run"
 	Job             string
 	Task            batch.TaskID
 	Attempt         int
@@ -112,6 +112,7 @@
 	leaseEndRecorded map[string]bool
 
 	answersRecordedAt steady.Time
+	waitsExplainedAt  steady.Time
 
 	maxReportAge time.Duration           // greatest age of a runner's last report at which it may be given starts
 	reservations map[string]*reservation // by service
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -63,6 +63,7 @@
 	for _, u := range units {
 		s := u.shape()
 		if failed[s] {
+			u.refusal = behindItsShape
 			continue
 		}
 		if !c.schedule(u, now) {
@@ -70,6 +71,7 @@
 			c.reserve(u, now)
 		}
 	}
+	c.explainWaits(now)
 }
 
 // shape holds the properties that decide whether a unit can be placed. When one
@@ -239,19 +241,31 @@
 // needn't be tried.
 func (c *Core) schedule(u *unit, now steady.Time) bool {
 	if near := c.place(u, now, false); near != nil {
-		if !c.awaitsFasterRunners(u, near, now) && !c.awaitsBetterOutcome(u, near, now) {
+		switch {
+		case c.awaitsFasterRunners(u, near, now):
+			u.refusal = awaitsPreempted
+		case c.awaitsBetterOutcome(u, near, now):
+			u.refusal = awaitsLessLate
+		default:
 			c.assign(u, near, now)
 		}
 		return true
 	}
 	if c.mayPreempt(u, now) && c.preempt(u, now) {
+		u.refusal = awaitsPreempted
 		return true
 	}
 	if now.Sub(u.eligibleSince) < c.localityWait(u) {
+		u.refusal = awaitsNear
 		return false
 	}
 	far := c.place(u, now, true)
-	if far == nil || c.awaitsBetterOutcome(u, far, now) {
+	if far == nil {
+		u.refusal = noRoom
+		return false
+	}
+	if c.awaitsBetterOutcome(u, far, now) {
+		u.refusal = awaitsLessLate
 		return false
 	}
 	c.assign(u, far, now)
@@ -305,7 +319,7 @@
 func (c *Core) assign(u *unit, chosen []*runner, now steady.Time) {
 	j := u.job
 	u.attempt++
-	u.memberEndedAt, u.waitingSince = 0, 0
+	u.memberEndedAt, u.waitingSince, u.refusal, u.explainedAt = 0, 0, "", 0
 	c.markChanged(j)
 	var sincePreemption time.Duration
 	if !u.preemptingSince.IsZero() {
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -54,6 +54,8 @@
 	awaitedCost       float64        // highest slot.cost of the runners on which others were preempted for it
 	memberEndedAt     steady.Time    // when the first member of the current attempt ended
 	timesMoved        int            // how often it was moved to a faster place
+	refusal           refusal        // why it was not placed when it was last considered
+	explainedAt       steady.Time    // when its wait was last explained; 0: not since it was placed
 }
 
 // phase is the state of a run as the scheduler knows it.
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -118,13 +118,7 @@
 	var out []slot
 	step, reserved := u.spec(), c.reservations[u.job.spec.Service]
 	for _, r := range c.allRunners {
-		if r.Service != u.job.spec.Service || !r.hasLabel(step.Label) || !r.acceptsStarts(c, now) {
-			continue
-		}
-		if c.suspended(r, now) || len(r.orphans) > 0 || r.conflictsWith(step) || r.reportsNearlyFull() {
-			continue
-		}
-		if reserved.holds(r, u) {
+		if r.Service != u.job.spec.Service || c.bar(u, r, reserved, now) != "" {
 			continue
 		}
 		s := slot{runner: r, tasks: u.tasksFitting(r, free(r))}
@@ -143,6 +137,30 @@
 	return out
 }
 
+// bar returns why nothing of the unit may start on a runner of its service, whatever room it has;
+// empty: it may, by all but the adviser's answers.
+func (c *Core) bar(u *unit, r *runner, reserved *reservation, now steady.Time) string {
+	step := u.spec()
+	switch {
+	case !r.hasLabel(step.Label):
+		return "without its label"
+	case !r.acceptsStarts(c, now):
+		return "not taking starts"
+	case c.suspended(r, now):
+		return "suspended"
+	case len(r.orphans) > 0:
+		return "with unrecorded runs"
+	case r.conflictsWith(step):
+		return "with work that conflicts"
+	case r.reportsNearlyFull():
+		return "with too many unread ends"
+	case reserved.holds(r, u):
+		return "reserved"
+	default:
+		return ""
+	}
+}
+
 // suspended reports whether a runner gets no work because of failures.
 func (c *Core) suspended(r *runner, now steady.Time) bool {
 	return c.uses(mechanism.FailureBackoff) && now.Before(r.suspendedUntil)
