Scheduler: the next leader counts for how long a start has been under way

Change: the record of a start under way says how long it was under way when it was written, while no other try can follow without another record; it is written anew every 2 s. The next leader waits for the rest of that time. It also records when such a start is over, and its age, as the first one does. Tests, each failing before: the gang isn't placed 20 s after the try, the age is 0, and with an age in each phase of a run the last test fails too. Open: a start under way whose runner leaves under the same leader still keeps its gang from being placed for 22.9 s after the last hold.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -164,6 +164,7 @@
 	Runner     string `json:"r,omitempty"`  // runner on which that attempt may be running; empty: it has ended
 	Open       bool   `json:"o,omitempty"`  // its start may be under way: it isn't answered, or not known to be
 	SentOnce   bool   `json:"n,omitempty"`  // its start, which may be under way, was sent once at most
+	OpenMillis int64  `json:"om,omitempty"` // how long before the record was written it was last sent, at least; 0: it may be sent any time
 	RunAttempt int    `json:"ra,omitempty"` // the attempt that may be running, if it is an earlier one
 	Checkpoint string `json:"c,omitempty"`
 }
--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -55,6 +55,7 @@
 		}
 	}
 	c.answered = c.answered[:0]
+	c.recordStartAges(now)
 }
 
 // runOf returns the run that an order is for; nil: it has ended.
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -111,6 +111,7 @@
 	// or may name.
 	leaseEndRecorded map[string]bool
 
+	decidedAt         steady.Time // when the last scheduling pass began
 	answersRecordedAt steady.Time
 	waitsExplainedAt  steady.Time
 
@@ -202,7 +203,8 @@
 	out := make([]Record, 0, n)
 	for _, j := range c.dirty[:n] {
 		j.recordQueued = false
-		p := j.progress()
+		p := j.progress(c.decidedAt)
+		j.openStartRecordedAt = c.decidedAt
 		j.recordsOpenStart = slices.ContainsFunc(p.Tasks, func(t batch.TaskProgress) bool { return t.Open })
 		out = append(out, Record{Job: j.spec.ID, Version: j.version, Progress: p})
 	}
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -43,6 +43,7 @@
 // eligible. wall is the time of day that the due times of occurrences are
 // compared with.
 func (c *Core) Decide(now steady.Time, wall time.Time) {
+	c.decidedAt = now
 	c.releaseDeferred(now)
 	c.recordAnswers(now)
 	c.expireLeases(now)
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -21,11 +21,12 @@
 	recordQueued bool            // is in Core.dirty
 	answersDue   bool            // is in Core.answered
 	// recordsOpenStart says that the record that was last taken has a start that isn't answered.
-	recordsOpenStart bool
-	added            steady.Time
-	size             float64                 // declared core-seconds of one occurrence
-	adviceByStep     map[stepKey]*stepAdvice // for the steps that need advice
-	work             map[stepKey]*stepWork
+	recordsOpenStart    bool
+	openStartRecordedAt steady.Time // when that record was taken
+	added               steady.Time
+	size                float64                 // declared core-seconds of one occurrence
+	adviceByStep        map[stepKey]*stepAdvice // for the steps that need advice
+	work                map[stepKey]*stepWork
 }
 
 type stepKey struct{ occurrence, step int }
@@ -193,7 +194,8 @@
 			r := &run{unit: u, index: t.Index, runner: c.ensureRunner(t.Runner), attempt: cmp.Or(t.RunAttempt, t.Attempt), phase: inherited, born: recorded.Incarnations[t.Runner], createdAt: now, phaseSince: now, resumed: true}
 			r.starts.settled = !t.Open
 			if t.Open {
-				r.starts.noteInherited(t.SentOnce, now, c.inheritedStartsEnd(t.Runner, now))
+				j.recordsOpenStart, j.openStartRecordedAt = true, now
+				r.starts.noteInherited(t.SentOnce, now.Add(-time.Duration(t.OpenMillis)*time.Millisecond), c.inheritedStartsEnd(t.Runner, now))
 			}
 			if t.Done || j.state.Final() {
 				r.phase = withdrawn
@@ -222,11 +224,12 @@
 	j.openUnits[stepKey{u.occurrence, u.step}]--
 }
 
-// progress returns the progress of the job to be recorded.
-func (j *job) progress() batch.Progress {
+// progress returns the progress of the job to be recorded, with the ages of its starts at the
+// given time.
+func (j *job) progress(at steady.Time) batch.Progress {
 	p := batch.Progress{State: j.state, Incarnations: j.incarnations()}
 	for _, u := range j.units {
-		p.Tasks = u.appendProgress(p.Tasks)
+		p.Tasks = u.appendProgress(p.Tasks, at)
 	}
 	return p
 }
@@ -251,7 +254,7 @@
 	return out
 }
 
-func (u *unit) appendProgress(rows []batch.TaskProgress) []batch.TaskProgress {
+func (u *unit) appendProgress(rows []batch.TaskProgress, at steady.Time) []batch.TaskProgress {
 	if u.attempt == 0 && !u.done {
 		return rows
 	}
@@ -269,6 +272,7 @@
 	}
 	for _, r := range u.runs {
 		row.Index, row.Runner, row.Open, row.SentOnce, row.RunAttempt = r.index, r.runner.ID, !r.starts.settled, !r.starts.repeated && !r.starts.settled, 0
+		row.OpenMillis = r.startAge(at).Milliseconds()
 		if r.attempt != u.attempt {
 			row.RunAttempt = r.attempt
 		}
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -48,14 +48,50 @@
 	return true
 }
 
-// noteInherited notes that a start of an earlier scheduler may be under way.
-func (s *startsUnderWay) noteInherited(once bool, now, overBy steady.Time) {
-	s.tries, s.repeated, s.sentAt, s.overBy = 1, !once, now, overBy
+// noteInherited notes that a start of an earlier scheduler may be under way that was sent at
+// sentAt or before.
+func (s *startsUnderWay) noteInherited(once bool, sentAt, overBy steady.Time) {
+	s.tries, s.repeated, s.sentAt, s.overBy = 1, !once, sentAt, overBy
 	if s.repeated {
 		s.tries = 2 // one may be known to have begun the run, and another be under way
 	}
 }
 
+// startAge returns how long before at the last try was sent of a start that may be under way; 0: it
+// is not, or a try may be sent before the run's record is written again.
+func (r *run) startAge(at steady.Time) time.Duration {
+	if !r.starts.any() || r.phase == planned || r.phase == ordered {
+		return 0
+	}
+	return max(0, at.Sub(r.starts.sentAt))
+}
+
+// openStartRecordInterval is the time between two records of how long a start has been under way.
+// The next scheduler waits for it so much longer than necessary at most.
+const openStartRecordInterval = 2 * time.Second
+
+// recordStartAges has the records of jobs written with starts that have been under way for longer
+// than their records say.
+func (c *Core) recordStartAges(now steady.Time) {
+	for _, j := range c.active {
+		if j.recordsOpenStart && now.Sub(j.openStartRecordedAt) >= openStartRecordInterval && c.startsAge(j, now) {
+			c.markChanged(j)
+		}
+	}
+}
+
+// startsAge reports whether a start of the job may be under way for which no other try is sent.
+func (c *Core) startsAge(j *job, now steady.Time) bool {
+	for _, u := range j.units {
+		for _, r := range u.runs {
+			if age := r.startAge(now); age >= openStartRecordInterval && age < c.opts.LateOrders+openStartRecordInterval {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // carriedOutBy returns when the run's start can't be carried out any more.
 func (c *Core) carriedOutBy(r *run) steady.Time {
 	if !r.starts.any() {
