Scheduler: a report of an incarnation that is over doesn't make it the present one

What callers could see: a start, or a deadline on the clock of an incarnation that is over, sent to the runner's next incarnation. Found by reading; no record shows it.

Cause: HandleReport took any other incarnation than the last for a restart, also one that is over. Answers overtake each other, and a call that was sent to one incarnation may be carried out by the next: the later incarnation's report may have been requested first, so that the time of the request didn't sort the two. The earlier incarnation then counted as present: starts planned for it were sent, and its clock set the deadlines.

Change: a report shows a restart if it was requested after the last report of the other incarnation had arrived: it was alive later. If the two calls were under way at once, a report of an incarnation that reported before is dropped with a log line. If neither is known to be over, nothing is decided, the clock isn't used and the token is raised, until a report that was requested later shows which is present. Times of start aren't compared. What is known outlives the runner's removal.

TestRestartWithAnEarlierTimeOfStartIsKnownByItsReport keeps the other side.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -270,7 +270,9 @@
 	if k := l.links[id]; k != nil && token > k.tokenAtRestart {
 		l.core.RunnerFenced(id, report.Born)
 	}
-	l.core.HandleReport(id, asked, report, now)
+	if !l.core.HandleReport(id, asked, report, now) {
+		l.Log.Debug("outdated report not used", "runner", id, "born", report.Born, "age", now.Sub(asked).Round(time.Millisecond))
+	}
 	if unfenced && !l.core.AwaitsFence(id) {
 		l.noteFenced(id, token, report)
 	}
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -263,3 +263,38 @@
 	must.Eq(t, 0, h.Age("r", 1, steady.Now()))
 	must.Eq(t, 0, h.Age("r", 2, steady.Now()))
 }
+
+// heldAnswers answers each hold with the report that the test passes for it.
+type heldAnswers struct {
+	Runners
+	sent    chan int // numbers the holds
+	reports [2]chan batch.Report
+	holds   atomic.Int32
+}
+
+func (r *heldAnswers) Hold(context.Context, batch.Runner, HoldOrder) (batch.Report, Answer, error) {
+	n := int(r.holds.Add(1)) - 1
+	r.sent <- n
+	return <-r.reports[n], Accepted, nil
+}
+
+// Guards against a deadline that lies far ahead on a runner's clock: the answer of the earlier
+// incarnation is to a hold that was sent after the one that the next incarnation has answered.
+func TestClockOfAnEarlierIncarnationIsNotUsedWhenItsReportWasRequestedLater(t *testing.T) {
+	runner := &tokenRunner{born: 1}
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
+	hold(t, l)
+	held := &heldAnswers{Runners: runner, sent: make(chan int), reports: [2]chan batch.Report{make(chan batch.Report), make(chan batch.Report)}}
+	l.Runners = held
+	var answered [2]chan bool
+	for n := range answered {
+		answered[n] = make(chan bool)
+		go func() { answered[n] <- l.sendHold(t.Context(), order.Runner, HoldOrder{Token: 1}) }()
+		must.Eq(t, n, <-held.sent)
+	}
+	held.reports[0] <- batch.Report{Born: 2, Clock: time.Second}
+	must.True(t, <-answered[0])
+	held.reports[1] <- batch.Report{Born: 1, Clock: time.Hour}
+	must.True(t, <-answered[1])
+	must.Eq(t, time.Second, l.links["r"].clock)
+}
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -8,14 +8,15 @@
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
-// HandleReport applies a runner's report that was requested at asked.
-func (c *Core) HandleReport(id string, asked steady.Time, report batch.Report, now steady.Time) {
+// HandleReport applies a runner's report that was requested at asked. It returns false if another
+// report shows that this one is outdated or may be.
+func (c *Core) HandleReport(id string, asked steady.Time, report batch.Report, now steady.Time) bool {
 	r := c.ensureRunner(id)
 	if asked.Before(r.reportRequestedAt) {
-		return // a report requested later was applied already
+		return false // a report requested later was applied already
 	}
-	if r.Born != 0 && report.Born != 0 && report.Born != r.Born {
-		c.noteRestart(r, report.Born, now)
+	if r.Born != 0 && report.Born != 0 && report.Born != r.Born && !c.handleOtherIncarnation(r, asked, report.Born, now) {
+		return false
 	}
 	if report.Born != 0 {
 		r.Born = report.Born
@@ -24,8 +25,9 @@
 		r.reachableSince = asked
 	}
 	r.reportRequestedAt, r.reportReceivedAt, r.reportDueBy, r.reachable = asked, now, 0, true
+	r.bornReportedAt = now
 	if r.fence == unfenced {
-		return
+		return true
 	}
 	if r.fence == fenced && !r.awaitsReport() {
 		r.endEarlierOrders()
@@ -37,6 +39,24 @@
 	}
 	c.handleEnds(r, report.Ended, now)
 	c.handleRunning(r, asked, report.Running, now)
+	return true
+}
+
+// handleOtherIncarnation handles a report of another incarnation than the one that reported last,
+// and reports whether it shows that the latter is over. Only a report does that was requested
+// after the last one had arrived: answers overtake each other, and a call that was sent before
+// may be carried out by the next incarnation. Times of start prove nothing, as the runner's time
+// of day may have gone back.
+func (c *Core) handleOtherIncarnation(r *runner, asked steady.Time, born int64, now steady.Time) bool {
+	later := !asked.Before(r.bornReportedAt)
+	if !later && slices.Contains(r.earlierBorn, born) {
+		return false
+	}
+	c.noteRestart(r, born, now)
+	if later && !r.bornReportedAt.IsZero() {
+		r.earlierBorn = append(r.earlierBorn, r.Born)
+	}
+	return later
 }
 
 // ReportedLast reports whether the given incarnation of a runner is the one that reported last,
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/scheduler"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
 // Guards against a task that runs twice: the new incarnation of a runner has accepted its
@@ -387,3 +389,72 @@
 	core.Decide(now.Add(3*time.Second), time.Unix(0, int64(now)))
 	must.Len(t, 0, core.TakeRecords(1))
 }
+
+// Guards against a start that is sent to a later incarnation: a report of the earlier one, which
+// was requested later, is handled after the later one's.
+func TestReportOfAnEarlierIncarnationIsNotUsed(t *testing.T) {
+	const now = worldStart
+	at := func(ms int) steady.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	for name, between := range map[string]func(*scheduler.Core){
+		"at once": func(*scheduler.Core) {},
+		"after the runner was removed": func(c *scheduler.Core) {
+			c.HandleAnswer(scheduler.Order{Kind: scheduler.StartRun, Runner: incarnation(1, "b"), Task: batch.TaskID{Job: "j"}, Attempt: 1}, scheduler.NotExecuted, at(30))
+			c.CancelJob("j", at(30))
+			c.RunnerUnlisted("r")
+			c.Decide(at(30), time.Unix(0, int64(now)))
+			must.False(t, c.RunnerNeeded("r"))
+			c.RunnerListed(incarnation(2, "b"), at(35))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core, order, _ := startOne(t, now)
+			must.True(t, core.HandleReport("r", at(10), batch.Report{Born: 2}, at(30)))
+			between(core)
+			must.False(t, core.HandleReport("r", at(20), batch.Report{Born: 1}, at(40)))
+			must.True(t, core.ReportedLast("r", 2))
+			must.False(t, core.AwaitsStart(order))
+		})
+	}
+}
+
+// Guards against orders with a deadline on the clock of an incarnation that is over: two
+// incarnations answer calls that were under way at the same time, and the first report of the
+// scheduler's term may be the later one's. A report requested after both shows which is present.
+func TestReportsOfTwoIncarnationsThatOverlapDecideNothing(t *testing.T) {
+	const now = worldStart
+	at := func(ms int) steady.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	for _, present := range []int64{1, 2} {
+		t.Run(fmt.Sprint("present ", present), func(t *testing.T) {
+			var restarts []int64
+			core := scheduler.New(scheduler.Options{ObserveRestart: func(_ string, born, _, _ int64) { restarts = append(restarts, born) }})
+			core.RunnerListed(incarnation(present, "b"), now)
+			core.HandleReport("r", at(0), batch.Report{Born: 2}, at(30))
+			must.False(t, core.HandleReport("r", at(10), batch.Report{Born: 1}, at(40)))
+			must.False(t, core.ReportedLast("r", 1))
+			must.True(t, core.AwaitsFence("r"))
+			must.Eq(t, 1, restarts[len(restarts)-1])
+			core.AddJob(labelledJob(), nil, now)
+			for i := range 2 { // the first shows which is present, and the second that it is fenced
+				core.RunnerFenced("r", present)
+				must.True(t, core.HandleReport("r", at(50+10*i), batch.Report{Born: present}, at(55+10*i)))
+			}
+			must.False(t, core.AwaitsFence("r"))
+			must.True(t, core.ReportedLast("r", present))
+			must.False(t, core.HandleReport("r", at(20), batch.Report{Born: 3 - present}, at(70)))
+			core.Decide(at(80), time.Unix(0, int64(now)))
+			must.Len(t, 1, core.TakeRecords(1))
+		})
+	}
+}
+
+// A restart is known by the report that was requested since, also if the runner's time of day has
+// gone back.
+func TestRestartWithAnEarlierTimeOfStartIsKnownByItsReport(t *testing.T) {
+	const now = worldStart
+	core, order, _ := startOne(t, now)
+	must.True(t, core.HandleReport("r", now.Add(time.Millisecond), batch.Report{Born: 3}, now.Add(2*time.Millisecond)))
+	must.True(t, core.HandleReport("r", now.Add(3*time.Millisecond), batch.Report{Born: 2}, now.Add(4*time.Millisecond)))
+	must.True(t, core.ReportedLast("r", 2))
+	must.True(t, core.AwaitsFence("r"))
+	must.False(t, core.AwaitsStart(order))
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -39,6 +39,8 @@
 type runner struct {
 	batch.Runner                                           // as its entry describes it, but Born: the incarnation that reported last
 	describedBorn                          int64           // the incarnation that its entry describes; 0: unknown
+	bornReportedAt                         steady.Time     // when Born last reported, also before the runner was removed
+	earlierBorn                            []int64         // incarnations that reported during the term and are over
 	restartedBorn                          int64           // the last incarnation whose restart was passed to the observer
 	listed                                 bool            // its entry in the store exists
 	reportRequestedAt                      steady.Time     // when the last report was requested
@@ -92,13 +94,16 @@
 
 // removedRunner is what is kept of a runner that was removed.
 type removedRunner struct {
-	born            int64
-	fence           fence
-	acknowledgement acknowledgement
+	born              int64
+	bornReportedAt    steady.Time
+	reportRequestedAt steady.Time
+	earlierBorn       []int64
+	fence             fence
+	acknowledgement   acknowledgement
 }
 
 func (r *runner) asRemoved() removedRunner {
-	out := removedRunner{r.Born, r.fence, r.acknowledgement}
+	out := removedRunner{r.Born, r.bornReportedAt, r.reportRequestedAt, r.earlierBorn, r.fence, r.acknowledgement}
 	if out.acknowledgement == inFlight {
 		out.acknowledgement = withoutAnswer // its answer finds no runner
 	}
@@ -119,7 +124,8 @@
 			leaseEndsBy: c.inheritedLeaseEnd(id),
 		}
 		before := c.removed[id]
-		r.Born, r.fence, r.acknowledgement = before.born, before.fence, before.acknowledgement
+		r.Born, r.bornReportedAt, r.reportRequestedAt, r.earlierBorn = before.born, before.bornReportedAt, before.reportRequestedAt, before.earlierBorn
+		r.fence, r.acknowledgement = before.fence, before.acknowledgement
 		c.runners[id] = r
 		c.allRunners = append(c.allRunners, r)
 	}
