Scheduler: an outdated report doesn't leave a restarted runner fenced

What callers could see: a task that runs twice. Found by reading; no record shows it.

Cause: RunnerFenced says that the report that is handled next was requested with the raised token. If that report is outdated, as one requested later was handled, the mark stayed, and the next report decided about all runs of the earlier incarnation, though it may have been requested with the token of before: two calls may take their tokens in one order and be sent in the other.

Change: the mark is taken back when its report isn't handled, as on a runner's removal.

Evidence: TestOutdatedReportDoesNotFenceARestartedRunner fails without the change (AwaitsFence is false after the outdated report).

--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -13,6 +13,9 @@
 func (c *Core) HandleReport(id string, asked steady.Time, report batch.Report, now steady.Time) bool {
 	r := c.ensureRunner(id)
 	if asked.Before(r.reportRequestedAt) {
+		if r.fence == raised {
+			r.fence = unfenced // the report that would have decided is not handled
+		}
 		return false // a report requested later was applied already
 	}
 	if r.Born != 0 && report.Born != 0 && report.Born != r.Born && !c.handleOtherIncarnation(r, asked, report.Born, now) {
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -458,3 +458,21 @@
 	must.True(t, core.AwaitsFence("r"))
 	must.False(t, core.AwaitsStart(order))
 }
+
+// Guards against a task that runs twice: the report that a restarted runner gave with a higher
+// token is outdated, and the one handled next was requested with the token of before.
+func TestOutdatedReportDoesNotFenceARestartedRunner(t *testing.T) {
+	const now = worldStart
+	at := func(ms int) steady.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	core, order, _ := startOne(t, now)
+	core.HandleAnswer(order, scheduler.Accepted, at(10))
+	core.TakeRecords(1)
+	core.HandleReport("r", at(20), batch.Report{Born: 2}, at(30))
+	core.HandleReport("r", at(50), batch.Report{Born: 2}, at(60))
+	core.RunnerFenced("r", 2)
+	must.False(t, core.HandleReport("r", at(40), batch.Report{Born: 2}, at(70)))
+	must.True(t, core.AwaitsFence("r"))
+	core.HandleReport("r", at(55), batch.Report{Born: 2}, at(80)) // the start may be carried out after it
+	core.Decide(at(90), time.Unix(0, int64(now)))
+	must.Len(t, 0, core.TakeRecords(1))
+}
