Scheduler: an earlier incarnation's entry doesn't narrow the wait for the next one

What callers could see: a task that runs twice. Found by reading; no record shows it.

Cause: an entry of a later incarnation has the scheduler wait for what orders to the earlier one may still extend there. When an entry of the earlier incarnation was read again, the later entry was taken for another writer's, and that wait ended. A write without a response may be executed seconds later, so the earlier incarnation's entry may be written after the next one's. The wait didn't begin again with the later entry either, as its restart had been noted.

Change: only a report shows that the entry was another writer's: one of the earlier incarnation, requested after the entry was read. A report that was requested before leaves the wait as it is. After a takeover the wait for a runner that restarted since its runs were recorded stays.

The row "another writer's entry, and its own again" of TestLeaseOfAnUnfencedRunnerOutlastsOrdersToItsEarlierIncarnation expected the shorter wait without any report. It now expects the longer wait, and four rows tell the cases apart: the later entry once more, a report requested before (longer), and one requested since, before or after the entry is back (shorter, as before).

Evidence: without the change the three rows that expect the longer wait and "restart read later" of TestInheritedRunOutlastsEarlierOrdersWhenTheEarlierEntryIsReadAgain fail: the run is given up before its time.

--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -71,9 +71,15 @@
 
 // endEarlierOrders notes that a runner which restarted before this term has seen the term's
 // token. What it has carried out of earlier orders until then holds the lease that they gave it.
+// A report that was requested before an entry showed a restart doesn't show that.
 func (r *runner) endEarlierOrders() {
-	r.leaseEndsBy = max(r.leaseEndsBy, r.earlierOrdersBy)
-	r.earlierOrdersBy = 0
+	switch {
+	case r.restartRefuted():
+		r.earlierOrdersBy = 0
+	case r.reportRequestedAt.After(r.restartListedAt):
+		r.leaseEndsBy = max(r.leaseEndsBy, r.earlierOrdersBy)
+		r.earlierOrdersBy = 0
+	}
 }
 
 // noteEndsTruncated notes whether the runner's last report leaves ends out, and tells
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -135,6 +135,7 @@
 func TestLeaseOfAnUnfencedRunnerOutlastsOrdersToItsEarlierIncarnation(t *testing.T) {
 	const now = worldStart
 	const earlierOrders, lease = 18 * time.Second, 6 * time.Second
+	lists := batch.Report{Born: 1, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}
 	for name, test := range map[string]struct {
 		happens func(*scheduler.Core)
 		lostBy  time.Duration
@@ -142,9 +143,30 @@
 		"no restart": {func(*scheduler.Core) {}, lease},
 		"listed":     {func(c *scheduler.Core) { c.RunnerListed(incarnation(2, "b"), now) }, earlierOrders},
 		"reported":   {func(c *scheduler.Core) { c.HandleReport("r", now, batch.Report{Born: 2}, now) }, earlierOrders},
-		"another writer's entry, and its own again": {func(c *scheduler.Core) {
+		// The second entry may be one of the earlier incarnation that was written late.
+		"entry of a later incarnation, and the earlier one's again": {func(c *scheduler.Core) {
 			c.RunnerListed(incarnation(2, "b"), now)
 			c.RunnerListed(incarnation(1, "b"), now)
+		}, earlierOrders},
+		"the same, and the later one's once more": {func(c *scheduler.Core) {
+			c.RunnerListed(incarnation(2, "b"), now)
+			c.RunnerListed(incarnation(1, "b"), now)
+			c.RunnerListed(incarnation(2, "b"), now)
+		}, earlierOrders},
+		"the same, with a report requested before": {func(c *scheduler.Core) {
+			c.RunnerListed(incarnation(2, "b"), now)
+			c.RunnerListed(incarnation(1, "b"), now)
+			c.HandleReport("r", now, lists, now.Add(2*time.Millisecond))
+		}, earlierOrders},
+		"another writer's entry, its own again, and a report requested since": {func(c *scheduler.Core) {
+			c.RunnerListed(incarnation(2, "b"), now)
+			c.RunnerListed(incarnation(1, "b"), now)
+			c.HandleReport("r", now.Add(time.Millisecond), lists, now.Add(2*time.Millisecond))
+		}, lease},
+		"another writer's entry, a report requested since, and its own again": {func(c *scheduler.Core) {
+			c.RunnerListed(incarnation(2, "b"), now)
+			c.HandleReport("r", now.Add(time.Millisecond), lists, now.Add(2*time.Millisecond))
+			c.RunnerListed(incarnation(1, "b"), now)
 		}, lease},
 		"fenced": {func(c *scheduler.Core) {
 			c.HandleReport("r", now, batch.Report{Born: 2}, now)
@@ -291,6 +313,26 @@
 	}
 }
 
+// Guards against the same, when an entry of the earlier incarnation is written late.
+func TestInheritedRunOutlastsEarlierOrdersWhenTheEarlierEntryIsReadAgain(t *testing.T) {
+	const now = worldStart
+	const earlierOrders, lease = 18 * time.Second, 6 * time.Second
+	for name, entries := range map[string][]int64{"restart read first": {2, 1}, "restart read later": {1, 2, 1}} {
+		t.Run(name, func(t *testing.T) {
+			core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(lease), EarlierOrders: earlierOrders})
+			core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r"}},
+				Incarnations: map[string]int64{"r": 1}}, now)
+			for _, born := range entries {
+				core.RunnerListed(incarnation(born, "b"), now)
+			}
+			core.Decide(now.Add(earlierOrders), time.Unix(0, int64(now)))
+			must.Len(t, 0, core.TakeRecords(1))
+			core.Decide(now.Add(earlierOrders+time.Second), time.Unix(0, int64(now)))
+			must.Len(t, 1, core.TakeRecords(1))
+		})
+	}
+}
+
 // The report that first shows a leader a restarted runner lists what it has carried out of the
 // orders of the leader before. Guards against such a run being lost by the lease of the run before.
 func TestReportedRunOfARestartedRunnerIsKept(t *testing.T) {
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -50,6 +50,7 @@
 	reachable                              bool            // it answered the last hold
 	reachableSince                         steady.Time     // when the first hold was sent that it has answered since it last left one without an answer
 	leaseEndsBy                            steady.Time     // when its lease has certainly run out, unless earlier orders extend it
+	restartListedAt                        steady.Time     // when an entry of a later incarnation was last read
 	earlierOrdersBy                        steady.Time     // until it is fenced: when leases that orders to its earlier incarnation may extend have run out
 	reserved                               batch.Resources // by its runs
 	reservedUrgent                         batch.Resources // by urgentRuns
@@ -143,12 +144,13 @@
 	switch {
 	case r.awaitsReport():
 		c.observeRestart(r, entry.Born, now)
+		r.restartListedAt = now
 	case r.reportReceivedAt.IsZero() && r.restartedSinceItsRuns():
 		if r.earlierOrdersBy.IsZero() {
 			r.earlierOrdersBy = now.Add(c.opts.EarlierOrders)
 		}
-	case r.described() && r.fence == fenced:
-		r.earlierOrdersBy = 0 // the entry of a later incarnation was another writer's
+	case r.described() && r.fence == fenced && r.restartRefuted():
+		r.earlierOrdersBy = 0
 	}
 	if entry.Draining {
 		r.leavesAt = now.Add(entry.DrainRemaining)
@@ -156,6 +158,13 @@
 	r.listed = true
 }
 
+// restartRefuted reports whether the entry of a later incarnation was another writer's: the
+// incarnation that has reported answered a call that was sent after the entry was read. The
+// earlier incarnation's entry shows nothing when it is read again, as it may be written late.
+func (r *runner) restartRefuted() bool {
+	return !r.restartListedAt.IsZero() && r.reportRequestedAt.After(r.restartListedAt) && !r.restartedSinceItsRuns()
+}
+
 // RunnerUnlisted notes that a runner's entry in the store is gone. Its runs still
 // count.
 func (c *Core) RunnerUnlisted(id string) {
