Scheduler: another runner at an address says something of the incarnation called there only

What callers could see: a task that runs twice. Found by reading; no record shows it.

Cause: a hold that another runner answers (421) gave up all runs on the runner that the call was meant for, if that one was draining and not listed by the time of the answer. The call may have been sent to an earlier incarnation, or to an earlier address, and the next incarnation may have reported already.

Change: the evidence is what the call was sent to, RunnerReplaced(sentTo). It counts if the runner is described by the same incarnation and address still, and no later incarnation has reported. RunnerUnreachable takes the ID only. No expectation of a test has changed.

Evidence: the rows "an earlier one", "an earlier address" and "the next one has reported" of TestAnotherRunnerAtAnEarlierAddressDoesNotShowThatTheRunnerHasLeft fail without the change (the runs are given up); the other two rows pass with and without it.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -222,7 +222,7 @@
 		if o.Acknowledged > 0 {
 			l.noteUnacknowledged(to.ID, answer, err)
 		}
-		l.core.RunnerUnreachable(to.ID, answer == OtherIncarnation, now)
+		l.noteUnreachable(to, answer, now)
 		signal(l.decisionDue)
 		return false
 	}
@@ -237,6 +237,16 @@
 	return true
 }
 
+// noteUnreachable passes to the core that a hold to a runner, as it was described then, was not
+// answered with a report. The caller holds mu.
+func (l *Leader) noteUnreachable(to batch.Runner, answer Answer, now steady.Time) {
+	if answer == OtherIncarnation {
+		l.core.RunnerReplaced(to, now)
+		return
+	}
+	l.core.RunnerUnreachable(to.ID)
+}
+
 // noteUnacknowledged passes the outcome of a hold that acknowledged ends, and was not answered
 // with a report, to the core. The caller holds mu.
 func (l *Leader) noteUnacknowledged(id string, answer Answer, err error) {
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -236,6 +236,37 @@
 	}
 }
 
+// Guards against tasks that run twice: a hold that was sent to an earlier incarnation of a runner,
+// or to an earlier address, is answered by another runner, and the present one is draining and
+// not listed.
+func TestAnotherRunnerAtAnEarlierAddressDoesNotShowThatTheRunnerHasLeft(t *testing.T) {
+	for name, test := range map[string]struct {
+		sentTo, described batch.Runner
+		reported          int64
+		runs              bool
+	}{
+		"the present one":              {batch.Runner{Address: "a", Born: 1}, batch.Runner{Address: "a", Born: 1}, 1, false},
+		"listed, and not reported yet": {batch.Runner{Address: "a", Born: 2}, batch.Runner{Address: "a", Born: 2}, 1, false},
+		"an earlier one":               {batch.Runner{Address: "a", Born: 1}, batch.Runner{Address: "a", Born: 2}, 2, true},
+		"an earlier address":           {batch.Runner{Address: "a", Born: 1}, batch.Runner{Address: "b", Born: 1}, 1, true},
+		"the next one has reported":    {batch.Runner{Address: "a", Born: 1}, batch.Runner{Address: "a", Born: 1}, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, order := leaderOfOneRunner(t, refusingRunners{answer: OtherIncarnation}, time.Minute)
+			l.core.HandleAnswer(order, scheduler.Accepted, steady.Now())
+			report(l, batch.Report{Born: test.reported, Running: []batch.RunningTask{{Task: order.Task, Attempt: order.Attempt}}})
+			describe := func(r batch.Runner) batch.Runner {
+				r.ID, r.Service, r.Draining, r.DrainRemaining = "r", "s", true, time.Minute
+				return r
+			}
+			l.core.RunnerListed(describe(test.described), steady.Now())
+			l.core.RunnerUnlisted("r")
+			must.False(t, l.sendHold(t.Context(), describe(test.sentTo), HoldOrder{}))
+			must.Eq(t, test.runs, l.core.RunnerNeeded("r"))
+		})
+	}
+}
+
 // Guards against copies of a start that its record doesn't allow for: the next leader would take
 // a run that is listed for the only one that its start can begin.
 func TestStartIsNotRepeatedBeforeItsRecordSaysSo(t *testing.T) {
--- a/batch/scheduler/repeatedstart_test.go
+++ b/batch/scheduler/repeatedstart_test.go
@@ -164,7 +164,7 @@
 	d.run(500 * time.Millisecond)
 	d.core.NoteStartUnanswered(b)
 	d.run(600 * time.Millisecond) // the report that is asked for has no answer either
-	d.core.RunnerUnreachable(b.Runner.ID, false, d.now)
+	d.core.RunnerUnreachable(b.Runner.ID)
 	d.core.HandleAnswer(b, scheduler.OutcomeUnknown, d.now)
 	d.run(900 * time.Millisecond)
 	d.reports[b.Runner.ID] = cut
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -187,7 +187,7 @@
 			core.NoteLeaseExtension("r", now.Add(lease))
 			test.happens(core)
 			core.TakeRecords(1)
-			core.RunnerUnreachable("r", false, now)
+			core.RunnerUnreachable("r")
 			core.Decide(now.Add(test.lostBy), time.Unix(0, int64(now)))
 			must.Len(t, 0, core.TakeRecords(1))
 			core.Decide(now.Add(test.lostBy+time.Second), time.Unix(0, int64(now)))
@@ -250,7 +250,7 @@
 			}
 			core.TakeRecords(1)
 			test.happens(core)
-			core.RunnerUnreachable("r", false, now)
+			core.RunnerUnreachable("r")
 			if test.lostBy > 0 {
 				core.Decide(now.Add(test.lostBy-time.Millisecond), time.Unix(0, int64(now)))
 				must.Len(t, 0, core.TakeRecords(1))
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -180,7 +180,7 @@
 		return // another incarnation is listed
 	}
 	r.listed = false
-	if born != 0 && r.Born > born {
+	if r.isOver(born) {
 		return // the next incarnation has reported already
 	}
 	r.reachable = false
@@ -273,22 +273,30 @@
 	return len(r.pendingEnds) > 0
 }
 
-// RunnerUnreachable notes that a runner did not answer. replaced says that another runner
-// answered at its address: if it was draining and is no longer listed, it has left.
-// Silence, and connections that are refused, say nothing about its runs: its failure
-// domain may be cut off, by a partition that may refuse connections, and they go on until
-// the runner's lease has run out.
-func (c *Core) RunnerUnreachable(id string, replaced bool, now steady.Time) {
-	r := c.runners[id]
-	if r == nil {
-		return
+// RunnerUnreachable notes that a runner did not answer. Silence, and connections that are
+// refused, say nothing about its runs: its failure domain may be cut off, by a partition that
+// may refuse connections, and they go on until the runner's lease has run out.
+func (c *Core) RunnerUnreachable(id string) {
+	if r := c.runners[id]; r != nil {
+		r.reachable = false
 	}
-	r.reachable = false
-	if replaced && !r.listed && r.Draining {
-		c.loseAllRuns(r, now, "another runner is at the address of the runner, which was leaving")
+}
+
+// RunnerReplaced notes that another runner answered a call that was sent to an incarnation at its
+// address, both as described by sentTo. If that one is described still, was draining and is no
+// longer listed, it has left.
+func (c *Core) RunnerReplaced(sentTo batch.Runner, now steady.Time) {
+	c.RunnerUnreachable(sentTo.ID)
+	r := c.runners[sentTo.ID]
+	if r == nil || r.listed || !r.Draining || r.describedBorn != sentTo.Born || r.Address != sentTo.Address || r.isOver(sentTo.Born) {
+		return
 	}
+	c.loseAllRuns(r, now, "another runner is at the address of the runner, which was leaving")
 }
 
+// isOver reports whether a later incarnation than the given one has reported already.
+func (r *runner) isOver(born int64) bool { return born != 0 && r.Born > born }
+
 // backOff suspends the runner after a failure.
 func (r *runner) backOff(now steady.Time) {
 	r.failures++
--- a/batch/scheduler/startage_test.go
+++ b/batch/scheduler/startage_test.go
@@ -112,7 +112,7 @@
 	core.NoteStartSent(order, now)
 	core.NoteStartUnanswered(order)
 	core.HandleAnswer(order, scheduler.OutcomeUnknown, now)
-	core.RunnerUnreachable("r", false, now)
+	core.RunnerUnreachable("r")
 	ages := func() []int64 {
 		var out []int64
 		for _, record := range core.TakeRecords(1) {
--- a/batch/scheduler/startsunderway_test.go
+++ b/batch/scheduler/startsunderway_test.go
@@ -328,7 +328,7 @@
 	w.NoteStartUnanswered(order)
 	w.CancelJob("j", w.now) // so that it isn't sent again
 	order.Kind = scheduler.StopRun
-	w.RunnerUnreachable("r", false, w.now)
+	w.RunnerUnreachable("r")
 	w.HandleAnswer(order, scheduler.Accepted, w.now)
 	w.at(testLateOrders + time.Second)
 	for reachableFor, needed := range []bool{true, true, false} {
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -426,7 +426,7 @@
 		if acknowledged > 0 {
 			core.NoteAcknowledgementUnanswered(id)
 		}
-		core.RunnerUnreachable(id, false, w.now)
+		core.RunnerUnreachable(id)
 	}
 	if acknowledged > 0 {
 		core.NoteAcknowledgementSent(id)
