Scheduler: a later incarnation may have an earlier time of start when the one before has left

What callers could see: a task that runs twice. Found by reading; no record shows it.

Cause: a departure, or another runner at the address of an incarnation that was leaving, left the runs alone only if the incarnation that reported since has a higher time of start. That is a time of day and may go back over a restart; the departure of the earlier one then gave up the runs of the present one.

Change: an incarnation is over also if another one has reported since in the term.

Evidence: both cases of TestDepartureLeavesRunsOfALaterIncarnationWithAnEarlierTimeOfStartAlone fail without the change (the runner isn't needed any more, as its runs were given up).

--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -518,3 +518,30 @@
 	core.Decide(at(90), time.Unix(0, int64(now)))
 	must.Len(t, 0, core.TakeRecords(1))
 }
+
+// Guards against a task that runs twice: the incarnation that was leaving has ended, and the next
+// one has reported, with an earlier time of start, as the runner's time of day went back.
+func TestDepartureLeavesRunsOfALaterIncarnationWithAnEarlierTimeOfStartAlone(t *testing.T) {
+	const now = worldStart
+	leaving := incarnation(5, "b")
+	leaving.Address, leaving.Draining, leaving.DrainRemaining = "a", true, time.Minute
+	for name, ends := range map[string]func(*scheduler.Core){
+		"left":     func(c *scheduler.Core) { c.RunnerLeft("r", 5, now.Add(time.Second)) },
+		"replaced": func(c *scheduler.Core) { c.RunnerUnlisted("r"); c.RunnerReplaced(leaving, now.Add(time.Second)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			core, order, _ := startOne(t, now)
+			core.HandleAnswer(order, scheduler.Accepted, now)
+			core.TakeRecords(1)
+			core.RunnerListed(leaving, now)
+			for i, born := range []int64{5, 3, 3} { // the last is fenced
+				asked := now.Add(time.Duration(1+2*i) * time.Millisecond)
+				core.RunnerFenced("r", 3)
+				core.HandleReport("r", asked, batch.Report{Born: born, Running: []batch.RunningTask{{Task: order.Task, Attempt: order.Attempt}}}, asked.Add(time.Millisecond))
+			}
+			must.False(t, core.AwaitsFence("r"))
+			ends(core)
+			must.True(t, core.RunnerNeeded("r"))
+		})
+	}
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -294,8 +294,11 @@
 	c.loseAllRuns(r, now, "another runner is at the address of the runner, which was leaving")
 }
 
-// isOver reports whether a later incarnation than the given one has reported already.
-func (r *runner) isOver(born int64) bool { return born != 0 && r.Born > born }
+// isOver reports whether a later incarnation than the given one has reported already. Its time of
+// start may be earlier, as the runner's time of day may have gone back.
+func (r *runner) isOver(born int64) bool {
+	return born != 0 && (r.Born > born || slices.Contains(r.earlierBorn, born))
+}
 
 // backOff suspends the runner after a failure.
 func (r *runner) backOff(now steady.Time) {
