Scheduler: forgotten ends are those of the incarnation that answered

Found by reading; no record shows it.

Cause: the answer to a hold that acknowledged ends was applied to whichever incarnation was present. The incarnation that the hold was meant for was known, but forgotten when the runner was removed while the hold was under way. The next incarnation's ends up to that number were then taken for forgotten, and not acknowledged.

Change: EndsForgotten names the incarnation that answered, and the one that the acknowledgement was meant for is kept over a removal. Both must be the present one. The calls in tests name the incarnation; no expectation has changed.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -226,7 +226,7 @@
 		signal(l.decisionDue)
 		return false
 	}
-	l.core.EndsForgotten(to.ID, o.Acknowledged)
+	l.core.EndsForgotten(to.ID, report.Born, o.Acknowledged)
 	l.handleReport(to.ID, o.Token, asked, report, now)
 	if k := l.links[to.ID]; k != nil && l.core.ReportedLast(to.ID, report.Born) {
 		k.clock, k.clockAt = report.Clock, now
--- a/batch/scheduler/givenup_test.go
+++ b/batch/scheduler/givenup_test.go
@@ -106,7 +106,7 @@
 // in flight to it, and comes back.
 func TestStartsAreIssuedOnARunnerThatComesBackAfterAnAcknowledgement(t *testing.T) {
 	for name, answer := range map[string]func(*scheduler.Core){
-		"answered":   func(c *scheduler.Core) { c.EndsForgotten("r", 1) },
+		"answered":   func(c *scheduler.Core) { c.EndsForgotten("r", 1, 1) },
 		"unanswered": func(c *scheduler.Core) { c.NoteAcknowledgementUnanswered("r") },
 		"refused":    func(c *scheduler.Core) { c.NoteAcknowledgementRefused("r") },
 	} {
@@ -210,12 +210,42 @@
 	must.Eq(t, 3, d.core.AcknowledgedEnd("r"))
 	d.core.NoteAcknowledgementSent("r")
 	d.core.HandleReport("r", d.now.Add(time.Millisecond), batch.Report{Born: 2}, d.now.Add(2*time.Millisecond)) // requested beside it
-	d.core.EndsForgotten("r", 3)
+	d.core.EndsForgotten("r", 1, 3)
 	d.core.RunnerFenced("r", 2)
 	d.core.HandleReport("r", d.now.Add(time.Second), batch.Report{Born: 2, Ended: []batch.EndedTask{end(1)}}, d.now.Add(time.Second))
 	must.Eq(t, 1, d.core.AcknowledgedEnd("r"))
 }
 
+// Guards against the same, when the runner was removed and came back while the acknowledgement was
+// in flight: whichever incarnation answers it, the next one's ends are numbered anew.
+func TestEndsOfTheNextIncarnationAreAcknowledgedAfterARemoval(t *testing.T) {
+	for _, answeredBy := range []int64{1, 2} {
+		t.Run(fmt.Sprint("answered by ", answeredBy), func(t *testing.T) {
+			d := newDriver()
+			d.addRunner("r", 1000)
+			end := func(n int64) batch.EndedTask {
+				return batch.EndedTask{Sequence: n, Task: batch.TaskID{Job: "unknown"}, Attempt: 1}
+			}
+			d.core.HandleReport("r", d.now, batch.Report{Born: 1, Ended: []batch.EndedTask{end(1), end(2), end(3)}}, d.now)
+			must.Eq(t, 3, d.core.AcknowledgedEnd("r"))
+			d.core.NoteAcknowledgementSent("r")
+			d.core.RunnerUnlisted("r")
+			d.step() // removes the runner
+			d.core.RunnerListed(batch.Runner{ID: "r", Service: "s", Born: 2, FailureDomain: "r", Rack: "r", Capacity: batch.Resources{MilliCPU: 1000}}, d.now)
+			report := func(ended ...batch.EndedTask) {
+				d.now = d.now.Add(time.Second)
+				d.core.RunnerFenced("r", 2)
+				d.core.HandleReport("r", d.now, batch.Report{Born: 2, Ended: ended}, d.now)
+			}
+			report()
+			d.core.EndsForgotten("r", answeredBy, 3)
+			report()
+			report(end(1))
+			must.Eq(t, 1, d.core.AcknowledgedEnd("r"))
+		})
+	}
+}
+
 // Guards against an end that nobody has read and a runner forgets, and against a record that
 // says that no start is under way: a try was not sent, and the next one is about to be.
 func TestTryThatWasNotSentLeavesTheNextOneUnderWay(t *testing.T) {
--- a/batch/scheduler/repeatedstart_test.go
+++ b/batch/scheduler/repeatedstart_test.go
@@ -46,7 +46,7 @@
 					d.core.NoteAcknowledgementSent(id)
 				}
 			case roundTrip:
-				d.core.EndsForgotten(id, inFlight[n])
+				d.core.EndsForgotten(id, 1, inFlight[n])
 				d.core.HandleReport(id, d.now.Add(-roundTrip), batch.Report{Born: 1}, d.now)
 			}
 		}
@@ -99,7 +99,7 @@
 	for step := range 100 {
 		d.now = d.now.Add(50 * time.Millisecond)
 		if step%3 == 0 {
-			d.core.EndsForgotten("r", d.core.AcknowledgedEnd("r"))
+			d.core.EndsForgotten("r", 1, d.core.AcknowledgedEnd("r"))
 			d.core.HandleReport("r", d.now, report, d.now)
 		}
 		j := oneTask()
@@ -221,7 +221,7 @@
 		if n := d.core.AcknowledgedEnd("r"); n > 0 {
 			d.core.NoteAcknowledgementSent("r")
 			acknowledged = n
-			d.core.EndsForgotten("r", n)
+			d.core.EndsForgotten("r", 1, n)
 		}
 		for id, at := range endedAt {
 			if state, _ := d.core.JobState(id); state == batch.Completed {
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -273,11 +273,11 @@
 	core.HandleReport("r", now, batch.Report{Born: 1, Ended: []batch.EndedTask{end(1)}}, now)
 	must.Eq(t, 1, core.AcknowledgedEnd("r"))
 	must.Eq(t, 1, core.AcknowledgedEnd("r")) // the hold before had no answer
-	core.EndsForgotten("r", 1)
+	core.EndsForgotten("r", 1, 1)
 	must.Eq(t, 0, core.AcknowledgedEnd("r"))
 	core.HandleReport("r", now, batch.Report{Born: 1, Ended: []batch.EndedTask{end(2)}}, now)
 	must.Eq(t, 2, core.AcknowledgedEnd("r"))
-	core.EndsForgotten("r", 2)
+	core.EndsForgotten("r", 1, 2)
 	core.HandleReport("r", now, batch.Report{Born: 2}, now)
 	core.RunnerFenced("r", 2)
 	core.HandleReport("r", now, batch.Report{Born: 2, Ended: []batch.EndedTask{end(1)}}, now)
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -101,10 +101,11 @@
 	earlierBorn       []int64
 	fence             fence
 	acknowledgement   acknowledgement
+	acknowledgedBorn  int64
 }
 
 func (r *runner) asRemoved() removedRunner {
-	out := removedRunner{r.Born, r.bornReportedAt, r.reportRequestedAt, r.earlierBorn, r.fence, r.acknowledgement}
+	out := removedRunner{r.Born, r.bornReportedAt, r.reportRequestedAt, r.earlierBorn, r.fence, r.acknowledgement, r.acknowledgedBorn}
 	if out.acknowledgement == inFlight {
 		out.acknowledgement = withoutAnswer // its answer finds no runner
 	}
@@ -126,7 +127,7 @@
 		}
 		before := c.removed[id]
 		r.Born, r.bornReportedAt, r.reportRequestedAt, r.earlierBorn = before.born, before.bornReportedAt, before.reportRequestedAt, before.earlierBorn
-		r.fence, r.acknowledgement = before.fence, before.acknowledgement
+		r.fence, r.acknowledgement, r.acknowledgedBorn = before.fence, before.acknowledgement, before.acknowledgedBorn
 		c.runners[id] = r
 		c.allRunners = append(c.allRunners, r)
 	}
@@ -232,9 +233,10 @@
 	return r.ackedEnd
 }
 
-// EndsForgotten notes that a runner has answered a hold that acknowledged its ends up to a
-// sequence number; 0: it acknowledged none.
-func (c *Core) EndsForgotten(id string, upTo int64) {
+// EndsForgotten notes that an incarnation of a runner has answered a hold that acknowledged ends up
+// to a sequence number; 0: it acknowledged none. Only the incarnation that the hold was meant for
+// numbers its ends so.
+func (c *Core) EndsForgotten(id string, born, upTo int64) {
 	r := c.runners[id]
 	if r == nil {
 		return
@@ -242,7 +244,7 @@
 	if upTo > 0 && r.acknowledgement == inFlight {
 		r.acknowledgement = noneUnderWay
 	}
-	if r.acknowledgedBorn == 0 || r.acknowledgedBorn == r.Born { // a report of the next incarnation may overtake the answer
+	if born == r.Born && (r.acknowledgedBorn == 0 || r.acknowledgedBorn == r.Born) { // a report of the next incarnation may overtake the answer
 		r.forgottenEnd = max(r.forgottenEnd, upTo)
 		if upTo > 0 {
 			r.unacknowledgedSince, r.acknowledgementOverdue = 0, false
--- a/batch/scheduler/startsunderway_test.go
+++ b/batch/scheduler/startsunderway_test.go
@@ -244,7 +244,7 @@
 		w.NoteAcknowledgementSent(id)
 	}
 	must.SliceEmpty(t, w.decide())
-	w.EndsForgotten("r", 0) // an answer to another hold
+	w.EndsForgotten("r", 1, 0) // an answer to another hold
 	must.SliceEmpty(t, w.decide())
 	for _, id := range []string{"r", "q"} {
 		w.NoteAcknowledgementUnanswered(id)
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -453,7 +453,7 @@
 		noAnswer()
 		return
 	}
-	core.EndsForgotten(id, acknowledged)
+	core.EndsForgotten(id, report.Born, acknowledged)
 	w.handleReport(core, id, k, report)
 }
 
