Dispatch: a refusal of an earlier token by a removed runner doesn't end the term

What callers could see: a takeover for nothing. Found by reading; no record shows it.

Cause: a refused token shows a later term unless it is an earlier one of the same term. For a runner that was removed while its answer was under way, any refused token ended the term, though its raised token was kept.

Change: the token is compared with the latest of orders to the runner's ID, removed or not.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -101,7 +101,7 @@
 		l.core.RunnerListed(r, steady.Now())
 		return
 	}
-	k := &runnerLink{runner: r, token: max(l.term.Token, l.raisedTokens[r.ID])}
+	k := &runnerLink{runner: r, token: l.latestToken(r.ID)}
 	l.links[r.ID] = k // before the core may note a restart of the runner
 	l.core.RunnerListed(r, steady.Now())
 	if l.core.AwaitsFence(r.ID) {
@@ -324,10 +324,12 @@
 func (l *Leader) fencedByLaterTerm(id string, token uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := l.links[id]
-	return k == nil || k.token == token
+	return token == l.latestToken(id)
 }
 
+// latestToken returns the token of orders to a runner, also if it was removed. The caller holds mu.
+func (l *Leader) latestToken(id string) uint64 { return max(l.term.Token, l.raisedTokens[id]) }
+
 func (l *Leader) countHold(a Answer) {
 	if l.Metrics != nil {
 		l.Metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamentray_batch_holds_total{answered="%t"}`, a == Accepted)).Inc()
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -298,3 +298,20 @@
 	must.True(t, <-answered[1])
 	must.Eq(t, time.Second, l.links["r"].clock)
 }
+
+// Guards against a term that ends for nothing: a runner refuses a token that was raised during the
+// term, and is removed before its answer is handled.
+func TestRefusalOfAnEarlierTokenByARemovedRunnerDoesNotEndTheTerm(t *testing.T) {
+	for token, ended := range map[uint64]bool{1: false, 7: true} {
+		runner := &tokenRunner{born: 1}
+		l, _ := leaderOfOneRunner(t, runner, time.Minute)
+		hold(t, l)
+		runner.restart()
+		hold(t, l)
+		l.raiseTokens(7)
+		runner.highest = 100
+		delete(l.links, "r")
+		must.False(t, l.sendHold(t.Context(), batch.Runner{ID: "r"}, HoldOrder{Token: token}))
+		must.Eq(t, ended, !l.term.Valid())
+	}
+}
