Scheduler: while two incarnations may be present, older requests show nothing

What callers could see: orders with a deadline on the clock of an incarnation that is over.

Cause: if two incarnations answer calls that were under way at once, the token is raised and no clock is used until a report shows which is present. A third answer, to a call from before that was known, was still taken for such a report if it named the incarnation that had reported first.

Change: then only reports that are requested from there on are handled, and a report that isn't handled sets no clock.

Evidence: without the change TestReportsOfTwoIncarnationsThatOverlapDecideNothing fails in both cases by its new lines (reports requested before), and TestNoClockIsUsedWhileTwoIncarnationsMayBePresent (a clock is set).

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -227,8 +227,8 @@
 		return false
 	}
 	l.core.EndsForgotten(to.ID, report.Born, o.Acknowledged)
-	l.handleReport(to.ID, o.Token, asked, report, now)
-	if k := l.links[to.ID]; k != nil && l.core.ReportedLast(to.ID, report.Born) {
+	used := l.handleReport(to.ID, o.Token, asked, report, now)
+	if k := l.links[to.ID]; used && k != nil && l.core.ReportedLast(to.ID, report.Born) {
 		k.clock, k.clockAt = report.Clock, now
 	}
 	if len(report.Ended) > 0 || o.Deadline == 0 || o.Acknowledged > 0 {
@@ -272,15 +272,16 @@
 	l.sendHold(ctx, to, o)
 }
 
-// handleReport passes the report on a hold with the given token to the core. Until a
+// handleReport passes the report on a hold with the given token to the core, and returns whether
+// it was used. Until a
 // restarted runner is fenced, an order to an earlier incarnation may have extended its lease
 // to the longest one, counted from when it was carried out. The caller holds mu.
-func (l *Leader) handleReport(id string, token uint64, asked steady.Time, report batch.Report, now steady.Time) {
+func (l *Leader) handleReport(id string, token uint64, asked steady.Time, report batch.Report, now steady.Time) (used bool) {
 	unfenced := l.core.AwaitsFence(id)
 	if k := l.links[id]; k != nil && token > k.tokenAtRestart {
 		l.core.RunnerFenced(id, report.Born)
 	}
-	if !l.core.HandleReport(id, asked, report, now) {
+	if used = l.core.HandleReport(id, asked, report, now); !used {
 		l.Log.Debug("outdated report not used", "runner", id, "born", report.Born, "age", now.Sub(asked).Round(time.Millisecond))
 	}
 	if unfenced && !l.core.AwaitsFence(id) {
@@ -289,6 +290,7 @@
 	if unfenced || l.core.AwaitsFence(id) {
 		l.core.NoteLeaseExtension(id, now.Add(maxLeaseDuration(l.RunnerLease)))
 	}
+	return used
 }
 
 // awaitsToken reports whether the runner has restarted and the token of orders to it has not
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -268,7 +268,7 @@
 type heldAnswers struct {
 	Runners
 	sent    chan int // numbers the holds
-	reports [2]chan batch.Report
+	reports [3]chan batch.Report
 	holds   atomic.Int32
 }
 
@@ -284,7 +284,7 @@
 	runner := &tokenRunner{born: 1}
 	l, order := leaderOfOneRunner(t, runner, time.Minute)
 	hold(t, l)
-	held := &heldAnswers{Runners: runner, sent: make(chan int), reports: [2]chan batch.Report{make(chan batch.Report), make(chan batch.Report)}}
+	held := &heldAnswers{Runners: runner, sent: make(chan int), reports: [3]chan batch.Report{make(chan batch.Report), make(chan batch.Report), make(chan batch.Report)}}
 	l.Runners = held
 	var answered [2]chan bool
 	for n := range answered {
@@ -315,3 +315,23 @@
 		must.Eq(t, ended, !l.term.Valid())
 	}
 }
+
+// Guards against the same in the first reports of a term: no report of before shows which of two
+// incarnations is over, and calls to both were under way.
+func TestNoClockIsUsedWhileTwoIncarnationsMayBePresent(t *testing.T) {
+	runner := &tokenRunner{born: 1}
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
+	held := &heldAnswers{Runners: runner, sent: make(chan int), reports: [3]chan batch.Report{make(chan batch.Report), make(chan batch.Report), make(chan batch.Report)}}
+	l.Runners = held
+	var answered [3]chan bool
+	for n := range answered {
+		answered[n] = make(chan bool)
+		go func() { answered[n] <- l.sendHold(t.Context(), order.Runner, HoldOrder{Token: 1}) }()
+		must.Eq(t, n, <-held.sent)
+	}
+	for n, born := range []int64{2, 3, 2} {
+		held.reports[n] <- batch.Report{Born: born, Clock: time.Hour}
+		must.True(t, <-answered[n])
+	}
+	must.True(t, l.links["r"].clockAt.IsZero())
+}
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -56,7 +56,10 @@
 		return false
 	}
 	c.noteRestart(r, born, now)
-	if later && !r.bornReportedAt.IsZero() {
+	switch {
+	case !later:
+		r.reportRequestedAt = now // a report requested from now on shows which is present
+	case !r.bornReportedAt.IsZero():
 		r.earlierBorn = append(r.earlierBorn, r.Born)
 	}
 	return later
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -475,6 +475,9 @@
 			must.False(t, core.ReportedLast("r", 1))
 			must.True(t, core.AwaitsFence("r"))
 			must.Eq(t, 1, restarts[len(restarts)-1])
+			for _, born := range []int64{1, 2} { // requested before it was known that two answer
+				must.False(t, core.HandleReport("r", at(35), batch.Report{Born: born}, at(45)))
+			}
 			core.AddJob(labelledJob(), nil, now)
 			for i := range 2 { // the first shows which is present, and the second that it is fenced
 				core.RunnerFenced("r", present)
