Scheduler: a refused unit keeps no other of its shape from running that may fare better

Once a unit was refused in a pass, no other of its shape was considered. But a shape doesn't tell all: the first one may still wait for room in one rack, or is refused on runners that are reserved for the next, or may throw less work away. The next one then waits, for as long as others that are placed first come. Change: another of the shape is considered if runners are reserved or were freed for it, if it may preempt where the first one may not or its guarantee is due, or if there was room and it doesn't wait for a better place. Tests, each failing before: a gang that may be spread over racks isn't started beside younger ones; a gang isn't started on the runners reserved for it; a guarantee is reclaimed after 7.3 s instead of 2.9 s.

--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -54,7 +54,7 @@
 			c.checkRunning(u, now)
 		}
 	}
-	failed := make(map[shape]bool)
+	refused := make(map[shape]*unit)
 	units := c.eligibleUnits(now, wall)
 	clear(c.slotCache) // checkRunning filled it before waitingByShape was known
 	for _, u := range units {
@@ -63,20 +63,20 @@
 	c.dropReservations(now)
 	for _, u := range units {
 		s := u.shape()
-		if failed[s] {
+		if before := refused[s]; before != nil && !c.mayFareBetter(u, before, now) {
 			u.refusal = behindItsShape
 			continue
 		}
 		if !c.schedule(u, now) {
-			failed[s] = true
+			refused[s] = u
 			c.reserve(u, now)
 		}
 	}
 	c.explainWaits(now)
 }
 
-// shape holds the properties that decide whether a unit can be placed. When one
-// unit of a shape can't be placed, the others of that shape can't either.
+// shape holds the properties that decide whether there is room for a unit. When there is none for
+// one unit of a shape, there is none for the others either, but for what mayFareBetter names.
 type shape struct {
 	service, label, dataRack           string
 	request                            batch.Resources
@@ -102,6 +102,30 @@
 	return out
 }
 
+// mayFareBetter reports whether a unit may be placed in this pass although another of its shape
+// was refused: it has a claim of its own, may preempt more, or doesn't wait for a better place.
+func (c *Core) mayFareBetter(u, refused *unit, now steady.Time) bool {
+	if c.hasClaim(u, now) {
+		return true
+	}
+	if u.job == refused.job && u.occurrence == refused.occurrence && u.step == refused.step {
+		return false
+	}
+	if c.mayPreempt(u, now) && !c.mayPreempt(refused, now) || c.guaranteeDue(u, now) && !c.guaranteeDue(refused, now) {
+		return true
+	}
+	return refused.refusal != noRoom && now.Sub(u.eligibleSince) >= c.localityWait(u)
+}
+
+// hasClaim reports whether runners are reserved for the unit, or others were stopped for it a
+// short time ago.
+func (c *Core) hasClaim(u *unit, now steady.Time) bool {
+	if v := c.reservations[u.job.spec.Service]; v != nil && v.unit == u {
+		return true
+	}
+	return !u.preemptingSince.IsZero() && now.Sub(u.preemptingSince) < nominationTTL
+}
+
 // checkRunning stops a unit that has runs if it must be placed again: a gang of
 // which a member has ended, a unit that outlasts the drain of its runner, a
 // unit that would be in time elsewhere, or a unit without progress.
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -55,15 +55,19 @@
 // slotKey identifies a list of slots that units of one shape share within one
 // scheduling pass.
 type slotKey struct {
-	shape  shape
-	remote bool
+	shape    shape
+	remote   bool
+	claimant *unit // set when the unit has a claim to runners that others of the shape don't get
 }
 
 // placeOne places a single task. Steps have many equal tasks, so the slots for
 // all waiting tasks of a shape are collected once in a scheduling pass, and each
 // is checked again when it is used.
 func (c *Core) placeOne(u *unit, now steady.Time, remote bool) []*runner {
-	key := slotKey{u.shape(), remote}
+	key := slotKey{shape: u.shape(), remote: remote}
+	if c.hasClaim(u, now) {
+		key.claimant = u
+	}
 	slots, found := c.slotCache[key]
 	if !found {
 		slots = bestSlots(c.freeSlots(u, now, remote), max(1, c.waitingByShape[key.shape]))
