Scheduler: the test of all faults plays evidence of earlier incarnations

The entry of an earlier incarnation is listed again after the next one's, and half of these incarnations are then reported as left. The shares are drawn (0, 0.1 or 0.4) from a generator of their own; the other faults draw as before. The world passes a report as the leader does: by the token of its hold, and the clock only of the incarnation that reported last.

--- a/batch/scheduler/allfaults_test.go
+++ b/batch/scheduler/allfaults_test.go
@@ -50,7 +50,8 @@
 }
 
 // Runners restart, twice in a row or with a departure between, are cut off, schedulers are killed
-// in series, and orders are lost, late or kept, all at once. Nothing runs twice, no runner is
+// in series, orders are lost, late or kept, and reports and entries of earlier incarnations arrive
+// after those of the next ones, all at once. Nothing runs twice, no runner is
 // filled over its capacity, and all jobs end afterwards.
 func TestNothingRunsTwiceWhenAllFaultsActTogether(t *testing.T) {
 	const seeds = 6
@@ -70,6 +71,10 @@
 	}
 }
 
+// evidenceShares are the shares of reports that are late, and of restarts after which an earlier
+// entry is listed again, that are drawn.
+var evidenceShares = []float64{0, 0.1, 0.4}
+
 func runAllFaults(t *testing.T, seed uint64, f faults, unguarded bool) []string {
 	w := newWorld(t, seed, f)
 	w.collectViolations, w.unguarded, w.repeats = true, unguarded, seed%2 == 0
@@ -79,17 +84,29 @@
 	rng := rand.New(rand.NewPCG(seed, 4))
 	cancelled := make(map[string]bool)
 	ids := w.allRunners()
+	entries := rand.New(rand.NewPCG(seed, 5))
+	w.lateReports, w.relisted = evidenceShares[entries.IntN(len(evidenceShares))], evidenceShares[entries.IntN(len(evidenceShares))]
 	restart := func(id string) {
+		before := w.pool.Runner(id).Runner
 		w.pool.Crash(w.now, id)
 		w.cutOff(id, 600*time.Millisecond)
 		left := rng.IntN(4) == 0
 		w.after(300*time.Millisecond, func() {
-			if left && w.core != nil {
-				w.core.RunnerLeft(id, w.listedBorn[id], w.now)
+			if left {
+				w.leave(id, w.listedBorn[id])
 			}
 		})
 		w.after(600*time.Millisecond, func() { w.pool.Reboot(w.now, id) })
-		w.after(time.Duration(700+rng.IntN(1500))*time.Millisecond, func() { w.listRestarted(id) })
+		listed := time.Duration(700+rng.IntN(1500)) * time.Millisecond
+		w.after(listed, func() { w.listRestarted(id) })
+		if w.relisted > 0 && entries.Float64() < w.relisted { // until the next heartbeat
+			again := listed + time.Duration(entries.IntN(4000))*time.Millisecond
+			w.after(again, func() { w.listEntry(before) })
+			if entries.IntN(2) == 0 { // the entry is deleted, as that incarnation has left
+				w.after(again+time.Duration(entries.IntN(1000))*time.Millisecond, func() { w.leave(id, before.Born) })
+			}
+			w.after(again+time.Duration(entries.IntN(1500))*time.Millisecond, func() { w.listRestarted(id) })
+		}
 	}
 	for second := range 40 {
 		for i := range 3 {
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -69,11 +69,16 @@
 	// is then passed to the scheduler by listRestarted.
 	entriesNameIncarnations bool
 	listedBorn              map[string]int64 // by runner, the incarnation that its entry names
-	acknowledgeUnrecorded   bool             // injected fault: ends are acknowledged before they are recorded
-	nextFaults              []orderFault
-	carriesOutLate          bool // the order that is being delivered was kept by its runner or a partition
-	unguarded               bool // runners start what exceeds their capacity, which is a violation
-	repeats                 bool // a start without an answer is sent once more, if its record allows it
+	// lateReports is the share of reports that arrive later than the answers of later holds may.
+	lateReports float64
+	// relisted is the share of restarts after which an entry of the earlier incarnation is listed
+	// once more, after the next one's.
+	relisted              float64
+	acknowledgeUnrecorded bool // injected fault: ends are acknowledged before they are recorded
+	nextFaults            []orderFault
+	carriesOutLate        bool // the order that is being delivered was kept by its runner or a partition
+	unguarded             bool // runners start what exceeds their capacity, which is a violation
+	repeats               bool // a start without an answer is sent once more, if its record allows it
 
 	completedAt map[string]steady.Time       // when a job's record first showed it completed
 	doneAt      map[batch.TaskID]steady.Time // when an end "done" was acknowledged
@@ -278,14 +283,23 @@
 }
 
 // listRestarted passes a runner's entry to the scheduler.
-func (w *world) listRestarted(id string) {
+func (w *world) listRestarted(id string) { w.listEntry(w.pool.Runner(id).Runner) }
+
+// listEntry passes an entry to the scheduler, which may be that of an earlier incarnation.
+func (w *world) listEntry(r batch.Runner) {
 	if w.core != nil {
-		r := w.pool.Runner(id).Runner
-		w.listedBorn[id] = r.Born
+		w.listedBorn[r.ID] = r.Born
 		w.core.RunnerListed(r, w.now)
 	}
 }
 
+// leave tells the scheduler that the incarnation of a runner which is listed has left.
+func (w *world) leave(id string, born int64) {
+	if w.core != nil && w.listedBorn[id] == born {
+		w.core.RunnerLeft(id, born, w.now)
+	}
+}
+
 func (w *world) inheritedLeaseEnd() steady.Time {
 	if w.skipInheritedWait {
 		return w.now
@@ -453,22 +467,36 @@
 		noAnswer()
 		return
 	}
-	core.EndsForgotten(id, report.Born, acknowledged)
-	w.handleReport(core, id, k, report)
+	asked := w.now
+	arrives := func() {
+		core.EndsForgotten(id, report.Born, acknowledged)
+		w.handleReport(core, id, order.Token, asked, report)
+	}
+	if w.lateReports > 0 && w.rng.Float64() < w.lateReports {
+		w.after(time.Duration(w.rng.Int64N(int64(answerTimeout))), func() {
+			if w.core == core {
+				arrives()
+			}
+		})
+		return
+	}
+	arrives()
 }
 
-// handleReport passes a report to the core, as the leader does.
-func (w *world) handleReport(core *scheduler.Core, id string, k link, report batch.Report) {
-	k.clockStart = w.now.Add(-report.Clock)
-	w.links[id] = k
+// handleReport passes a report on a hold with the given token to the core, as the leader does.
+func (w *world) handleReport(core *scheduler.Core, id string, token uint64, asked steady.Time, report batch.Report) {
 	unfenced := core.AwaitsFence(id)
-	if k.token > k.tokenAtRestart || w.skipFence {
+	if token > w.linkTo(id).tokenAtRestart || w.skipFence {
 		core.RunnerFenced(id, report.Born)
 	}
-	core.HandleReport(id, w.now, report, w.now)
+	used := core.HandleReport(id, asked, report, w.now)
+	if k := w.linkTo(id); used && core.ReportedLast(id, report.Born) {
+		k.clockStart = w.now.Add(-report.Clock)
+		w.links[id] = k
+	}
 	if w.skipFence && core.AwaitsFence(id) {
 		core.RunnerFenced(id, report.Born)
-		core.HandleReport(id, w.now, report, w.now)
+		core.HandleReport(id, asked, report, w.now)
 		return
 	}
 	if unfenced || core.AwaitsFence(id) {
