Scheduler: a start is over when another runner has the address of its runner

A start is sent 0.1 to 1 s into the cut, when its runner's last report is young and owes nothing; tries at 26.45, 27.06 and 27.66 time out, and holds with a deadline go out until 28.1. The runner crashes behind the cut and is back at the same address under another ID (entry at 28.83). From 35.1 on holds to the former ID are answered with 421, each 0.8 s.

Ruled out: sending through another host, as none reaches these runners before 34.0, and from then on the leader does as well. That first tries go into a cut that can be seen: most don't.

Change: another runner that answers holds at the address to which all tries were sent refuses the start, and whichever incarnation was there before has ended. Such an answer ends the start if the hold was sent once the start can't be carried out any more (12.45 s after the last try, as before), 2 s or more after the first such answer in a row, and if no entry names the runner. The lease of the runner is waited for as before. Starts of an earlier leader, and tries to several addresses, wait as before. The log has a line `starts over`.

The stand-in world's runners have addresses now.

--- a/batch/account/account.go
+++ b/batch/account/account.go
@@ -46,7 +46,7 @@
 // runnerMessages are the lines about a runner that belong to the account of a job that ran there.
 var runnerMessages = map[string]bool{
 	"runner": true, "runner left": true, "runner's entry removed": true, "runner gone": true,
-	"runner restarted": true, "runner fenced": true,
+	"runner restarted": true, "runner fenced": true, "starts over": true,
 }
 
 // clusterMessages lists the messages of cluster events, which may affect any job.
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -222,10 +222,11 @@
 		if o.Acknowledged > 0 {
 			l.noteUnacknowledged(to.ID, answer, err)
 		}
-		l.noteUnreachable(to, answer, now)
+		l.noteUnreachable(to, answer, asked, now)
 		signal(l.decisionDue)
 		return false
 	}
+	l.core.AddressNotTaken(to.ID)
 	l.core.EndsForgotten(to.ID, report.Born, o.Acknowledged)
 	used := l.handleReport(to.ID, o.Token, asked, report, now)
 	if k := l.links[to.ID]; used && k != nil && l.core.ReportedLast(to.ID, report.Born) {
@@ -239,12 +240,17 @@
 
 // noteUnreachable passes to the core that a hold to a runner, as it was described then, was not
 // answered with a report. The caller holds mu.
-func (l *Leader) noteUnreachable(to batch.Runner, answer Answer, now steady.Time) {
-	if answer == OtherIncarnation {
-		l.core.RunnerReplaced(to, now)
+func (l *Leader) noteUnreachable(to batch.Runner, answer Answer, asked, now steady.Time) {
+	if answer != OtherIncarnation {
+		l.core.AddressNotTaken(to.ID)
+		l.core.RunnerUnreachable(to.ID)
 		return
 	}
-	l.core.RunnerUnreachable(to.ID)
+	if over := l.core.AddressTaken(to.ID, to.Address, asked); over > 0 {
+		l.Log.Info("starts over", "runner", to.ID, "address", to.Address, "runs", over, "token", l.term.Token,
+			"reason", "they can't be carried out any more, and another runner is at the address")
+	}
+	l.core.RunnerReplaced(to, now)
 }
 
 // noteUnacknowledged passes the outcome of a hold that acknowledged ends, and was not answered
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -277,3 +277,21 @@
 	must.Eq(t, scheduler.OutcomeUnknown, answer)
 	must.False(t, l.core.TakeRecords(1)[0].Progress.Tasks[0].SentOnce)
 }
+
+// Guards against a task that waits for a start which its runner left without an answer, when holds
+// have shown that another runner has its address since before the start was over.
+func TestStartIsOverWhenAnotherRunnerAnswersHolds(t *testing.T) {
+	l, order := leaderOfOneRunner(t, refusingRunners{answer: OtherIncarnation}, time.Minute)
+	order.Runner.Address = "10.0.0.1:80"
+	sent := steady.Now()
+	l.core.NoteLeaseExtension(order.Runner.ID, sent)
+	l.core.NoteStartSent(order, sent)
+	l.core.NoteStartUnanswered(order)
+	l.core.RunnerUnlisted(order.Runner.ID)
+	for l.core.RunnerNeeded(order.Runner.ID) && steady.Now().Sub(sent) < lateOrderLimit/2 {
+		must.False(t, l.sendHold(t.Context(), order.Runner, HoldOrder{}))
+		time.Sleep(holdRetryDelay)
+		l.core.Decide(steady.Now(), time.Now())
+	}
+	must.False(t, l.core.RunnerNeeded(order.Runner.ID))
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -49,6 +49,8 @@
 	domainSilent                           bool            // its failure domain seems to be cut off
 	reachable                              bool            // it answered the last hold
 	reachableSince                         steady.Time     // when the first hold was sent that it has answered since it last left one without an answer
+	takenAddress                           string          // where another runner answered the last hold to it; empty: none did
+	takenSince                             steady.Time     // when the first hold was sent since which another runner has answered each there
 	leaseEndsBy                            steady.Time     // when its lease has certainly run out, unless earlier orders extend it
 	restartListedAt                        steady.Time     // when an entry of a later incarnation was last read
 	earlierOrdersBy                        steady.Time     // until it is fenced: when leases that orders to its earlier incarnation may extend have run out
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -30,6 +30,7 @@
 	begun    bool        // one has begun the run
 	settled  bool        // none is under way
 	overBy   steady.Time // when all that they may begin has ended, if the runner can't be reached; 0: none is under way
+	address  string      // to which all of them were sent; empty: unknown, or several
 }
 
 func (s *startsUnderWay) any() bool { return s.tries > 0 }
@@ -107,6 +108,11 @@
 		return
 	}
 	s := &run.starts
+	if s.tries == 0 {
+		s.address = o.Runner.Address
+	} else if s.address != o.Runner.Address {
+		s.address = ""
+	}
 	s.tries++
 	s.awaited++
 	s.settled, s.sentAt, s.overBy = false, now, max(s.overBy, now.Add(c.opts.EarlierOrders))
@@ -221,6 +227,37 @@
 	return asked.After(c.carriedOutBy(r)) && asked.Sub(r.runner.reachableSince) >= resumptionTime
 }
 
+// AddressTaken notes that another runner has answered a hold, sent at asked, at a runner's address.
+// Only a runner at the address to which a start was sent can carry it out. So if the start can't be
+// carried out any more, nothing can come of it, whichever incarnations were there before. It
+// returns the number of runs whose starts are over.
+func (c *Core) AddressTaken(id, address string, asked steady.Time) (over int) {
+	r := c.runners[id]
+	if r == nil || asked.Before(r.reportRequestedAt) {
+		return 0
+	}
+	if r.takenAddress != address {
+		r.takenAddress, r.takenSince = address, asked
+	}
+	if r.listed || address == "" || asked.Sub(r.takenSince) < resumptionTime {
+		return 0
+	}
+	for _, run := range r.runs {
+		if run.starts.any() && run.starts.address == address && asked.After(c.carriedOutBy(run)) {
+			c.noteStartsOver(run)
+			over++
+		}
+	}
+	return over
+}
+
+// AddressNotTaken notes that a hold to a runner was answered by itself or by nobody.
+func (c *Core) AddressNotTaken(id string) {
+	if r := c.runners[id]; r != nil {
+		r.takenAddress = ""
+	}
+}
+
 // waitsIfStopped reports whether the unit could not start elsewhere soon if it was stopped now:
 // a try of one of its starts has no answer, and is not waited for any more.
 func (u *unit) waitsIfStopped() bool {
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -76,9 +76,10 @@
 	relisted              float64
 	acknowledgeUnrecorded bool // injected fault: ends are acknowledged before they are recorded
 	nextFaults            []orderFault
-	carriesOutLate        bool // the order that is being delivered was kept by its runner or a partition
-	unguarded             bool // runners start what exceeds their capacity, which is a violation
-	repeats               bool // a start without an answer is sent once more, if its record allows it
+	carriesOutLate        bool            // the order that is being delivered was kept by its runner or a partition
+	unguarded             bool            // runners start what exceeds their capacity, which is a violation
+	repeats               bool            // a start without an answer is sent once more, if its record allows it
+	replaced              map[string]bool // by runner, another one has its address
 
 	completedAt map[string]steady.Time       // when a job's record first showed it completed
 	doneAt      map[batch.TaskID]steady.Time // when an end "done" was acknowledged
@@ -139,6 +140,7 @@
 		lastHold: make(map[string]steady.Time), doneAt: make(map[batch.TaskID]steady.Time),
 		cancelledAt: make(map[string]steady.Time), completedAt: make(map[string]steady.Time),
 		submittedAt: make(map[string]steady.Time), startedAt: make(map[runID]steady.Time),
+		replaced: make(map[string]bool),
 	}
 	w.pool = runner.New(runner.Options{
 		GangTimeout:    worldGangTimeout,
@@ -166,8 +168,9 @@
 	for rack := range racks {
 		for i := range each {
 			speed := []float64{1 / 0.6, 1, 1 / 1.6}[(rack+i)%3]
+			id := w.addRunnerID(rack, i)
 			w.pool.Add(w.now, batch.Runner{
-				ID: w.addRunnerID(rack, i), Service: "s", FailureDomain: fmt.Sprintf("fd%d", rack%2),
+				ID: id, Service: "s", Address: addressOf(id), FailureDomain: fmt.Sprintf("fd%d", rack%2),
 				Rack: fmt.Sprintf("rack%d", rack), Labels: []string{"a", fmt.Sprintf("rack%d", rack)},
 				Capacity: batch.Resources{MilliCPU: 64000, MemoryMB: 128000, Accelerators: 8},
 			}, speed)
@@ -175,6 +178,9 @@
 	}
 }
 
+// addressOf returns the address of a runner, which its incarnations share.
+func addressOf(id string) string { return id + ":80" }
+
 func (w *world) allRunners() []string { return w.runnerIDs }
 
 // submit adds a job whose tasks each take the given work and, with fails, then
@@ -440,6 +446,7 @@
 		if acknowledged > 0 {
 			core.NoteAcknowledgementUnanswered(id)
 		}
+		core.AddressNotTaken(id)
 		core.RunnerUnreachable(id)
 	}
 	if acknowledged > 0 {
@@ -462,6 +469,16 @@
 		noAnswer()
 		return
 	}
+	if w.replaced[id] {
+		if acknowledged > 0 {
+			core.NoteAcknowledgementRefused(id)
+		}
+		core.AddressTaken(id, addressOf(id), w.now)
+		sentTo := w.pool.Runner(id).Runner
+		sentTo.Born = w.listedBorn[id]
+		core.RunnerReplaced(sentTo, w.now)
+		return
+	}
 	report, answer := w.pool.Hold(w.now, id, order)
 	if answer != dispatch.Accepted {
 		noAnswer()
@@ -469,6 +486,7 @@
 	}
 	asked := w.now
 	arrives := func() {
+		core.AddressNotTaken(id)
 		core.EndsForgotten(id, report.Born, acknowledged)
 		w.handleReport(core, id, order.Token, asked, report)
 	}
