Stand-in: a test that a runner runs two attempts of a task beside each other

It looks as if the next attempt could start on the same runner at once, if a runner that has the next attempt refused the one before. After a restart neither a stop nor a higher token holds, so that two attempts under way may both be carried out. The stand-in does the same, and the test keeps it so: one that refused the second would hide tasks that run twice.

The test passes before and after; it fails with a stand-in that refuses an attempt beside another.

--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,3 +76,28 @@
 	hold(7*time.Second, 9)
 	must.Eq(t, []time.Duration{2 * time.Second}, noted)
 }
+
+// Guards against a stand-in that hides tasks that run twice: the pages let a runner refuse attempts
+// up to one that was stopped or has ended there, and not one beside another that runs. A stop and a
+// higher token that an incarnation has seen don't hold for the next one.
+func TestTwoAttemptsOfATaskRunBesideEachOther(t *testing.T) {
+	const now = steady.Time(1000 * time.Second)
+	task := batch.TaskID{Job: "j"}
+	for name, attempts := range map[string][]int{"the higher one second": {1, 2}, "the lower one second": {2, 1}} {
+		for _, restarts := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, after a restart %t", name, restarts), func(t *testing.T) {
+				p := runner.New(runner.Options{DescribeTask: func(batch.TaskID, string) runner.Task { return runner.Task{Work: time.Minute} }})
+				p.Add(now, batch.Runner{ID: "r"}, 1)
+				if restarts {
+					must.Eq(t, dispatch.Accepted, p.Stop(now, "r", dispatch.StopOrder{Task: task, Attempt: 1, Token: 2}))
+					p.Crash(now, "r")
+					p.Reboot(now, "r")
+				}
+				for _, n := range attempts {
+					must.Eq(t, dispatch.Accepted, p.Start(now, "r", dispatch.StartOrder{Task: task, Attempt: n, Token: 1, Deadline: time.Minute}))
+				}
+				must.Eq(t, 2, p.CountTaskRuns(task))
+			})
+		}
+	}
+}
