--- a/batch/scheduler/gangstart_test.go
+++ b/batch/scheduler/gangstart_test.go
@@ -129,7 +129,7 @@
 
 func (g *cutGang) hold(id string) {
 	if !g.open(id) || id == g.cutRunner && g.now.Before(g.holdsCut) {
-		g.core.RunnerUnreachable(id, false, g.now)
+		g.core.RunnerUnreachable(id)
 		if g.refuses && g.holdRetry == 0 {
 			g.retryHold(id)
 		}
