--- a/batch/scheduler/answer.go
+++ b/batch/scheduler/answer.go
@@ -103,13 +103,6 @@
 			r.runner.backOff(now)
 		}
 		c.notifyObserver("refused", r, "start refused by the runner")
-		if a == Unhealthy && r.starts.any() && !u.othersWaitSince(r).IsZero() { // nothing was done, and the others still wait
-			r.unansweredAt = now
-			if r.runner.reachable {
-				r.rounds++
-			}
-			return
-		}
 		if u.needsAdvice() {
 			delete(u.stepAdvice().byRunner, r.runner.ID) // the ticket may be the reason for the refusal
 		}
@@ -138,80 +131,24 @@
 // can be reached.
 const maxUnanswered = 4 * time.Second
 
-// maxGangStart is how long a gang waits for a member whose start has no answer, and maxGangRepeat
-// for one whose start is being sent again. Its other members end by themselves three seconds
-// after they began, and a stop takes a part of that.
-const (
-	maxGangStart  = 2 * time.Second
-	maxGangRepeat = 2500 * time.Millisecond
-)
+// maxGangStart is how long a gang waits for a member whose start has no answer. Its other members
+// end by themselves a second later.
+const maxGangStart = 2 * time.Second
 
 // handleUnansweredStarts has starts sent again that have no answer, and stops a unit if one of
 // its starts was left without an answer too often, or if others wait for its task.
 func (c *Core) handleUnansweredStarts(u *unit, now steady.Time) {
 	for _, r := range u.runs {
-		if u.waitsTooLong(r, now) {
-			c.stopUnit(u, now, "start without an answer")
-			return
-		}
 		if r.phase != ordered || r.unansweredAt.IsZero() {
 			continue
 		}
-		if r.rounds >= maxStartRounds || r.runner.reachable && now.Sub(r.unansweredAt) > maxUnanswered {
+		gangWaits := u.tasks > 1 && now.Sub(r.createdAt) > maxGangStart
+		if r.rounds >= maxStartRounds || gangWaits || r.runner.reachable && now.Sub(r.unansweredAt) > maxUnanswered {
 			c.stopUnit(u, now, "start without an answer")
 			return
 		}
-		if c.mayStartNow(r, now) {
+		if r.mayStart() && r.runner.acceptsStarts(c, now) && u.permitted(r.runner, now, startLatency) {
 			c.planRepeat(r, now)
 		}
 	}
 }
-
-// waitsTooLong reports whether a gang has waited too long for a member without an answer.
-func (u *unit) waitsTooLong(r *run, now steady.Time) bool {
-	switch {
-	case u.tasks == 1:
-		return false
-	case r.phase == ordered && !r.unansweredAt.IsZero():
-		return now.Sub(r.createdAt) > maxGangStart
-	case (r.phase == ordered || r.phase == planned) && r.rounds > 0:
-		// Members that were all started again, as their runner restarted, haven't waited since createdAt.
-		since := u.othersWaitSince(r)
-		return now.Sub(r.createdAt) > maxGangRepeat && !since.IsZero() && now.Sub(since) > maxGangStart
-	default:
-		return false
-	}
-}
-
-// repeatPause is the least time between two tries of a start to a runner that doesn't answer. A
-// cut link may refuse connections at once.
-const repeatPause = 450 * time.Millisecond
-
-// mayStartNow reports whether a run's start may be sent now.
-func (c *Core) mayStartNow(r *run, now steady.Time) bool {
-	if !r.mayStart() || !r.unit.permitted(r.runner, now, startLatency) {
-		return false
-	}
-	return r.runner.acceptsStarts(c, now) || c.mayTryAgain(r, now)
-}
-
-// mayTryAgain reports whether a start that may be under way may be sent again to a runner that
-// doesn't answer: the rest of its gang waits, and the link may be cut for a short time only.
-func (c *Core) mayTryAgain(r *run, now steady.Time) bool {
-	return r.starts.any() && !r.unit.othersWaitSince(r).IsZero() && now.Sub(r.starts.sentAt) >= repeatPause &&
-		r.runner.takesStarts(c) && (r.phase == planned || c.MayExtendLease(r.runner.ID, now)) // a planned one isn't sent without
-}
-
-// othersWaitSince returns since when another member of the run's gang is known to be there; 0: none
-// is, or one has ended.
-func (u *unit) othersWaitSince(r *run) (since steady.Time) {
-	if !u.memberEndedAt.IsZero() {
-		return 0
-	}
-	for _, o := range u.runs {
-		if o != r && o.phase == running && (since.IsZero() || o.beganBy.Before(since)) {
-			since = o.beganBy
-		}
-	}
-	return since
-}
--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -232,7 +232,7 @@
 		if r.phase != planned || r.requiredVersion > u.job.committed {
 			continue
 		}
-		if !c.mayStartNow(r, now) {
+		if !r.runner.acceptsStarts(c, now) || !r.mayStart() || !u.permitted(r.runner, now, startLatency) {
 			c.stopUnit(u, now, "runner became unavailable before the start was sent")
 			return
 		}
