Soak: runners that drain soon after a restart, and leave

The new scenario restarts runners in rounds. Up to 5 s after, they announce that they drain, leave at the end of the announced time or up to 15 s later, and come back under their IDs. Links are cut, leaders end or all hosts get signals meanwhile, and entries are removed by the clocks of earlier incarnations.

--- a/soak/departures.go
+++ b/soak/departures.go
@@ -14,7 +14,7 @@
 const (
 	minDepartureTime = 10 * time.Second // for how long rounds of departures begin
 	maxDepartureTime = 20 * time.Second
-	maxDrainLead     = 2 * time.Second        // from a restart to the announcement of the departure
+	maxDrainLead     = 5 * time.Second        // from a restart to the announcement of the departure
 	maxStay          = 15 * time.Second       // beyond drainTime, of runners that leave late
 	maxExitTime      = 300 * time.Millisecond // beyond drainTime, of the others
 	maxAbsence       = 2 * time.Second        // from a departure to the restart under the id
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,7 +110,7 @@
 func TestNothingRunsTwiceWhenRunnersDrainSoonAfterARestart(t *testing.T) {
 	t.Parallel()
 	var cases []soakCase
-	for _, seed := range []uint64{1102, 1104} {
+	for _, seed := range []uint64{1111, 1112} {
 		cases = append(cases, soakCase{seed: seed, faultPeriod: 45 * time.Second, hosts: 4, runners: 12, scenarios: true, scenario: "runners drain soon after a restart and leave"})
 	}
 	runCases(t, cases)
