Soak: a start after its job was shown as completed is judged by when it was sent

By reading, the scheduler sends no start of a task whose end counts (Core.AwaitsStart, asked right before each try), and what callers see is committed.

Change: the checker compares the time at which the order reached the link. An order that is sent over a second after the state was shown is a violation however late it arrives; for an order that isn't kept, both times are the same. The violation says both. The log has a line for each start that was sent over a second before.

Shown: the new row of TestCheckerReportsOnlyViolations fails before (the order sent a second before the state); its other half, an order sent two seconds after it, is reported.

--- a/soak/orders.go
+++ b/soak/orders.go
@@ -17,6 +17,10 @@
 	"github.com/cyclamentray/cyclamentray/standin/runner"
 )
 
+// minLoggedAge is how long before its execution a start was sent that is logged, though neither its
+// runner has kept it nor restarted since.
+const minLoggedAge = time.Second
+
 // startHandler serves the API of a runner. It carries starts out late as the deployment's
 // lateness says, and tells the checker of each start how it came.
 type startHandler struct {
@@ -59,13 +63,14 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		earlier := h.deployment.bootedAfter(h.runner, sent)
-		begun := h.deployment.checker.RecordOrder(Order{Runner: h.runner.id, Task: task, Attempt: order.Attempt, Late: late > 0, Earlier: earlier})
+		begun := h.deployment.checker.RecordOrder(Order{Runner: h.runner.id, Task: task, Attempt: order.Attempt, Late: late > 0, Earlier: earlier, SentAt: sent})
 		inner := req.Clone(ctx)
 		inner.Body = io.NopCloser(bytes.NewReader(body))
 		defer func() {
-			if began := begun(); late > 0 || earlier {
-				h.deployment.log(fmt.Sprintf("late at %s, kept by the runner %t, sent to an earlier incarnation %t: %s %s run %d, token %d, begun %t",
-					h.runner.id, late > 0, earlier, req.URL.Path, order.Task, order.Attempt, order.Token, began))
+			began, age := begun(), steady.Now().Sub(sent)
+			if late > 0 || earlier || age > minLoggedAge {
+				h.deployment.log(fmt.Sprintf("late at %s, kept by the runner %t, sent to an earlier incarnation %t: %s %s run %d, token %d, age %s, begun %t",
+					h.runner.id, late > 0, earlier, req.URL.Path, order.Task, order.Attempt, order.Token, age, began))
 			}
 		}()
 		h.api.ServeHTTP(w, inner)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -270,6 +270,20 @@
 				c.CheckCompleted("j", second(2))
 			},
 		},
+		"start that the network has kept until its job was shown as completed": {
+			func(c *soak.Checker) {
+				c.RecordDone("i-1", task, 1)
+				c.CheckCompleted("j", second(2))
+				c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true, SentAt: second(4)}) // after that
+				start(c, 10, 1)
+			},
+			func(c *soak.Checker) {
+				c.RecordDone("i-1", task, 1)
+				c.CheckCompleted("j", second(2))
+				c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true, SentAt: second(1)})
+				start(c, 10, 1)
+			},
+		},
 		"start that a runner has kept": {
 			func(c *soak.Checker) {
 				start(c, 1, 1)
