Store: lists are read in pages with a time limit each, and go on where they were cut off

No host led, or one held the term and began to read again and again.

Cause: one time limit bounded a whole list (2 s at a host's start, 3 s at a takeover, half of it for the direct try), and a try that was cut off was thrown away. Nothing that takes longer could ever be read.

Change: a store's call reads one page (Keyspace.ListPage), also through a peer, and kvstore.Listing reads the pages one after another, each within the limit that the whole list had. The pages that were read stay when one fails; the next try goes on behind them. The leader keeps its two lists over its tries and gives each other read its own limit. The follower of a prefix, which reads a host's jobs, the operators' documents and the runners, also reads the changes since the first page every second while it lists, as the store may have dropped them before the last page is read; a list that has lost them begins anew. The read of a list that goes on counts as sent when it began, so what the runners' list concludes from the time of a read holds.

A peer of an earlier version refuses the new call, as any unknown one.

Tests: TestJobsRunHoweverLongTheListsOfRecordsAre failed before in both cases (slow pages; every fourth page refused): "queued; want completed". TestFollowerReadsAListThatTakesLongerThanTheStoreKeepsItsHistory fails without the reading of changes. The two tests that called StoreClient.List now read the same list by pages and assert the same.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -34,7 +34,7 @@
 	// processor.
 	decidePauseFactor = 2
 
-	loadTimeout    = 3 * time.Second        // reads a few pages from a slow store
+	loadTimeout    = 3 * time.Second        // bounds one read of the records, such as a page of a list
 	loadRetryDelay = 100 * time.Millisecond // short: the leader can do nothing else meanwhile
 )
 
@@ -137,10 +137,10 @@
 // terms can't write afterwards: each of their writes is conditional on their own
 // term.
 func (l *Leader) load(ctx context.Context) bool {
+	jobs := kvstore.Listing{Store: l.Store, Prefix: ledger.ReplicaPrefix, PageTimeout: loadTimeout}
+	progress := kvstore.Listing{Store: l.Store, Prefix: ledger.ProgressPrefix, PageTimeout: loadTimeout}
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-		found, err := l.readAll(callCtx)
-		cancel()
+		found, err := l.readAll(ctx, &jobs, &progress)
 		if err == nil {
 			l.buildCore(found)
 			return true
@@ -158,14 +158,16 @@
 	speeds         batch.Speeds
 }
 
-func (l *Leader) readAll(ctx context.Context) (found storedRecords, err error) {
-	if found.jobs, _, err = l.Store.List(ctx, ledger.ReplicaPrefix); err != nil {
+// readAll reads the records of earlier terms. What the lists have read is kept for the next
+// try when one fails.
+func (l *Leader) readAll(ctx context.Context, jobs, progress *kvstore.Listing) (found storedRecords, err error) {
+	if found.jobs, _, err = jobs.Read(ctx); err != nil {
 		return found, err
 	}
 	if found.leaseEnds, err = l.readLeaseEnds(ctx, found.jobs); err != nil {
 		return found, err
 	}
-	if found.progress, _, err = l.Store.List(ctx, ledger.ProgressPrefix); err != nil {
+	if found.progress, _, err = progress.Read(ctx); err != nil {
 		return found, err
 	}
 	found.speeds, err = l.readSpeeds(ctx)
--- a/batch/dispatch/leaseends.go
+++ b/batch/dispatch/leaseends.go
@@ -67,6 +67,8 @@
 // noTermSince reports whether no other term than this one is known to have begun after a
 // revision. It returns false if the store's history doesn't show that.
 func (l *Leader) noTermSince(ctx context.Context, revision uint64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	events, _, err := l.Store.Watch(ctx, ledger.LeaderKey, revision, 0)
 	if errors.Is(err, kvstore.ErrCompacted) {
 		return false, nil
--- a/batch/dispatch/speeds.go
+++ b/batch/dispatch/speeds.go
@@ -21,6 +21,8 @@
 // readSpeeds reads the speeds that earlier terms learned. A record that can't be
 // decoded is ignored: speeds are learned again within about ten runs.
 func (l *Leader) readSpeeds(ctx context.Context) (batch.Speeds, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	item, err := l.Store.Get(ctx, ledger.SpeedsKey)
 	if errors.Is(err, kvstore.ErrNotFound) {
 		return batch.Speeds{}, nil
--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -56,10 +56,10 @@
 	return reply.Item, err
 }
 
-// List implements Keyspace.
-func (f *Fallback) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
-	reply, err := f.call(ctx, KeyspaceArgs{Op: keyspaceList, Key: prefix})
-	return reply.Items, reply.Revision, err
+// ListPage implements Keyspace.
+func (f *Fallback) ListPage(ctx context.Context, prefix, after string) (Page, error) {
+	reply, err := f.call(ctx, KeyspaceArgs{Op: keyspaceList, Key: prefix, After: after})
+	return Page{Items: reply.Items, More: reply.More, AsOf: reply.Revision}, err
 }
 
 // Watch implements Keyspace.
--- a/kvstore/follower.go
+++ b/kvstore/follower.go
@@ -28,7 +28,8 @@
 	// changes in order.
 	Reset func(items []Item)
 	Apply func(events []Event)
-	// ReadStarted, when set, is called before each list or watch is sent.
+	// ReadStarted, when set, is called before each list or watch is sent. A list that was
+	// cut off and goes on is not sent anew.
 	ReadStarted func()
 	// ReadTruncated, when set, is called before Apply when more changes may be
 	// pending than one watch returns: the events' times are then unknown.
@@ -40,7 +41,18 @@
 	Lost     func(err error)
 	Regained func()
 
-	lastBatch int // number of events of the last watch
+	lastBatch int       // number of events of the last watch
+	list      *fullRead // in progress; nil: none
+}
+
+// fullRead is a read of the whole prefix, with the changes since its first page. They are
+// read meanwhile, as the store may drop its history before the last page is read.
+type fullRead struct {
+	listing   Listing
+	events    []Event
+	truncated bool      // a watch may have left changes out
+	asOf      uint64    // revision up to which the changes were read; 0: no page was read
+	caughtUp  time.Time // when they were read
 }
 
 // truncatedBatch is the number of events of one watch from which more are assumed
@@ -49,7 +61,8 @@
 
 const (
 	watchAnswerGrace    = 700 * time.Millisecond // time for a slow answer beyond the watch's wait
-	listTimeout         = 2 * time.Second        // bounds one list
+	pageTimeout         = 2 * time.Second        // bounds one page of a list
+	catchUpInterval     = time.Second            // at which changes are read between pages; far below the time for which a store keeps its history
 	firstRetryWait      = 60 * time.Millisecond  // first pause after a failure; doubles up to MaxRetryWait
 	defaultMaxRetryWait = 400 * time.Millisecond // changes must be seen well within two seconds of the store's recovery
 )
@@ -61,7 +74,7 @@
 	lost := true
 	retry := pause.Backoff{Initial: firstRetryWait, Max: defaultMaxRetryWait}
 	for ctx.Err() == nil {
-		if f.ReadStarted != nil {
+		if f.ReadStarted != nil && (f.list == nil || f.list.asOf == 0) {
 			f.ReadStarted()
 		}
 		next, err := f.readNext(ctx, after, f.watchWait(lost))
@@ -114,18 +127,9 @@
 // later than after. It returns the revision to continue from.
 func (f *Follower) readNext(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
 	if after == 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		items, asOf, err := f.Store.List(ctx, f.Prefix)
-		if err != nil {
-			return 0, err
-		}
-		f.Reset(items)
-		return asOf, nil
+		return f.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchAnswerGrace)
-	defer cancel()
-	events, asOf, err := f.Store.Watch(ctx, f.Prefix, after, wait)
+	events, asOf, err := f.watch(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -138,3 +142,57 @@
 	}
 	return max(after, asOf), nil
 }
+
+func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) (events []Event, asOf uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchAnswerGrace)
+	defer cancel()
+	return f.Store.Watch(ctx, f.Prefix, after, wait)
+}
+
+// readAll lists the prefix, or goes on with the list that was cut off, and reports the items
+// and the changes since. It returns the revision to continue from.
+func (f *Follower) readAll(ctx context.Context) (uint64, error) {
+	if f.list == nil {
+		f.list = &fullRead{listing: Listing{Store: f.Store, Prefix: f.Prefix, PageTimeout: pageTimeout}}
+	}
+	l := f.list
+	for !l.listing.complete {
+		if err := f.catchUp(ctx, l); err != nil {
+			return 0, err
+		}
+		if err := l.listing.readPage(ctx); err != nil {
+			return 0, err
+		}
+		if l.asOf == 0 {
+			l.asOf, l.caughtUp = l.listing.asOf, time.Now()
+		}
+	}
+	f.list, f.lastBatch = nil, 0
+	f.Reset(l.listing.items)
+	if l.truncated && f.ReadTruncated != nil {
+		f.ReadTruncated()
+	}
+	if len(l.events) > 0 {
+		f.Apply(l.events)
+	}
+	return l.asOf, nil
+}
+
+// catchUp reads the changes since the list's first page, if that was last done long ago. It
+// gives the list up when the store has dropped them.
+func (f *Follower) catchUp(ctx context.Context, l *fullRead) error {
+	if l.asOf == 0 || time.Since(l.caughtUp) < catchUpInterval {
+		return nil
+	}
+	events, asOf, err := f.watch(ctx, l.asOf, 0)
+	if errors.Is(err, ErrCompacted) {
+		f.list = nil
+	}
+	if err != nil {
+		return err
+	}
+	l.events = append(l.events, events...)
+	l.truncated = l.truncated || len(events) >= truncatedBatch
+	l.asOf, l.caughtUp = max(l.asOf, asOf), time.Now()
+	return nil
+}
--- a/kvstore/keyspace.go
+++ b/kvstore/keyspace.go
@@ -78,9 +78,9 @@
 type Keyspace interface {
 	// Get reads one key; ErrNotFound when it does not exist.
 	Get(ctx context.Context, key string) (Item, error)
-	// List reads every key under prefix. A watch that starts after revision asOf
-	// misses no change.
-	List(ctx context.Context, prefix string) (items []Item, asOf uint64, err error)
+	// ListPage reads the first items under prefix whose keys follow after, as many as one
+	// answer holds.
+	ListPage(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits up to wait for changes under prefix later than after.
 	// It returns ErrCompacted when that history has been compacted.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Event, asOf uint64, err error)
--- a/kvstore/keyspace_service.go
+++ b/kvstore/keyspace_service.go
@@ -12,7 +12,7 @@
 
 const (
 	keyspaceGet    keyspaceOp = "get"
-	keyspaceList   keyspaceOp = "list"
+	keyspaceList   keyspaceOp = "list-page"
 	keyspaceWatch  keyspaceOp = "watch"
 	keyspaceCommit keyspaceOp = "commit"
 	keyspaceGrant  keyspaceOp = "grant"
@@ -25,6 +25,7 @@
 type KeyspaceArgs struct {
 	Op       keyspaceOp
 	Key      string        // or the prefix, for a list or watch
+	After    string        // key that a page of a list begins after
 	Revision uint64        // after which to watch, or the lease's ID
 	Wait     time.Duration // of a watch, or the TTL of a grant
 	Txn      Txn
@@ -43,7 +44,8 @@
 type KeyspaceReply struct {
 	Failure  string // name of the store's failure; empty: none
 	Item     Item
-	Items    []Item // of a list, or of a conflict
+	Items    []Item // of a page of a list, or of a conflict
+	More     bool   // items follow after the page
 	Events   []Event
 	Revision uint64
 	Lease    LeaseGrant
@@ -77,7 +79,9 @@
 	case keyspaceGet:
 		r.Item, err = store.Get(ctx, args.Key)
 	case keyspaceList:
-		r.Items, r.Revision, err = store.List(ctx, args.Key)
+		var page Page
+		page, err = store.ListPage(ctx, args.Key, args.After)
+		r.Items, r.More, r.Revision = page.Items, page.More, page.AsOf
 	case keyspaceWatch:
 		r.Events, r.Revision, err = store.Watch(ctx, args.Key, args.Revision, args.Wait)
 	case keyspaceCommit:
--- a/standin/keyspace/keyspace.go
+++ b/standin/keyspace/keyspace.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"math"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,6 +52,7 @@
 	mu        sync.Mutex
 	revision  uint64
 	items     map[string]kvstore.Item
+	sorted    []string // the keys of items in order; nil: to be sorted again
 	history   []kvstore.Event
 	compacted uint64 // history up to and including this revision was dropped
 	leases    map[uint64]*lease
@@ -95,22 +98,56 @@
 	return item, nil
 }
 
-// List implements kvstore.Keyspace.
+// List returns every item under prefix, whatever their number.
 func (s *Store) List(_ context.Context, prefix string) ([]kvstore.Item, uint64, error) {
 	if s.opts.Fault(Call{Key: prefix}) != Served {
 		return nil, 0, kvstore.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	items, _ := s.itemsFrom(prefix, "", math.MaxInt, math.MaxInt)
+	return items, s.revision, nil
+}
+
+// A page of a list ends after so many items, or at the item with which its values have
+// so many bytes.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
+// ListPage implements kvstore.Keyspace.
+func (s *Store) ListPage(_ context.Context, prefix, after string) (kvstore.Page, error) {
+	if s.opts.Fault(Call{Key: prefix}) != Served {
+		return kvstore.Page{}, kvstore.ErrUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items, more := s.itemsFrom(prefix, after, pageItems, pageBytes)
+	return kvstore.Page{Items: items, More: more, AsOf: s.revision}, nil
+}
+
+// itemsFrom returns the first items under prefix whose keys follow after, and whether there
+// are more. The caller holds mu.
+func (s *Store) itemsFrom(prefix, after string, maxItems, maxBytes int) (items []kvstore.Item, more bool) {
 	s.endExpiredLeases()
-	var out []kvstore.Item
-	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			out = append(out, item)
+	if s.sorted == nil {
+		s.sorted = slices.Sorted(maps.Keys(s.items))
+	}
+	first, _ := slices.BinarySearch(s.sorted, max(prefix, after))
+	bytes := 0
+	for _, key := range s.sorted[first:] {
+		switch {
+		case !strings.HasPrefix(key, prefix):
+			return items, false
+		case key <= after:
+			continue
+		case len(items) == maxItems || bytes >= maxBytes:
+			return items, true
 		}
+		items, bytes = append(items, s.items[key]), bytes+len(s.items[key].Value)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, s.revision, nil
+	return items, false
 }
 
 // Watch implements kvstore.Keyspace.
@@ -225,6 +262,9 @@
 
 func (s *Store) recordEvent(e kvstore.Event) {
 	s.history = append(s.history, e)
+	if _, known := s.items[e.Key]; known == e.Deleted {
+		s.sorted = nil
+	}
 	if e.Deleted {
 		delete(s.items, e.Key)
 		return
