Store: an answer that arrives over a slow link isn't cut off

What callers saw: on slow hosts (0.144 cores, 10 Mbit/s), a configuration of 2,800 routes stayed old after a compaction of the store: 404 for a route that is there, or a dropped one served.

Cause: a follower's read of the store had a time limit over the whole answer: 2 s for a list, half of it for the direct try, 0.7 s beyond the wait for a watch. An answer that was still arriving then was dropped, and read anew through peers with 0.6 s and 0.24 s.

Change: internal/progress bounds the time in which nothing of an answer arrives. The follower's lists and watches have the same limits, but of silence, and 10 s beyond for an answer that goes on arriving. The direct try of a Fallback gives way to peers after the same share of silence. A watch isn't given up because the store answers again when its own answer is arriving.

Why it works: each byte counts once. A host's link carries only its own answers, as peers are asked only for a store that is silent, which takes as long as before.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -137,8 +137,8 @@
 // terms can't write afterwards: each of their writes is conditional on their own
 // term.
 func (l *Leader) load(ctx context.Context) bool {
-	jobs := kvstore.Listing{Store: l.Store, Prefix: ledger.ReplicaPrefix, PageTimeout: loadTimeout}
-	progress := kvstore.Listing{Store: l.Store, Prefix: ledger.ProgressPrefix, PageTimeout: loadTimeout}
+	jobs := kvstore.Listing{Store: l.Store, Prefix: ledger.ReplicaPrefix, PageSilence: loadTimeout}
+	progress := kvstore.Listing{Store: l.Store, Prefix: ledger.ProgressPrefix, PageSilence: loadTimeout}
 	for ctx.Err() == nil {
 		found, err := l.readAll(ctx, &jobs, &progress)
 		if err == nil {
--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -10,12 +10,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamentray/cyclamentray/internal/progress"
 	"github.com/cyclamentray/cyclamentray/peer"
 )
 
 const (
-	// directTimeShare is the fraction of a call's remaining time that the direct
-	// attempt may take when there are peers to fall back to.
+	// directTimeShare is the fraction of a call's remaining time for which the direct
+	// attempt may be silent when there are peers to fall back to.
 	directTimeShare = 0.5
 
 	// peerTimeShare is the fraction of the time then left that one peer may take.
@@ -132,24 +133,35 @@
 func (f *Fallback) callDirect(ctx context.Context, args KeyspaceArgs) (KeyspaceReply, error) {
 	if args.Op != keyspaceWatch && len(f.Addresses()) > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = withTimeShare(ctx, directTimeShare)
+		ctx, cancel = withSilenceShare(ctx, directTimeShare)
 		defer cancel()
 	}
 	if args.Op == keyspaceWatch {
-		// A watch's connection may never deliver an answer. The probe uses a
-		// connection of its own; when it succeeds, the watch is given up.
+		// A watch's connection may never deliver an answer. The probe uses a connection
+		// of its own; when it succeeds, the watch is given up unless its answer arrives.
 		var cancel context.CancelFunc
-		ctx, cancel = f.untilRecovered(ctx)
+		watch := ctx
+		ctx, cancel = f.untilRecovered(watch, func() bool { return !progress.Arrived(watch) })
 		defer cancel()
 	}
 	reply, err := callKeyspace(ctx, f.Direct, args)
 	f.count(args.Op, "direct", err)
-	if unanswered(err) && !errors.Is(ctx.Err(), context.Canceled) {
+	if unanswered(err) && !errors.Is(context.Cause(ctx), context.Canceled) {
 		f.markStoreDown()
 	}
 	return reply, err
 }
 
+// withSilenceShare bounds the time in which nothing arrives to a fraction of the time that
+// ctx has left. An answer that is on its way isn't given up: a peer's would take longer.
+func withSilenceShare(ctx context.Context, share float64) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return progress.WithLimit(ctx, time.Duration(float64(time.Until(deadline))*share))
+}
+
 // withTimeShare bounds ctx to a fraction of the time it has left.
 func withTimeShare(ctx context.Context, share float64) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
@@ -206,7 +218,7 @@
 	}
 	if !args.writes() {
 		var cancel context.CancelFunc
-		ctx, cancel = f.untilRecovered(ctx)
+		ctx, cancel = f.untilRecovered(ctx, func() bool { return true })
 		defer cancel()
 	}
 	var reply KeyspaceReply
@@ -264,8 +276,9 @@
 	return f.storeDown
 }
 
-// untilRecovered returns a context that also ends when the store answers again.
-func (f *Fallback) untilRecovered(ctx context.Context) (context.Context, context.CancelFunc) {
+// untilRecovered returns a context that also ends when the store answers again, if giveUp
+// returns true then.
+func (f *Fallback) untilRecovered(ctx context.Context, giveUp func() bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	recovered := f.recovered
@@ -276,7 +289,9 @@
 	go func() {
 		select {
 		case <-recovered:
-			cancel()
+			if giveUp() {
+				cancel()
+			}
 		case <-ctx.Done():
 		}
 	}()
--- a/kvstore/follower.go
+++ b/kvstore/follower.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/internal/progress"
 )
 
 // Follower watches a prefix of a Keyspace and reports its content and changes
@@ -61,7 +62,8 @@
 
 const (
 	watchAnswerGrace    = 700 * time.Millisecond // time for a slow answer beyond the watch's wait
-	pageTimeout         = 2 * time.Second        // bounds one page of a list
+	pageSilence         = 2 * time.Second        // bounds the time in which nothing of a list's page arrives
+	maxAnswerTime       = 10 * time.Second       // bounds an answer that goes on arriving
 	catchUpInterval     = time.Second            // at which changes are read between pages; far below the time for which a store keeps its history
 	firstRetryWait      = 60 * time.Millisecond  // first pause after a failure; doubles up to MaxRetryWait
 	defaultMaxRetryWait = 400 * time.Millisecond // changes must be seen well within two seconds of the store's recovery
@@ -123,6 +125,16 @@
 	return f.Wait
 }
 
+// readContext returns the context of one read, which may be silent for the given time.
+func readContext(ctx context.Context, silence time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, silence+maxAnswerTime)
+	limited, cancelLimit := progress.WithLimit(ctx, silence)
+	return limited, func() {
+		cancelLimit()
+		cancel()
+	}
+}
+
 // readNext lists the prefix if after is 0, and otherwise watches it for changes
 // later than after. It returns the revision to continue from.
 func (f *Follower) readNext(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
@@ -144,7 +156,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) (events []Event, asOf uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchAnswerGrace)
+	ctx, cancel := readContext(ctx, wait+watchAnswerGrace)
 	defer cancel()
 	return f.Store.Watch(ctx, f.Prefix, after, wait)
 }
@@ -153,7 +165,7 @@
 // and the changes since. It returns the revision to continue from.
 func (f *Follower) readAll(ctx context.Context) (uint64, error) {
 	if f.list == nil {
-		f.list = &fullRead{listing: Listing{Store: f.Store, Prefix: f.Prefix, PageTimeout: pageTimeout}}
+		f.list = &fullRead{listing: Listing{Store: f.Store, Prefix: f.Prefix, PageSilence: pageSilence}}
 	}
 	l := f.list
 	for !l.listing.complete {
--- a/kvstore/listing.go
+++ b/kvstore/listing.go
@@ -20,7 +20,7 @@
 type Listing struct {
 	Store       Keyspace
 	Prefix      string
-	PageTimeout time.Duration
+	PageSilence time.Duration // bounds the time in which nothing of a page arrives
 
 	items    []Item
 	asOf     uint64 // revision of the first page; 0: none was read
@@ -41,7 +41,7 @@
 
 // readPage reads the next page.
 func (l *Listing) readPage(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, l.PageTimeout)
+	ctx, cancel := readContext(ctx, l.PageSilence)
 	defer cancel()
 	after := ""
 	if len(l.items) > 0 {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -88,10 +88,10 @@
 		return err
 	case <-ctx.Done():
 		// The connection may no longer deliver anything, so later calls use a new one.
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			p.retire(address, pc)
 		}
-		return errors.Wrapf(ctx.Err(), "calling %s of peer %s", method, address)
+		return errors.Wrapf(context.Cause(ctx), "calling %s of peer %s", method, address)
 	}
 }
 
