Conditions: a leader that has just begun has a departure confirmed by a hold

What callers may see: a task that must run once runs twice, when its runner drains beyond the announced time and a leader has just begun.

Cause: a new leader learns how old an incarnation is from its reports, but not what happened before its first list: a silence of the incarnation, or a late heartbeat of the one before. The entry may be removed for either, and that deletion counted for a departure.

Change: where only the reports tell the age, the deletion counts once a hold that is sent after it was read is left without an answer or answered by another runner, on a new connection. A report on such a hold refutes it; an entry that is read again leaves the lease to count. An unhealthy or fenced answer shows a runner that is there. What was certain by entries alone stays as it was.

Why it is not proof by itself: a runner that is cut off leaves holds without an answer, too. It would have to be cut off from the leader just then, after the removal by an earlier silence, beyond its announced time. The lease still covers all other deletions.

Tests: rows 'known since shortly, and old', and all of the outage table that counted by reports, expected a departure; they now expect one to be confirmed, and the outage table plays each row by entries as well. The world has two more seeds of a mix, in which departures are confirmed by holds; the six before are as they were.

--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -52,6 +52,7 @@
 type eventCounter struct {
 	mu                     sync.Mutex
 	listed, unlisted, left int
+	mayHaveLeft            int
 	reportedAge            time.Duration // of incarnation 1, at reportedAt
 	reportedAt             steady.Time   // 0: at any time
 }
@@ -60,6 +61,8 @@
 func (r *eventCounter) Unlisted(string)     { r.mu.Lock(); r.unlisted++; r.mu.Unlock() }
 func (r *eventCounter) Left(string, int64)  { r.mu.Lock(); r.left++; r.mu.Unlock() }
 
+func (r *eventCounter) MayHaveLeft(string, int64) { r.mu.Lock(); r.mayHaveLeft++; r.mu.Unlock() }
+
 func (r *eventCounter) Age(_ string, born int64, at steady.Time) time.Duration {
 	switch {
 	case born != 1:
@@ -232,23 +235,24 @@
 		last     []kvstore.Event // in the same read as the deletion, and before it
 		left     int
 		listed   bool // the entries are listed anew before that
+		mayHave  int  // departures that a hold is to confirm
 	}{
-		"announced":                       {knownFor, 0, []kvstore.Event{item(1, true, 0)}, nil, 1, false},
-		"announced in the same read":      {knownFor, 0, nil, []kvstore.Event{item(1, true, 0)}, 1, false},
-		"not announced":                   {knownFor, 0, []kvstore.Event{item(1, false, 0)}, nil, 0, false},
-		"before the announced time":       {knownFor, 0, []kvstore.Event{item(1, true, 5*time.Second)}, nil, 0, false},
-		"restarted":                       {knownFor, 0, []kvstore.Event{item(2, false, 0)}, nil, 0, false},
-		"restarted, and announced":        {knownFor, 0, []kvstore.Event{item(2, true, 0)}, nil, 0, false},
-		"restarted in the same read":      {knownFor, 0, []kvstore.Event{item(1, true, 0)}, []kvstore.Event{item(2, false, 0)}, 0, false},
-		"known since shortly":             {2 * time.Second, 0, []kvstore.Event{item(1, true, 0)}, nil, 0, false},
-		"another incarnation in between":  {knownFor, 0, []kvstore.Event{item(2, true, 0), item(1, true, 0)}, nil, 0, false},
-		"removed and back, and announced": {knownFor, 0, []kvstore.Event{deleted("i-1"), item(1, true, 0)}, nil, 1, false},
-		"known since shortly, and old":    {2 * time.Second, time.Minute, []kvstore.Event{item(1, true, 0)}, nil, 1, false},
-		"known since shortly, and young":  {2 * time.Second, 3 * time.Second, []kvstore.Event{item(1, true, 0)}, nil, 0, false},
-		"an old one restarted":            {knownFor, time.Minute, []kvstore.Event{item(2, true, 0)}, nil, 0, false},
-		"an old one, another in between":  {knownFor, time.Minute, []kvstore.Event{item(2, true, 0), item(1, true, 0)}, nil, 0, false},
-		"listed anew":                     {knownFor, 0, []kvstore.Event{item(1, true, 0)}, nil, 0, true},
-		"an old one, listed anew":         {knownFor, time.Minute, []kvstore.Event{item(1, true, 0)}, nil, 0, true},
+		"announced":                       {knownFor, 0, []kvstore.Event{item(1, true, 0)}, nil, 1, false, 0},
+		"announced in the same read":      {knownFor, 0, nil, []kvstore.Event{item(1, true, 0)}, 1, false, 0},
+		"not announced":                   {knownFor, 0, []kvstore.Event{item(1, false, 0)}, nil, 0, false, 0},
+		"before the announced time":       {knownFor, 0, []kvstore.Event{item(1, true, 5*time.Second)}, nil, 0, false, 0},
+		"restarted":                       {knownFor, 0, []kvstore.Event{item(2, false, 0)}, nil, 0, false, 0},
+		"restarted, and announced":        {knownFor, 0, []kvstore.Event{item(2, true, 0)}, nil, 0, false, 0},
+		"restarted in the same read":      {knownFor, 0, []kvstore.Event{item(1, true, 0)}, []kvstore.Event{item(2, false, 0)}, 0, false, 0},
+		"known since shortly":             {2 * time.Second, 0, []kvstore.Event{item(1, true, 0)}, nil, 0, false, 0},
+		"another incarnation in between":  {knownFor, 0, []kvstore.Event{item(2, true, 0), item(1, true, 0)}, nil, 0, false, 0},
+		"removed and back, and announced": {knownFor, 0, []kvstore.Event{deleted("i-1"), item(1, true, 0)}, nil, 1, false, 0},
+		"known since shortly, and old":    {2 * time.Second, time.Minute, []kvstore.Event{item(1, true, 0)}, nil, 0, false, 1},
+		"known since shortly, and young":  {2 * time.Second, 3 * time.Second, []kvstore.Event{item(1, true, 0)}, nil, 0, false, 0},
+		"an old one restarted":            {knownFor, time.Minute, []kvstore.Event{item(2, true, 0)}, nil, 0, false, 0},
+		"an old one, another in between":  {knownFor, time.Minute, []kvstore.Event{item(2, true, 0), item(1, true, 0)}, nil, 0, false, 0},
+		"listed anew":                     {knownFor, 0, []kvstore.Event{item(1, true, 0)}, nil, 0, true, 0},
+		"an old one, listed anew":         {knownFor, time.Minute, []kvstore.Event{item(1, true, 0)}, nil, 0, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			events := &eventCounter{reportedAge: test.age}
@@ -276,6 +280,7 @@
 			}
 			l.entryDeleted("i-1", began.Add(2*time.Second))
 			must.Eq(t, test.left, events.counts()[2])
+			must.Eq(t, test.mayHave, events.mayHaveLeft)
 		})
 	}
 }
@@ -298,7 +303,7 @@
 		"since before anything was known":     {24 * time.Hour, 5 * time.Second, 10 * time.Second, 0},
 		"a long time ago, known since before": {24 * time.Hour, 23 * time.Hour, 10 * time.Second, 1},
 	} {
-		t.Run(name, func(t *testing.T) {
+		play := func(t *testing.T, known bool) *eventCounter {
 			events := &eventCounter{reportedAge: test.age, reportedAt: began}
 			l := newRunnerList(t.Context(), jsonFormat, heartbeat, discardLogger(), events)
 			l.now = func() steady.Time { return began }
@@ -312,8 +317,23 @@
 			l.reset([]kvstore.Item{runnerItemOf(1, true, 0).Item})
 			l.readDone()
 			l.apply([]kvstore.Event{runnerItemOf(1, true, 0)})
+			if known {
+				i := l.described["i-1"]
+				i.knownBy = began.Add(-test.age)
+				l.described["i-1"] = i
+			}
 			l.entryDeleted("i-1", began)
-			must.Eq(t, test.left, events.counts()[2])
+			return events
+		}
+		t.Run(name+", known by entries", func(t *testing.T) {
+			events := play(t, true)
+			must.Eq(t, test.left, events.left)
+			must.Eq(t, 0, events.mayHaveLeft)
+		})
+		t.Run(name+", known by reports", func(t *testing.T) {
+			events := play(t, false)
+			must.Eq(t, 0, events.left)
+			must.Eq(t, test.left, events.mayHaveLeft)
 		})
 	}
 }
--- a/batch/conditions/departure_test.go
+++ b/batch/conditions/departure_test.go
@@ -68,7 +68,6 @@
 	lives   []*playedLife
 	changes []change
 	over    time.Duration
-	onTime  bool // no heartbeat is late or left out
 }
 
 func (p *playedPlatform) between(low, high time.Duration) time.Duration {
@@ -85,7 +84,7 @@
 	f.born = int64(f.began/time.Millisecond) + 1
 	p.lives = append(p.lives, f)
 	silentFrom, silentTo := f.ended, f.ended
-	if disturbed && !p.onTime && p.chance(40) {
+	if disturbed && p.chance(40) {
 		silentFrom = p.between(f.began, f.ended)
 		silentTo = silentFrom + p.between(0, 8*time.Second)
 	}
@@ -98,7 +97,7 @@
 		f.writes = append(f.writes, f.announcedAt)
 	}
 	slices.Sort(f.writes)
-	if disturbed && !p.onTime && len(f.writes) > 0 && p.chance(40) { // the last one is written late
+	if disturbed && len(f.writes) > 0 && p.chance(40) { // the last one is written late
 		last := len(f.writes) - 1
 		text := f.entry(f.writes[last])
 		f.writes[last] = f.ended + p.between(0, maxWriteDelay)
@@ -210,6 +209,7 @@
 	now      time.Duration
 	after    int // the first change that was not read yet
 	departed []int64
+	answered int  // holds that refute a departure
 	reports  bool // the incarnations' ages are known by their reports
 	fail     func(format string, args ...any)
 }
@@ -243,6 +243,17 @@
 	r.fail("%s, incarnation %d, is reported as left, and isn't known", id, born)
 }
 
+// MayHaveLeft checks the same if the incarnation leaves the hold unanswered that it is sent.
+func (r *playedReads) MayHaveLeft(id string, born int64) {
+	for _, f := range r.platform.lives {
+		if f.born == born && f.ended > r.now {
+			r.answered++
+			return
+		}
+	}
+	r.Left(id, born)
+}
+
 // read plays the reads from a time on. Steady ones are neither slow nor fail.
 func (r *playedReads) read(from time.Duration, steadily bool) {
 	p, l := r.platform, r.list
@@ -322,13 +333,11 @@
 	must.NoError(t, flag.Set("rapid.checks", "40000"))
 	departures := 0
 	rapid.Check(t, func(rt *rapid.T) {
-		reports := rapid.Bool().Draw(rt, "reports")
-		fromBegin := reports && rapid.Bool().Draw(rt, "from the beginning")
-		// By the age of an incarnation alone, a leader can't tell what happened before it.
-		p := &playedPlatform{draw: rt, onTime: reports && !fromBegin}
+		p := &playedPlatform{draw: rt}
 		p.playLives(rapid.IntRange(2, 4).Draw(rt, "lives"))
 		from := time.Duration(0)
-		if !fromBegin {
+		reports := rapid.Bool().Draw(rt, "reports")
+		if rapid.Bool().Draw(rt, "later") {
 			from = p.between(0, p.over)
 		}
 		r := newPlayedReads(t, p, rt.Fatalf)
@@ -339,6 +348,26 @@
 	must.Positive(t, departures)
 }
 
+// Guards against the same under a leader that begins during the last incarnation, whose age it
+// learns from reports: it can't have read a silence, or a late heartbeat of another, before.
+func TestLeaderThatHasJustBegunReportsOnlyIncarnationsThatHaveEndedAsLeft(t *testing.T) {
+	must.NoError(t, flag.Set("rapid.seed", "1"))
+	must.NoError(t, flag.Set("rapid.checks", "100000"))
+	departures, answered := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		p := &playedPlatform{draw: rt}
+		p.playLives(rapid.IntRange(1, 2).Draw(rt, "lives"))
+		last := p.lives[len(p.lives)-1]
+		r := newPlayedReads(t, p, rt.Fatalf)
+		r.reports = true
+		r.read(p.between(last.began, last.ended), false)
+		departures += len(r.departed)
+		answered += r.answered
+	})
+	must.Positive(t, departures)
+	must.Positive(t, answered)
+}
+
 // Guards against tasks that stay away for a lease after each planned shutdown: the departure of
 // an incarnation that announced it, that was known for long and whose entry was watched without
 // gaps is reported, whatever happened to the incarnations before.
--- a/batch/conditions/runners.go
+++ b/batch/conditions/runners.go
@@ -238,8 +238,8 @@
 }
 
 // entryDeleted reports a runner whose entry was deleted: as left if nothing but the end of the
-// incarnation that the entry describes explains the deletion, otherwise as unlisted after
-// unlistGrace.
+// incarnation that the entry describes explains the deletion, as one that may have left if that is
+// so but for what happened before the first list, otherwise as unlisted after unlistGrace.
 func (l *runnerList) entryDeleted(id string, now steady.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -247,56 +247,88 @@
 	if !listed {
 		return // unlisted already, or its absence is timed
 	}
-	left, reason := l.hasLeft(entry, now)
-	l.logDeletion(entry, left, reason, now)
-	if !left {
+	shown, reason := l.showsDeparture(entry, now)
+	l.logDeletion(entry, shown, reason, now)
+	if shown == noDeparture {
 		l.unlistAfterGrace(id)
 		return
 	}
 	delete(l.runners, id)
 	delete(l.described, id)
+	if shown == unconfirmedDeparture {
+		l.events.MayHaveLeft(id, entry.Born)
+		return
+	}
 	l.events.Left(id, entry.Born)
 }
 
-// hasLeft reports whether the deletion of a runner's entry shows that the incarnation it
-// describes has left, and why. A deletion names no incarnation: the entry of a silent runner is
-// deleted too, also after its next incarnation has written its own. The caller holds mu.
-func (l *runnerList) hasLeft(entry batch.Runner, now steady.Time) (left bool, reason string) {
+// departure is what the deletion of a runner's entry shows of the incarnation that it described.
+type departure int
+
+const (
+	noDeparture          departure = iota
+	unconfirmedDeparture           // it has left, unless the entry was removed for what happened before the first list
+	certainDeparture
+)
+
+// showsDeparture returns what the deletion of a runner's entry shows of the incarnation that it
+// describes, and why. A deletion names no incarnation: the entry of a silent runner is deleted too,
+// also after its next incarnation has written its own. The caller holds mu.
+func (l *runnerList) showsDeparture(entry batch.Runner, now steady.Time) (shown departure, reason string) {
 	beat := l.described[entry.ID].lastHeartbeat
 	switch {
 	case !entry.Draining:
-		return false, "no departure was announced"
+		return noDeparture, "no departure was announced"
 	case beat.IsZero() || now.Sub(beat) > l.departureWindow:
-		return false, "silent"
+		return noDeparture, "silent"
 	case now.Before(beat.Add(entry.DrainRemaining)):
-		return false, "before the announced time"
-	case l.changesAfter.IsZero() || !l.outlivesEarlierRemovals(entry, l.changesAfter):
-		return false, "may concern an earlier incarnation"
+		return noDeparture, "before the announced time"
+	case l.changesAfter.IsZero():
+		return noDeparture, "may concern an earlier incarnation"
+	}
+	shown = l.outlivesEarlierRemovals(entry, l.changesAfter)
+	if shown == noDeparture {
+		return shown, "may concern an earlier incarnation"
 	}
 	// While the store is away, the time until it removes an entry may stand still.
 	since, until := l.storeAway()
-	recent := until.IsZero() || l.changesAfter.Sub(until) <= l.earlierRemovals
-	if recent && !l.outlivesEarlierRemovals(entry, since) {
-		return false, "may concern an earlier incarnation, as the store was away"
+	if until.IsZero() || l.changesAfter.Sub(until) <= l.earlierRemovals {
+		shown = min(shown, l.outlivesEarlierRemovals(entry, since))
+	}
+	switch shown {
+	case noDeparture:
+		return shown, "may concern an earlier incarnation, as the store was away"
+	case unconfirmedDeparture:
+		return shown, "announced, and to be confirmed by a hold, as its entries were not read for long enough"
+	default:
+		return shown, "announced"
 	}
-	return true, "announced"
 }
 
-// outlivesEarlierRemovals reports whether the incarnation that an entry describes was so old at
-// the given time, and its last silence so long over, that the entry can't be removed any more for
-// that or for the silence of the one before. The caller holds mu.
-func (l *runnerList) outlivesEarlierRemovals(entry batch.Runner, at steady.Time) bool {
-	age := max(at.Sub(l.described[entry.ID].knownBy), l.events.Age(entry.ID, entry.Born, at))
-	return min(age, at.Sub(l.lastSilence[entry.ID])) > l.earlierRemovals
+// outlivesEarlierRemovals returns what a deletion shows by how old the incarnation that an entry
+// describes was at the given time, and how long its last silence was over: the entry can't be
+// removed any more for that or for the silence of the one before. If only the runner's reports tell
+// its age, there may have been a silence, or a late heartbeat of another incarnation, before the
+// first list. The caller holds mu.
+func (l *runnerList) outlivesEarlierRemovals(entry batch.Runner, at steady.Time) departure {
+	switch {
+	case at.Sub(l.lastSilence[entry.ID]) <= l.earlierRemovals:
+		return noDeparture
+	case at.Sub(l.described[entry.ID].knownBy) > l.earlierRemovals:
+		return certainDeparture
+	case l.events.Age(entry.ID, entry.Born, at) > l.earlierRemovals:
+		return unconfirmedDeparture
+	default:
+		return noDeparture
+	}
 }
 
 // logDeletion logs that a runner's entry was deleted, with the entry that was read last. The
 // caller holds mu.
-func (l *runnerList) logDeletion(entry batch.Runner, left bool, reason string, now steady.Time) {
-	what := "runner's entry removed"
-	if left {
-		what = "runner left"
-	}
+func (l *runnerList) logDeletion(entry batch.Runner, shown departure, reason string, now steady.Time) {
+	what := map[departure]string{
+		noDeparture: "runner's entry removed", unconfirmedDeparture: "runner may have left", certainDeparture: "runner left",
+	}[shown]
 	age := "unknown"
 	if beat := l.described[entry.ID].lastHeartbeat; !beat.IsZero() {
 		age = now.Sub(beat).Round(time.Millisecond).String()
--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -53,6 +53,8 @@
 	Unlisted(id string)    // it sends no heartbeats or its entry is invalid; it may still run tasks
 	// Left reports that an incarnation has ended, and so have all its tasks.
 	Left(id string, born int64)
+	// MayHaveLeft reports the same, unless the runner answers a hold that is sent from now on.
+	MayHaveLeft(id string, born int64)
 	// Age returns how old an incarnation was at least at the given time; 0: unknown.
 	Age(id string, born int64, at steady.Time) time.Duration
 }
--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -127,6 +127,17 @@
 	signal(l.decisionDue)
 }
 
+// MayHaveLeft implements RunnerEventHandler. The hold that may be waiting there was sent before.
+func (l runnerEventHandler) MayHaveLeft(id string, born int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.RunnerMayHaveLeft(id, born, steady.Now())
+	if k := l.links[id]; k != nil && k.cancelHold != nil {
+		k.cancelHold()
+	}
+	signal(l.decisionDue)
+}
+
 // Age implements RunnerEventHandler. The clock of a runner starts with its incarnation, and may be
 // slow.
 func (l runnerEventHandler) Age(id string, born int64, at steady.Time) time.Duration {
@@ -168,7 +179,7 @@
 		return batch.Runner{}, HoldOrder{}, false
 	}
 	o = HoldOrder{Token: k.token, Acknowledged: l.core.AcknowledgedEnd(id), Wait: wait}
-	o.NewConnection = l.core.AwaitsReport(id) || l.core.AwaitsFence(id)
+	o.NewConnection = l.core.AwaitsReport(id) || l.core.AwaitsFence(id) || l.core.AwaitsDeparture(id)
 	if o.Acknowledged > 0 {
 		o.Wait = 0 // starts wait for the answer
 		l.core.NoteAcknowledgementSent(id)
@@ -244,6 +255,9 @@
 	if answer != OtherIncarnation {
 		l.core.AddressNotTaken(to.ID)
 		l.core.RunnerUnreachable(to.ID)
+		if answer == Unanswered {
+			l.core.HoldUnanswered(to.ID, asked, now)
+		}
 		return
 	}
 	if over := l.core.AddressTaken(to.ID, to.Address, asked); over > 0 {
@@ -251,6 +265,7 @@
 			"reason", "they can't be carried out any more, and another runner is at the address")
 	}
 	l.core.RunnerReplaced(to, now)
+	l.core.HoldUnanswered(to.ID, asked, now)
 }
 
 // noteUnacknowledged passes the outcome of a hold that acknowledged ends, and was not answered
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -236,6 +236,43 @@
 	}
 }
 
+// listingRunners report that the task of leaderOfOneRunner runs.
+type listingRunners struct{ Runners }
+
+func (listingRunners) Hold(context.Context, batch.Runner, HoldOrder) (batch.Report, Answer, error) {
+	return batch.Report{Born: 1, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, Accepted, nil
+}
+
+// Guards against tasks that run twice: a runner that answers is taken for one that has left.
+func TestDepartureIsConfirmedByAHoldWithoutAnAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		runners Runners
+		runs    bool
+	}{
+		"refused":                          {refusingRunners{err: syscall.ECONNREFUSED}, false},
+		"silent":                           {refusingRunners{err: context.DeadlineExceeded}, false},
+		"another runner is at its address": {refusingRunners{answer: OtherIncarnation}, false},
+		"unhealthy":                        {refusingRunners{answer: Unhealthy}, true},
+		"fenced":                           {refusingRunners{answer: Fenced}, true},
+		"answered":                         {listingRunners{}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, order := leaderOfOneRunner(t, test.runners, time.Minute)
+			l.core.HandleAnswer(order, scheduler.Accepted, steady.Now())
+			report(l, batch.Report{Born: 1, Running: []batch.RunningTask{{Task: order.Task, Attempt: order.Attempt}}})
+			cancelled := false
+			l.links["r"].cancelHold = func() { cancelled = true }
+			runnerEventHandler{t.Context(), l}.MayHaveLeft("r", 0)
+			must.True(t, cancelled) // it was sent before
+			must.True(t, l.core.RunnerNeeded("r"))
+			to, hold, _ := l.nextHold("r", 0)
+			must.True(t, hold.NewConnection)
+			l.sendHold(t.Context(), to, hold)
+			must.Eq(t, test.runs, l.core.RunnerNeeded("r"))
+		})
+	}
+}
+
 // Guards against tasks that run twice: a hold that was sent to an earlier incarnation of a runner,
 // or to an earlier address, is answered by another runner, and the present one is draining and
 // not listed.
--- a/batch/scheduler/allfaults_test.go
+++ b/batch/scheduler/allfaults_test.go
@@ -54,7 +54,7 @@
 // after those of the next ones, all at once. Nothing runs twice, no runner is
 // filled over its capacity, and all jobs end afterwards.
 func TestNothingRunsTwiceWhenAllFaultsActTogether(t *testing.T) {
-	const seeds = 6
+	const seeds = 8
 	for name, f := range faultMixes {
 		for _, unguarded := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, unguarded %t", name, unguarded), func(t *testing.T) {
@@ -78,7 +78,7 @@
 func runAllFaults(t *testing.T, seed uint64, f faults, unguarded bool) []string {
 	w := newWorld(t, seed, f)
 	w.collectViolations, w.unguarded, w.repeats = true, unguarded, seed%2 == 0
-	w.entriesNameIncarnations = seed%3 != 0
+	w.entriesNameIncarnations, w.confirmsDepartures = seed%3 != 0, seed%8 >= 6
 	w.addRunners(2, 3)
 	w.startScheduler()
 	rng := rand.New(rand.NewPCG(seed, 4))
--- /dev/null
+++ b/batch/scheduler/departure_test.go
@@ -0,0 +1,65 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/cyclamentray/cyclamentray/batch"
+	"github.com/cyclamentray/cyclamentray/batch/scheduler"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
+)
+
+// Guards against tasks that run twice under a leader that has just begun: a runner's entry was
+// removed for a silence before, and the runner answers. Guards as well against tasks that stay away
+// for a lease though their runner has left.
+func TestDepartureToBeConfirmedCountsOnceAHoldSentSinceIsNotAnswered(t *testing.T) {
+	const now = worldStart
+	at := func(ms int) steady.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	draining := incarnation(1, "b")
+	draining.Draining = true
+	for name, test := range map[string]struct {
+		happens func(c *scheduler.Core, lists batch.Report)
+		runs    bool
+	}{
+		"no hold yet": {func(*scheduler.Core, batch.Report) {}, true},
+		"not answered": {func(c *scheduler.Core, _ batch.Report) {
+			c.HoldUnanswered("r", at(110), at(120))
+		}, false},
+		"not answered, sent before": {func(c *scheduler.Core, _ batch.Report) {
+			c.HoldUnanswered("r", at(90), at(120))
+		}, true},
+		"answered, and not answered later": {func(c *scheduler.Core, lists batch.Report) {
+			c.HandleReport("r", at(110), lists, at(120))
+			c.HoldUnanswered("r", at(130), at(140))
+		}, true},
+		"answered before, and not answered": {func(c *scheduler.Core, lists batch.Report) {
+			c.HandleReport("r", at(90), lists, at(105))
+			c.HoldUnanswered("r", at(110), at(120))
+		}, false},
+		"the entry is back": {func(c *scheduler.Core, _ batch.Report) {
+			c.RunnerListed(draining, at(105))
+			c.HoldUnanswered("r", at(110), at(120))
+		}, true},
+		"the next one is listed": {func(c *scheduler.Core, _ batch.Report) {
+			c.RunnerListed(incarnation(2, "b"), at(105))
+			c.HoldUnanswered("r", at(110), at(120))
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core, order, _ := startOne(t, now)
+			core.NoteLeaseExtension("r", now.Add(time.Minute))
+			core.HandleAnswer(order, scheduler.Accepted, at(10))
+			lists := batch.Report{Born: 1, Running: []batch.RunningTask{{Task: order.Task, Attempt: order.Attempt}}}
+			core.RunnerListed(draining, at(15))
+			core.HandleReport("r", at(20), lists, at(30))
+			core.TakeRecords(1)
+			core.RunnerMayHaveLeft("r", 1, at(100))
+			must.True(t, core.AwaitsDeparture("r"))
+			test.happens(core, lists)
+			core.Decide(at(200), time.Unix(0, int64(now)))
+			must.Eq(t, !test.runs, len(core.TakeRecords(1)) > 0)
+		})
+	}
+}
--- a/batch/scheduler/report.go
+++ b/batch/scheduler/report.go
@@ -29,6 +29,9 @@
 	}
 	r.reportRequestedAt, r.reportReceivedAt, r.reportDueBy, r.reachable = asked, now, 0, true
 	r.bornReportedAt = now
+	if !asked.Before(r.mayHaveLeft.since) {
+		r.mayHaveLeft = unconfirmedDeparture{}
+	}
 	if r.fence == unfenced {
 		return true
 	}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -74,6 +74,7 @@
 	failures            int // consecutive
 	suspendedUntil      steady.Time
 	leavesAt            steady.Time // when it may end, while it is draining
+	mayHaveLeft         unconfirmedDeparture
 	nominations         []nomination
 }
 
@@ -155,6 +156,7 @@
 	case r.described() && r.fence == fenced && r.restartRefuted():
 		r.earlierOrdersBy = 0
 	}
+	r.mayHaveLeft = unconfirmedDeparture{}
 	if entry.Draining {
 		r.leavesAt = now.Add(entry.DrainRemaining)
 	}
@@ -176,20 +178,6 @@
 	}
 }
 
-// RunnerLeft notes that an incarnation of a runner has ended, with all its runs.
-func (c *Core) RunnerLeft(id string, born int64, now steady.Time) {
-	r := c.runners[id]
-	if r == nil || r.describedBorn != born {
-		return // another incarnation is listed
-	}
-	r.listed = false
-	if r.isOver(born) {
-		return // the next incarnation has reported already
-	}
-	r.reachable = false
-	c.loseAllRuns(r, now, "runner left")
-}
-
 // RunnerNeeded reports whether a runner is listed or may still run a task.
 func (c *Core) RunnerNeeded(id string) bool {
 	r := c.runners[id]
@@ -277,33 +265,6 @@
 	return len(r.pendingEnds) > 0
 }
 
-// RunnerUnreachable notes that a runner did not answer. Silence, and connections that are
-// refused, say nothing about its runs: its failure domain may be cut off, by a partition that
-// may refuse connections, and they go on until the runner's lease has run out.
-func (c *Core) RunnerUnreachable(id string) {
-	if r := c.runners[id]; r != nil {
-		r.reachable = false
-	}
-}
-
-// RunnerReplaced notes that another runner answered a call that was sent to an incarnation at its
-// address, both as described by sentTo. If that one is described still, was draining and is no
-// longer listed, it has left.
-func (c *Core) RunnerReplaced(sentTo batch.Runner, now steady.Time) {
-	c.RunnerUnreachable(sentTo.ID)
-	r := c.runners[sentTo.ID]
-	if r == nil || r.listed || !r.Draining || r.describedBorn != sentTo.Born || r.Address != sentTo.Address || r.isOver(sentTo.Born) {
-		return
-	}
-	c.loseAllRuns(r, now, "another runner is at the address of the runner, which was leaving")
-}
-
-// isOver reports whether a later incarnation than the given one has reported already. Its time of
-// start may be earlier, as the runner's time of day may have gone back.
-func (r *runner) isOver(born int64) bool {
-	return born != 0 && (r.Born > born || slices.Contains(r.earlierBorn, born))
-}
-
 // backOff suspends the runner after a failure.
 func (r *runner) backOff(now steady.Time) {
 	r.failures++
@@ -311,20 +272,6 @@
 	r.suspendedUntil = max(r.suspendedUntil, now.Add(pause))
 }
 
-// loseAllRuns gives up the runs on a runner that has ended. Those with starts under way wait
-// until its next incarnation refuses these or can't carry them out any more.
-func (c *Core) loseAllRuns(r *runner, now steady.Time, reason string) {
-	r.leaseEndsBy = min(r.leaseEndsBy, now)
-	for _, run := range r.runs {
-		if run.starts.any() && now.Before(run.starts.overBy) {
-			c.stopUnit(run.unit, now, reason)
-			continue
-		}
-		c.noteStartsOver(run)
-		c.giveUp(run, now, reason)
-	}
-}
-
 // loseRun removes a run that is gone without a reported end.
 func (c *Core) loseRun(r *run, now steady.Time, reason string) {
 	c.notifyGivenUp("end", r, now, reason)
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -74,6 +74,7 @@
 	// relisted is the share of restarts after which an entry of the earlier incarnation is listed
 	// once more, after the next one's.
 	relisted              float64
+	confirmsDepartures    bool // a departure counts once a hold that is sent since has no answer
 	acknowledgeUnrecorded bool // injected fault: ends are acknowledged before they are recorded
 	nextFaults            []orderFault
 	carriesOutLate        bool            // the order that is being delivered was kept by its runner or a partition
@@ -301,7 +302,11 @@
 
 // leave tells the scheduler that the incarnation of a runner which is listed has left.
 func (w *world) leave(id string, born int64) {
-	if w.core != nil && w.listedBorn[id] == born {
+	switch {
+	case w.core == nil || w.listedBorn[id] != born:
+	case w.confirmsDepartures:
+		w.core.RunnerMayHaveLeft(id, born, w.now)
+	default:
 		w.core.RunnerLeft(id, born, w.now)
 	}
 }
@@ -448,6 +453,7 @@
 		}
 		core.AddressNotTaken(id)
 		core.RunnerUnreachable(id)
+		core.HoldUnanswered(id, w.now, w.now)
 	}
 	if acknowledged > 0 {
 		core.NoteAcknowledgementSent(id)
@@ -477,6 +483,7 @@
 		sentTo := w.pool.Runner(id).Runner
 		sentTo.Born = w.listedBorn[id]
 		core.RunnerReplaced(sentTo, w.now)
+		core.HoldUnanswered(id, w.now, w.now)
 		return
 	}
 	report, answer := w.pool.Hold(w.now, id, order)
