Scheduler: a restart is a new one once orders went to the earlier incarnation again

What callers may see: a task that must run once runs twice.

Cause: the entry of a third incarnation has the token of orders raised. A late entry and report of the second, which is over, make it the present one again, so holds and starts go to it with the raised token. The third one's report was then no new restart: it counted as fenced by the token that orders to the second had, and a hold of those, carried out late by the third, could extend its lease beyond what was noted for it.

Change: a restart that an entry showed is forgotten when the entry of the incarnation that reported last is read again, as orders are sent to it from then on. The next sign of a later one has the token raised anew.

Why it works: no order goes out with a deadline, and nothing starts, while an entry shows a later incarnation; so no token is raised anew without need until the earlier entry is back.

Evidence: TestTokenIsRaisedAgainOnceOrdersWereSentToTheEarlierIncarnationWithIt fails before: the third incarnation isn't unfenced.

--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -335,3 +335,32 @@
 	}
 	must.True(t, l.links["r"].clockAt.IsZero())
 }
+
+// Guards against a lease that an order to an earlier incarnation extends on the next one: the next
+// one's entry has had the token raised, the earlier one's entry was read again, and orders with the
+// raised token were sent to it since.
+func TestTokenIsRaisedAgainOnceOrdersWereSentToTheEarlierIncarnationWithIt(t *testing.T) {
+	runner := &tokenRunner{born: 1}
+	l, order := leaderOfOneRunner(t, runner, time.Minute)
+	hold(t, l)
+	listed := func(born int64) {
+		entry := order.Runner
+		entry.Born = born
+		runnerEventHandler{t.Context(), l}.Listed(entry)
+	}
+	listed(2)
+	l.raiseTokens(7)
+	listed(1)
+	hold(t, l)
+	earlier := hold(t, l)
+	must.Eq(t, 7, earlier.Token)
+	must.Positive(t, earlier.Deadline)
+	runner.restart()
+	hold(t, l)
+	must.True(t, l.core.AwaitsFence("r"))
+	must.True(t, l.tokensDue())
+	l.raiseTokens(9)
+	must.Eq(t, 9, hold(t, l).Token)
+	must.False(t, l.core.AwaitsFence("r"))
+	must.Eq(t, Fenced, runner.admit(earlier.Token))
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -156,6 +156,9 @@
 	case r.described() && r.fence == fenced && r.restartRefuted():
 		r.earlierOrdersBy = 0
 	}
+	if !r.awaitsReport() {
+		r.restartedBorn = 0 // orders are sent to the incarnation that reported last, with the raised token
+	}
 	r.mayHaveLeft = unconfirmedDeparture{}
 	if entry.Draining {
 		r.leavesAt = now.Add(entry.DrainRemaining)
