Batch and store tests: verdicts that don't hang on the machine's speed

These tests could fail on a slow machine, or pass on one although the product is at fault: - TestStartIsNotRetriedAfterTheTermHasRunOut: a term of 60 ms and a start of 120 ms; a host that pauses for 60 ms before the start sends none. The start itself ends the term now. The old test also passed without the check that it guards, as the record was never committed and so nothing was sent again; now it fails (2 starts) when startRun doesn't look at the term. - The other tests of starts had a term of one second; it is an hour, and nothing they check depends on it: TestStartIsRetriedDuringTheTerm, TestStartIsNotRetriedOnceItsRunIsReportedOrStopped, TestRunnerThatLeftIsKeptWhileAStartIsOpen, TestStartOfASettledRunIsNotSent, TestStartIsNotSentAfterItsJobWasCancelled, TestStartIsNotRepeatedBeforeItsRecordSaysSo. - TestTermLastsAsLongAsTheStoreAppliesItsLease: 50 ms until a term ends, by the machine's clock. Term.validAt takes the time; the test checks the last nanosecond and the next one. - TestEntryOfANewIncarnationEndsOrdersToTheEarlierOne: slept 50 ms "until it waits"; the runner says so now. - TestRunnerListForwardsOnlyChanges, TestRunnerIsUnlistedAfterItsLastAbsenceOnly: real timers with 300 ms and a tenth of the grace to spare. In virtual time they check the grace to the nanosecond; with a grace that is a millisecond shorter or longer both fail. - TestSubmitReportsStoreOutcome, TestSubmitFailsFastDuringKnownStoreOutage: bounds of 50 to 900 ms by the machine's clock; the same bounds in virtual time. - TestUnresponsiveLeaderIsNotRetriedAtOnce: 20 questions had to end within the second for which the leader isn't called. LeaderClient takes a clock; the test also checks that the leader is called again after that second, and not a nanosecond before. - TestFollowerSeesEveryChangeAcrossCompactionAndOutage: an outage of 150 ms had to be noticed in that time. It lasts until it is noticed. - TestFollowerReportsRecoveryWithoutWaitingForAChange: 2 s by the machine's clock; the same bound in virtual time.

--- a/batch/conditions/conditions_test.go
+++ b/batch/conditions/conditions_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -88,21 +89,27 @@
 // back within unlistGrace is not reported as unlisted. A runner whose entry can't
 // be decoded is.
 func TestRunnerListForwardsOnlyChanges(t *testing.T) {
-	events := &eventCounter{}
-	l := newRunnerList(context.Background(), jsonFormat, 1500*time.Millisecond, discardLogger(), events)
-	l.reset([]kvstore.Item{runnerItem("i-1", false, 1), runnerItem("i-2", false, 1)})
-	must.Eq(t, [3]int{2, 0, 0}, events.counts())
-	l.apply([]kvstore.Event{{Item: runnerItem("i-1", false, 2)}, {Item: runnerItem("i-1", false, 3)}})
-	must.Eq(t, [3]int{2, 0, 0}, events.counts())
-	l.apply([]kvstore.Event{{Item: runnerItem("i-1", false, 4)}, {Item: runnerItem("i-1", true, 5)}})
-	must.Eq(t, [3]int{3, 0, 0}, events.counts())
-	l.apply([]kvstore.Event{deleted("i-1")})
-	l.reset(nil) // i-2 is missing, too
-	l.apply([]kvstore.Event{{Item: runnerItem("i-2", false, 6)}})
-	time.Sleep(unlistGrace + 300*time.Millisecond)
-	must.Eq(t, [3]int{4, 1, 0}, events.counts())
-	l.apply([]kvstore.Event{{Item: kvstore.Item{Key: "runner/i-2", Value: []byte("\x00")}}})
-	must.Eq(t, [3]int{4, 2, 0}, events.counts())
+	synctest.Test(t, func(t *testing.T) {
+		events := &eventCounter{}
+		l := newRunnerList(context.Background(), jsonFormat, 1500*time.Millisecond, discardLogger(), events)
+		l.reset([]kvstore.Item{runnerItem("i-1", false, 1), runnerItem("i-2", false, 1)})
+		must.Eq(t, [3]int{2, 0, 0}, events.counts())
+		l.apply([]kvstore.Event{{Item: runnerItem("i-1", false, 2)}, {Item: runnerItem("i-1", false, 3)}})
+		must.Eq(t, [3]int{2, 0, 0}, events.counts())
+		l.apply([]kvstore.Event{{Item: runnerItem("i-1", false, 4)}, {Item: runnerItem("i-1", true, 5)}})
+		must.Eq(t, [3]int{3, 0, 0}, events.counts())
+		l.apply([]kvstore.Event{deleted("i-1")})
+		l.reset(nil) // i-2 is missing, too
+		l.apply([]kvstore.Event{{Item: runnerItem("i-2", false, 6)}})
+		time.Sleep(unlistGrace - time.Nanosecond)
+		synctest.Wait()
+		must.Eq(t, [3]int{4, 0, 0}, events.counts())
+		time.Sleep(time.Nanosecond)
+		synctest.Wait()
+		must.Eq(t, [3]int{4, 1, 0}, events.counts())
+		l.apply([]kvstore.Event{{Item: kvstore.Item{Key: "runner/i-2", Value: []byte("\x00")}}})
+		must.Eq(t, [3]int{4, 2, 0}, events.counts())
+	})
 }
 
 // Guards against a runner that stays unused after another writer's entry stood at its key:
@@ -142,18 +149,22 @@
 
 // An absence is timed from the last deletion of a runner's entry.
 func TestRunnerIsUnlistedAfterItsLastAbsenceOnly(t *testing.T) {
-	events := &eventCounter{}
-	l := newRunnerList(t.Context(), jsonFormat, time.Minute, discardLogger(), events)
-	own := runnerItem("i-1", false, 1)
-	l.reset([]kvstore.Item{own})
-	l.reset(nil)
-	time.Sleep(unlistGrace * 3 / 5)
-	l.reset([]kvstore.Item{own})
-	l.reset(nil)
-	time.Sleep(unlistGrace * 3 / 5)
-	must.Eq(t, [3]int{2, 0, 0}, events.counts())
-	time.Sleep(unlistGrace * 3 / 5)
-	must.Eq(t, [3]int{2, 1, 0}, events.counts())
+	synctest.Test(t, func(t *testing.T) {
+		events := &eventCounter{}
+		l := newRunnerList(t.Context(), jsonFormat, time.Minute, discardLogger(), events)
+		own := runnerItem("i-1", false, 1)
+		l.reset([]kvstore.Item{own})
+		l.reset(nil)
+		time.Sleep(unlistGrace * 3 / 5)
+		l.reset([]kvstore.Item{own})
+		l.reset(nil)
+		time.Sleep(unlistGrace - time.Nanosecond)
+		synctest.Wait()
+		must.Eq(t, [3]int{2, 0, 0}, events.counts())
+		time.Sleep(time.Nanosecond)
+		synctest.Wait()
+		must.Eq(t, [3]int{2, 1, 0}, events.counts())
+	})
 }
 
 // knownFor is how long an incarnation has been known whose entry may be removed for its own
--- a/batch/dispatch/election.go
+++ b/batch/dispatch/election.go
@@ -54,10 +54,12 @@
 }
 
 // Valid reports whether starts may be sent.
-func (t *Term) Valid() bool {
+func (t *Term) Valid() bool { return t.validAt(steady.Now()) }
+
+func (t *Term) validAt(now steady.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.ended && steady.Now().Before(t.renewed.Add(t.ttl-termMargin))
+	return !t.ended && now.Before(t.renewed.Add(t.ttl-termMargin))
 }
 
 // RunnerLeaseLimit returns the latest time to which a runner's lease of the given
--- a/batch/dispatch/election_test.go
+++ b/batch/dispatch/election_test.go
@@ -37,9 +37,9 @@
 		must.True(t, term.Valid())
 		acquired := term.renewed
 		must.Eq(t, acquired.Add(ttl+time.Second), term.RunnerLeaseLimit(time.Second))
-		term.renewed = steady.Now().Add(termMargin - ttl + 50*time.Millisecond)
-		must.True(t, term.Valid())
-		term.renewed = steady.Now().Add(termMargin - ttl - time.Millisecond)
+		must.True(t, term.validAt(acquired.Add(ttl-termMargin-1)))
+		must.False(t, term.validAt(acquired.Add(ttl-termMargin)))
+		term.renewed = steady.Now().Add(termMargin - ttl - 1)
 		must.False(t, term.Valid())
 	}
 }
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -16,18 +16,16 @@
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
-// silentRunners answers no start until the given time has passed.
+// silentRunners answers no start.
 type silentRunners struct {
 	Runners
 	starts    int
-	err       error // of each start; nil: one that may have been sent
-	delay     time.Duration
+	err       error  // of each start; nil: one that may have been sent
 	meanwhile func() // called during each start; nil: nothing happens
 }
 
 func (r *silentRunners) Start(context.Context, batch.Runner, StartOrder) (Answer, error) {
 	r.starts++
-	time.Sleep(r.delay)
 	if r.meanwhile != nil {
 		r.meanwhile()
 	}
@@ -94,8 +92,14 @@
 // A start without an answer is not sent again once the term has run out, as by then
 // another host may lead. Its outcome stays unknown.
 func TestStartIsNotRetriedAfterTheTermHasRunOut(t *testing.T) {
-	runners := &silentRunners{delay: 120 * time.Millisecond}
-	l, order := leaderOfOneRunner(t, runners, 60*time.Millisecond)
+	runners := &silentRunners{}
+	l, order := leaderOfOneRunner(t, runners, time.Hour)
+	runners.meanwhile = func() {
+		l.term.mu.Lock()
+		defer l.term.mu.Unlock()
+		l.term.renewed = l.term.renewed.Add(-time.Hour)
+	}
+	commitRecords(t, l)
 	answer := l.startRun(t.Context(), order)
 	must.Eq(t, 1, runners.starts)
 	must.Eq(t, scheduler.OutcomeUnknown, answer)
@@ -113,7 +117,7 @@
 // While the term is valid, a start without an answer is tried again.
 func TestStartIsRetriedDuringTheTerm(t *testing.T) {
 	runners := &silentRunners{}
-	l, order := leaderOfOneRunner(t, runners, time.Second)
+	l, order := leaderOfOneRunner(t, runners, time.Hour)
 	commitRecords(t, l)
 	answer := l.startRun(t.Context(), order)
 	must.Eq(t, maxStartTries, runners.starts)
@@ -139,7 +143,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runners := &silentRunners{}
-			l, order := leaderOfOneRunner(t, runners, time.Second)
+			l, order := leaderOfOneRunner(t, runners, time.Hour)
 			runners.meanwhile = func() { happen(l, order) }
 			answer := l.startRun(t.Context(), order)
 			must.Eq(t, 1, runners.starts)
@@ -156,7 +160,7 @@
 		kept bool
 	}{"no answer": {nil, true}, "not sent": {ErrNotSent, false}} {
 		t.Run(name, func(t *testing.T) {
-			l, order := leaderOfOneRunner(t, &silentRunners{err: test.err}, time.Second)
+			l, order := leaderOfOneRunner(t, &silentRunners{err: test.err}, time.Hour)
 			l.startRun(t.Context(), order)
 			l.core.RunnerLeft(order.Runner.ID, 0, steady.Now())
 			must.Eq(t, test.kept, l.core.RunnerNeeded(order.Runner.ID))
@@ -168,7 +172,7 @@
 // with the restart of its runner just before.
 func TestStartOfASettledRunIsNotSent(t *testing.T) {
 	runners := &silentRunners{}
-	l, order := leaderOfOneRunner(t, runners, time.Second)
+	l, order := leaderOfOneRunner(t, runners, time.Hour)
 	report(l, batch.Report{Born: 2})
 	l.links["r"].token = 2
 	l.core.RunnerFenced("r", 2)
@@ -183,7 +187,7 @@
 // A start whose job was cancelled before it was sent is not sent.
 func TestStartIsNotSentAfterItsJobWasCancelled(t *testing.T) {
 	runners := &silentRunners{}
-	l, order := leaderOfOneRunner(t, runners, time.Second)
+	l, order := leaderOfOneRunner(t, runners, time.Hour)
 	l.core.CancelJob(order.Task.Job, steady.Now())
 	must.Eq(t, scheduler.NotExecuted, l.startRun(t.Context(), order))
 	must.Eq(t, 0, runners.starts)
@@ -308,7 +312,7 @@
 // a run that is listed for the only one that its start can begin.
 func TestStartIsNotRepeatedBeforeItsRecordSaysSo(t *testing.T) {
 	runners := &silentRunners{}
-	l, order := leaderOfOneRunner(t, runners, time.Second)
+	l, order := leaderOfOneRunner(t, runners, time.Hour)
 	answer := l.startRun(t.Context(), order)
 	must.Eq(t, 1, runners.starts)
 	must.Eq(t, scheduler.OutcomeUnknown, answer)
--- a/batch/dispatch/restart_test.go
+++ b/batch/dispatch/restart_test.go
@@ -20,7 +20,8 @@
 	Runners
 	born    int64
 	highest uint64
-	waits   bool // its holds wait until their call ends
+	waits   bool          // its holds wait until their call ends
+	waiting chan struct{} // gets a value when a hold waits, unless it is full or nil
 	ended   []batch.EndedTask
 }
 
@@ -36,6 +37,10 @@
 
 func (r *tokenRunner) Hold(ctx context.Context, _ batch.Runner, o HoldOrder) (batch.Report, Answer, error) {
 	if r.waits {
+		select {
+		case r.waiting <- struct{}{}:
+		default:
+		}
 		<-ctx.Done()
 		return batch.Report{}, Unanswered, ctx.Err()
 	}
@@ -135,19 +140,19 @@
 // Once a runner's entry shows a restart, nothing is sent with a deadline on the clock of the
 // earlier incarnation, and the hold that waits for that incarnation ends.
 func TestEntryOfANewIncarnationEndsOrdersToTheEarlierOne(t *testing.T) {
-	runner := &tokenRunner{born: 1}
+	runner := &tokenRunner{born: 1, waiting: make(chan struct{}, 1)}
 	l, order := leaderOfOneRunner(t, runner, time.Minute)
 	hold(t, l)
 	runner.waits = true
-	waiting := make(chan bool)
-	go func() { waiting <- l.sendHold(t.Context(), order.Runner, HoldOrder{Token: 1, Wait: time.Minute}) }()
-	time.Sleep(50 * time.Millisecond) // until it waits
+	ended := make(chan bool)
+	go func() { ended <- l.sendHold(t.Context(), order.Runner, HoldOrder{Token: 1, Wait: time.Minute}) }()
+	<-runner.waiting
 	entry := order.Runner
 	entry.Born = 2
 	l.mu.Lock()
 	l.core.RunnerListed(entry, steady.Now())
 	l.mu.Unlock()
-	must.False(t, <-waiting)
+	must.False(t, <-ended)
 	must.True(t, l.tokensDue())
 	_, o, _ := l.nextHold("r", 0)
 	must.Eq(t, 0, o.Deadline)
--- a/batch/intake/intake_test.go
+++ b/batch/intake/intake_test.go
@@ -84,22 +84,24 @@
 		{"response lost, then store unavailable", []keyspace.Outcome{keyspace.AnswerLost, keyspace.Refused}, intake.OutcomeUnknown, callerTimeout},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			tries := 0
-			in, replica := newIntake(func(c keyspace.Call) keyspace.Outcome {
-				if !c.Write {
-					return keyspace.Served
-				}
-				tries++
-				return test.outcomes[min(tries, len(test.outcomes))-1]
+			synctest.Test(t, func(t *testing.T) {
+				tries := 0
+				in, replica := newIntake(func(c keyspace.Call) keyspace.Outcome {
+					if !c.Write {
+						return keyspace.Served
+					}
+					tries++
+					return test.outcomes[min(tries, len(test.outcomes))-1]
+				})
+				target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
+				must.NoError(t, err)
+				began := time.Now()
+				err = in.Submit(context.Background(), target, oneTask(), callerTimeout)
+				must.Less(t, test.within, time.Since(began))
+				must.Eq(t, test.want, kindOf(err), must.Sprint(err))
+				_, known := replica.Job("0123456789abcdef")
+				must.Eq(t, err == nil, known)
 			})
-			target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
-			must.NoError(t, err)
-			began := time.Now()
-			err = in.Submit(context.Background(), target, oneTask(), callerTimeout)
-			must.Less(t, test.within, time.Since(began))
-			must.Eq(t, test.want, kindOf(err), must.Sprint(err))
-			_, known := replica.Job("0123456789abcdef")
-			must.Eq(t, err == nil, known)
 		})
 	}
 }
@@ -187,24 +189,26 @@
 // While the store is known to be unreachable, a job is refused within 50 ms as not
 // accepted, and nothing is written.
 func TestSubmitFailsFastDuringKnownStoreOutage(t *testing.T) {
-	writes := 0
-	in, _ := newIntake(func(c keyspace.Call) keyspace.Outcome {
-		if c.Write {
-			writes++
-		}
-		return keyspace.AnswerLost
+	synctest.Test(t, func(t *testing.T) {
+		writes := 0
+		in, _ := newIntake(func(c keyspace.Call) keyspace.Outcome {
+			if c.Write {
+				writes++
+			}
+			return keyspace.AnswerLost
+		})
+		in.StoreUnreachable = func() bool { return true }
+		target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
+		must.NoError(t, err)
+		began := time.Now()
+		err = in.Submit(context.Background(), target, oneTask(), callerTimeout)
+		must.Less(t, 50*time.Millisecond, time.Since(began))
+		must.Eq(t, intake.NotAccepted, kindOf(err))
+		must.Eq(t, 0, writes)
+		var reqErr intake.RequestError
+		must.True(t, errors.As(err, &reqErr))
+		must.Positive(t, reqErr.RetryAfter)
 	})
-	in.StoreUnreachable = func() bool { return true }
-	target, err := in.Resolve("h", "/a/0123456789abcdef", "k1")
-	must.NoError(t, err)
-	began := time.Now()
-	err = in.Submit(context.Background(), target, oneTask(), callerTimeout)
-	must.Less(t, 50*time.Millisecond, time.Since(began))
-	must.Eq(t, intake.NotAccepted, kindOf(err))
-	must.Eq(t, 0, writes)
-	var reqErr intake.RequestError
-	must.True(t, errors.As(err, &reqErr))
-	must.Positive(t, reqErr.RetryAfter)
 }
 
 // slowStore answers each commit after a delay, unless its context ends before.
--- a/batch/intake/leader.go
+++ b/batch/intake/leader.go
@@ -61,6 +61,7 @@
 	Peers   peer.Caller
 	Host    string // this host; it does not call itself
 	Log     *log.Logger
+	Now     func() steady.Time // nil: steady.Now
 
 	mu      sync.Mutex
 	retryAt steady.Time // the leader is not called before this time; 0: no call has failed
@@ -87,14 +88,14 @@
 // not, the caller uses this host's replica, which lags a fraction of a second.
 func (l *LeaderClient) call(ctx context.Context, method string, args, reply any) bool {
 	address := l.leaderAddress()
-	if address == "" || steady.Now().Before(l.nextRetry()) {
+	if address == "" || l.now().Before(l.nextRetry()) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
 	if err := l.Peers.Call(ctx, address, method, args, reply); err != nil {
 		l.Log.Debug("leader did not answer; using the local replica for a while", "leader", address, "err", err)
-		l.delayRetry(steady.Now().Add(leaderRetryInterval))
+		l.delayRetry(l.now().Add(leaderRetryInterval))
 		return false
 	}
 	return true
@@ -110,6 +111,13 @@
 	return l.Replica.Hosts()[name].Address
 }
 
+func (l *LeaderClient) now() steady.Time {
+	if l.Now == nil {
+		return steady.Now()
+	}
+	return l.Now()
+}
+
 func (l *LeaderClient) nextRetry() steady.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/batch/intake/leader_test.go
+++ b/batch/intake/leader_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/intake"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/internal/steady"
 	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/peer"
 )
@@ -102,14 +104,25 @@
 }
 
 // A leader that does not answer is called once, and later requests are answered
-// from the local replica without another call.
+// from the local replica without another call until a second has passed.
 func TestUnresponsiveLeaderIsNotRetriedAtOnce(t *testing.T) {
 	p := &leaderPeer{unresponsive: true}
 	in := newIntakeWithLeader(t, batch.Running, p)
-	for range 20 {
+	now := steady.Time(time.Hour)
+	in.Leader.Now = func() steady.Time { return now }
+	ask := func() {
 		state, err := in.State(t.Context(), intake.Target{JobID: jobID}, callerTimeout)
 		must.NoError(t, err)
 		must.Eq(t, batch.Running, state)
 	}
+	for range 20 {
+		ask()
+	}
+	must.Eq(t, 1, p.calls)
+	now = now.Add(time.Second - 1)
+	ask()
 	must.Eq(t, 1, p.calls)
+	now = now.Add(1)
+	ask()
+	must.Eq(t, 2, p.calls)
 }
--- a/kvstore/fallback_test.go
+++ b/kvstore/fallback_test.go
@@ -157,7 +157,9 @@
 	commit("p/3")
 	await(3)
 	fault.Store(int64(keyspace.Refused))
-	time.Sleep(150 * time.Millisecond)
+	for deadline := time.Now().Add(5 * time.Second); lost.Load() == 0; time.Sleep(5 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline), must.Sprint("the outage was not noticed"))
+	}
 	commit("p/4")
 	store.Compact()
 	fault.Store(int64(keyspace.Served))
@@ -171,32 +173,34 @@
 // The follower must report the store's recovery at once, even if no key changes,
 // because callers are refused until it does.
 func TestFollowerReportsRecoveryWithoutWaitingForAChange(t *testing.T) {
-	var fault atomic.Int64
-	store := keyspace.New(keyspace.Options{Fault: func(keyspace.Call) keyspace.Outcome { return keyspace.Outcome(fault.Load()) }})
-	regained := make(chan struct{}, 4)
-	lost := make(chan struct{}, 4)
-	f := &kvstore.Follower{
-		Store: store, Prefix: "p/", Wait: 5 * time.Second, Pause: func() time.Duration { return 200 * time.Millisecond },
-		Reset: func([]kvstore.Item) {}, Apply: func([]kvstore.Event) { fault.Store(int64(keyspace.Refused)) },
-		Lost: func(error) { lost <- struct{}{} }, Regained: func() { regained <- struct{}{} },
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		f.Run(ctx)
-		close(ended)
-	}()
-	<-regained
-	store.WriteWithoutFaults(createKey("p/1")) // ends the watch; the next one fails
-	<-lost
-	fault.Store(int64(keyspace.Served))
-	select {
-	case <-regained:
-	case <-time.After(2 * time.Second): // well within a watch's wait
-		t.Error("recovery not reported within 2 s")
-	}
-	cancel()
-	<-ended
+	synctest.Test(t, func(t *testing.T) {
+		var fault atomic.Int64
+		store := keyspace.New(keyspace.Options{Fault: func(keyspace.Call) keyspace.Outcome { return keyspace.Outcome(fault.Load()) }})
+		regained := make(chan struct{}, 4)
+		lost := make(chan struct{}, 4)
+		f := &kvstore.Follower{
+			Store: store, Prefix: "p/", Wait: 5 * time.Second, Pause: func() time.Duration { return 200 * time.Millisecond },
+			Reset: func([]kvstore.Item) {}, Apply: func([]kvstore.Event) { fault.Store(int64(keyspace.Refused)) },
+			Lost: func(error) { lost <- struct{}{} }, Regained: func() { regained <- struct{}{} },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(ended)
+		}()
+		<-regained
+		store.WriteWithoutFaults(createKey("p/1")) // ends the watch; the next one fails
+		<-lost
+		fault.Store(int64(keyspace.Served))
+		select {
+		case <-regained:
+		case <-time.After(2 * time.Second): // well within a watch's wait
+			t.Error("recovery not reported within 2 s")
+		}
+		cancel()
+		<-ended
+	})
 }
 
 // The store returns after an outage of 3 s. A follower of a small deployment reads
