Scheduler: a report outranks an earlier answer of another runner to one that was leaving

What callers may see: a task that must run once runs twice. Not in a record; found by reading.

Cause: a hold that another runner answers shows that the runner at its address is gone, if it was draining. Whether the runner had reported on a later hold was not asked. So the runs of a next incarnation were given up that had reported meanwhile, if its time of start is earlier (the runner's time of day went back) and the one before hadn't reported in this term.

Change: the answer doesn't count if the last report was requested after its call was sent, as for the starts of a runner whose address is taken. The runner still counts as unreachable until its next report, as that only makes waits longer.

Evidence: TestReportOutranksAnEarlierAnswerOfAnotherRunnerToOneThatWasLeaving fails before on both rows whose call is earlier. By reading, only the row of the next incarnation can happen: a runner that is gone doesn't report later under the same time of start.

The comment of Leader.handleReport is wrapped anew.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -264,7 +264,7 @@
 		l.Log.Info("starts over", "runner", to.ID, "address", to.Address, "runs", over, "token", l.term.Token,
 			"reason", "they can't be carried out any more, and another runner is at the address")
 	}
-	l.core.RunnerReplaced(to, now)
+	l.core.RunnerReplaced(to, asked, now)
 	l.core.HoldUnanswered(to.ID, asked, now)
 }
 
@@ -294,9 +294,8 @@
 }
 
 // handleReport passes the report on a hold with the given token to the core, and returns whether
-// it was used. Until a
-// restarted runner is fenced, an order to an earlier incarnation may have extended its lease
-// to the longest one, counted from when it was carried out. The caller holds mu.
+// it was used. Until a restarted runner is fenced, an order to an earlier incarnation may have
+// extended its lease to the longest one, counted from when it was carried out. The caller holds mu.
 func (l *Leader) handleReport(id string, token uint64, asked steady.Time, report batch.Report, now steady.Time) (used bool) {
 	unfenced := l.core.AwaitsFence(id)
 	if k := l.links[id]; k != nil && token > k.tokenAtRestart {
--- a/batch/scheduler/departure.go
+++ b/batch/scheduler/departure.go
@@ -68,12 +68,15 @@
 }
 
 // RunnerReplaced notes that another runner answered a call that was sent to an incarnation at its
-// address, both as described by sentTo. If that one is described still, was draining and is no
-// longer listed, it has left.
-func (c *Core) RunnerReplaced(sentTo batch.Runner, now steady.Time) {
+// address at asked, both as described by sentTo. If that one is described still, was draining, is no
+// longer listed and hasn't reported on a later call, it has left.
+func (c *Core) RunnerReplaced(sentTo batch.Runner, asked, now steady.Time) {
 	c.RunnerUnreachable(sentTo.ID)
 	r := c.runners[sentTo.ID]
-	if r == nil || r.listed || !r.Draining || r.describedBorn != sentTo.Born || r.Address != sentTo.Address || r.isOver(sentTo.Born) {
+	if r == nil || asked.Before(r.reportRequestedAt) || r.listed || !r.Draining {
+		return
+	}
+	if r.describedBorn != sentTo.Born || r.Address != sentTo.Address || r.isOver(sentTo.Born) {
 		return
 	}
 	c.loseAllRuns(r, now, "another runner is at the address of the runner, which was leaving")
--- a/batch/scheduler/departure_test.go
+++ b/batch/scheduler/departure_test.go
@@ -63,3 +63,31 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice: another runner answered a call to an incarnation that was
+// leaving, and the next one, whose time of start is earlier, has answered a later call meanwhile.
+func TestReportOutranksAnEarlierAnswerOfAnotherRunnerToOneThatWasLeaving(t *testing.T) {
+	const now = worldStart
+	at := func(ms int) steady.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	leaving := incarnation(5, "b")
+	leaving.Address, leaving.Draining, leaving.DrainRemaining = "a", true, time.Minute
+	for name, test := range map[string]struct {
+		sentAt   int // ms; the report was requested at 20
+		reported int64
+		runs     bool
+	}{
+		"before":                     {10, 5, true},
+		"before, and the next one's": {10, 3, true},
+		"after":                      {30, 5, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(time.Minute)})
+			core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r"}}}, now)
+			core.RunnerListed(leaving, now)
+			core.RunnerUnlisted("r")
+			core.HandleReport("r", at(20), batch.Report{Born: test.reported, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, at(25))
+			core.RunnerReplaced(leaving, at(test.sentAt), at(40))
+			must.Eq(t, test.runs, core.RunnerNeeded("r"))
+		})
+	}
+}
--- a/batch/scheduler/restart_test.go
+++ b/batch/scheduler/restart_test.go
@@ -529,8 +529,11 @@
 	leaving := incarnation(5, "b")
 	leaving.Address, leaving.Draining, leaving.DrainRemaining = "a", true, time.Minute
 	for name, ends := range map[string]func(*scheduler.Core){
-		"left":     func(c *scheduler.Core) { c.RunnerLeft("r", 5, now.Add(time.Second)) },
-		"replaced": func(c *scheduler.Core) { c.RunnerUnlisted("r"); c.RunnerReplaced(leaving, now.Add(time.Second)) },
+		"left": func(c *scheduler.Core) { c.RunnerLeft("r", 5, now.Add(time.Second)) },
+		"replaced": func(c *scheduler.Core) {
+			c.RunnerUnlisted("r")
+			c.RunnerReplaced(leaving, now.Add(time.Second), now.Add(time.Second))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			core, order, _ := startOne(t, now)
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -482,7 +482,7 @@
 		core.AddressTaken(id, addressOf(id), w.now)
 		sentTo := w.pool.Runner(id).Runner
 		sentTo.Born = w.listedBorn[id]
-		core.RunnerReplaced(sentTo, w.now)
+		core.RunnerReplaced(sentTo, w.now, w.now)
 		core.HoldUnanswered(id, w.now, w.now)
 		return
 	}
