Scheduler: a report shows that an incarnation is over whose entry was read before

What callers may see: a task that must run once runs twice.

Cause: where a runner's time of day goes back over a restart, the next incarnation has the earlier time of start. The one before was known to be over only if it had reported in this term. Under a new leader its departure, read after the next one's report, gave up the runs of the next one.

Change: an incarnation is also over if another one reports on a call that was sent after the entry of the former was first read. A report that was requested before shows nothing: it may be of the one before.

Evidence: TestDepartureOfOneThatAnotherHasReportedAfterLeavesRunsAlone fails before in its two rows 'the next one's', and 'after, and the next one's' of the test of replaced runners: that incarnation may be at another address.

--- a/batch/scheduler/departure.go
+++ b/batch/scheduler/departure.go
@@ -82,10 +82,18 @@
 	c.loseAllRuns(r, now, "another runner is at the address of the runner, which was leaving")
 }
 
-// isOver reports whether a later incarnation than the given one has reported already. Its time of
-// start may be earlier, as the runner's time of day may have gone back.
+// isOver reports whether another incarnation has reported since the given one: a later one, or any
+// on a call that was sent after the given one's entry was read. The time of start of the latter may
+// be earlier, as the runner's time of day may have gone back.
 func (r *runner) isOver(born int64) bool {
-	return born != 0 && (r.Born > born || slices.Contains(r.earlierBorn, born))
+	switch {
+	case born == 0:
+		return false
+	case r.Born > born || slices.Contains(r.earlierBorn, born):
+		return true
+	default:
+		return r.Born != 0 && r.Born != born && r.describedBorn == born && r.reportRequestedAt.After(r.describedSince)
+	}
 }
 
 // loseAllRuns gives up the runs on a runner that has ended. Those with starts under way wait
--- a/batch/scheduler/departure_test.go
+++ b/batch/scheduler/departure_test.go
@@ -79,6 +79,7 @@
 		"before":                     {10, 5, true},
 		"before, and the next one's": {10, 3, true},
 		"after":                      {30, 5, false},
+		"after, and the next one's":  {30, 3, true}, // it may have another address
 	} {
 		t.Run(name, func(t *testing.T) {
 			core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(time.Minute)})
@@ -91,3 +92,41 @@
 		})
 	}
 }
+
+// Guards against the same when the departure of the incarnation before is read after the report of
+// the next one, which was requested since the entry of the one before was read.
+func TestDepartureOfOneThatAnotherHasReportedAfterLeavesRunsAlone(t *testing.T) {
+	const now = worldStart
+	at := func(ms int) steady.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	for name, test := range map[string]struct {
+		requestedAt int // ms; the entry of incarnation 5 was read at 10
+		reported    int64
+		runs        bool
+	}{
+		"the next one's":                        {20, 3, true},
+		"the next one's, with a later start":    {20, 7, true},
+		"its own":                               {20, 5, false},
+		"of one before, requested before it":    {5, 3, false},
+		"of one after, requested before it too": {5, 7, true},
+	} {
+		for way, leaves := range map[string]func(*scheduler.Core){
+			"left": func(c *scheduler.Core) { c.RunnerLeft("r", 5, at(40)) },
+			"may have left": func(c *scheduler.Core) {
+				c.RunnerMayHaveLeft("r", 5, at(40))
+				c.HoldUnanswered("r", at(50), at(60))
+			},
+		} {
+			t.Run(name+", "+way, func(t *testing.T) {
+				core := scheduler.New(scheduler.Options{Began: now, InheritedLeaseEnd: now.Add(time.Minute)})
+				core.AddJob(labelledJob(), &batch.Progress{State: batch.Running, Tasks: []batch.TaskProgress{{Attempt: 1, Runner: "r"}}}, now)
+				leaving := incarnation(5, "b")
+				leaving.Draining = true
+				core.RunnerListed(leaving, at(10))
+				core.RunnerListed(leaving, at(25)) // its next heartbeat
+				core.HandleReport("r", at(test.requestedAt), batch.Report{Born: test.reported, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, at(30))
+				leaves(core)
+				must.Eq(t, test.runs, core.RunnerNeeded("r"))
+			})
+		}
+	}
+}
--- a/batch/scheduler/runner.go
+++ b/batch/scheduler/runner.go
@@ -39,6 +39,7 @@
 type runner struct {
 	batch.Runner                                           // as its entry describes it, but Born: the incarnation that reported last
 	describedBorn                          int64           // the incarnation that its entry describes; 0: unknown
+	describedSince                         steady.Time     // when an entry of it was first read, after those of others
 	bornReportedAt                         steady.Time     // when Born last reported, also before the runner was removed
 	earlierBorn                            []int64         // incarnations that reported during the term and are over
 	restartedBorn                          int64           // the last incarnation whose restart was passed to the observer
@@ -141,6 +142,9 @@
 func (c *Core) RunnerListed(entry batch.Runner, now steady.Time) {
 	r := c.ensureRunner(entry.ID)
 	born := r.Born
+	if r.describedBorn != entry.Born {
+		r.describedSince = now
+	}
 	r.Runner, r.describedBorn = entry, entry.Born
 	if born != 0 {
 		r.Born = born // only a report shows that the earlier incarnation is gone
