Config: loading a revision goes on with the documents that were read

What callers would see: an entry host that keeps an old revision of a large configuration while single reads of the store fail, or while a revision takes longer to load than the 10 s that one try has.

With a store that serves the manifest and one document a try, three documents were never loaded.

Change: the distributor keeps what a failed load has read, by hash, for the next one; documents that the next manifest doesn't refer to are dropped, and all of them with a load that succeeds. A load's own content stays apart, so that one of another revision beside it takes nothing away.

Test: TestLoadGoesOnWithTheDocumentsThatWereRead, revision 0 instead of 1 after 8 s without the change.

--- a/config/distributor.go
+++ b/config/distributor.go
@@ -65,6 +65,7 @@
 type Distributor struct {
 	opts       Options
 	repository repository
+	fetched    fetchedContent // of the revision that is being loaded
 
 	mu                sync.Mutex
 	current           *configuration
@@ -259,7 +260,7 @@
 		d.fetchFromRandomPeer(ctx)
 		known = d.currentConfiguration()
 	}
-	next, err := d.repository.load(ctx, h, known)
+	next, err := d.repository.load(ctx, h, known, &d.fetched)
 	if err == nil {
 		d.adopt(next, sent)
 	} else {
--- a/config/distributor_test.go
+++ b/config/distributor_test.go
@@ -106,14 +106,19 @@
 // ones with ErrNotFound.
 type lossyStore struct {
 	kvstore.Store
-	remaining atomic.Int32
+	remaining      atomic.Int32
+	readsAfterHead int32         // if not 0, what remaining is set to at each read of the head
+	refusalDelay   time.Duration // before ErrNotFound
 }
 
 func (s *lossyStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if key != "cyclamentray/config/manifest" {
 		if s.remaining.Add(-1) < 0 {
+			time.Sleep(s.refusalDelay)
 			return kvstore.Entry{}, kvstore.ErrNotFound
 		}
+	} else if s.readsAfterHead != 0 {
+		s.remaining.Store(s.readsAfterHead)
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -141,3 +146,28 @@
 		must.True(t, confirmed.IsZero())
 	}
 }
+
+// Guards against a host that keeps an old revision: the documents of a large one are read
+// anew each time that one of them can't be read, and are never all there.
+func TestLoadGoesOnWithTheDocumentsThatWereRead(t *testing.T) {
+	ctx := context.Background()
+	_, store := newStore(t)
+	e := config.NewEditor(config.EditorOptions{Store: store})
+	revision, err := e.Apply(ctx, []config.Document{organisation("o"), serviceDoc("s", "o"), serviceDoc("u", "o")}, 0)
+	must.NoError(t, err)
+	const readsEachTry = 2 // of the manifest and one document
+	lossy := &lossyStore{Store: store, readsAfterHead: readsEachTry, refusalDelay: 100 * time.Millisecond}
+	d := config.NewDistributor(config.Options{Store: lossy})
+	runCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { defer close(done); _ = d.Run(runCtx) }()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if snap, _ := d.Current(); snap.Revision == revision {
+			break
+		}
+	}
+	stop()
+	<-done
+	snap, _ := d.Current()
+	must.Eq(t, revision, snap.Revision)
+}
--- a/config/editor.go
+++ b/config/editor.go
@@ -121,7 +121,7 @@
 			fmt.Sprintf("the configuration is at revision %d, not %d", h.Revision, *expected),
 			"read the configuration again and apply your change to it")
 	}
-	base, err := e.repository.load(ctx, h, e.knownConfiguration())
+	base, err := e.repository.load(ctx, h, e.knownConfiguration(), new(fetchedContent))
 	if err != nil {
 		return 0, err
 	}
--- a/config/repository.go
+++ b/config/repository.go
@@ -101,8 +101,42 @@
 	return errors.Wrap(err, "writing configuration content")
 }
 
-// load reads the revision that h names. It reads only the content that known lacks.
-func (r repository) load(ctx context.Context, h head, known *configuration) (*configuration, error) {
+// fetchedContent holds documents that were read for a revision that isn't loaded yet. It is
+// safe for concurrent use.
+type fetchedContent struct {
+	mu     sync.Mutex
+	byHash map[string][]byte
+}
+
+// keepOnly drops the documents that m doesn't refer to.
+func (f *fetchedContent) keepOnly(m manifest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kept := make(map[string][]byte)
+	for _, reference := range m.Documents {
+		if body, ok := f.byHash[referenceHash(reference)]; ok {
+			kept[referenceHash(reference)] = body
+		}
+	}
+	f.byHash = kept
+}
+
+func (f *fetchedContent) get(hash string) ([]byte, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	body, ok := f.byHash[hash]
+	return body, ok
+}
+
+func (f *fetchedContent) put(hash string, body []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.byHash[hash] = body
+}
+
+// load reads the revision that h names. It reads only the content that known and fetched
+// lack, and leaves in fetched what it has read if it fails.
+func (r repository) load(ctx context.Context, h head, known *configuration, fetched *fetchedContent) (*configuration, error) {
 	if h.Revision == 0 {
 		return emptyConfiguration(), nil
 	}
@@ -117,36 +151,43 @@
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return nil, errors.Wrap(err, "configuration manifest is damaged")
 	}
-	content, err := r.readDocuments(ctx, m, known)
+	fetched.keepOnly(m)
+	content, err := r.readDocuments(ctx, m, known, fetched)
 	if err != nil {
 		return nil, err
 	}
+	fetched.keepOnly(manifest{})
 	return assemble(m, content)
 }
 
-// readDocuments reads the documents that m refers to, by hash, except those in known.
-func (r repository) readDocuments(ctx context.Context, m manifest, known *configuration) (map[string][]byte, error) {
-	var mu sync.Mutex
-	content := make(map[string][]byte, len(m.Documents))
+// readDocuments reads the documents that m refers to, by hash, except those in known or
+// fetched. It adds what it reads to fetched.
+func (r repository) readDocuments(ctx context.Context, m manifest, known *configuration, fetched *fetchedContent) (map[string][]byte, error) {
+	content := fetchedContent{byHash: make(map[string][]byte, len(m.Documents))}
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxParallelCalls)
 	for _, reference := range m.Documents {
 		hash := referenceHash(reference)
-		if body, ok := known.content[hash]; ok {
-			mu.Lock()
-			content[hash] = body
-			mu.Unlock()
+		body, ok := known.content[hash]
+		if !ok {
+			body, ok = fetched.get(hash)
+		}
+		if ok {
+			content.put(hash, body)
 			continue
 		}
 		g.Go(func() error {
 			body, err := r.readContent(ctx, reference)
-			mu.Lock()
-			defer mu.Unlock()
-			content[hash] = body
-			return err
+			if err != nil {
+				return err
+			}
+			content.put(hash, body)
+			fetched.put(hash, body)
+			return nil
 		})
 	}
-	return content, g.Wait()
+	err := g.Wait()
+	return content.byHash, err
 }
 
 // save writes the manifest of next and those of its documents that base lacks.
