Dispatch: a hold that its caller gave up confirms no departure

Found by reading it again.

Change: only a hold that had its own time-out counts.

Evidence: 'given up by the caller' in TestDepartureIsConfirmedByAHoldWithoutAnAnswer fails without it.

--- a/batch/dispatch/link.go
+++ b/batch/dispatch/link.go
@@ -234,6 +234,10 @@
 			l.noteUnacknowledged(to.ID, answer, err)
 		}
 		l.noteUnreachable(to, answer, asked, now)
+		givenUp := ctx.Err() != nil // by the caller, before an answer was due
+		if !givenUp && (answer == Unanswered || answer == OtherIncarnation) {
+			l.core.HoldUnanswered(to.ID, asked, now)
+		}
 		signal(l.decisionDue)
 		return false
 	}
@@ -255,9 +259,6 @@
 	if answer != OtherIncarnation {
 		l.core.AddressNotTaken(to.ID)
 		l.core.RunnerUnreachable(to.ID)
-		if answer == Unanswered {
-			l.core.HoldUnanswered(to.ID, asked, now)
-		}
 		return
 	}
 	if over := l.core.AddressTaken(to.ID, to.Address, asked); over > 0 {
@@ -265,7 +266,6 @@
 			"reason", "they can't be carried out any more, and another runner is at the address")
 	}
 	l.core.RunnerReplaced(to, asked, now)
-	l.core.HoldUnanswered(to.ID, asked, now)
 }
 
 // noteUnacknowledged passes the outcome of a hold that acknowledged ends, and was not answered
--- a/batch/dispatch/link_test.go
+++ b/batch/dispatch/link_test.go
@@ -247,6 +247,14 @@
 	return batch.Report{Born: 1, Running: []batch.RunningTask{{Task: batch.TaskID{Job: "j"}, Attempt: 1}}}, Accepted, nil
 }
 
+// givenUpRunners answer no hold before its caller gives it up.
+type givenUpRunners struct{ Runners }
+
+func (givenUpRunners) Hold(ctx context.Context, _ batch.Runner, _ HoldOrder) (batch.Report, Answer, error) {
+	<-ctx.Done()
+	return batch.Report{}, Unanswered, ctx.Err()
+}
+
 // Guards against tasks that run twice: a runner that answers is taken for one that has left.
 func TestDepartureIsConfirmedByAHoldWithoutAnAnswer(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -259,6 +267,7 @@
 		"unhealthy":                        {refusingRunners{answer: Unhealthy}, true},
 		"fenced":                           {refusingRunners{answer: Fenced}, true},
 		"answered":                         {listingRunners{}, true},
+		"given up by the caller":           {givenUpRunners{}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, order := leaderOfOneRunner(t, test.runners, time.Minute)
@@ -271,7 +280,9 @@
 			must.True(t, l.core.RunnerNeeded("r"))
 			to, hold, _ := l.nextHold("r", 0)
 			must.True(t, hold.NewConnection)
-			l.sendHold(t.Context(), to, hold)
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			l.sendHold(ctx, to, hold)
 			must.Eq(t, test.runs, l.core.RunnerNeeded("r"))
 		})
 	}
