Leader: a takeover takes the jobs from the host's replica and keeps what may be under way

Cause: a new leader listed every job again that its host had just loaded, read the progress records of all, kept all of them in memory and built every task of every ended job into its core.

Change: the replica knows the revision up to which it shows all changes (Follower.ReadUpTo). A new leader copies the jobs of it that have not ended, and reads the changes from there up to its own term; if the store has dropped them, or the revision isn't known, it lists the jobs as before. Of the progress records it keeps those of jobs that have not ended, and those that name a start that may be under way: nothing else of an ended job's record is used (Core.restore). What is left out can't run again: a job counts as ended by its recorded state, which is written with its last progress record and never changes; the leader heeds no change of an ended job that its core doesn't know; and the core takes ends and runs of a job that it doesn't know as it takes those of an ended one (ends are acknowledged, runs stopped). The number of calls is that of before: one read of changes in place of one list.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -34,7 +34,6 @@
 	// processor.
 	decidePauseFactor = 2
 
-	loadTimeout    = 3 * time.Second        // bounds one read of the records, such as a page of a list
 	loadRetryDelay = 100 * time.Millisecond // short: the leader can do nothing else meanwhile
 )
 
@@ -139,10 +138,9 @@
 // terms can't write afterwards: each of their writes is conditional on their own
 // term.
 func (l *Leader) load(ctx context.Context) bool {
-	jobs := kvstore.Listing{Store: l.Store, Prefix: ledger.ReplicaPrefix, PageSilence: loadTimeout}
-	progress := kvstore.Listing{Store: l.Store, Prefix: ledger.ProgressPrefix, PageSilence: loadTimeout}
+	reader := newRecordsReader(l)
 	for ctx.Err() == nil {
-		found, err := l.readAll(ctx, &jobs, &progress)
+		found, err := reader.read(ctx)
 		if err == nil {
 			l.buildCore(found)
 			return true
@@ -153,32 +151,7 @@
 	return false
 }
 
-// storedRecords are the records of earlier terms in the store.
-type storedRecords struct {
-	jobs, progress []kvstore.Item
-	leaseEnds      leaseEndsRecord
-	speeds         batch.Speeds
-}
-
-// readAll reads the records of earlier terms. What the lists have read is kept for the next
-// try when one fails.
-func (l *Leader) readAll(ctx context.Context, jobs, progress *kvstore.Listing) (found storedRecords, err error) {
-	if found.jobs, _, err = jobs.Read(ctx); err != nil {
-		return found, err
-	}
-	if found.leaseEnds, err = l.readLeaseEnds(ctx, found.jobs); err != nil {
-		return found, err
-	}
-	if found.progress, _, err = progress.Read(ctx); err != nil {
-		return found, err
-	}
-	found.speeds, err = l.readSpeeds(ctx)
-	return found, err
-}
-
 func (l *Leader) buildCore(found storedRecords) {
-	replica := ledger.NewReplica(l.Log)
-	replica.Reset(found.jobs)
 	now := steady.Now()
 	l.leaseEnds = found.leaseEnds
 	l.core = scheduler.New(scheduler.Options{
@@ -197,17 +170,37 @@
 		ObserveEndsTruncated: l.logEndsTruncated,
 		ObserveRestart:       l.noteRestart,
 	})
+	n := l.addRecordedJobs(found, now)
+	l.countJobs("records", n)
+	l.Log.Info("records read", "token", l.term.Token, "jobs", n, "speeds", len(found.speeds.Runners))
+}
+
+// addRecordedJobs adds the jobs that have not ended, and those that have but whose starts may
+// still be under way. It returns their number.
+func (l *Leader) addRecordedJobs(found storedRecords, now steady.Time) int {
 	recorded := make(map[string]kvstore.Item, len(found.progress))
 	for _, item := range found.progress {
 		recorded[ledger.JobFromProgressKey(item.Key)] = item
 	}
 	n := 0
-	replica.EachJob(func(e ledger.Entry) {
+	add := func(e ledger.Entry) {
 		l.addJob(e, recorded[e.Job.ID], now)
 		n++
+	}
+	found.jobs.EachJob(func(e ledger.Entry) {
+		if _, kept := recorded[e.Job.ID]; kept || !l.Replica.Ended(e.Job.ID) {
+			add(e)
+		}
 	})
-	l.countJobs("records", n)
-	l.Log.Info("records read", "token", l.term.Token, "jobs", n, "speeds", len(found.speeds.Runners))
+	for id := range recorded {
+		if _, added := l.core.JobState(id); added {
+			continue
+		}
+		if e, known := l.Replica.Job(id); known {
+			add(e)
+		}
+	}
+	return n
 }
 
 // addJob adds a job to the core with its progress record, if there is one. The
@@ -319,11 +312,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Replica.EachJob(func(e ledger.Entry) {
-		if _, known := l.core.JobState(e.Job.ID); !known {
+		switch _, known := l.core.JobState(e.Job.ID); {
+		case known && e.Cancelled:
+			l.core.CancelJob(e.Job.ID, now)
+		case !known && !e.RecordedState.Final():
 			l.addJob(e, kvstore.Item{}, now)
 			l.countJobs("changes", 1)
-		} else if e.Cancelled {
-			l.core.CancelJob(e.Job.ID, now)
 		}
 	})
 }
--- a/batch/dispatch/leaseends.go
+++ b/batch/dispatch/leaseends.go
@@ -34,16 +34,15 @@
 	written  steady.Time       // when this leader last wrote it; 0: it has not
 }
 
-// readLeaseEnds returns the record of earlier terms from a list of the records. One that
+// readLeaseEnds returns the record of earlier terms from its item, if there is one. One that
 // can't be decoded, or that was not written by the term before, is taken for an empty one,
 // which is safe: the new leader then waits for whole leases.
-func (l *Leader) readLeaseEnds(ctx context.Context, items []kvstore.Item) (leaseEndsRecord, error) {
-	i := slices.IndexFunc(items, func(item kvstore.Item) bool { return item.Key == ledger.LeaseEndsKey })
-	if i < 0 {
+func (l *Leader) readLeaseEnds(ctx context.Context, item kvstore.Item) (leaseEndsRecord, error) {
+	if item.Revision == 0 {
 		return leaseEndsRecord{}, nil
 	}
-	record := leaseEndsRecord{revision: items[i].Revision, outdated: true}
-	found, err := ledger.DecodeLeaseEnds(items[i].Value)
+	record := leaseEndsRecord{revision: item.Revision, outdated: true}
+	found, err := ledger.DecodeLeaseEnds(item.Value)
 	if err != nil {
 		l.Log.Error("lease ends are unreadable; waiting for whole leases", "revision", record.revision, "err", err)
 		return record, nil
--- a/batch/dispatch/leaseends_test.go
+++ b/batch/dispatch/leaseends_test.go
@@ -48,7 +48,9 @@
 			items, asOf, err := store.List(t.Context(), ledger.ReplicaPrefix)
 			must.NoError(t, err)
 			l := &Leader{Options: Options{Log: log.New(io.Discard), Store: store}, term: &Term{Token: asOf}}
-			found, err := l.readLeaseEnds(t.Context(), items)
+			replica := ledger.NewReplica(l.Log)
+			replica.Reset(items)
+			found, err := l.readLeaseEnds(t.Context(), replica.LeaseEnds())
 			must.NoError(t, err)
 			must.Len(t, test.want, found.ends)
 			must.True(t, found.outdated, must.Sprint("it is written again, as of this term"))
--- a/batch/dispatch/records_bench_test.go
+++ b/batch/dispatch/records_bench_test.go
@@ -78,9 +78,11 @@
 			for b.Loop() {
 				b.StopTimer()
 				replica := ledger.NewReplica(logger)
-				items, _, err := store.List(b.Context(), ledger.ReplicaPrefix)
+				items, asOf, err := store.List(b.Context(), ledger.ReplicaPrefix)
 				must.NoError(b, err)
 				replica.Reset(items)
+				replica.NoteReadUpTo(asOf)
+				items = nil
 				runners := oneRunner{started: make(chan batch.TaskID, 1)}
 				ctx, cancel := context.WithCancel(b.Context())
 				ended := make(chan struct{})
--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -254,6 +254,7 @@
 		MaxRetryWait: func() time.Duration { return kvstore.RetryInterval(len(h.Replica.Hosts())) },
 		Reset:        h.Replica.Reset,
 		Apply:        h.Replica.Apply,
+		ReadUpTo:     h.Replica.NoteReadUpTo,
 		Lost: func(err error) {
 			h.health.recordLoss(steady.Now())
 			h.Log.Warn("store lost", "prefix", ledger.ReplicaPrefix, "err", err)
--- a/batch/ledger/leaseends.go
+++ b/batch/ledger/leaseends.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		r.log.Error("lease ends are unreadable; a new leader waits for whole leases", "revision", item.Revision, "err", err)
 	}
+	r.endsItem = item
 	now := steady.Now()
 	seen := make(seenLeaseEnds, len(record.Ends))
 	for _, e := range record.Ends {
--- a/batch/ledger/ledger.go
+++ b/batch/ledger/ledger.go
@@ -6,6 +6,7 @@
 package ledger
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -72,6 +73,11 @@
 	return p, nil
 }
 
+// HasOpenStart reports whether a progress record names a start that may be under way. It
+// decodes nothing, as a new leader asks it for the record of every ended job: EncodeProgress
+// writes the field in no other form, and not at all unless it is true.
+func HasOpenStart(value []byte) bool { return bytes.Contains(value, []byte(`"o":true`)) }
+
 // EncodeSpeeds encodes learned speeds.
 func EncodeSpeeds(s batch.Speeds) ([]byte, error) { return json.Marshal(s) }
 
@@ -133,7 +139,9 @@
 	jobs     map[string]*Entry
 	hosts    map[string]Host // by name
 	ends     seenLeaseEnds
+	endsItem kvstore.Item // the record of lease ends; revision 0: none
 	leader   Leader
+	asOf     uint64 // store revision up to which the replica shows all changes; 0: unknown
 	loaded   bool
 	watchers []chan struct{}
 }
@@ -164,7 +172,7 @@
 	defer r.mu.Unlock()
 	r.jobs = make(map[string]*Entry, len(r.jobs))
 	r.hosts = make(map[string]Host, len(r.hosts))
-	r.leader = Leader{}
+	r.leader, r.endsItem = Leader{}, kvstore.Item{}
 	for _, item := range items {
 		r.putItem(item)
 	}
@@ -250,6 +258,8 @@
 	switch {
 	case item.Key == LeaderKey:
 		r.leader = Leader{}
+	case item.Key == LeaseEndsKey:
+		r.endsItem = kvstore.Item{}
 	case strings.HasPrefix(item.Key, hostPrefix):
 		delete(r.hosts, strings.TrimPrefix(item.Key, hostPrefix))
 	case strings.HasPrefix(item.Key, jobPrefix):
@@ -257,6 +267,35 @@
 	}
 }
 
+// NoteReadUpTo notes the store revision up to which the replica shows all changes.
+func (r *Replica) NoteReadUpTo(asOf uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asOf = max(r.asOf, asOf)
+}
+
+// CopyOpen returns a copy without the jobs that are recorded as ended, and the revision up to
+// which it shows all changes; 0: unknown. Nothing but Apply changes the copy.
+func (r *Replica) CopyOpen() (open *Replica, asOf uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	open = &Replica{log: r.log, jobs: make(map[string]*Entry), hosts: maps.Clone(r.hosts), ends: r.ends, endsItem: r.endsItem, leader: r.leader, loaded: r.loaded}
+	for id, e := range r.jobs {
+		if !e.RecordedState.Final() {
+			copied := *e
+			open.jobs[id] = &copied
+		}
+	}
+	return open, r.asOf
+}
+
+// LeaseEnds returns the item with the record of lease ends; at revision 0: there is none.
+func (r *Replica) LeaseEnds() kvstore.Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endsItem
+}
+
 // AddJob adds a job that this host has just stored, without waiting for the
 // store's event.
 func (r *Replica) AddJob(job *batch.Job) {
@@ -309,6 +348,14 @@
 	return *e, true
 }
 
+// Ended reports whether a job is recorded as ended. That never changes again.
+func (r *Replica) Ended(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.jobs[id]
+	return e != nil && e.RecordedState.Final()
+}
+
 // EachJob calls f for every accepted job. f must not call the replica.
 func (r *Replica) EachJob(f func(Entry)) {
 	r.mu.Lock()
--- a/kvstore/follower.go
+++ b/kvstore/follower.go
@@ -35,6 +35,9 @@
 	// ReadTruncated, when set, is called before Apply when more changes may be
 	// pending than one watch returns: the events' times are then unknown.
 	ReadTruncated func()
+	// ReadUpTo, when set, is called after Reset and Apply with the revision up to which the
+	// copy shows all changes.
+	ReadUpTo func(asOf uint64)
 	// ReadDone, when set, is called after each list or watch that succeeded.
 	ReadDone func()
 	// Lost, when set, is called when the copy stops being current; Regained, when
@@ -83,6 +86,9 @@
 		switch {
 		case err == nil:
 			f.reportLoss(&lost, nil)
+			if f.ReadUpTo != nil {
+				f.ReadUpTo(next)
+			}
 			if f.ReadDone != nil {
 				f.ReadDone()
 			}
--- a/kvstore/listing.go
+++ b/kvstore/listing.go
@@ -21,8 +21,11 @@
 	Store       Keyspace
 	Prefix      string
 	PageSilence time.Duration // bounds the time in which nothing of a page arrives
+	// Keep, when set, selects the items to return.
+	Keep func(Item) bool
 
 	items    []Item
+	after    string // key of the last item read
 	asOf     uint64 // revision of the first page; 0: none was read
 	complete bool
 }
@@ -43,18 +46,19 @@
 func (l *Listing) readPage(ctx context.Context) error {
 	ctx, cancel := readContext(ctx, l.PageSilence)
 	defer cancel()
-	after := ""
-	if len(l.items) > 0 {
-		after = l.items[len(l.items)-1].Key
-	}
-	page, err := l.Store.ListPage(ctx, l.Prefix, after)
+	page, err := l.Store.ListPage(ctx, l.Prefix, l.after)
 	if err != nil {
 		return err
 	}
 	if l.asOf == 0 {
 		l.asOf = page.AsOf
 	}
-	l.items = append(l.items, page.Items...)
+	for _, item := range page.Items {
+		l.after = item.Key
+		if l.Keep == nil || l.Keep(item) {
+			l.items = append(l.items, item)
+		}
+	}
 	l.complete = !page.More || len(page.Items) == 0
 	return nil
 }
