Leader: a takeover's changes may take long to arrive, and begin where the host's replica is

What callers would see: after a takeover nothing runs for as long as the store keeps its history (20 s), on a host whose replica is behind and whose link is slow.

Cause: the read of the changes since the replica had 1.5 s for the whole answer, and each try asked from the same revision, though the host's own follower may have read past the term meanwhile.

Change: the limit is one of silence, as for pages; each try copies the replica anew.

Evidence: TestNewLeaderReadsChangesThatGoOnArriving (an answer in five pieces, one each 500 ms) fails before: the records aren't loaded within 10 s of virtual time.

--- a/batch/dispatch/reader.go
+++ b/batch/dispatch/reader.go
@@ -15,9 +15,9 @@
 	// loadTimeout bounds one read of the records, such as a page of a list.
 	loadTimeout = 3 * time.Second
 
-	// changesTimeout bounds one read of changes. A watch leaves no time for a peer when the
-	// store doesn't answer this host; the next try then begins with one.
-	changesTimeout = loadTimeout / 2
+	// changesSilence bounds the time in which nothing of the changes arrives. A watch leaves no
+	// time for a peer when the store doesn't answer this host; the next try then begins with one.
+	changesSilence = loadTimeout / 2
 )
 
 // storedRecords are the records of earlier terms in the store. Those of jobs that have ended
@@ -40,13 +40,11 @@
 }
 
 func newRecordsReader(l *Leader) *recordsReader {
-	r := &recordsReader{
+	return &recordsReader{
 		Leader:   l,
 		list:     kvstore.Listing{Store: l.Store, Prefix: ledger.ReplicaPrefix, PageSilence: loadTimeout},
 		progress: kvstore.Listing{Store: l.Store, Prefix: ledger.ProgressPrefix, PageSilence: loadTimeout, Keep: l.mayBeUnderWay},
 	}
-	r.jobs, r.asOf = l.Replica.CopyOpen()
-	return r
 }
 
 // mayBeUnderWay reports whether something of a job may be under way by its progress record: it
@@ -71,8 +69,12 @@
 }
 
 // readJobs reads the changes since the replica was copied, up to the beginning of the term. The
-// jobs are listed if the store doesn't return the changes.
+// jobs are listed if the store doesn't return the changes. Each try copies the replica again, which
+// the host's follower may have brought further meanwhile.
 func (r *recordsReader) readJobs(ctx context.Context) error {
+	if r.asOf < r.term.Token {
+		r.jobs, r.asOf = r.Replica.CopyOpen()
+	}
 	for r.asOf != 0 && r.asOf < r.term.Token {
 		if err := r.readChanges(ctx); err != nil {
 			return err
@@ -92,7 +94,7 @@
 
 // readChanges applies the next changes after asOf.
 func (r *recordsReader) readChanges(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+	ctx, cancel := kvstore.ReadContext(ctx, changesSilence)
 	defer cancel()
 	events, asOf, err := r.Store.Watch(ctx, ledger.ReplicaPrefix, r.asOf, 0)
 	switch {
--- a/batch/dispatch/reader_test.go
+++ b/batch/dispatch/reader_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -10,6 +12,8 @@
 
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/ledger"
+	"github.com/cyclamentray/cyclamentray/internal/pause"
+	"github.com/cyclamentray/cyclamentray/internal/progress"
 	"github.com/cyclamentray/cyclamentray/kvstore"
 	"github.com/cyclamentray/cyclamentray/standin/keyspace"
 )
@@ -54,10 +58,7 @@
 			}
 			leader, err := store.Get(t.Context(), ledger.LeaderKey)
 			must.NoError(t, err)
-			l := &Leader{
-				Options: Options{Log: log.New(io.Discard), Store: store, Replica: replica, Now: time.Now, RunnerLease: 6 * time.Second},
-				term:    &Term{Token: leader.Revision}, revisions: make(map[string]uint64), states: make(map[string]batch.State),
-			}
+			l := newLeader(store, replica, leader.Revision)
 			must.True(t, l.load(t.Context()))
 			l.addNewJobs()
 			for id, want := range map[string]batch.State{
@@ -75,3 +76,53 @@
 		})
 	}
 }
+
+// slowChanges is a store whose answers to watches arrive in pieces.
+type slowChanges struct {
+	*keyspace.Store
+	pieces   int
+	interval time.Duration
+}
+
+func (s slowChanges) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]kvstore.Event, uint64, error) {
+	for range s.pieces {
+		if !pause.For(ctx, s.interval) {
+			return nil, 0, kvstore.ErrUnavailable
+		}
+		progress.Mark(ctx)
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a takeover that never ends: over a slow link the changes take longer to arrive
+// than the store may be silent.
+func TestNewLeaderReadsChangesThatGoOnArriving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, replica := keyspace.New(keyspace.Options{}), ledger.NewReplica(log.New(io.Discard))
+		write := func(puts ...kvstore.Put) { store.WriteWithoutFaults(kvstore.Txn{Puts: puts}) }
+		write(jobPut(t, "known"))
+		items, asOf, err := store.List(t.Context(), ledger.ReplicaPrefix)
+		must.NoError(t, err)
+		replica.Reset(items)
+		replica.NoteReadUpTo(asOf)
+		write(jobPut(t, "accepted later"))
+		write(kvstore.Put{Key: ledger.LeaderKey, Value: []byte("h/1")})
+		leader, err := store.Get(t.Context(), ledger.LeaderKey)
+		must.NoError(t, err)
+		l := newLeader(slowChanges{store, 5, 500 * time.Millisecond}, replica, leader.Revision)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		must.True(t, l.load(ctx))
+		for _, id := range []string{"known", "accepted later"} {
+			_, known := l.core.JobState(id)
+			must.True(t, known, must.Sprint(id))
+		}
+	})
+}
+
+func newLeader(store kvstore.Keyspace, replica *ledger.Replica, token uint64) *Leader {
+	return &Leader{
+		Options: Options{Log: log.New(io.Discard), Store: store, Replica: replica, Now: time.Now, RunnerLease: 6 * time.Second},
+		term:    &Term{Token: token}, revisions: make(map[string]uint64), states: make(map[string]batch.State),
+	}
+}
--- a/kvstore/follower.go
+++ b/kvstore/follower.go
@@ -131,8 +131,9 @@
 	return f.Wait
 }
 
-// readContext returns the context of one read, which may be silent for the given time.
-func readContext(ctx context.Context, silence time.Duration) (context.Context, context.CancelFunc) {
+// ReadContext returns the context of one read, which may be silent for the given time. An answer
+// that goes on arriving has maxAnswerTime more.
+func ReadContext(ctx context.Context, silence time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, silence+maxAnswerTime)
 	limited, cancelLimit := progress.WithLimit(ctx, silence)
 	return limited, func() {
@@ -162,7 +163,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context, after uint64, wait time.Duration) (events []Event, asOf uint64, err error) {
-	ctx, cancel := readContext(ctx, wait+watchAnswerGrace)
+	ctx, cancel := ReadContext(ctx, wait+watchAnswerGrace)
 	defer cancel()
 	return f.Store.Watch(ctx, f.Prefix, after, wait)
 }
--- a/kvstore/listing.go
+++ b/kvstore/listing.go
@@ -44,7 +44,7 @@
 
 // readPage reads the next page.
 func (l *Listing) readPage(ctx context.Context) error {
-	ctx, cancel := readContext(ctx, l.PageSilence)
+	ctx, cancel := ReadContext(ctx, l.PageSilence)
 	defer cancel()
 	page, err := l.Store.ListPage(ctx, l.Prefix, l.after)
 	if err != nil {
