Leader: a job whose progress record can't be decoded stays left out

What callers would see: no job ends. A new leader says "job is not scheduled", and the next change of its replica added the job without its record; the first commit then conflicts with the record and ends the term, under each leader (the latter by reading).

Change: the revision of the record is kept, and a job with one that the core doesn't know isn't added again.

Evidence: TestJobWhoseProgressCannotBeDecodedIsNotScheduled fails before: the job is added by addNewJobs.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -212,6 +212,7 @@
 		p, err := ledger.DecodeProgress(progress.Value)
 		if err != nil {
 			l.Log.Error("progress record can't be decoded; job is not scheduled", "job", id, "revision", progress.Revision, "err", err)
+			l.revisions[id] = progress.Revision // so that addNewJobs leaves it out
 			return
 		}
 		recorded = &p
@@ -312,10 +313,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Replica.EachJob(func(e ledger.Entry) {
-		switch _, known := l.core.JobState(e.Job.ID); {
+		_, known := l.core.JobState(e.Job.ID)
+		_, recorded := l.revisions[e.Job.ID]
+		switch {
 		case known && e.Cancelled:
 			l.core.CancelJob(e.Job.ID, now)
-		case !known && !e.RecordedState.Final():
+		case !known && !recorded && !e.RecordedState.Final():
 			l.addJob(e, kvstore.Item{}, now)
 			l.countJobs("changes", 1)
 		}
--- a/batch/dispatch/reader_test.go
+++ b/batch/dispatch/reader_test.go
@@ -120,6 +120,26 @@
 	})
 }
 
+// Guards against a job that is scheduled anew, and ends each term with a conflict, as its record
+// can't be decoded.
+func TestJobWhoseProgressCannotBeDecodedIsNotScheduled(t *testing.T) {
+	store, replica := keyspace.New(keyspace.Options{}), ledger.NewReplica(log.New(io.Discard))
+	store.WriteWithoutFaults(kvstore.Txn{Puts: []kvstore.Put{
+		jobPut(t, "odd"), jobPut(t, "sound"), {Key: ledger.ProgressKey("odd"), Value: []byte("{")}, {Key: ledger.LeaderKey, Value: []byte("h/1")},
+	}})
+	items, asOf, err := store.List(t.Context(), ledger.ReplicaPrefix)
+	must.NoError(t, err)
+	replica.Reset(items)
+	replica.NoteReadUpTo(asOf)
+	l := newLeader(store, replica, asOf)
+	must.True(t, l.load(t.Context()))
+	l.addNewJobs()
+	_, odd := l.core.JobState("odd")
+	_, sound := l.core.JobState("sound")
+	must.False(t, odd)
+	must.True(t, sound)
+}
+
 func newLeader(store kvstore.Keyspace, replica *ledger.Replica, token uint64) *Leader {
 	return &Leader{
 		Options: Options{Log: log.New(io.Discard), Store: store, Replica: replica, Now: time.Now, RunnerLease: 6 * time.Second},
