Soak: only the time for which a cut link has kept an order is left out of the check of completed jobs

Found by the review: judged by when its order was sent, a start was exempt whatever had delayed it, such as a runner that stalls.

Change: the proxy says for how long a stall has kept the last bytes of a connection, and the checker takes that time off only.

Shown: the two rows of TestCheckerReportsOnlyViolations ("kept until its job was shown as completed"), and TestReceivedAtIsTheTimeBeforeAStall for the proxy.

--- a/soak/check.go
+++ b/soak/check.go
@@ -17,7 +17,7 @@
 	maxDrainDelay      = 9 * time.Second  // 2 s, and at most 5 s without a connection to the store
 	maxVisibilityDelay = 3 * time.Second
 	maxCancelDelay     = 9 * time.Second  // 3 s, and at most 6 s that a start is under way
-	maxCompletedDelay  = time.Second      // from when a job is shown as completed until no start is sent
+	maxCompletedDelay  = time.Second      // after a job was shown as completed, and what a cut link keeps an order
 	maxRestartDelay    = 25 * time.Second // a lease, takeovers that follow one another, and an outage of the store
 )
 
@@ -195,7 +195,7 @@
 		c.lateStarts++
 	}
 	if !order.Late {
-		c.checkStartTime(now, order.sentAt(now), runner, domain, task, attempt)
+		c.checkStartTime(now, order.KeptByLink, runner, domain, task, attempt)
 	}
 	delete(c.lostAt, task)
 	for end := range c.doneEnds[task] {
@@ -207,8 +207,9 @@
 	c.running[task][runner] = attempt
 }
 
-// checkStartTime checks the rules with a time bound. The caller holds mu.
-func (c *Checker) checkStartTime(now, sent steady.Time, runner, domain string, task batch.TaskID, attempt int) {
+// checkStartTime checks the rules with a time bound. keptByLink is for how long its link has kept
+// the order. The caller holds mu.
+func (c *Checker) checkStartTime(now steady.Time, keptByLink time.Duration, runner, domain string, task batch.TaskID, attempt int) {
 	if since, out := c.evacuatedSince[domain]; out && now.Sub(since) > maxEvacuationDelay {
 		c.addViolation("task %v started in %s, %s after it was taken out", task, domain, now.Sub(since))
 	}
@@ -218,8 +219,8 @@
 	if at, cancelled := c.cancelledAt[task.Job]; cancelled && now.Sub(at) > maxCancelDelay {
 		c.addViolation("task %v started on %s as attempt %d, %s after its job's cancellation was answered", task, runner, attempt, now.Sub(at))
 	}
-	if at, completed := c.completedAt[task.Job]; completed && sent.Sub(at) > maxCompletedDelay {
-		c.addViolation("task %v started on %s as attempt %d, %s after its job was shown as completed, by an order sent %s after that", task, runner, attempt, now.Sub(at), sent.Sub(at))
+	if at, completed := c.completedAt[task.Job]; completed && now.Sub(at)-keptByLink > maxCompletedDelay {
+		c.addViolation("task %v started on %s as attempt %d, %s after its job was shown as completed; its link had kept the order for %s", task, runner, attempt, now.Sub(at), keptByLink)
 	}
 	c.checkRestartDelay(task, now)
 }
@@ -285,20 +286,12 @@
 
 // Order is a start that a runner is about to carry out.
 type Order struct {
-	Runner  string
-	Task    batch.TaskID
-	Attempt int
-	Late    bool // the runner has kept it; then rules with a time bound don't apply
-	Earlier bool // it was sent to an earlier incarnation
-	SentAt  steady.Time
-}
-
-// sentAt returns when a start was sent that is carried out now: earlier if its link has kept it.
-func (o Order) sentAt(now steady.Time) steady.Time {
-	if o.SentAt.IsZero() {
-		return now
-	}
-	return o.SentAt
+	Runner     string
+	Task       batch.TaskID
+	Attempt    int
+	Late       bool          // the runner has kept it; then rules with a time bound don't apply
+	Earlier    bool          // it was sent to an earlier incarnation
+	KeptByLink time.Duration // by a cut
 }
 
 // RecordOrder records how a start came that is about to be carried out. The function that it
--- a/soak/orders.go
+++ b/soak/orders.go
@@ -58,19 +58,20 @@
 	if received := h.runner.proxy.ReceivedAt(req.RemoteAddr); !received.IsZero() {
 		sent = sent.Add(-time.Since(received))
 	}
+	kept := h.runner.proxy.KeptFor(req.RemoteAddr)
 	late := h.deployment.lateness(h.runner.id, req.URL.Path)
 	carryOut := func(w http.ResponseWriter, ctx context.Context) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		earlier := h.deployment.bootedAfter(h.runner, sent)
-		begun := h.deployment.checker.RecordOrder(Order{Runner: h.runner.id, Task: task, Attempt: order.Attempt, Late: late > 0, Earlier: earlier, SentAt: sent})
+		begun := h.deployment.checker.RecordOrder(Order{Runner: h.runner.id, Task: task, Attempt: order.Attempt, Late: late > 0, Earlier: earlier, KeptByLink: kept})
 		inner := req.Clone(ctx)
 		inner.Body = io.NopCloser(bytes.NewReader(body))
 		defer func() {
 			began, age := begun(), steady.Now().Sub(sent)
 			if late > 0 || earlier || age > minLoggedAge {
-				h.deployment.log(fmt.Sprintf("late at %s, kept by the runner %t, sent to an earlier incarnation %t: %s %s run %d, token %d, age %s, begun %t",
-					h.runner.id, late > 0, earlier, req.URL.Path, order.Task, order.Attempt, order.Token, age, began))
+				h.deployment.log(fmt.Sprintf("late at %s, kept by the runner %t, sent to an earlier incarnation %t: %s %s run %d, token %d, age %s, kept by its link for %s, begun %t",
+					h.runner.id, late > 0, earlier, req.URL.Path, order.Task, order.Attempt, order.Token, age, kept, began))
 			}
 		}()
 		h.api.ServeHTTP(w, inner)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -270,17 +270,17 @@
 				c.CheckCompleted("j", second(2))
 			},
 		},
-		"start that the network has kept until its job was shown as completed": {
+		"start that a cut has kept until its job was shown as completed": {
 			func(c *soak.Checker) {
 				c.RecordDone("i-1", task, 1)
 				c.CheckCompleted("j", second(2))
-				c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true, SentAt: second(4)}) // after that
+				c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true, KeptByLink: 6 * time.Second}) // sent after that
 				start(c, 10, 1)
 			},
 			func(c *soak.Checker) {
 				c.RecordDone("i-1", task, 1)
 				c.CheckCompleted("j", second(2))
-				c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true, SentAt: second(1)})
+				c.RecordOrder(soak.Order{Runner: "i-1", Task: task, Attempt: 1, Earlier: true, KeptByLink: 9 * time.Second})
 				start(c, 10, 1)
 			},
 		},
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -171,6 +171,19 @@
 	return time.Time{}
 }
 
+// KeptFor returns how long a stall has kept the last bytes from the client of the connection that
+// the target sees as remote; 0: none has.
+func (p *Proxy) KeptFor(remote string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.connections {
+		if l.server.LocalAddr().String() == remote {
+			return l.keptFor
+		}
+	}
+	return 0
+}
+
 // Close stops listening, closes every connection and waits for the goroutines
 // that serve them.
 func (p *Proxy) Close() {
@@ -192,7 +205,8 @@
 	server     net.Conn
 	frozen     [2]bool
 	forwarded  [2]int64
-	receivedAt time.Time // of the last bytes from the client; guarded as well
+	receivedAt time.Time     // of the last bytes from the client; guarded as well
+	keptFor    time.Duration // how long a stall has kept them; guarded as well
 }
 
 func (l *connection) close() {
@@ -275,13 +289,17 @@
 // forward applies the direction's fault to a chunk and writes what remains. It
 // reports whether the connection stays open.
 func (p *Proxy) forward(l *connection, d Direction, dst net.Conn, chunk []byte) bool {
+	receivedAt := time.Now()
 	if d == ClientToTarget {
 		p.mu.Lock()
-		l.receivedAt = time.Now()
+		l.receivedAt, l.keptFor = receivedAt, 0
 		p.mu.Unlock()
 	}
-	p.waitForStall(d)
+	kept := p.waitForStall(d)
 	p.mu.Lock()
+	if kept && d == ClientToTarget {
+		l.keptFor = time.Since(receivedAt)
+	}
 	f := p.faults[d]
 	frozen := l.frozen[d]
 	allowed := int64(len(chunk))
@@ -306,27 +324,29 @@
 }
 
 // waitForStall returns when bytes may go on that arrived in the given direction: at once, or
-// some time after the end of a stall, unless there is another one then.
-func (p *Proxy) waitForStall(d Direction) {
+// some time after the end of a stall, unless there is another one then. It reports whether a
+// stall has kept them.
+func (p *Proxy) waitForStall(d Direction) (kept bool) {
 	for {
 		began := time.Now()
-		resumeWithin := p.stallEnds(d)
+		stalled, resumeWithin := p.stallEnds(d)
+		kept = kept || stalled
 		limit := min(time.Since(began), resumeWithin)
 		if limit <= 0 {
-			return
+			return kept
 		}
 		time.Sleep(rand.N(limit))
 	}
 }
 
-// stallEnds waits for the end of a stall of the given direction, and returns the last one's
-// ResumeWithin; 0: there was none.
-func (p *Proxy) stallEnds(d Direction) (resumeWithin time.Duration) {
+// stallEnds waits for the end of a stall of the given direction. It returns whether there was
+// one, and the last one's ResumeWithin.
+func (p *Proxy) stallEnds(d Direction) (stalled bool, resumeWithin time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.faults[d].Stall && !p.closed {
-		resumeWithin = p.faults[d].ResumeWithin
+		stalled, resumeWithin = true, p.faults[d].ResumeWithin
 		p.changed.Wait()
 	}
-	return resumeWithin
+	return stalled, resumeWithin
 }
--- a/standin/faultproxy/received_test.go
+++ b/standin/faultproxy/received_test.go
@@ -10,7 +10,7 @@
 	"github.com/cyclamentray/cyclamentray/standin/faultproxy"
 )
 
-// Bytes that a stall keeps are received before it, and at the target after it.
+// Bytes that a stall keeps are received before it, and at the target after it. Others aren't kept.
 func TestReceivedAtIsTheTimeBeforeAStall(t *testing.T) {
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -39,4 +39,13 @@
 	must.False(t, received.IsZero())
 	must.True(t, received.Before(ended))
 	must.True(t, proxy.ReceivedAt("unknown").IsZero())
+	kept := proxy.KeptFor(conn.RemoteAddr().String())
+	must.Between(t, ended.Sub(received), kept, time.Since(received))
+	must.Eq(t, 0, proxy.KeptFor("unknown"))
+
+	_, err = client.Write([]byte("forwarded"))
+	must.NoError(t, err)
+	_, err = conn.Read(make([]byte, 16))
+	must.NoError(t, err)
+	must.Eq(t, 0, proxy.KeptFor(conn.RemoteAddr().String()))
 }
