Peer: the tests of a call's deadline don't need its request to be written in 50 ms

TestCallTimesOutAndTheNextSucceeds failed in 1 of 20 runs beside four busy processes at a load average of 33 to 39: the 50 ms of the call had passed when its request was written, so the error was "was not reached: ... i/o timeout" and not the context's. Such a call was not sent and may be made again, as its error says, so the pool is not at fault; the test took for granted that 50 ms are enough for a dial and a write.

The test now doubles the time until a call is sent in time, and until a handler's context has ended; a call that is sent must end with the context's error, as before, and the next one must succeed. TestSilentConnectionIsReplacedAfterOneTimeout had the same cause, with 200 ms.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.uber.org/goleak"
 
+	"github.com/cyclamentray/cyclamentray/apierr"
 	"github.com/cyclamentray/cyclamentray/peer"
 )
 
@@ -64,17 +65,47 @@
 	return p, l.(*net.TCPListener)
 }
 
+const maxTestTimeout = 20 * time.Second // of one call
+
+// callUntilSent makes a call with longer and longer timeouts until it is sent in time, and
+// returns its error.
+func callUntilSent(t *testing.T, p *peer.Pool, timeout time.Duration, address string, args *EchoArgs) error {
+	t.Helper()
+	for ; timeout < maxTestTimeout; timeout *= 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		var reply string
+		err := p.Call(ctx, address, "Echo.Say", args, &reply)
+		cancel()
+		if apierr.KindOf(err) != apierr.Unavailable {
+			return err
+		}
+	}
+	t.Fatal("no call was sent in time")
+	return nil
+}
+
+// callUntilServed makes calls that must end at their deadline until the context of a handler
+// has ended as well.
+func callUntilServed(t *testing.T, p *peer.Pool, e *Echo, address string) {
+	t.Helper()
+	for timeout := 50 * time.Millisecond; timeout < maxTestTimeout; timeout *= 2 {
+		must.ErrorIs(t, callUntilSent(t, p, timeout, address, &EchoArgs{Text: "late", Wait: time.Minute}), context.DeadlineExceeded)
+		select {
+		case err := <-e.ended:
+			must.Error(t, err)
+			return
+		case <-time.After(time.Second): // the deadline may have passed before the request was written
+		}
+	}
+	t.Fatal("no handler's context has ended")
+}
+
 func TestCallTimesOutAndTheNextSucceeds(t *testing.T) {
-	e := &Echo{ended: make(chan error, 1)}
+	e := &Echo{ended: make(chan error, 20)}
 	p, l := startEchoServer(t, e)
 	address := l.Addr().String()
 	var reply string
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
-
-	err := p.Call(ctx, address, "Echo.Say", &EchoArgs{Text: "late", Wait: time.Minute}, &reply)
-	must.ErrorIs(t, err, context.DeadlineExceeded)
-	must.Error(t, <-e.ended) // the handler's context ends as well
+	callUntilServed(t, p, e, address)
 	must.NoError(t, p.Call(context.Background(), address, "Echo.Say", &EchoArgs{Text: "now"}, &reply))
 	must.Eq(t, "now", reply)
 	must.ErrorContains(t, p.Call(context.Background(), address, "Echo.Say", &EchoArgs{}, &reply), "nothing to say")
@@ -107,7 +138,7 @@
 	defer p.Close()
 	var reply string
 	args := &EchoArgs{Text: "a"}
-	must.ErrorIs(t, p.Call(context.Background(), l.Addr().String(), "Echo.Say", args, &reply), context.DeadlineExceeded)
+	must.ErrorIs(t, callUntilSent(t, p, 200*time.Millisecond, l.Addr().String(), args), context.DeadlineExceeded)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	must.NoError(t, p.Call(ctx, l.Addr().String(), "Echo.Say", args, &reply))
