Scheduler: one order of claims on room; reservations lapse

Cause: the gang has the runners reserved on which it can start first, and expectedTimeLeft took a long-running task for one that ends after its declared duration. So a gang of whole runners reserved runners that such tasks never leave; the reservation held off overdue restarts of a lower priority, kept them from a reservation of their own, and never lapsed. Ruled out: suspended runners; want of room. Room that long-running tasks hold is no room in time. A reservation lapses when its unit can't start on its runners once what ends has ended. None holds off an overdue restart, which may have a reservation beside a gang's.

--- a/batch/scheduler/core.go
+++ b/batch/scheduler/core.go
@@ -115,11 +115,11 @@
 	answersRecordedAt steady.Time
 	waitsExplainedAt  steady.Time
 
-	maxReportAge time.Duration           // greatest age of a runner's last report at which it may be given starts
-	reservations map[string]*reservation // by service
-	answered     []*job                  // jobs with starts that were answered since answersRecordedAt
-	dirty        []*job                  // jobs with changes that TakeRecords has not returned yet
-	deferred     []*unit                 // with starts that wait for an acknowledgement to a runner
+	maxReportAge time.Duration // greatest age of a runner's last report at which it may be given starts
+	reservations map[reservationKey]*reservation
+	answered     []*job  // jobs with starts that were answered since answersRecordedAt
+	dirty        []*job  // jobs with changes that TakeRecords has not returned yet
+	deferred     []*unit // with starts that wait for an acknowledgement to a runner
 
 	// State of one scheduling pass: the slots found so far, and the number of
 	// waiting units of each shape.
@@ -157,7 +157,7 @@
 		evacuated:    make(map[string]bool),
 		silent:       make(map[string]bool),
 		removed:      make(map[string]removedRunner),
-		reservations: make(map[string]*reservation),
+		reservations: make(map[reservationKey]*reservation),
 		maxReportAge: defaultMaxReportAge,
 	}
 	c.leaseEndRecorded = make(map[string]bool, len(o.RecordedLeaseEnds))
--- a/batch/scheduler/decide.go
+++ b/batch/scheduler/decide.go
@@ -120,7 +120,7 @@
 // hasClaim reports whether runners are reserved for the unit, or others were stopped for it a
 // short time ago.
 func (c *Core) hasClaim(u *unit, now steady.Time) bool {
-	if v := c.reservations[u.job.spec.Service]; v != nil && v.unit == u {
+	if c.hasReservation(u) {
 		return true
 	}
 	return !u.preemptingSince.IsZero() && now.Sub(u.preemptingSince) < nominationTTL
@@ -218,9 +218,8 @@
 }
 
 // eligibleUnits returns the waiting units that may be placed, in the order in
-// which they are placed: long-running ones that are overdue, then by priority, then
-// those that can still be in time, then those of small jobs, because that serves the
-// most callers in time, and then by age.
+// which they are placed: by their claims, then those that can still be in time, then
+// those of small jobs, because that serves the most callers in time, and then by age.
 func (c *Core) eligibleUnits(now steady.Time, wall time.Time) []*unit {
 	var out []*unit
 	for _, j := range c.active {
@@ -243,8 +242,7 @@
 	}
 	slices.SortStableFunc(out, func(a, b *unit) int {
 		return cmp.Or(
-			compareBool(!a.restartOverdue(now), !b.restartOverdue(now)),
-			cmp.Compare(a.job.spec.Priority, b.job.spec.Priority),
+			compareClaims(a, b, now),
 			compareBool(tooLate[a], tooLate[b]),
 			cmp.Compare(a.job.size, b.job.size),
 			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
@@ -254,13 +252,6 @@
 	return out
 }
 
-// restartOverdue reports whether a long-running unit that has run before has waited so
-// long for its next run that it is placed before urgent work. Urgent work that leaves no
-// room by itself would otherwise keep it from running for any time.
-func (u *unit) restartOverdue(now steady.Time) bool {
-	return u.spec().LongRunning && u.attempt > 0 && !u.waitingSince.IsZero() && now.Sub(u.waitingSince) >= longRunningPreemptDelay
-}
-
 // schedule places a unit, or preempts others to make room for it. It returns
 // false when neither is possible now, so that other units of the same shape
 // needn't be tried.
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -57,6 +57,7 @@
 type slotKey struct {
 	shape    shape
 	remote   bool
+	claim    claim // decides which reservations hold the unit off
 	claimant *unit // set when the unit has a claim to runners that others of the shape don't get
 }
 
@@ -64,7 +65,7 @@
 // all waiting tasks of a shape are collected once in a scheduling pass, and each
 // is checked again when it is used.
 func (c *Core) placeOne(u *unit, now steady.Time, remote bool) []*runner {
-	key := slotKey{shape: u.shape(), remote: remote}
+	key := slotKey{shape: u.shape(), remote: remote, claim: u.claim(now)}
 	if c.hasClaim(u, now) {
 		key.claimant = u
 	}
@@ -120,7 +121,7 @@
 // their cost and rank. It ignores the adviser's answers.
 func (c *Core) openSlots(u *unit, now steady.Time, free func(*runner) batch.Resources) []slot {
 	var out []slot
-	step, reserved := u.spec(), c.reservations[u.job.spec.Service]
+	step, reserved := u.spec(), c.reservationsAgainst(u, now)
 	for _, r := range c.allRunners {
 		if r.Service != u.job.spec.Service || c.bar(u, r, reserved, now) != "" {
 			continue
@@ -142,8 +143,8 @@
 }
 
 // bar returns why nothing of the unit may start on a runner of its service, whatever room it has;
-// empty: it may, by all but the adviser's answers.
-func (c *Core) bar(u *unit, r *runner, reserved *reservation, now steady.Time) string {
+// empty: it may, by all but the adviser's answers. reserved are the reservations against the unit.
+func (c *Core) bar(u *unit, r *runner, reserved []*reservation, now steady.Time) string {
 	step := u.spec()
 	switch {
 	case !r.hasLabel(step.Label):
@@ -158,7 +159,7 @@
 		return "with work that conflicts"
 	case r.reportsNearlyFull():
 		return "with too many unread ends"
-	case reserved.holds(r, u):
+	case slices.ContainsFunc(reserved, func(v *reservation) bool { return slices.Contains(v.runners, r) }):
 		return "reserved"
 	default:
 		return ""
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -295,19 +295,6 @@
 	return sum
 }
 
-// yieldsTo reports whether u may be preempted for o. A long-running unit is
-// never preempted, and may preempt every unit that isn't long-running or
-// urgent. One that couldn't start again soon isn't preempted either.
-func (u *unit) yieldsTo(o *unit) bool {
-	if u.spec().LongRunning || u.waitsIfStopped() {
-		return false
-	}
-	if o.spec().LongRunning {
-		return u.job.spec.Priority > 0
-	}
-	return u.job.spec.Priority > o.job.spec.Priority
-}
-
 // victimsOn chooses the units to stop on one runner. Runs that are stopping
 // already count as free; among the others, those of the lowest priority go
 // first, and then those with the least unsaved work.
--- a/batch/scheduler/prospect.go
+++ b/batch/scheduler/prospect.go
@@ -33,7 +33,7 @@
 func (c *Core) prospects(u *unit, now steady.Time) [][]prospect {
 	work := c.speeds.expectedDuration(u)
 	racks := make(map[string][]prospect)
-	for _, s := range c.slots(u, now, func(r *runner) batch.Resources { return r.Capacity }) {
+	for _, s := range c.slots(u, now, (*runner).roomInTime) {
 		p := prospect{slot: s, start: c.roomExpectedAt(u, s.runner, now)}
 		p.ends = p.start.Add(time.Duration(s.cost * float64(work)))
 		rack := ""
@@ -92,17 +92,28 @@
 	return soonest.Add(nominatedTime)
 }
 
+// roomInTime returns the resources of r that become free by themselves.
+func (r *runner) roomInTime() batch.Resources {
+	room := r.Capacity
+	for _, run := range r.runs {
+		if run.phase != withdrawn && run.lasts() {
+			room = room.Minus(run.unit.spec().ReservedResources())
+		}
+	}
+	return room
+}
+
 // expectedEnd is the expected end of a run, with the resources that it holds until then.
 type expectedEnd struct {
 	at   steady.Time
 	held batch.Resources
 }
 
-// expectedEnds returns the expected ends of the runs on r, the first one first.
+// expectedEnds returns the expected ends of the runs on r that end by themselves, the first one first.
 func (c *Core) expectedEnds(r *runner, now steady.Time) []expectedEnd {
 	var out []expectedEnd
 	for _, run := range r.runs {
-		if run.phase == withdrawn {
+		if run.phase == withdrawn || run.lasts() {
 			continue
 		}
 		out = append(out, expectedEnd{now.Add(c.expectedTimeLeft(run, now)), run.unit.spec().ReservedResources()})
--- a/batch/scheduler/reserve.go
+++ b/batch/scheduler/reserve.go
@@ -2,30 +2,52 @@
 
 import (
 	"fmt"
-	"slices"
+	"maps"
 
 	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/batch/mechanism"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
-// reservation keeps runners free of other work of the same or a lower priority, until
-// a waiting gang fits on them. It answers gangs of whole runners among many small
-// tasks: the small ones take each runner that becomes free, and the gang never starts.
-// A long-running unit whose restart is overdue is kept from running in the same way.
-// A service has one reservation at a time, which bounds the capacity that is idle.
+// reservation keeps runners free of work with no stronger claim, until a waiting gang fits on
+// them. It answers gangs of whole runners among many small tasks: the small ones take each
+// runner that becomes free, and the gang never starts. A long-running unit whose restart is
+// overdue is kept from running in the same way. It lapses when its unit can't start on them.
 type reservation struct {
 	unit    *unit
 	runners []*runner
-	overdue bool // for a unit whose restart is overdue: holds against work of every priority
 }
 
-// holds reports whether the reservation takes capacity of r away from u.
-func (v *reservation) holds(r *runner, u *unit) bool {
-	if v == nil || v.unit == u || !slices.Contains(v.runners, r) {
-		return false
+// reservationKey identifies a reservation. A service has one for a gang and one for an overdue
+// restart at a time, which bounds the capacity that is idle, and lets neither wait for the other's.
+type reservationKey struct {
+	service string
+	claim   claim
+}
+
+func (u *unit) reservationKey(now steady.Time) reservationKey {
+	return reservationKey{u.job.spec.Service, u.claim(now)}
+}
+
+// hasReservation reports whether runners are reserved for the unit.
+func (c *Core) hasReservation(u *unit) bool {
+	for _, v := range c.reservations {
+		if v.unit == u {
+			return true
+		}
 	}
-	return v.overdue || u.job.spec.Priority >= v.unit.job.spec.Priority
+	return false
+}
+
+// reservationsAgainst returns the reservations that take capacity away from u.
+func (c *Core) reservationsAgainst(u *unit, now steady.Time) []*reservation {
+	var out []*reservation
+	for key, v := range c.reservations {
+		if key.service == u.job.spec.Service && v.unit.holdsOff(u, now) {
+			out = append(out, v)
+		}
+	}
+	return out
 }
 
 // reserve reserves the runners on which a gang that couldn't be placed can start first.
@@ -37,11 +59,11 @@
 	if chosen == nil {
 		return
 	}
-	v := &reservation{unit: u, overdue: u.restartOverdue(now)}
+	v := &reservation{unit: u}
 	for _, p := range chosen {
 		v.runners = append(v.runners, p.runner)
 	}
-	c.reservations[u.job.spec.Service] = v
+	c.reservations[u.reservationKey(now)] = v
 	c.opts.Observe(Decision{
 		What: "reserve", Job: u.job.spec.ID, Task: batch.TaskID{Job: u.job.spec.ID, Occurrence: u.occurrence, Step: u.step, Index: u.first},
 		Waited: now.Sub(u.eligibleSince), Work: c.speeds.expectedDuration(u), Reason: fmt.Sprintf("%d runners", len(v.runners)),
@@ -49,11 +71,11 @@
 }
 
 // mayReserve reports whether the unit's restart is overdue, or it is a gang that has used up
-// reservationShare of the time that it can wait, in a service that is busy and has no
+// reservationShare of the time that it can wait, in a service that is busy and has no such
 // reservation.
 func (c *Core) mayReserve(u *unit, now steady.Time) bool {
 	service := u.job.spec.Service
-	if !c.uses(mechanism.Reservation) || c.reservations[service] != nil {
+	if !c.uses(mechanism.Reservation) || c.reservations[u.reservationKey(now)] != nil {
 		return false
 	}
 	if u.restartOverdue(now) {
@@ -79,13 +101,26 @@
 	return best
 }
 
-// dropReservations ends the reservations of units that no longer wait, those on runners
-// that no longer accept starts, and those in services of which most is free.
+// dropReservations ends the reservations of units that no longer wait, those on whose runners
+// the unit can't start any more, and those in services of which most is free.
 func (c *Core) dropReservations(now steady.Time) {
-	for service, v := range c.reservations {
-		lost := slices.ContainsFunc(v.runners, func(r *runner) bool { return !r.acceptsStarts(c, now) || c.suspended(r, now) })
-		if lost || !v.unit.waiting() || v.unit.job.state.Final() || c.mostlyFree(service) {
-			delete(c.reservations, service)
+	lapsed := make(map[reservationKey]bool)
+	for key, v := range c.reservations {
+		lapsed[key] = !v.unit.waiting() || v.unit.job.state.Final() || c.mostlyFree(key.service) || !c.canStartOn(v, now)
+	}
+	maps.DeleteFunc(c.reservations, func(key reservationKey, _ *reservation) bool { return lapsed[key] })
+}
+
+// canStartOn reports whether the unit of a reservation can start on its runners once the work
+// that ends by itself has made room there.
+func (c *Core) canStartOn(v *reservation, now steady.Time) bool {
+	against := c.reservationsAgainst(v.unit, now)
+	room := 0
+	for _, r := range v.runners {
+		if c.bar(v.unit, r, against, now) != "" || !v.unit.permitted(r, now, ticketMargin) {
+			return false
 		}
+		room += v.unit.tasksFitting(r, r.roomInTime())
 	}
+	return room >= v.unit.tasks
 }
--- a/batch/scheduler/waits.go
+++ b/batch/scheduler/waits.go
@@ -113,12 +113,13 @@
 // runners are barred to it for each reason.
 func (c *Core) roomFor(u *unit, now steady.Time) string {
 	room, full := 0, 0
+	reserved := c.reservationsAgainst(u, now)
 	bars := make(map[string]int)
 	for _, r := range c.allRunners {
 		if r.Service != u.job.spec.Service {
 			continue
 		}
-		bar := c.bar(u, r, c.reservations[u.job.spec.Service], now)
+		bar := c.bar(u, r, reserved, now)
 		if bar == "" && !u.permitted(r, now, ticketMargin) {
 			bar = "not approved"
 		}
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -25,6 +25,7 @@
 	worldLeaseBound  = worldLease*103/100 + 300*time.Millisecond
 	worldLateness    = 10 * time.Second // how late an order is delivered at most
 	worldGangTimeout = 3 * time.Second
+	worldStartup     = 500 * time.Millisecond // until a task that lasts is at work
 	worldStart       = steady.Time(1000 * time.Second)
 	holdInterval     = time.Second
 	answerTimeout    = 1200 * time.Millisecond
@@ -197,6 +198,9 @@
 	for i, s := range j.Steps {
 		task := runner.Task{Request: s.ReservedResources(), Work: work, Fails: fails, ChecksCapacity: true}
 		task.ChecksCapacity = !w.unguarded
+		if s.LongRunning {
+			task.Startup = worldStartup
+		}
 		if s.Gang {
 			task.GangSize = s.Tasks
 		}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -20,6 +20,7 @@
 type Task struct {
 	Request        batch.Resources
 	Work           time.Duration // run time on a runner of speed 1
+	Startup        time.Duration // work after which a task that lasts is at work, which its percent says; 0: it doesn't last
 	Checkpoint     time.Duration // work between checkpoints; 0: none are taken
 	GangSize       int           // 0 or 1: not part of a gang
 	Fails          bool          // ends with EndFailed once its work is done
@@ -344,10 +345,14 @@
 }
 
 func (r *run) percent() int {
-	if r.task.Work <= 0 {
+	whole := r.task.Work
+	if r.task.Startup > 0 {
+		whole = r.task.Startup
+	}
+	if whole <= 0 {
 		return 0
 	}
-	return int(min(100, 100*r.workDone/r.task.Work))
+	return int(min(100, 100*r.workDone/whole))
 }
 
 // timeStep is the longest step by which Advance moves the runs forward.
