Scheduler: tasks that serve users stop fillers in their way

Cause: fillers and tasks that serve users never share a runner, and conflictsWith ruled such a runner out for preemption too, which stops no long-running task. Change: a filler yields to a task that serves users, as far as its step's MaxUnavailable allows: a runner with several of one step is emptied one after the other. A unit is offered a runner's room now, in time, by stops, or ever, and what conflicts is asked for the same room; so advice, reservation and preemption agree. Slots that equal tasks of one pass share are checked for conflicts again. Left: a filler waits while tasks that serve users are on all runners, until fillers are paced.

--- a/batch/scheduler/advice.go
+++ b/batch/scheduler/advice.go
@@ -152,18 +152,21 @@
 		return nil
 	}
 	var out []slot
-	room := 0
-	for _, s := range c.openSlots(u, now, func(r *runner) batch.Resources { return c.obtainableResources(u, r, now) }) {
+	tasks, offered := 0, roomNow
+	if c.mayPreempt(u, now) {
+		offered = roomByStops
+	}
+	for _, s := range c.openSlots(u, offered, now) {
 		a, found := u.stepAdvice().forRunner(s.runner)
 		if found && a.ticket == "" {
 			continue
 		}
-		room += s.tasks
+		tasks += s.tasks
 		if !u.permitted(s.runner, now, ticketMargin) {
 			out = append(out, s)
 		}
 	}
-	if room < u.tasks {
+	if tasks < u.tasks {
 		return nil
 	}
 	slices.SortFunc(out, func(a, b slot) int {
@@ -183,7 +186,7 @@
 // doesn't change, and because the time that a question takes hardly depends on
 // the number of runners in it.
 func (c *Core) unaskedRunners(u *unit, named []slot, now steady.Time) []slot {
-	all := c.openSlots(u, now, func(r *runner) batch.Resources { return r.Capacity })
+	all := c.openSlots(u, roomEver, now)
 	all = slices.DeleteFunc(all, func(s slot) bool {
 		_, known := u.stepAdvice().forRunner(s.runner)
 		return known || slices.ContainsFunc(named, func(n slot) bool { return n.runner == s.runner })
@@ -201,16 +204,6 @@
 	return min(max(questionSizeMin, int(a.DecisionTime/a.TimePerRunner)), questionSizeMax)
 }
 
-// obtainableResources returns what the unit could get on r, including what
-// preemption would free if the unit may preempt.
-func (c *Core) obtainableResources(u *unit, r *runner, now steady.Time) batch.Resources {
-	free := r.freeFor(u, now)
-	if c.mayPreempt(u, now) {
-		free = free.Plus(r.preemptibleBy(u, now))
-	}
-	return free
-}
-
 // HandleAdvice applies the adviser's answer to a question that was sent at
 // asked.
 func (c *Core) HandleAdvice(q Question, a batch.Approval, asked steady.Time) {
--- a/batch/scheduler/place.go
+++ b/batch/scheduler/place.go
@@ -45,7 +45,7 @@
 
 // freeSlots returns the slots that have room without preemption.
 func (c *Core) freeSlots(u *unit, now steady.Time, remote bool) []slot {
-	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.freeFor(u, now) })
+	slots := c.slots(u, roomNow, now)
 	if !remote {
 		slots = slices.DeleteFunc(slots, func(s slot) bool { return s.remote })
 	}
@@ -76,7 +76,7 @@
 	defer func() { c.slotCache[key] = slots }()
 	for len(slots) > 0 {
 		first := slots[0]
-		if u.tasksFitting(first.runner, first.runner.freeFor(u, now)) > 0 {
+		if u.tasksFitting(first.runner, first.runner.freeFor(u, now)) > 0 && !first.runner.conflictsWith(u, roomNow, now) {
 			if first.explore { // one task shows its speed; the next one goes to another runner
 				first.explore = false
 				slots = append(slots[1:], first)
@@ -109,24 +109,24 @@
 }
 
 // slots returns the open slots on which the unit is permitted to run.
-func (c *Core) slots(u *unit, now steady.Time, free func(*runner) batch.Resources) []slot {
-	open := c.openSlots(u, now, free)
+func (c *Core) slots(u *unit, offered room, now steady.Time) []slot {
+	open := c.openSlots(u, offered, now)
 	if !u.needsAdvice() {
 		return open
 	}
 	return slices.DeleteFunc(open, func(s slot) bool { return !u.permitted(s.runner, now, ticketMargin) })
 }
 
-// openSlots returns the runners that have room for a task of the unit, with
+// openSlots returns the runners that offer room for a task of the unit, with
 // their cost and rank. It ignores the adviser's answers.
-func (c *Core) openSlots(u *unit, now steady.Time, free func(*runner) batch.Resources) []slot {
+func (c *Core) openSlots(u *unit, offered room, now steady.Time) []slot {
 	var out []slot
 	step, reserved := u.spec(), c.reservationsAgainst(u, now)
 	for _, r := range c.allRunners {
-		if r.Service != u.job.spec.Service || c.bar(u, r, reserved, now) != "" {
+		if r.Service != u.job.spec.Service || c.bar(u, r, offered, reserved, now) != "" {
 			continue
 		}
-		s := slot{runner: r, tasks: u.tasksFitting(r, free(r))}
+		s := slot{runner: r, tasks: u.tasksFitting(r, r.roomFor(u, offered, now))}
 		if s.tasks == 0 {
 			continue
 		}
@@ -142,9 +142,10 @@
 	return out
 }
 
-// bar returns why nothing of the unit may start on a runner of its service, whatever room it has;
-// empty: it may, by all but the adviser's answers. reserved are the reservations against the unit.
-func (c *Core) bar(u *unit, r *runner, reserved []*reservation, now steady.Time) string {
+// bar returns why nothing of the unit may start on a runner of its service in the room that it
+// offers, however much that is; empty: it may, by all but the adviser's answers. reserved are the
+// reservations against the unit.
+func (c *Core) bar(u *unit, r *runner, offered room, reserved []*reservation, now steady.Time) string {
 	step := u.spec()
 	switch {
 	case !r.hasLabel(step.Label):
@@ -155,7 +156,7 @@
 		return "suspended"
 	case len(r.orphans) > 0:
 		return "with unrecorded runs"
-	case r.conflictsWith(step):
+	case r.conflictsWith(u, offered, now):
 		return "with work that conflicts"
 	case r.reportsNearlyFull():
 		return "with too many unread ends"
@@ -226,21 +227,6 @@
 	return n
 }
 
-// conflictsWith reports whether a task of the step on r would put a task that
-// uses idle CPU beside one that serves users. The CPU that the former takes shows
-// in the response times of the latter within seconds.
-func (r *runner) conflictsWith(step *batch.Step) bool {
-	if !step.UsesIdleCPU && !step.ServesUsers() {
-		return false
-	}
-	for _, other := range r.runs {
-		if with := other.unit.spec(); step.UsesIdleCPU && with.ServesUsers() || step.ServesUsers() && with.UsesIdleCPU {
-			return true
-		}
-	}
-	return false
-}
-
 // tasksOf counts the tasks of the unit's step and occurrence on r.
 func (r *runner) tasksOf(u *unit) int {
 	n := 0
--- a/batch/scheduler/preempt.go
+++ b/batch/scheduler/preempt.go
@@ -41,6 +41,7 @@
 type victims struct {
 	runner      *runner
 	units       []*unit
+	later       int       // number of other units that must be stopped too, and may not be yet
 	tasks       int       // number of tasks of the preempting unit that fit then
 	wasteByUnit []float64 // core-seconds that preempting each unit throws away
 	waste       float64   // their sum
@@ -102,7 +103,7 @@
 // stopVictims stops the chosen units unless that throws away more than allowed
 // core-seconds, and reports whether it did.
 func (c *Core) stopVictims(u *unit, chosen []victims, allowed float64, now steady.Time) bool {
-	if chosen == nil || wasteOf(chosen) > allowed {
+	if chosen == nil || wasteOf(chosen) > allowed || !allowStops(unitsOf(chosen)) {
 		return false
 	}
 	u.preemptingSince, u.awaitedCost = now, 0
@@ -119,6 +120,19 @@
 	return true
 }
 
+// unitsOf returns the units to preempt on all the runners, each once.
+func unitsOf(chosen []victims) []*unit {
+	var out []*unit
+	for _, v := range chosen {
+		for _, victim := range v.units {
+			if !slices.Contains(out, victim) {
+				out = append(out, victim)
+			}
+		}
+	}
+	return out
+}
+
 // wasteOf returns the core-seconds that stopping the chosen units throws away.
 // A gang counts once.
 func wasteOf(chosen []victims) float64 {
@@ -195,7 +209,7 @@
 // preemptionCandidates returns the runners on which stopping units makes room for
 // tasks of u, the best first.
 func (c *Core) preemptionCandidates(u *unit, now steady.Time) []victims {
-	slots := c.slots(u, now, func(r *runner) batch.Resources { return r.obtainableBy(u, now) })
+	slots := c.slots(u, roomByStops, now)
 	var all []victims
 	for _, s := range slots {
 		if !s.remote {
@@ -203,7 +217,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b victims) int {
-		return cmp.Or(cmp.Compare(a.score(), b.score()), cmp.Compare(a.runner.ID, b.runner.ID))
+		return cmp.Or(cmp.Compare(a.later, b.later), cmp.Compare(a.score(), b.score()), cmp.Compare(a.runner.ID, b.runner.ID))
 	})
 	return all
 }
@@ -274,10 +288,11 @@
 
 // obtainableBy returns the resources of r that are free for u or that stopping
 // others frees. Runners that urgent work fills are recognised without a look at
-// each run, because a pass asks this for every runner and waiting shape.
+// each run, because a pass asks this for every runner and waiting shape. Urgent work
+// yields only to units that serve users, if it uses idle CPU.
 func (r *runner) obtainableBy(u *unit, now steady.Time) batch.Resources {
 	atMost := r.Capacity.Minus(r.reservedUrgent)
-	if !u.spec().ReservedResources().Fits(atMost) && !slices.ContainsFunc(r.urgentRuns, func(o *run) bool { return o.phase == stopping }) {
+	if !u.spec().ServesUsers() && !u.spec().ReservedResources().Fits(atMost) && !slices.ContainsFunc(r.urgentRuns, func(o *run) bool { return o.phase == stopping }) {
 		return batch.Resources{}
 	}
 	return r.freeFor(u, now).Plus(r.preemptibleBy(u, now))
@@ -288,16 +303,17 @@
 func (r *runner) preemptibleBy(u *unit, now steady.Time) batch.Resources {
 	var sum batch.Resources
 	for _, run := range r.runs {
-		if run.isStopping(now) || run.phase != stopping && run.phase != withdrawn && run.unit.yieldsTo(u) {
+		if run.makesWayFor(u, now) {
 			sum = sum.Plus(run.unit.spec().ReservedResources())
 		}
 	}
 	return sum
 }
 
-// victimsOn chooses the units to stop on one runner. Runs that are stopping
-// already count as free; among the others, those of the lowest priority go
-// first, and then those with the least unsaved work.
+// victimsOn chooses the units to stop on one runner: all that must not share it with
+// the unit, and others to make room. Runs that are stopping already count as free;
+// among the others, those of the lowest priority go first, and then those with the
+// least unsaved work.
 func (c *Core) victimsOn(u *unit, s slot, now steady.Time) victims {
 	r := s.runner
 	free := r.freeFor(u, now)
@@ -306,12 +322,13 @@
 		switch {
 		case run.isStopping(now):
 			free = free.Plus(run.unit.spec().ReservedResources())
-		case run.phase != stopping && run.phase != withdrawn && run.unit.yieldsTo(u) && !slices.Contains(candidates, run.unit):
+		case run.makesWayFor(u, now) && !slices.Contains(candidates, run.unit):
 			candidates = append(candidates, run.unit)
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *unit) int {
 		return cmp.Or(
+			compareBool(!keepsApart(u.spec(), a.spec()), !keepsApart(u.spec(), b.spec())),
 			cmp.Compare(b.job.spec.Priority, a.job.spec.Priority),
 			cmp.Compare(a.lostWork(now), b.lostWork(now)),
 			a.compareIdentity(b),
@@ -319,7 +336,7 @@
 	})
 	v := victims{runner: r, tasks: u.tasksFitting(r, free), runnerCost: s.cost}
 	for _, victim := range candidates {
-		if v.tasks > 0 {
+		if v.tasks > 0 && !keepsApart(u.spec(), victim.spec()) {
 			break
 		}
 		free = free.Plus(victim.heldOn(r))
@@ -329,6 +346,8 @@
 		v.waste += lost
 		v.tasks = u.tasksFitting(r, free)
 	}
+	allowed := allowedStops(v.units)
+	v.units, v.later = allowed, len(v.units)-len(allowed)
 	v.tasks = max(v.tasks, 1)
 	return v
 }
--- a/batch/scheduler/prospect.go
+++ b/batch/scheduler/prospect.go
@@ -33,7 +33,7 @@
 func (c *Core) prospects(u *unit, now steady.Time) [][]prospect {
 	work := c.speeds.expectedDuration(u)
 	racks := make(map[string][]prospect)
-	for _, s := range c.slots(u, now, (*runner).roomInTime) {
+	for _, s := range c.slots(u, roomInTime, now) {
 		p := prospect{slot: s, start: c.roomExpectedAt(u, s.runner, now)}
 		p.ends = p.start.Add(time.Duration(s.cost * float64(work)))
 		rack := ""
--- a/batch/scheduler/reserve.go
+++ b/batch/scheduler/reserve.go
@@ -117,7 +117,7 @@
 	against := c.reservationsAgainst(v.unit, now)
 	room := 0
 	for _, r := range v.runners {
-		if c.bar(v.unit, r, against, now) != "" || !v.unit.permitted(r, now, ticketMargin) {
+		if c.bar(v.unit, r, roomInTime, against, now) != "" || !v.unit.permitted(r, now, ticketMargin) {
 			return false
 		}
 		room += v.unit.tasksFitting(r, r.roomInTime())
--- a/batch/scheduler/waits.go
+++ b/batch/scheduler/waits.go
@@ -119,7 +119,7 @@
 		if r.Service != u.job.spec.Service {
 			continue
 		}
-		bar := c.bar(u, r, reserved, now)
+		bar := c.bar(u, r, roomNow, reserved, now)
 		if bar == "" && !u.permitted(r, now, ticketMargin) {
 			bar = "not approved"
 		}
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -44,7 +44,8 @@
 	lastToken        uint64          // the highest token so far
 	links            map[string]link // by runner, what the scheduler knows of it
 	jobs             map[string]*batch.Job
-	stepTasks        map[string]runner.Task // by job and step
+	stepTasks        map[string]runner.Task         // by job and step
+	failsAfter       map[batch.TaskID]time.Duration // by task that fails, unlike others of its step, its work until then
 	store            map[string]batch.Progress
 	leaseEnds        map[string]steady.Time // the record of lease ends, by runner
 	events           []event
@@ -147,7 +148,7 @@
 	w.pool = runner.New(runner.Options{
 		GangTimeout:    worldGangTimeout,
 		MaxLease:       worldLease,
-		DescribeTask:   func(id batch.TaskID, _ string) runner.Task { return w.stepTasks[stepName(id.Job, id.Step)] },
+		DescribeTask:   func(id batch.TaskID, _ string) runner.Task { return w.describeTask(id) },
 		OnStart:        w.checkStart,
 		OnEnd:          w.countWork,
 		HasValidTicket: w.permits,
@@ -156,6 +157,14 @@
 	return w
 }
 
+func (w *world) describeTask(id batch.TaskID) runner.Task {
+	task := w.stepTasks[stepName(id.Job, id.Step)]
+	if work, fails := w.failsAfter[id]; fails {
+		task.Work, task.Fails = work, true
+	}
+	return task
+}
+
 func stepName(job string, step int) string { return fmt.Sprintf("%s/%d", job, step) }
 
 // addRunnerID returns the id of a new runner and adds it to runnerIDs.
