Store: a read is made directly as soon as the store answers again

Cause: a read through a peer is given up when the store answers this host again, but then the next peer was asked, with nothing to give that one up. Traced: the probe succeeds at 21.72 s, the first peer's call ends after 0.04 s, the second peer's takes 1.18 s in vain, as its link and the host's own are full; only then does the host list the configuration itself. On the host that broke, two tries went that way and the configuration was in force at 26.20 s; the bound was 25.56 s.

Change: no further peer is asked for a read once the store answers again, and a read that began directly is tried directly again. Writes are unchanged: a copy of them may be under way, and they aren't given up.

Test: TestReadIsMadeDirectlyAsSoonAsTheStoreAnswersAgain, with the store known to be down before and not; without the change the read fails after its two seconds.

--- a/kvstore/fallback.go
+++ b/kvstore/fallback.go
@@ -95,16 +95,20 @@
 }
 
 // call tries the store directly and then through peers, or peers first while
-// the store is known to be down for this host.
+// the store is known to be down for this host. If the store answers this host again
+// while peers are tried, a read is tried directly again.
 func (f *Fallback) call(ctx context.Context, args KeyspaceArgs) (KeyspaceReply, error) {
-	attempts := []func(context.Context, KeyspaceArgs) (KeyspaceReply, error){f.callDirect, f.callPeers}
+	attempts := []func(context.Context, KeyspaceArgs) (KeyspaceReply, error){f.callDirect, f.callPeers, f.callDirect}
 	if f.isStoreDown() {
-		attempts[0], attempts[1] = attempts[1], attempts[0]
+		attempts = attempts[1:]
 	}
 	ambiguous := false
 	var reply KeyspaceReply
 	var err error
-	for _, attempt := range attempts {
+	for i, attempt := range attempts {
+		if again := i == 2; again && (args.writes() || f.isStoreDown()) {
+			break
+		}
 		reply, err = attempt(ctx, args)
 		if !unanswered(err) {
 			return reply, err
@@ -176,7 +180,10 @@
 	var reply KeyspaceReply
 	err := errors.Wrap(ErrUnavailable, "no peer to call")
 	ambiguous := false
-	for _, address := range f.peersToTry() {
+	for i, address := range f.peersToTry() {
+		if i > 0 && !args.writes() && !f.isStoreDown() {
+			break // the call that was given up for that is made directly
+		}
 		reply, err = f.callPeer(ctx, address, args)
 		if !unanswered(err) {
 			return reply, err
--- a/kvstore/slow_answer_test.go
+++ b/kvstore/slow_answer_test.go
@@ -126,3 +126,44 @@
 		must.Eq(t, 0, direct.cutOff.Load())
 	})
 }
+
+// silentPeers is a Caller whose peers don't answer.
+type silentPeers struct{}
+
+func (silentPeers) Call(ctx context.Context, _, _ string, _, _ any) error {
+	<-ctx.Done()
+	return context.Cause(ctx)
+}
+
+// Guards against a read that goes on to the next peer when the store answers this host
+// again: on slow links an old configuration stayed for the time that the peers have.
+func TestReadIsMadeDirectlyAsSoonAsTheStoreAnswersAgain(t *testing.T) {
+	for _, knownDown := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var refused atomic.Bool
+			store := keyspace.New(keyspace.Options{Fault: func(keyspace.Call) keyspace.Outcome {
+				if refused.Load() {
+					return keyspace.Refused
+				}
+				return keyspace.Served
+			}})
+			f := &kvstore.Fallback{Direct: store, Peers: silentPeers{}, Addresses: func() []string { return []string{"a", "b", "c"} }, ProbeKey: "probe"}
+			refused.Store(true)
+			if knownDown {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+				defer cancel()
+				_, _, err := f.List(ctx, "p/")
+				must.Error(t, err)
+			}
+			start := time.Now()
+			time.AfterFunc(300*time.Millisecond, func() { refused.Store(false) })
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, _, err := f.List(ctx, "p/")
+			took := time.Since(start)
+			time.Sleep(time.Second) // a probe of the store ends
+			must.NoError(t, err)
+			must.LessEq(t, 500*time.Millisecond, took)
+		})
+	}
+}
