--- a/kvstore/slow_answer_test.go
+++ b/kvstore/slow_answer_test.go
@@ -152,14 +152,14 @@
 			if knownDown {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 				defer cancel()
-				_, _, err := f.List(ctx, "p/")
+				_, err := f.ListPage(ctx, "p/", "")
 				must.Error(t, err)
 			}
 			start := time.Now()
 			time.AfterFunc(300*time.Millisecond, func() { refused.Store(false) })
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
-			_, _, err := f.List(ctx, "p/")
+			_, err := f.ListPage(ctx, "p/", "")
 			took := time.Since(start)
 			time.Sleep(time.Second) // a probe of the store ends
 			must.NoError(t, err)
