Leader: a notice that has come is heeded before each decision

Callers saw nothing wrong, but a task of a cancelled job was started and stopped again: a new leader started a job that was cancelled while it read the records. Were they read for longer than cancel_ms, the start would come that long after the cancellation.

Cause: decideLoop decided first and then chose among its channels at random, so that a decision made due by the first runner's report could come before the replica's notice.

Change: a notice that has come is heeded before the decision. The look costs nothing when there is none.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -294,6 +294,11 @@
 	defer timer.Stop()
 	for {
 		began := steady.Now()
+		select {
+		case <-changed: // also one that came while the records were read
+			l.addNewJobs()
+		default:
+		}
 		l.decide(ctx)
 		pause.For(ctx, max(minDecidePause, decidePauseFactor*steady.Now().Sub(began)))
 		select {
