--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs every test with fixed seeds. The tests named in KNOWN-RED.txt are run last
-# and printed; only their failures are ignored. The tests of crowd are run by themselves,
-# since what they measure is to be apart from other load.
+# and printed; only their failures are ignored. The tests of crowd and reviewcases are run by
+# themselves, since what they measure is to be apart from other load.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -10,12 +10,17 @@
 if [ -n "$red" ]; then
   skip=(-skip "^(${red})\$")
 fi
-mapfile -t packages < <(go list ./... | grep -v '/crowd$')
+apart=(./crowd/ ./reviewcases/)
+mapfile -t packages < <(go list ./... | grep -vE '/(crowd|reviewcases)$')
 go test -count=1 -timeout 20m "${skip[@]}" "${packages[@]}"
-go test -count=1 -timeout 20m "${skip[@]}" ./crowd/
+for package in "${apart[@]}"; do
+  go test -count=1 -timeout 20m "${skip[@]}" "$package"
+done
 if [ -n "$red" ]; then
   echo "Known red tests (KNOWN-RED.txt), not counted:"
   grep -E '^test:' KNOWN-RED.txt
   go test -count=1 -timeout 10m -run "^(${red})\$" "${packages[@]}" || true
-  go test -count=1 -timeout 10m -run "^(${red})\$" ./crowd/ || true
+  for package in "${apart[@]}"; do
+    go test -count=1 -timeout 10m -run "^(${red})\$" "$package" || true
+  done
 fi
