--- a/batch/dispatch/takeover_test.go
+++ b/batch/dispatch/takeover_test.go
@@ -121,10 +121,10 @@
 type replicaAge int
 
 const (
-	beforeTerm   replicaAge = iota // changes up to the term are missing
-	pastTerm                       // it shows all of them
-	ageUnknown                     // the same as beforeTerm, without its revision
-	startedAnew                    // the host has just started, and its follower lists the records
+	beforeTerm  replicaAge = iota // changes up to the term are missing
+	pastTerm                      // it shows all of them
+	ageUnknown                    // the same as beforeTerm, without its revision
+	startedAnew                   // the host has just started, and its follower lists the records
 )
 
 // newTakeover returns the takeover with the given job stored as well; empty: none.
