Host: a request that was read is answered when its host drains

Callers saw: a request on an open connection ends without an answer around a host's SIGTERM, though the host has read it whole.

Cause: http.Server.Shutdown (and SetKeepAlivesEnabled(false)) close a connection that counts as idle, and it does until its goroutine has parsed the next request's header; and a request that is parsed once Shutdown has begun is dropped by net/http itself. On a machine without a free processor that window is as long as the goroutine waits.

Change: connlimit.Listener.Drain takes Shutdown's place. It closes the listener; each answer ends its connection; a connection on which nothing has come for 500 ms is ended by a read deadline that has passed, which loses no byte that was read: a read that had got some goes on, and its request is answered. Drain returns when no connection is open, as Shutdown did.

Test: drain_test.go, with reads that return 100 ms after their bytes were read. With SetKeepAlivesEnabled and Shutdown in Drain's place TestRequestThatWasReadBeforeADrainIsAnswered fails on new and on used connections, and TestRequestThatGoesOnArrivingDuringADrainIsAnswered too ("unexpected EOF"); with Drain all pass.

Not changed: cyclamentrayd's entry hosts call Shutdown too, behind TLS where that is set.

--- a/batch/host/host.go
+++ b/batch/host/host.go
@@ -49,6 +49,10 @@
 	// load balancer removes it after two readiness probes 1 s apart.
 	balancerNoticePeriod = 2300 * time.Millisecond
 
+	// connectionLinger is how long a stopping host still waits for a request on a connection
+	// that it has just accepted or answered: a request may be under way.
+	connectionLinger = 500 * time.Millisecond
+
 	// shutdownMargin is the part of the grace period left for the process to exit
 	// before it is killed.
 	shutdownMargin = 700 * time.Millisecond
@@ -120,9 +124,14 @@
 		return err
 	}
 	failed := make(chan error, 3)
-	if err := errors.CombineErrors(h.listenAndServe("caller", h.APIAddress, h.Limits.APIConns, apiServer.Serve, failed),
-		errors.CombineErrors(h.listenAndServe("probe", h.ReadinessAddress, maxProbeConns, readinessServer.Serve, failed),
-			h.listenAndServe("peer", h.PeerAddress, h.Limits.PeerConns, peerServer.Serve, failed))); err != nil {
+	callers, err := h.listenAndServe("caller", h.APIAddress, h.Limits.APIConns, apiServer.Serve, failed)
+	if err != nil {
+		return err
+	}
+	if _, err := h.listenAndServe("probe", h.ReadinessAddress, maxProbeConns, readinessServer.Serve, failed); err != nil {
+		return err
+	}
+	if _, err := h.listenAndServe("peer", h.PeerAddress, h.Limits.PeerConns, peerServer.Serve, failed); err != nil {
 		return err
 	}
 	metricsServer, err := h.serveMetrics(failed)
@@ -142,9 +151,9 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	h.drain(apiServer, resign)
+	h.drain(callers, resign)
 	stop()
-	err = errors.CombineErrors(err, errors.CombineErrors(readinessServer.Close(), peerServer.Close()))
+	err = errors.CombineErrors(err, errors.CombineErrors(apiServer.Close(), errors.CombineErrors(readinessServer.Close(), peerServer.Close())))
 	background.Wait()
 	h.Log.Info("stopped")
 	return err
@@ -170,18 +179,18 @@
 
 // listenAndServe listens on address, with a limit of connections of clients of the given
 // kind, and serves in the background. A later failure is sent to failed.
-func (h *Host) listenAndServe(client, address string, maxConns int, run func(net.Listener) error, failed chan<- error) error {
-	l, err := net.Listen("tcp", address)
+func (h *Host) listenAndServe(client, address string, maxConns int, run func(net.Listener) error, failed chan<- error) (*connlimit.Listener, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return errors.Wrapf(err, "listening on %s", address)
+		return nil, errors.Wrapf(err, "listening on %s", address)
 	}
-	l = connlimit.Limit(l, maxConns, minConnWait, h.refusals(client+" connection").record)
+	limited := connlimit.Limit(listener, maxConns, minConnWait, h.refusals(client+" connection").record)
 	go func() {
-		if err := run(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := run(limited); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failed <- err
 		}
 	}()
-	return nil
+	return limited, nil
 }
 
 // refusals returns the record of what is refused for the limit of the given name.
@@ -202,12 +211,13 @@
 	if h.MetricsAddress == "" {
 		return server, nil
 	}
-	return server, h.listenAndServe("metrics", h.MetricsAddress, maxMetricsConns, server.Serve, failed)
+	_, err := h.listenAndServe("metrics", h.MetricsAddress, maxMetricsConns, server.Serve, failed)
+	return server, err
 }
 
 // drain resigns the candidacy, reports the host as not ready, serves on until
-// the load balancer has noticed, and waits for requests in progress.
-func (h *Host) drain(apiServer *http.Server, resign func()) {
+// the load balancer has noticed, and answers the requests in progress.
+func (h *Host) drain(callers *connlimit.Listener, resign func()) {
 	h.Log.Info("stopping", "grace", h.GracePeriod)
 	h.mu.Lock()
 	h.stopping = true
@@ -216,8 +226,7 @@
 	drainCtx, cancel := context.WithTimeout(context.Background(), h.GracePeriod-shutdownMargin)
 	defer cancel()
 	pause.For(drainCtx, balancerNoticePeriod)
-	apiServer.SetKeepAlivesEnabled(false)
-	if err := apiServer.Shutdown(drainCtx); err != nil {
+	if err := callers.Drain(drainCtx, connectionLinger); err != nil {
 		h.Log.Warn("requests aborted at the end of the grace period", "err", err)
 	}
 }
--- a/batch/host/limits.go
+++ b/batch/host/limits.go
@@ -70,7 +70,7 @@
 // newServer returns an HTTP server with limits for each request.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: connlimit.TrackRequests(handler), ConnContext: connlimit.ConnContext,
+		Handler: connlimit.TrackRequests(handler), ConnContext: connlimit.ConnContext, ConnState: connlimit.ConnState,
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -3,7 +3,8 @@
 // longest for a request or for the rest of one. Connections whose request is being
 // served are not closed, nor are those that have waited for less than the time that a
 // request needs to arrive: the new one is closed then. A Listener keeps its open connections in the order in which
-// they began to wait. The host's HTTP servers and the server of peers' calls use it.
+// they began to wait. It also ends them for a server that stops, without losing a request.
+// The host's HTTP servers and the server of peers' calls use it.
 package connlimit
 
 import (
@@ -28,9 +29,10 @@
 	minWait time.Duration
 	onClose func() // called for each connection that is closed for the limit
 
-	mu      sync.Mutex
-	open    int
-	waiting list.List // of *Conn; the one that has waited longest is at the front
+	mu       sync.Mutex
+	open     int
+	waiting  list.List // of *Conn; the one that has waited longest is at the front
+	draining bool
 }
 
 // Limit returns l with a limit of open connections. A connection that has waited for less
@@ -46,9 +48,12 @@
 	listener *Listener
 
 	// The fields below are guarded by listener.mu.
-	closed bool
-	since  steady.Time   // it has waited from then on
-	place  *list.Element // in listener.waiting; nil: its request is being served
+	closed       bool
+	since        steady.Time   // it has waited from then on
+	place        *list.Element // in listener.waiting; nil: its request is being served
+	arriving     bool          // a part of the next request was read
+	ended        bool          // no request is awaited any more
+	readDeadline time.Time     // as last set by the server
 }
 
 // Accept implements net.Listener. If no connection can be closed for a new one, that one is
@@ -160,7 +165,8 @@
 }
 
 // TrackRequests returns next with a connection marked as being served from the end of a
-// request's body to the end of the handler.
+// request's body to the end of the handler. While the Listener drains, an answer ends its
+// connection.
 func TrackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*Conn)
@@ -169,6 +175,9 @@
 			return
 		}
 		defer conn.Waiting()
+		if conn.listener.isDraining() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength == 0 {
 			conn.Serving()
 		} else {
