--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamentray/cyclamentray/batch"
@@ -92,6 +93,9 @@
 // Run runs hosts and submits jobs under the random faults of one seed. It returns
 // once every accepted job has ended or settleTimeout is over.
 func Run(ctx context.Context, o Options) (*Report, error) {
+	if o.Scenarios && len(o.scenarios()) == 0 {
+		return nil, errors.Newf("there is no scenario of the name %q", o.Scenario)
+	}
 	if o.Log == nil {
 		o.Log = func(string) {}
 	}
