Scheduler: a stopped start that is under way keeps its room where runners don't guard theirs

Cause: a run whose start may be under way reserves nothing once it is withdrawn. The answered stop is evidence of one incarnation; the next has seen none. A runner that guards its capacity refuses the start then.

Change: on services without admission control such a run keeps its room until no try of its start is under way. A start that is sent again counts its room once. A new leader passes the configuration to its core before it restores recorded runs; the tests' newLeader has Conditions for that. The virtual world tells its core whether its runners guard their capacity.

Nothing changes for services with admission control.

--- a/batch/dispatch/leader.go
+++ b/batch/dispatch/leader.go
@@ -170,6 +170,7 @@
 		ObserveEndsTruncated: l.logEndsTruncated,
 		ObserveRestart:       l.noteRestart,
 	})
+	l.core.SetConfiguration(l.Conditions.Configuration()) // what recorded runs reserve depends on it
 	n := l.addRecordedJobs(found, now)
 	l.countJobs("records", n)
 	l.Log.Info("records read", "token", l.term.Token, "jobs", n, "speeds", len(found.speeds.Runners))
--- a/batch/dispatch/reader_test.go
+++ b/batch/dispatch/reader_test.go
@@ -142,7 +142,7 @@
 
 func newLeader(store kvstore.Keyspace, replica *ledger.Replica, token uint64) *Leader {
 	return &Leader{
-		Options: Options{Log: log.New(io.Discard), Store: store, Replica: replica, Now: time.Now, RunnerLease: 6 * time.Second},
+		Options: Options{Log: log.New(io.Discard), Store: store, Replica: replica, Conditions: oneRunner{}, Now: time.Now, RunnerLease: 6 * time.Second},
 		term:    &Term{Token: token}, revisions: make(map[string]uint64), states: make(map[string]batch.State),
 	}
 }
--- a/batch/scheduler/allfaults_test.go
+++ b/batch/scheduler/allfaults_test.go
@@ -71,6 +71,12 @@
 	}
 }
 
+// Guards against the same as TestStoppedStartUnderWayKeepsItsRoomOnARunnerThatDoesNotGuardIt: three
+// starts to one runner are kept, two of them stopped, and its next incarnation carries all out.
+func TestRunnerIsNotFilledByStartsThatItsNextIncarnationCarriesOut(t *testing.T) {
+	must.SliceEmpty(t, runAllFaults(t, 12, faultMixes["late"], true))
+}
+
 // evidenceShares are the shares of reports that are late, and of restarts after which an earlier
 // entry is listed again, that are drawn.
 var evidenceShares = []float64{0, 0.1, 0.4}
--- a/batch/scheduler/givenup_test.go
+++ b/batch/scheduler/givenup_test.go
@@ -174,6 +174,38 @@
 	must.LessEq(t, 2000, held(), must.Sprint(d.starts))
 }
 
+// Guards against a runner that is filled over its capacity, as it doesn't guard it: a start under
+// way there is stopped, other work takes its room, and the next incarnation carries it out.
+func TestStoppedStartUnderWayKeepsItsRoomOnARunnerThatDoesNotGuardIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		guarded bool
+		waits   time.Duration
+	}{
+		"guarded": {guarded: true}, "not guarded": {waits: testLateOrders},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver()
+			d.core.SetConfiguration(&batch.Configuration{Services: []batch.Service{{Name: "s", AdmissionControl: test.guarded}}})
+			d.addRunner("r", 1000)
+			whole := []batch.Step{{Tasks: 1, Request: batch.Resources{MilliCPU: 1000}}}
+			d.core.AddJob(&batch.Job{ID: "stopped", Service: "s", MaxAttempts: 3, Stretch: 1, Steps: whole}, nil, d.now)
+			d.step()
+			must.Len(t, 1, d.starts)
+			sentAt := d.now
+			d.leaveUnanswered(d.starts[0])
+			d.core.CancelJob("stopped", d.now)
+			d.core.AddJob(&batch.Job{ID: "other", Service: "s", MaxAttempts: 3, Stretch: 1, Steps: whole}, nil, d.now)
+			for len(d.starts) == 1 && d.now.Sub(worldStart) < time.Minute {
+				d.run(100 * time.Millisecond)
+			}
+			must.Len(t, 2, d.starts)
+			must.Eq(t, "other", d.starts[1].Task.Job)
+			must.GreaterEq(t, test.waits, d.now.Sub(sentAt))
+			must.LessEq(t, test.waits+testLease+2*time.Second, d.now.Sub(sentAt))
+		})
+	}
+}
+
 // Guards against a runner that is stuck: it has more ends than a report lists, none is
 // acknowledged while a start is under way, and no report that leaves ends out ends that.
 func TestEndsAreAcknowledgedAfterACancelledStartWhenReportsLeaveEndsOut(t *testing.T) {
--- a/batch/scheduler/job.go
+++ b/batch/scheduler/job.go
@@ -68,7 +68,7 @@
 	inherited              // recorded by an earlier scheduler; its runner has not reported yet
 	running
 	stopping
-	withdrawn // not there, but its start may be under way; reserves nothing
+	withdrawn // not there, but its start may be under way; see keepsRoom for what it reserves
 )
 
 // run is one attempt of one task on one runner.
@@ -78,6 +78,7 @@
 	runner          *runner
 	attempt         int
 	phase           phase
+	reserves        bool        // its resources are reserved on its runner
 	born            int64       // the incarnation of the runner that it was planned for
 	requiredVersion int         // version of the job's record that must be committed before the start
 	createdAt       steady.Time // when it was planned, or restored from a record
@@ -374,13 +375,17 @@
 func (c *Core) attach(r *run) {
 	r.unit.runs = append(r.unit.runs, r)
 	r.runner.runs[runKey{r.task(), r.attempt}] = r
-	if r.phase != withdrawn {
+	if r.phase != withdrawn || c.keepsRoom(r) {
 		r.reserve()
 	}
 }
 
-// reserve reserves the run's resources on its runner.
+// reserve reserves the run's resources on its runner, unless they are.
 func (r *run) reserve() {
+	if r.reserves {
+		return
+	}
+	r.reserves = true
 	r.runner.reserved = r.runner.reserved.Plus(r.unit.spec().ReservedResources())
 	if r.unit.job.spec.Priority == 0 {
 		r.runner.reservedUrgent = r.runner.reservedUrgent.Plus(r.unit.spec().ReservedResources())
@@ -390,6 +395,10 @@
 
 // release undoes reserve.
 func (r *run) release() {
+	if !r.reserves {
+		return
+	}
+	r.reserves = false
 	r.runner.reserved = r.runner.reserved.Minus(r.unit.spec().ReservedResources())
 	if r.unit.job.spec.Priority == 0 {
 		r.runner.reservedUrgent = r.runner.reservedUrgent.Minus(r.unit.spec().ReservedResources())
@@ -404,9 +413,7 @@
 		return
 	}
 	delete(r.runner.runs, key)
-	if r.phase != withdrawn {
-		r.release()
-	}
+	r.release()
 	u := r.unit
 	u.runs = slices.DeleteFunc(u.runs, func(o *run) bool { return o == r })
 	if len(u.runs) == 0 {
--- a/batch/scheduler/startsunderway.go
+++ b/batch/scheduler/startsunderway.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamentray/cyclamentray/batch"
 	"github.com/cyclamentray/cyclamentray/internal/steady"
 )
 
@@ -289,10 +290,18 @@
 	}
 }
 
-// withdraw releases what a run reserves, and keeps the run, so that its task is started nowhere
-// else.
+// keepsRoom reports whether a run whose start may be under way reserves its resources although it
+// isn't there: its runner starts what exceeds its capacity.
+func (c *Core) keepsRoom(r *run) bool {
+	return r.starts.any() && c.config != nil && slices.ContainsFunc(c.config.Services, func(s batch.Service) bool {
+		return s.Name == r.runner.Service && !s.AdmissionControl
+	})
+}
+
+// withdraw keeps a run, so that its task is started nowhere else, and releases what it reserves
+// where that can't fill the runner over its capacity.
 func (c *Core) withdraw(r *run, now steady.Time) {
-	if r.phase != withdrawn {
+	if !c.keepsRoom(r) {
 		r.release()
 	}
 	r.phase, r.phaseSince, r.acceptedAt, r.startedAt, r.percent, r.pace = withdrawn, now, 0, 0, 0, 0
@@ -303,9 +312,7 @@
 
 // reinstate undoes withdraw.
 func (c *Core) reinstate(r *run, to phase, now steady.Time) {
-	if r.phase == withdrawn {
-		r.reserve()
-	}
+	r.reserve()
 	r.phase, r.phaseSince = to, now
 }
 
@@ -337,25 +344,29 @@
 			due = append(due, r)
 		}
 	}
-	reserved := 0
+	fitting := 0
+	var reserved []*run
 	for _, r := range due {
 		if !c.mayResend(r, now) {
 			break
 		}
-		r.reserve()
-		reserved++
+		if !r.reserves {
+			r.reserve()
+			reserved = append(reserved, r)
+		}
+		fitting++
 	}
-	for _, r := range due[:reserved] {
+	for _, r := range reserved {
 		r.release()
 	}
-	if reserved == len(due) {
+	if fitting == len(due) {
 		for _, r := range due {
 			r.born = r.runner.Born
 			c.planRepeat(r, now)
 		}
 		return
 	}
-	if missing := due[reserved]; len(due) < len(u.runs) && now.Sub(missing.phaseSince) > maxWithdrawnMember {
+	if missing := due[fitting]; len(due) < len(u.runs) && now.Sub(missing.phaseSince) > maxWithdrawnMember {
 		c.stopUnit(u, now, "the start of another member can't be sent again")
 	}
 }
@@ -376,7 +387,7 @@
 	step := u.spec()
 	return !r.starts.begun && !r.stopSent && on.acceptsStarts(c, now) && !c.suspended(on, now) && len(on.orphans) == 0 &&
 		on.Service == u.job.spec.Service && on.hasLabel(step.Label) && u.permitted(on, now, ticketMargin) &&
-		step.ReservedResources().Fits(on.freeFor(u, now))
+		(r.reserves || step.ReservedResources().Fits(on.freeFor(u, now)))
 }
 
 // attachFound adds a run to its task that a runner lists and that no record names there, unless
--- a/batch/scheduler/world_test.go
+++ b/batch/scheduler/world_test.go
@@ -246,7 +246,7 @@
 	})
 	core.SetConfiguration(&batch.Configuration{Organisations: []batch.Organisation{
 		{Name: "one", Guaranteed: batch.Resources{Accelerators: 24}},
-	}})
+	}, Services: []batch.Service{{Name: "s", AdmissionControl: !w.unguarded}}})
 	ids := make([]string, 0, len(w.jobs))
 	for id := range w.jobs {
 		ids = append(ids, id)
