--- a/batch/dispatch/takeover_test.go
+++ b/batch/dispatch/takeover_test.go
@@ -86,21 +86,21 @@
 	return events, asOf, err
 }
 
-// countingRunner is a runner that remembers the jobs whose tasks it was told to start.
-type countingRunner struct {
+// recordingRunner is a runner that remembers the jobs whose tasks it was told to start.
+type recordingRunner struct {
 	oneRunner
 	mu      sync.Mutex
 	started map[string]bool
 }
 
-func (r *countingRunner) Start(_ context.Context, _ batch.Runner, o StartOrder) (Answer, error) {
+func (r *recordingRunner) Start(_ context.Context, _ batch.Runner, o StartOrder) (Answer, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.started[o.Task.Job] = true
 	return Accepted, nil
 }
 
-func (r *countingRunner) hasStarted(job string) bool {
+func (r *recordingRunner) hasStarted(job string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.started[job]
@@ -111,7 +111,7 @@
 type takeover struct {
 	store   *keyspace.Store
 	replica *ledger.Replica
-	runner  *countingRunner
+	runner  *recordingRunner
 	token   uint64
 	reads   *takeoverStore
 	follows bool // the host's follower passes changes to the replica
@@ -132,7 +132,7 @@
 	logger := log.New(io.Discard)
 	w := &takeover{
 		store: keyspace.New(keyspace.Options{}), replica: ledger.NewReplica(logger),
-		runner: &countingRunner{started: make(map[string]bool)},
+		runner: &recordingRunner{started: make(map[string]bool)},
 	}
 	w.write(jobPut(t, "has ended"))
 	if job != "" {
